--- a/src/apply.c
+++ b/src/apply.c
@@ -70,14 +70,14 @@
 {
 	g_autofree skh_op_t *ops = g_new0(skh_op_t, keys->len);
 	skh_txn_t txn = { .ops = ops, .n_ops = keys->len };
-	bool succeeded;
+	skh_txn_result_t done;
 
 	for (size_t i = 0; i < keys->len; i++)
 		ops[i] = (skh_op_t){ SKH_OP_PUT, keys->pdata[i], values->pdata[i], 0 };
-	if (applying->store->ops->txn(applying->store, &txn, &succeeded, NULL, err))
+	if (applying->store->ops->txn(applying->store, &txn, &done, err))
 		return true;
 	return err->kind == SKH_STORE_UNKNOWN &&
-	       applying->store->ops->txn(applying->store, &txn, &succeeded, NULL, err);
+	       applying->store->ops->txn(applying->store, &txn, &done, err);
 }
 
 static bool write_parts(applying_t *applying, size_t *written, skh_error_t *err)
@@ -157,12 +157,14 @@
 		{ SKH_OP_PUT, applying->head_key, text, 0 },
 		{ SKH_OP_PUT, history, text, 0 },
 	};
-	const skh_txn_t txn = { &compare, 1, ops, G_N_ELEMENTS(ops) };
-	bool succeeded = false;
+	const skh_txn_t txn = {
+		.compares = &compare, .n_compares = 1, .ops = ops, .n_ops = G_N_ELEMENTS(ops)
+	};
+	skh_txn_result_t done;
 
-	if (!applying->store->ops->txn(applying->store, &txn, &succeeded, NULL, err))
+	if (!applying->store->ops->txn(applying->store, &txn, &done, err))
 		return err->kind == SKH_STORE_UNKNOWN && settle(applying, err);
-	return succeeded || settle(applying, err);
+	return done.succeeded || settle(applying, err);
 }
 
 static bool check_base(const applying_t *applying, int64_t base, skh_error_t *err)
--- a/src/backend.c
+++ b/src/backend.c
@@ -31,6 +31,7 @@
 		.headers = headers,
 		.body = skh_chunk_make(start->body.data, start->body.len),
 		.finish_by_us = finish_by_us,
+		.once = !start->idempotent,
 	};
 
 	skh_fetch_start(fetch, &request, now_us);
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include "claim.h"
 #include "clock.h"
 #include "log.h"
 #include "metrics.h"
@@ -32,6 +33,7 @@
 	int64_t accepted_at_us;
 	int64_t deadline_us;
 	const char *path; /* at the backend server */
+	const char *key;  /* idempotency key, "" for none */
 	bool stream;
 	uint64_t prefix_hash;
 } intake_t;
@@ -70,9 +72,14 @@
 	return skh_http_stream_end(((http_sink_t *)base)->http);
 }
 
-static bool sink_whole(skh_sink_t *base, int32_t status, const char *content_type, skh_chunk_t body)
+static bool sink_whole(skh_sink_t *base, int32_t status, const char *content_type, skh_chunk_t body,
+		       bool replayed)
 {
-	return skh_http_respond(((http_sink_t *)base)->http, status, content_type, body);
+	http_sink_t *sink = (http_sink_t *)base;
+
+	if (replayed)
+		skh_http_add_header(sink->http, "Idempotent-Replayed", "true");
+	return skh_http_respond(sink->http, status, content_type, body);
 }
 
 static void sink_fail(skh_sink_t *base, const skh_error_t *err)
@@ -163,12 +170,24 @@
 	return true;
 }
 
+/* A key protects work that may not be repeated; elsewhere it changes nothing. */
+static bool read_key(intake_t *intake, skh_error_t *err)
+{
+	const char *key = skh_http_header(intake->http, "Idempotency-Key");
+
+	intake->key = "";
+	if (!key || skh_service_is_idempotent(intake->service, skh_http_method(intake->http)))
+		return true;
+	intake->key = key;
+	return skh_claim_check_key(key, skh_clock_unix_ms(), err);
+}
+
 static bool check_service(intake_t *intake, skh_error_t *err)
 {
 	if (!skh_customer_may_use(intake->customer, intake->service->name))
 		return skh_error_set(err, SKH_FORBIDDEN, "the customer may not use \"%s\"",
 				     intake->service->name);
-	return read_priority(intake, err) && read_deadline(intake, err);
+	return read_priority(intake, err) && read_deadline(intake, err) && read_key(intake, err);
 }
 
 static bool admit(intake_t *intake, skh_error_t *err)
@@ -214,6 +233,7 @@
 		.body = skh_buffer_chunk(&intake->body),
 		.stream = intake->stream,
 		.idempotent = skh_service_is_idempotent(intake->service, method),
+		.key = intake->key,
 		.prefix_hash = intake->prefix_hash,
 		.accepted_at_us = intake->accepted_at_us,
 		.deadline_us = intake->deadline_us,
--- /dev/null
+++ b/src/claimer.c
@@ -0,0 +1,222 @@
+#include "claimer.h"
+
+#include "clock.h"
+#include "log.h"
+#include "metrics.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define PART	       "claimer"
+#define LEASE_PERIOD_S 600
+/* A record must outlast the last moment at which its key is accepted. */
+#define LEASE_TTL_S                                                                                \
+	(LEASE_PERIOD_S + SKH_CLAIM_HORIZON_MS / SKH_MS_PER_S +                                    \
+	 4 * SKH_CLAIM_SKEW_MS / SKH_MS_PER_S)
+
+typedef struct submitted {
+	uint64_t id;
+	char *key;
+	char *value;
+	int64_t expected;
+} submitted_t;
+
+struct skh_claimer {
+	skh_store_t *store;
+	int64_t interval_us;
+	pthread_t thread;
+	GMutex lock;
+	GCond wake;
+	GQueue queue; /* submitted_t */
+	GQueue done;  /* skh_claim_done_t */
+	bool stop;
+	int event_fd;
+	int64_t lease; /* claimer thread only */
+	int64_t lease_until_us;
+};
+
+static void free_submitted(gpointer item)
+{
+	submitted_t *submitted = item;
+
+	g_free(submitted->key);
+	g_free(submitted->value);
+	g_free(submitted);
+}
+
+void skh_claim_done_free(skh_claim_done_t *done)
+{
+	g_free(done->found);
+	g_free(done);
+}
+
+static void free_done(gpointer item)
+{
+	skh_claim_done_free(item);
+}
+
+/* Takes queued writes of differing keys; a second write of a key waits for the first. */
+static size_t take_batch(skh_claimer_t *claimer, submitted_t **batch)
+{
+	g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+	GList *item = claimer->queue.head;
+	size_t n = 0;
+
+	while (item && n < SKH_BATCH_MAX) {
+		GList *next = item->next;
+		submitted_t *submitted = item->data;
+
+		if (g_hash_table_add(keys, submitted->key)) {
+			batch[n++] = submitted;
+			g_queue_delete_link(&claimer->queue, item);
+		}
+		item = next;
+	}
+	return n;
+}
+
+static bool ensure_lease(skh_claimer_t *claimer, skh_error_t *err)
+{
+	int64_t now_us = skh_clock_now_us();
+
+	if (claimer->lease != 0 && now_us < claimer->lease_until_us)
+		return true;
+	if (!claimer->store->ops->lease_grant(claimer->store, LEASE_TTL_S, &claimer->lease, err)) {
+		claimer->lease = 0;
+		return false;
+	}
+	claimer->lease_until_us = now_us + LEASE_PERIOD_S * SKH_US_PER_S;
+	return true;
+}
+
+static void report(skh_claimer_t *claimer, submitted_t **batch, skh_write_t *writes, size_t n)
+{
+	const uint64_t one = 1;
+
+	g_mutex_lock(&claimer->lock);
+	for (size_t i = 0; i < n; i++) {
+		skh_claim_done_t *done = g_new0(skh_claim_done_t, 1);
+
+		done->id = batch[i]->id;
+		done->state = writes[i].state;
+		done->mod_revision = writes[i].mod_revision;
+		done->found = writes[i].found;
+		done->err = writes[i].err;
+		g_queue_push_tail(&claimer->done, done);
+		free_submitted(batch[i]);
+	}
+	g_mutex_unlock(&claimer->lock);
+	if (write(claimer->event_fd, &one, sizeof(one)) != (ssize_t)sizeof(one))
+		skh_log(SKH_LOG_ERROR, PART, "Waking the sidecar failed.", "errno=%d", errno);
+}
+
+static void run_batch(skh_claimer_t *claimer, submitted_t **batch, size_t n)
+{
+	skh_write_t writes[SKH_BATCH_MAX] = { 0 };
+	skh_error_t err;
+	bool leased = ensure_lease(claimer, &err);
+
+	for (size_t i = 0; i < n; i++) {
+		writes[i].key = batch[i]->key;
+		writes[i].value = batch[i]->value;
+		writes[i].expected = batch[i]->expected;
+		writes[i].lease = claimer->lease;
+		if (leased)
+			continue;
+		writes[i].state = SKH_WRITE_FAILED;
+		/* Without a lease no record was written, whatever became of the grant. */
+		(void)skh_error_set(&writes[i].err, SKH_STORE_UNAVAILABLE, "%s", err.text);
+	}
+	if (leased)
+		skh_batch_run(claimer->store, writes, n);
+	skh_metrics_add(SKH_COUNT_CLAIMS, n);
+	skh_metrics_add(SKH_COUNT_CLAIM_BATCHES, 1);
+	report(claimer, batch, writes, n);
+}
+
+static void *run(void *argument)
+{
+	skh_claimer_t *claimer = argument;
+	submitted_t *batch[SKH_BATCH_MAX];
+
+	for (;;) {
+		size_t n;
+
+		g_mutex_lock(&claimer->lock);
+		while (g_queue_is_empty(&claimer->queue) && !claimer->stop)
+			g_cond_wait(&claimer->wake, &claimer->lock);
+		n = take_batch(claimer, batch);
+		g_mutex_unlock(&claimer->lock);
+		if (n == 0)
+			return NULL;
+		run_batch(claimer, batch, n);
+		(void)usleep((useconds_t)claimer->interval_us);
+	}
+}
+
+skh_claimer_t *skh_claimer_start(skh_store_t *store, int64_t interval_us)
+{
+	skh_claimer_t *claimer = g_new0(skh_claimer_t, 1);
+
+	claimer->store = store;
+	claimer->interval_us = interval_us;
+	claimer->event_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	g_mutex_init(&claimer->lock);
+	g_cond_init(&claimer->wake);
+	g_queue_init(&claimer->queue);
+	g_queue_init(&claimer->done);
+	(void)pthread_create(&claimer->thread, NULL, run, claimer);
+	return claimer;
+}
+
+void skh_claimer_stop(skh_claimer_t *claimer)
+{
+	g_mutex_lock(&claimer->lock);
+	claimer->stop = true;
+	g_cond_signal(&claimer->wake);
+	g_mutex_unlock(&claimer->lock);
+	(void)pthread_join(claimer->thread, NULL);
+	g_queue_clear_full(&claimer->queue, free_submitted);
+	g_queue_clear_full(&claimer->done, free_done);
+	(void)close(claimer->event_fd);
+	g_cond_clear(&claimer->wake);
+	g_mutex_clear(&claimer->lock);
+	g_free(claimer);
+}
+
+void skh_claimer_submit(skh_claimer_t *claimer, uint64_t id, const char *key, const char *value,
+			int64_t expected)
+{
+	submitted_t *submitted = g_new0(submitted_t, 1);
+
+	submitted->id = id;
+	submitted->key = g_strdup(key);
+	submitted->value = g_strdup(value);
+	submitted->expected = expected;
+	g_mutex_lock(&claimer->lock);
+	g_queue_push_tail(&claimer->queue, submitted);
+	g_cond_signal(&claimer->wake);
+	g_mutex_unlock(&claimer->lock);
+}
+
+int skh_claimer_fd(const skh_claimer_t *claimer)
+{
+	return claimer->event_fd;
+}
+
+skh_claim_done_t *skh_claimer_take(skh_claimer_t *claimer)
+{
+	skh_claim_done_t *done;
+	uint64_t count;
+
+	g_mutex_lock(&claimer->lock);
+	done = g_queue_pop_head(&claimer->done);
+	/* Read under the lock, so that a wake-up for a later result is not lost. */
+	if (!done && read(claimer->event_fd, &count, sizeof(count)) < 0 && errno != EAGAIN)
+		skh_log(SKH_LOG_ERROR, PART, "Reading the wake-up failed.", "errno=%d", errno);
+	g_mutex_unlock(&claimer->lock);
+	return done;
+}
--- a/src/error.c
+++ b/src/error.c
@@ -33,6 +33,7 @@
 	[SKH_STORE_UNAVAILABLE] = { "store_unavailable", 503, SKH_RUN_NOT_RUN, true },
 	[SKH_STORE_UNKNOWN] = { "store_unknown", 503, SKH_RUN_NOT_RUN, true },
 	[SKH_OUTCOME_UNKNOWN] = { "outcome_unknown", 502, SKH_RUN_UNKNOWN, false },
+	[SKH_ALREADY_RAN] = { "already_ran", 409, SKH_RUN_RAN, false },
 	[SKH_CUT_OFF] = { "cut_off", 502, SKH_RUN_RAN, false },
 	[SKH_BACKEND_FAILED] = { "backend_failed", 502, SKH_RUN_RAN, false },
 	[SKH_CANCELLED] = { "cancelled", 499, SKH_RUN_UNKNOWN, false },
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -210,6 +210,8 @@
 	curl_easy_setopt(transfer->curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(transfer->curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(transfer->curl, CURLOPT_TIMEOUT_MS, (long)(budget_us / SKH_US_PER_MS));
+	/* libcurl sends a request again when a reused connection closes without an answer. */
+	curl_easy_setopt(transfer->curl, CURLOPT_FRESH_CONNECT, request->once ? 1L : 0L);
 	set_body(transfer->curl, request);
 	g_hash_table_insert(fetch->transfers, &transfer->id, transfer);
 	curl_multi_add_handle(fetch->multi, transfer->curl);
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -26,6 +26,7 @@
 	const char *const *headers; /* NULL-terminated "Name: value" */
 	skh_chunk_t body;
 	int64_t finish_by_us; /* monotonic deadline */
+	bool once;	      /* never send it a second time, whatever happens to its connection */
 } skh_fetch_request_t;
 
 /** struct skh_fetch_events - how the owner learns what happens */
--- a/src/gate.c
+++ b/src/gate.c
@@ -160,14 +160,14 @@
 	return SKH_FATE_REFUSED;
 }
 
-void skh_gate_ended(skh_gate_t *gate, uint64_t attempt)
+void skh_gate_ended(skh_gate_t *gate, uint64_t attempt, bool started)
 {
 	slot_t *slot = find(gate, attempt);
 
 	if (!slot || slot->state != SLOT_RUNNING)
 		return;
 	gate->running--;
-	settle(gate, slot, SLOT_ENDED);
+	settle(gate, slot, started ? SLOT_ENDED : SLOT_REFUSED);
 }
 
 static bool goes_before(const slot_t *a, const slot_t *b)
--- a/src/gate.h
+++ b/src/gate.h
@@ -68,8 +68,11 @@
 skh_fate_t skh_gate_ask(skh_gate_t *gate, uint64_t attempt, int64_t start_before_us,
 			int64_t now_us);
 
-/** skh_gate_ended() - @attempt no longer runs */
-void skh_gate_ended(skh_gate_t *gate, uint64_t attempt);
+/**
+ * skh_gate_ended() - @attempt no longer runs
+ * @started: false when it was stopped before the backend server got it
+ */
+void skh_gate_ended(skh_gate_t *gate, uint64_t attempt, bool started);
 
 /** skh_gate_next() - waiting attempt to start now, by priority then age; 0 for none */
 uint64_t skh_gate_next(skh_gate_t *gate, int64_t now_us);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -39,6 +39,8 @@
 	[SKH_COUNT_STORE_FAILED] = { "store_failed", "Failed calls to the key-value service" },
 	[SKH_COUNT_CLAIMS] = { "claims", "Claims of non-idempotent requests written" },
 	[SKH_COUNT_CLAIM_BATCHES] = { "claim_batches", "Transactions that carried claims" },
+	[SKH_COUNT_CLAIM_UNFINISHED] = { "claim_unfinished",
+					 "Requests whose key is claimed by an unfinished run" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -12,7 +12,7 @@
 
 skh_run_t skh_relay_run(const skh_relay_t *relay)
 {
-	if (relay->has_run)
+	if (relay->has_run || relay->state == SKH_RELAY_RUNNING)
 		return SKH_RUN_RAN;
 	return relay->may_have_run ? SKH_RUN_UNKNOWN : SKH_RUN_NOT_RUN;
 }
@@ -55,7 +55,6 @@
 static void mark_running(skh_relay_t *relay)
 {
 	relay->state = SKH_RELAY_RUNNING;
-	relay->has_run = true;
 }
 
 skh_action_t skh_relay_started(skh_relay_t *relay, uint64_t attempt)
@@ -77,13 +76,14 @@
 {
 	relay->may_have_run = true;
 	relay->losses++;
-	if (!relay->idempotent) {
-		skh_error_t err = *why;
-
-		/* Its backend server started it and did not say how it went. */
-		relay->has_run = false;
-		return fail(relay, &err);
-	}
+	/* Non-idempotent work may have started without ending; only a record proves that it ran. */
+	if (relay->idempotent)
+		relay->has_run = relay->has_run || relay->state == SKH_RELAY_RUNNING;
+	else
+		relay->has_run = why->kind == SKH_ALREADY_RAN;
+	relay->state = SKH_RELAY_PLACING;
+	if (!relay->idempotent)
+		return fail(relay, why);
 	if (relay->losses >= SKH_RELAY_MAX_LOSSES || relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
 		return fail(relay, why);
 	return place_again(relay);
@@ -119,16 +119,23 @@
 		return lose(relay, fault);
 	if (pieces != relay->next_seq)
 		return lose_with(relay, "a piece of the answer was lost on the way");
-	mark_running(relay);
+	relay->has_run = true;
 	relay->state = SKH_RELAY_ENDED;
 	return SKH_ACT_FINISH;
 }
 
+/* Another sidecar may do what this one would not. */
+static bool is_local_refusal(skh_kind_t kind)
+{
+	return kind == SKH_OVERLOADED || kind == SKH_NO_BACKEND || kind == SKH_LEAVING ||
+	       kind == SKH_STALE || kind == SKH_NOT_READY;
+}
+
 skh_action_t skh_relay_refused(skh_relay_t *relay, uint64_t attempt, const skh_error_t *err)
 {
 	if (!is_current(relay, attempt))
 		return SKH_ACT_WAIT;
-	if (relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
+	if (!is_local_refusal(err->kind) || relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
 		return fail(relay, err);
 	return place_again(relay);
 }
@@ -152,7 +159,7 @@
 	if (relay->state == SKH_RELAY_SENT)
 		relay->may_have_run = true;
 	if (relay->state == SKH_RELAY_RUNNING && !relay->idempotent) {
-		relay->has_run = false;
+		relay->state = SKH_RELAY_SENT;
 		relay->may_have_run = true;
 	}
 	return fail_with(relay, SKH_DEADLINE_PASSED,
--- a/src/relay.h
+++ b/src/relay.h
@@ -48,7 +48,8 @@
  * @events: whole stream events passed on to the caller
  * @placements: attempts handed over so far
  * @losses: attempts that were lost after they were handed over
- * @may_have_run: some attempt was handed over without proof that it did not run
+ * @may_have_run: an earlier attempt was lost without proof that it did not run
+ * @has_run: an earlier attempt, or the one that ended, is known to have run
  * @error: why the request failed
  */
 typedef struct skh_relay {
--- a/src/serve.c
+++ b/src/serve.c
@@ -30,6 +30,7 @@
 	char content_type[SKH_WIRE_MAX_NAME_BYTES + 1];
 	bool begun; /* the caller has seen the start of the answer */
 	bool caller_gone;
+	bool replayed;	     /* the answer was recorded by an earlier run */
 	skh_buffer_t kept;   /* an answer that is handed over whole */
 	uint32_t uncredited; /* bytes taken since the last credit */
 } serving_t;
@@ -77,6 +78,7 @@
 	start->stream = job->stream;
 	start->resume_from = serving->begun ? serving->relay.events : 0;
 	start->idempotent = job->idempotent;
+	start->key = (char *)job->key;
 }
 
 static void count_placement(const serving_t *serving)
@@ -168,6 +170,7 @@
 {
 	skh_error_t fault;
 
+	serving->replayed = end->replayed;
 	if (end->whole)
 		return skh_relay_end(&serving->relay, end->attempt, end->pieces, NULL);
 	(void)skh_error_set(&fault, skh_kind_from_name(end->kind), "%s", end->text);
@@ -251,7 +254,7 @@
 		return sink->ops->end(sink);
 	observe_first_byte(serving);
 	return sink->ops->whole(sink, serving->status ? serving->status : HTTP_OK,
-				serving->content_type, skh_buffer_chunk(&serving->kept));
+				serving->content_type, skh_buffer_chunk(&serving->kept), serving->replayed);
 }
 
 static bool drive(serving_t *serving)
--- a/src/serve.h
+++ b/src/serve.h
@@ -29,6 +29,7 @@
 	skh_chunk_t body;
 	bool stream;
 	bool idempotent;
+	const char *key; /* idempotency key, "" for none */
 	uint64_t prefix_hash;
 	int64_t accepted_at_us;
 	int64_t deadline_us;
@@ -41,7 +42,8 @@
 	bool (*begin)(skh_sink_t *sink, int32_t status, const char *content_type);
 	bool (*write)(skh_sink_t *sink, skh_chunk_t bytes);
 	bool (*end)(skh_sink_t *sink);
-	bool (*whole)(skh_sink_t *sink, int32_t status, const char *content_type, skh_chunk_t body);
+	bool (*whole)(skh_sink_t *sink, int32_t status, const char *content_type, skh_chunk_t body,
+		      bool replayed);
 	/* Before begin() an error answer, afterwards an error event and no end mark. */
 	void (*fail)(skh_sink_t *sink, const skh_error_t *err);
 } skh_sink_ops_t;
--- a/src/store.c
+++ b/src/store.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdatomic.h>
+#include <string.h>
 
 static atomic_uint_fast64_t calls;
 
@@ -15,6 +16,15 @@
 	*pairs = (skh_pairs_t){ 0 };
 }
 
+const skh_pair_t *skh_pairs_find(const skh_pairs_t *pairs, const char *key)
+{
+	for (size_t i = 0; i < pairs->count; i++) {
+		if (strcmp(pairs->list[i].key, key) == 0)
+			return &pairs->list[i];
+	}
+	return NULL;
+}
+
 uint64_t skh_store_calls(void)
 {
 	return atomic_load(&calls);
--- a/src/store.h
+++ b/src/store.h
@@ -41,6 +41,9 @@
 
 void skh_pairs_clear(skh_pairs_t *pairs);
 
+/** skh_pairs_find() - the pair with @key, or NULL */
+const skh_pair_t *skh_pairs_find(const skh_pairs_t *pairs, const char *key);
+
 /** struct skh_compare - one guard of a transaction: @key's mod revision; 0 when absent */
 typedef struct skh_compare {
 	const char *key;
@@ -49,7 +52,8 @@
 
 typedef enum skh_op_type {
 	SKH_OP_PUT,
-	SKH_OP_DELETE
+	SKH_OP_DELETE,
+	SKH_OP_READ
 } skh_op_type_t;
 
 typedef struct skh_op {
@@ -60,17 +64,26 @@
 } skh_op_t;
 
 /**
- * struct skh_txn - all of @ops when every compare holds, else nothing
+ * struct skh_txn - all of @ops when every compare holds, else all of @else_ops
  * @n_compares: length of @compares
  * @n_ops: length of @ops
+ * @n_else_ops: length of @else_ops
  */
 typedef struct skh_txn {
 	const skh_compare_t *compares;
 	size_t n_compares;
 	const skh_op_t *ops;
 	size_t n_ops;
+	const skh_op_t *else_ops;
+	size_t n_else_ops;
 } skh_txn_t;
 
+/** struct skh_txn_result - what a transaction did; free with skh_pairs_clear(&pairs) */
+typedef struct skh_txn_result {
+	bool succeeded;	    /* the compares held and @ops were done */
+	skh_pairs_t pairs;  /* found by the SKH_OP_READ ops; absent keys are left out */
+} skh_txn_result_t;
+
 /** skh_watch_fn() - one change; @value is NULL for a deletion. Return false to end the watch. */
 typedef bool (*skh_watch_fn)(void *context, const char *key, const char *value,
 			     int64_t mod_revision);
@@ -79,8 +92,8 @@
 typedef struct skh_store_ops {
 	bool (*range)(skh_store_t *store, const char *key, bool prefix, skh_pairs_t *pairs,
 		      skh_error_t *err);
-	bool (*txn)(skh_store_t *store, const skh_txn_t *txn, bool *succeeded,
-		    int64_t *store_revision, skh_error_t *err);
+	bool (*txn)(skh_store_t *store, const skh_txn_t *txn, skh_txn_result_t *result,
+		    skh_error_t *err);
 	bool (*lease_grant)(skh_store_t *store, int64_t ttl_s, int64_t *lease, skh_error_t *err);
 	bool (*lease_keep)(skh_store_t *store, int64_t lease, int64_t *ttl_s, skh_error_t *err);
 	/* Blocks until @fn ends it, the connection breaks or *@stop becomes true. */
--- a/src/store_etcd.c
+++ b/src/store_etcd.c
@@ -163,12 +163,21 @@
 	pair->lease = integer_of(kv, "lease");
 }
 
+static void read_pairs(const json_t *kvs, skh_pairs_t *pairs)
+{
+	size_t more = json_array_size(kvs);
+
+	pairs->list = g_renew(skh_pair_t, pairs->list, pairs->count + more);
+	for (size_t i = 0; i < more; i++)
+		read_pair(json_array_get(kvs, i), &pairs->list[pairs->count + i]);
+	pairs->count += more;
+}
+
 static bool etcd_range(skh_store_t *base, const char *key, bool prefix, skh_pairs_t *pairs,
 		       skh_error_t *err)
 {
 	json_t *request = json_object();
 	json_t *answer;
-	json_t *kvs;
 
 	*pairs = (skh_pairs_t){ 0 };
 	set_encoded(request, "key", key);
@@ -180,12 +189,8 @@
 	answer = post((etcd_store_t *)base, "/v3/kv/range", request, err);
 	if (!answer)
 		return false;
-	kvs = json_object_get(answer, "kvs");
-	pairs->count = json_array_size(kvs);
-	pairs->list = g_new0(skh_pair_t, pairs->count);
 	pairs->store_revision = integer_of(json_object_get(answer, "header"), "revision");
-	for (size_t i = 0; i < pairs->count; i++)
-		read_pair(json_array_get(kvs, i), &pairs->list[i]);
+	read_pairs(json_object_get(answer, "kvs"), pairs);
 	json_decref(answer);
 	return true;
 }
@@ -204,44 +209,58 @@
 
 static json_t *op_to_json(const skh_op_t *op)
 {
+	static const char *const names[] = {
+		[SKH_OP_PUT] = "request_put",
+		[SKH_OP_DELETE] = "request_delete_range",
+		[SKH_OP_READ] = "request_range",
+	};
 	json_t *json = json_object();
 	json_t *inner = json_object();
 
 	set_encoded(inner, "key", op->key);
-	if (op->type == SKH_OP_DELETE) {
-		json_object_set_new(json, "request_delete_range", inner);
-		return json;
-	}
-	set_encoded(inner, "value", op->value);
+	if (op->type == SKH_OP_PUT)
+		set_encoded(inner, "value", op->value);
 	if (op->lease != 0) {
 		g_autofree char *lease = g_strdup_printf("%" G_GINT64_FORMAT, op->lease);
 
 		json_object_set_new(inner, "lease", json_string(lease));
 	}
-	json_object_set_new(json, "request_put", inner);
+	json_object_set_new(json, names[op->type], inner);
 	return json;
 }
 
-static bool etcd_txn(skh_store_t *base, const skh_txn_t *txn, bool *succeeded,
-		     int64_t *store_revision, skh_error_t *err)
+static json_t *ops_to_json(const skh_op_t *ops, size_t n_ops)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < n_ops; i++)
+		json_array_append_new(list, op_to_json(&ops[i]));
+	return list;
+}
+
+static bool etcd_txn(skh_store_t *base, const skh_txn_t *txn, skh_txn_result_t *result,
+		     skh_error_t *err)
 {
 	json_t *request = json_object();
 	json_t *compares = json_array();
-	json_t *ops = json_array();
 	json_t *answer;
+	json_t *response;
+	size_t index;
 
+	*result = (skh_txn_result_t){ 0 };
 	for (size_t i = 0; i < txn->n_compares; i++)
 		json_array_append_new(compares, compare_to_json(&txn->compares[i]));
-	for (size_t i = 0; i < txn->n_ops; i++)
-		json_array_append_new(ops, op_to_json(&txn->ops[i]));
 	json_object_set_new(request, "compare", compares);
-	json_object_set_new(request, "success", ops);
+	json_object_set_new(request, "success", ops_to_json(txn->ops, txn->n_ops));
+	json_object_set_new(request, "failure", ops_to_json(txn->else_ops, txn->n_else_ops));
 	answer = post((etcd_store_t *)base, "/v3/kv/txn", request, err);
 	if (!answer)
 		return false;
-	*succeeded = json_is_true(json_object_get(answer, "succeeded"));
-	if (store_revision)
-		*store_revision = integer_of(json_object_get(answer, "header"), "revision");
+	result->succeeded = json_is_true(json_object_get(answer, "succeeded"));
+	result->pairs.store_revision = integer_of(json_object_get(answer, "header"), "revision");
+	json_array_foreach (json_object_get(answer, "responses"), index, response)
+		read_pairs(json_object_get(json_object_get(response, "response_range"), "kvs"),
+			   &result->pairs);
 	json_decref(answer);
 	return true;
 }
--- /dev/null
+++ b/src/tell.c
@@ -0,0 +1,97 @@
+#include "tell.h"
+
+#include "clock.h"
+#include "metrics.h"
+
+#define RETRY_AFTER_US (1 * SKH_US_PER_S)
+
+static void fill_status(const skh_teller_t *teller, Skh__Status *status)
+{
+	const skh_settings_t *settings = teller->settings;
+
+	status->incarnation = teller->incarnation;
+	status->clock_us = skh_clock_now_us();
+	status->phase = skh_gate_phase(teller->gate);
+	status->service = (char *)settings->backend_service;
+	status->failure_domain = (char *)settings->failure_domain;
+	status->running = skh_gate_running(teller->gate);
+	status->queued = skh_gate_queued(teller->gate);
+	status->capacity = (uint32_t)settings->backend_capacity;
+	status->group = (char *)settings->backend_group;
+	status->rank = (uint32_t)settings->backend_rank;
+	status->admin = (char *)settings->admin_listen;
+}
+
+static bool send_frame(const skh_teller_t *teller, const char *entry, Skh__Frame *frame)
+{
+	Skh__Status status = SKH__STATUS__INIT;
+
+	if (frame->body_case != SKH__FRAME__BODY_DATA) {
+		fill_status(teller, &status);
+		frame->status = &status;
+	}
+	frame->revision = (uint64_t)skh_board_revision(teller->board);
+	return skh_port_send(teller->port, entry, frame);
+}
+
+void skh_tell_status(const skh_teller_t *teller, const char *entry)
+{
+	Skh__Frame frame = SKH__FRAME__INIT;
+
+	(void)send_frame(teller, entry, &frame);
+}
+
+void skh_tell_refused(const skh_teller_t *teller, const char *entry, uint64_t attempt,
+		      const skh_error_t *err)
+{
+	Skh__Frame frame = SKH__FRAME__INIT;
+	Skh__Refuse refuse = SKH__REFUSE__INIT;
+
+	refuse.attempt = attempt;
+	refuse.kind = (char *)skh_kind_name(err->kind);
+	refuse.text = (char *)err->text;
+	refuse.retry_after_us = RETRY_AFTER_US;
+	frame.body_case = SKH__FRAME__BODY_REFUSE;
+	frame.refuse = &refuse;
+	(void)send_frame(teller, entry, &frame);
+	skh_metrics_add(SKH_COUNT_HANDED_BACK, 1);
+}
+
+void skh_tell_started(const skh_teller_t *teller, const char *entry, uint64_t attempt)
+{
+	Skh__Frame frame = SKH__FRAME__INIT;
+	Skh__Started started = SKH__STARTED__INIT;
+
+	started.attempt = attempt;
+	frame.body_case = SKH__FRAME__BODY_STARTED;
+	frame.started = &started;
+	(void)send_frame(teller, entry, &frame);
+}
+
+bool skh_tell_data(const skh_teller_t *teller, const char *entry, Skh__Data *data)
+{
+	Skh__Frame frame = SKH__FRAME__INIT;
+
+	frame.body_case = SKH__FRAME__BODY_DATA;
+	frame.data = data;
+	return send_frame(teller, entry, &frame);
+}
+
+void skh_tell_end(const skh_teller_t *teller, const char *entry, uint64_t attempt, uint64_t pieces,
+		  const skh_error_t *err, bool replayed)
+{
+	Skh__Frame frame = SKH__FRAME__INIT;
+	Skh__End end = SKH__END__INIT;
+
+	end.attempt = attempt;
+	end.pieces = pieces;
+	end.whole = err == NULL;
+	end.replayed = replayed;
+	if (err) {
+		end.kind = (char *)skh_kind_name(err->kind);
+		end.text = (char *)err->text;
+	}
+	frame.body_case = SKH__FRAME__BODY_END;
+	frame.end = &end;
+	(void)send_frame(teller, entry, &frame);
+}
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7,1015 +7,1594 @@
 #endif
 
 #include "wire.pb-c.h"
-void skh__frame__init(Skh__Frame *message)
+void   skh__frame__init
+                     (Skh__Frame         *message)
 {
-	static const Skh__Frame init_value = SKH__FRAME__INIT;
-	*message = init_value;
+  static const Skh__Frame init_value = SKH__FRAME__INIT;
+  *message = init_value;
 }
-size_t skh__frame__get_packed_size(const Skh__Frame *message)
+size_t skh__frame__get_packed_size
+                     (const Skh__Frame *message)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__frame__pack(const Skh__Frame *message, uint8_t *out)
+size_t skh__frame__pack
+                     (const Skh__Frame *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__frame__pack_to_buffer(const Skh__Frame *message, ProtobufCBuffer *buffer)
+size_t skh__frame__pack_to_buffer
+                     (const Skh__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Frame *skh__frame__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Frame *
+       skh__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Frame *)protobuf_c_message_unpack(&skh__frame__descriptor, allocator, len,
-						       data);
+  return (Skh__Frame *)
+     protobuf_c_message_unpack (&skh__frame__descriptor,
+                                allocator, len, data);
 }
-void skh__frame__free_unpacked(Skh__Frame *message, ProtobufCAllocator *allocator)
+void   skh__frame__free_unpacked
+                     (Skh__Frame *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__hello__init(Skh__Hello *message)
+void   skh__hello__init
+                     (Skh__Hello         *message)
 {
-	static const Skh__Hello init_value = SKH__HELLO__INIT;
-	*message = init_value;
+  static const Skh__Hello init_value = SKH__HELLO__INIT;
+  *message = init_value;
 }
-size_t skh__hello__get_packed_size(const Skh__Hello *message)
+size_t skh__hello__get_packed_size
+                     (const Skh__Hello *message)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__hello__pack(const Skh__Hello *message, uint8_t *out)
+size_t skh__hello__pack
+                     (const Skh__Hello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__hello__pack_to_buffer(const Skh__Hello *message, ProtobufCBuffer *buffer)
+size_t skh__hello__pack_to_buffer
+                     (const Skh__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Hello *skh__hello__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Hello *
+       skh__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Hello *)protobuf_c_message_unpack(&skh__hello__descriptor, allocator, len,
-						       data);
+  return (Skh__Hello *)
+     protobuf_c_message_unpack (&skh__hello__descriptor,
+                                allocator, len, data);
 }
-void skh__hello__free_unpacked(Skh__Hello *message, ProtobufCAllocator *allocator)
+void   skh__hello__free_unpacked
+                     (Skh__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__status__init(Skh__Status *message)
+void   skh__status__init
+                     (Skh__Status         *message)
 {
-	static const Skh__Status init_value = SKH__STATUS__INIT;
-	*message = init_value;
+  static const Skh__Status init_value = SKH__STATUS__INIT;
+  *message = init_value;
 }
-size_t skh__status__get_packed_size(const Skh__Status *message)
+size_t skh__status__get_packed_size
+                     (const Skh__Status *message)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__status__pack(const Skh__Status *message, uint8_t *out)
+size_t skh__status__pack
+                     (const Skh__Status *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__status__pack_to_buffer(const Skh__Status *message, ProtobufCBuffer *buffer)
+size_t skh__status__pack_to_buffer
+                     (const Skh__Status *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Status *skh__status__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Status *
+       skh__status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Status *)protobuf_c_message_unpack(&skh__status__descriptor, allocator, len,
-							data);
+  return (Skh__Status *)
+     protobuf_c_message_unpack (&skh__status__descriptor,
+                                allocator, len, data);
 }
-void skh__status__free_unpacked(Skh__Status *message, ProtobufCAllocator *allocator)
+void   skh__status__free_unpacked
+                     (Skh__Status *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__status__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__start__init(Skh__Start *message)
+void   skh__start__init
+                     (Skh__Start         *message)
 {
-	static const Skh__Start init_value = SKH__START__INIT;
-	*message = init_value;
+  static const Skh__Start init_value = SKH__START__INIT;
+  *message = init_value;
 }
-size_t skh__start__get_packed_size(const Skh__Start *message)
+size_t skh__start__get_packed_size
+                     (const Skh__Start *message)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__start__pack(const Skh__Start *message, uint8_t *out)
+size_t skh__start__pack
+                     (const Skh__Start *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__start__pack_to_buffer(const Skh__Start *message, ProtobufCBuffer *buffer)
+size_t skh__start__pack_to_buffer
+                     (const Skh__Start *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Start *skh__start__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Start *
+       skh__start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Start *)protobuf_c_message_unpack(&skh__start__descriptor, allocator, len,
-						       data);
+  return (Skh__Start *)
+     protobuf_c_message_unpack (&skh__start__descriptor,
+                                allocator, len, data);
 }
-void skh__start__free_unpacked(Skh__Start *message, ProtobufCAllocator *allocator)
+void   skh__start__free_unpacked
+                     (Skh__Start *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__start__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__cancel__init(Skh__Cancel *message)
+void   skh__cancel__init
+                     (Skh__Cancel         *message)
 {
-	static const Skh__Cancel init_value = SKH__CANCEL__INIT;
-	*message = init_value;
+  static const Skh__Cancel init_value = SKH__CANCEL__INIT;
+  *message = init_value;
 }
-size_t skh__cancel__get_packed_size(const Skh__Cancel *message)
+size_t skh__cancel__get_packed_size
+                     (const Skh__Cancel *message)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__cancel__pack(const Skh__Cancel *message, uint8_t *out)
+size_t skh__cancel__pack
+                     (const Skh__Cancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__cancel__pack_to_buffer(const Skh__Cancel *message, ProtobufCBuffer *buffer)
+size_t skh__cancel__pack_to_buffer
+                     (const Skh__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Cancel *skh__cancel__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Cancel *
+       skh__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Cancel *)protobuf_c_message_unpack(&skh__cancel__descriptor, allocator, len,
-							data);
+  return (Skh__Cancel *)
+     protobuf_c_message_unpack (&skh__cancel__descriptor,
+                                allocator, len, data);
 }
-void skh__cancel__free_unpacked(Skh__Cancel *message, ProtobufCAllocator *allocator)
+void   skh__cancel__free_unpacked
+                     (Skh__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__credit__init(Skh__Credit *message)
+void   skh__credit__init
+                     (Skh__Credit         *message)
 {
-	static const Skh__Credit init_value = SKH__CREDIT__INIT;
-	*message = init_value;
+  static const Skh__Credit init_value = SKH__CREDIT__INIT;
+  *message = init_value;
 }
-size_t skh__credit__get_packed_size(const Skh__Credit *message)
+size_t skh__credit__get_packed_size
+                     (const Skh__Credit *message)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__credit__pack(const Skh__Credit *message, uint8_t *out)
+size_t skh__credit__pack
+                     (const Skh__Credit *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__credit__pack_to_buffer(const Skh__Credit *message, ProtobufCBuffer *buffer)
+size_t skh__credit__pack_to_buffer
+                     (const Skh__Credit *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Credit *skh__credit__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Credit *
+       skh__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Credit *)protobuf_c_message_unpack(&skh__credit__descriptor, allocator, len,
-							data);
+  return (Skh__Credit *)
+     protobuf_c_message_unpack (&skh__credit__descriptor,
+                                allocator, len, data);
 }
-void skh__credit__free_unpacked(Skh__Credit *message, ProtobufCAllocator *allocator)
+void   skh__credit__free_unpacked
+                     (Skh__Credit *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__ask__init(Skh__Ask *message)
+void   skh__ask__init
+                     (Skh__Ask         *message)
 {
-	static const Skh__Ask init_value = SKH__ASK__INIT;
-	*message = init_value;
+  static const Skh__Ask init_value = SKH__ASK__INIT;
+  *message = init_value;
 }
-size_t skh__ask__get_packed_size(const Skh__Ask *message)
+size_t skh__ask__get_packed_size
+                     (const Skh__Ask *message)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__ask__pack(const Skh__Ask *message, uint8_t *out)
+size_t skh__ask__pack
+                     (const Skh__Ask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__ask__pack_to_buffer(const Skh__Ask *message, ProtobufCBuffer *buffer)
+size_t skh__ask__pack_to_buffer
+                     (const Skh__Ask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Ask *skh__ask__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Ask *
+       skh__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Ask *)protobuf_c_message_unpack(&skh__ask__descriptor, allocator, len, data);
+  return (Skh__Ask *)
+     protobuf_c_message_unpack (&skh__ask__descriptor,
+                                allocator, len, data);
 }
-void skh__ask__free_unpacked(Skh__Ask *message, ProtobufCAllocator *allocator)
+void   skh__ask__free_unpacked
+                     (Skh__Ask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__started__init(Skh__Started *message)
+void   skh__started__init
+                     (Skh__Started         *message)
 {
-	static const Skh__Started init_value = SKH__STARTED__INIT;
-	*message = init_value;
+  static const Skh__Started init_value = SKH__STARTED__INIT;
+  *message = init_value;
 }
-size_t skh__started__get_packed_size(const Skh__Started *message)
+size_t skh__started__get_packed_size
+                     (const Skh__Started *message)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__started__pack(const Skh__Started *message, uint8_t *out)
+size_t skh__started__pack
+                     (const Skh__Started *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__started__pack_to_buffer(const Skh__Started *message, ProtobufCBuffer *buffer)
+size_t skh__started__pack_to_buffer
+                     (const Skh__Started *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Started *skh__started__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Started *
+       skh__started__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Started *)protobuf_c_message_unpack(&skh__started__descriptor, allocator, len,
-							 data);
+  return (Skh__Started *)
+     protobuf_c_message_unpack (&skh__started__descriptor,
+                                allocator, len, data);
 }
-void skh__started__free_unpacked(Skh__Started *message, ProtobufCAllocator *allocator)
+void   skh__started__free_unpacked
+                     (Skh__Started *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__started__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__started__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__data__init(Skh__Data *message)
+void   skh__data__init
+                     (Skh__Data         *message)
 {
-	static const Skh__Data init_value = SKH__DATA__INIT;
-	*message = init_value;
+  static const Skh__Data init_value = SKH__DATA__INIT;
+  *message = init_value;
 }
-size_t skh__data__get_packed_size(const Skh__Data *message)
+size_t skh__data__get_packed_size
+                     (const Skh__Data *message)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__data__pack(const Skh__Data *message, uint8_t *out)
+size_t skh__data__pack
+                     (const Skh__Data *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__data__pack_to_buffer(const Skh__Data *message, ProtobufCBuffer *buffer)
+size_t skh__data__pack_to_buffer
+                     (const Skh__Data *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Data *skh__data__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Data *
+       skh__data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Data *)protobuf_c_message_unpack(&skh__data__descriptor, allocator, len, data);
+  return (Skh__Data *)
+     protobuf_c_message_unpack (&skh__data__descriptor,
+                                allocator, len, data);
 }
-void skh__data__free_unpacked(Skh__Data *message, ProtobufCAllocator *allocator)
+void   skh__data__free_unpacked
+                     (Skh__Data *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__data__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__data__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__end__init(Skh__End *message)
+void   skh__end__init
+                     (Skh__End         *message)
 {
-	static const Skh__End init_value = SKH__END__INIT;
-	*message = init_value;
+  static const Skh__End init_value = SKH__END__INIT;
+  *message = init_value;
 }
-size_t skh__end__get_packed_size(const Skh__End *message)
+size_t skh__end__get_packed_size
+                     (const Skh__End *message)
 {
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t skh__end__pack(const Skh__End *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t skh__end__pack_to_buffer(const Skh__End *message, ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Skh__End *skh__end__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
-{
-	return (Skh__End *)protobuf_c_message_unpack(&skh__end__descriptor, allocator, len, data);
-}
-void skh__end__free_unpacked(Skh__End *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__end__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-void skh__refuse__init(Skh__Refuse *message)
-{
-	static const Skh__Refuse init_value = SKH__REFUSE__INIT;
-	*message = init_value;
-}
-size_t skh__refuse__get_packed_size(const Skh__Refuse *message)
-{
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t skh__refuse__pack(const Skh__Refuse *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t skh__refuse__pack_to_buffer(const Skh__Refuse *message, ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Skh__Refuse *skh__refuse__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
-{
-	return (Skh__Refuse *)protobuf_c_message_unpack(&skh__refuse__descriptor, allocator, len,
-							data);
-}
-void skh__refuse__free_unpacked(Skh__Refuse *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor skh__frame__field_descriptors[12] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Frame, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Frame, revision), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"status", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Skh__Frame, status), &skh__status__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"hello", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, hello),
-		&skh__hello__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"start", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, start),
-		&skh__start__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cancel", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, cancel),
-		&skh__cancel__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"credit", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, credit),
-		&skh__credit__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"ask", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, ask), &skh__ask__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"started", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, started),
-		&skh__started__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"data", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, data), &skh__data__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"end", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, end), &skh__end__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"refuse", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, refuse),
-		&skh__refuse__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__end__pack
+                     (const Skh__End *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__end__pack_to_buffer
+                     (const Skh__End *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__End *
+       skh__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__End *)
+     protobuf_c_message_unpack (&skh__end__descriptor,
+                                allocator, len, data);
+}
+void   skh__end__free_unpacked
+                     (Skh__End *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   skh__refuse__init
+                     (Skh__Refuse         *message)
+{
+  static const Skh__Refuse init_value = SKH__REFUSE__INIT;
+  *message = init_value;
+}
+size_t skh__refuse__get_packed_size
+                     (const Skh__Refuse *message)
+{
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__refuse__pack
+                     (const Skh__Refuse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__refuse__pack_to_buffer
+                     (const Skh__Refuse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__Refuse *
+       skh__refuse__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__Refuse *)
+     protobuf_c_message_unpack (&skh__refuse__descriptor,
+                                allocator, len, data);
+}
+void   skh__refuse__free_unpacked
+                     (Skh__Refuse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor skh__frame__field_descriptors[12] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, status),
+    &skh__status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, hello),
+    &skh__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, start),
+    &skh__start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, cancel),
+    &skh__cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, credit),
+    &skh__credit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, ask),
+    &skh__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, started),
+    &skh__started__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, data),
+    &skh__data__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, end),
+    &skh__end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, refuse),
+    &skh__refuse__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__frame__field_indices_by_name[] = {
-	7,  /* field[7] = ask */
-	5,  /* field[5] = cancel */
-	6,  /* field[6] = credit */
-	9,  /* field[9] = data */
-	10, /* field[10] = end */
-	3,  /* field[3] = hello */
-	11, /* field[11] = refuse */
-	1,  /* field[1] = revision */
-	4,  /* field[4] = start */
-	8,  /* field[8] = started */
-	2,  /* field[2] = status */
-	0,  /* field[0] = version */
-};
-static const ProtobufCIntRange skh__frame__number_ranges[3 + 1] = {
-	{ 1, 0 }, { 10, 3 }, { 20, 8 }, { 0, 12 }
-};
-const ProtobufCMessageDescriptor skh__frame__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Frame",
-	"Frame",
-	"Skh__Frame",
-	"skh",
-	sizeof(Skh__Frame),
-	12,
-	skh__frame__field_descriptors,
-	skh__frame__field_indices_by_name,
-	3,
-	skh__frame__number_ranges,
-	(ProtobufCMessageInit)skh__frame__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__hello__field_descriptors[1] = {
-	{
-		"entry", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Hello, entry), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  7,   /* field[7] = ask */
+  5,   /* field[5] = cancel */
+  6,   /* field[6] = credit */
+  9,   /* field[9] = data */
+  10,   /* field[10] = end */
+  3,   /* field[3] = hello */
+  11,   /* field[11] = refuse */
+  1,   /* field[1] = revision */
+  4,   /* field[4] = start */
+  8,   /* field[8] = started */
+  2,   /* field[2] = status */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange skh__frame__number_ranges[3 + 1] =
+{
+  { 1, 0 },
+  { 10, 3 },
+  { 20, 8 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor skh__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Frame",
+  "Frame",
+  "Skh__Frame",
+  "skh",
+  sizeof(Skh__Frame),
+  12,
+  skh__frame__field_descriptors,
+  skh__frame__field_indices_by_name,
+  3,  skh__frame__number_ranges,
+  (ProtobufCMessageInit) skh__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__hello__field_descriptors[1] =
+{
+  {
+    "entry",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Hello, entry),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__hello__field_indices_by_name[] = {
-	0, /* field[0] = entry */
-};
-static const ProtobufCIntRange skh__hello__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Hello",
-	"Hello",
-	"Skh__Hello",
-	"skh",
-	sizeof(Skh__Hello),
-	1,
-	skh__hello__field_descriptors,
-	skh__hello__field_indices_by_name,
-	1,
-	skh__hello__number_ranges,
-	(ProtobufCMessageInit)skh__hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__status__field_descriptors[12] = {
-	{
-		"incarnation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__Status, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"clock_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Status, clock_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"phase", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Status, phase), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failure_domain", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, failure_domain), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"running", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Status, running), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"queued", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Status, queued), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"capacity", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Status, capacity), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"group", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rank", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Status, rank), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"map_version", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__Status, map_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"admin", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, admin), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = entry */
+};
+static const ProtobufCIntRange skh__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Hello",
+  "Hello",
+  "Skh__Hello",
+  "skh",
+  sizeof(Skh__Hello),
+  1,
+  skh__hello__field_descriptors,
+  skh__hello__field_indices_by_name,
+  1,  skh__hello__number_ranges,
+  (ProtobufCMessageInit) skh__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__status__field_descriptors[12] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, map_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, admin),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__status__field_indices_by_name[] = {
-	11, /* field[11] = admin */
-	7,  /* field[7] = capacity */
-	1,  /* field[1] = clock_us */
-	4,  /* field[4] = failure_domain */
-	8,  /* field[8] = group */
-	0,  /* field[0] = incarnation */
-	10, /* field[10] = map_version */
-	2,  /* field[2] = phase */
-	6,  /* field[6] = queued */
-	9,  /* field[9] = rank */
-	5,  /* field[5] = running */
-	3,  /* field[3] = service */
-};
-static const ProtobufCIntRange skh__status__number_ranges[1 + 1] = { { 1, 0 }, { 0, 12 } };
-const ProtobufCMessageDescriptor skh__status__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Status",
-	"Status",
-	"Skh__Status",
-	"skh",
-	sizeof(Skh__Status),
-	12,
-	skh__status__field_descriptors,
-	skh__status__field_indices_by_name,
-	1,
-	skh__status__number_ranges,
-	(ProtobufCMessageInit)skh__status__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__start__field_descriptors[15] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Start, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"request", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, request), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__Start, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"start_before_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Skh__Start, start_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
-	{
-		"finish_before_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						       /* quantifier_offset */
-		offsetof(Skh__Start, finish_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"customer", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, customer), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"priority", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Start, priority), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"method", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, method), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"path", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Start, path), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"content_type", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, content_type), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"body", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__Start, body), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stream", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Start, stream), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"resume_from", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__Start, resume_from), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"idempotent", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__Start, idempotent), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  11,   /* field[11] = admin */
+  7,   /* field[7] = capacity */
+  1,   /* field[1] = clock_us */
+  4,   /* field[4] = failure_domain */
+  8,   /* field[8] = group */
+  0,   /* field[0] = incarnation */
+  10,   /* field[10] = map_version */
+  2,   /* field[2] = phase */
+  6,   /* field[6] = queued */
+  9,   /* field[9] = rank */
+  5,   /* field[5] = running */
+  3,   /* field[3] = service */
+};
+static const ProtobufCIntRange skh__status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor skh__status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Status",
+  "Status",
+  "Skh__Status",
+  "skh",
+  sizeof(Skh__Status),
+  12,
+  skh__status__field_descriptors,
+  skh__status__field_indices_by_name,
+  1,  skh__status__number_ranges,
+  (ProtobufCMessageInit) skh__status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__start__field_descriptors[16] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_before_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, start_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finish_before_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, finish_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resume_from",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, resume_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__start__field_indices_by_name[] = {
-	0,  /* field[0] = attempt */
-	10, /* field[10] = body */
-	9,  /* field[9] = content_type */
-	5,  /* field[5] = customer */
-	4,  /* field[4] = finish_before_us */
-	13, /* field[13] = idempotent */
-	2,  /* field[2] = incarnation */
-	7,  /* field[7] = method */
-	8,  /* field[8] = path */
-	6,  /* field[6] = priority */
-	1,  /* field[1] = request */
-	12, /* field[12] = resume_from */
-	14, /* field[14] = service */
-	3,  /* field[3] = start_before_us */
-	11, /* field[11] = stream */
-};
-static const ProtobufCIntRange skh__start__number_ranges[1 + 1] = { { 1, 0 }, { 0, 15 } };
-const ProtobufCMessageDescriptor skh__start__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Start",
-	"Start",
-	"Skh__Start",
-	"skh",
-	sizeof(Skh__Start),
-	15,
-	skh__start__field_descriptors,
-	skh__start__field_indices_by_name,
-	1,
-	skh__start__number_ranges,
-	(ProtobufCMessageInit)skh__start__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__cancel__field_descriptors[1] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Cancel, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  10,   /* field[10] = body */
+  9,   /* field[9] = content_type */
+  5,   /* field[5] = customer */
+  4,   /* field[4] = finish_before_us */
+  13,   /* field[13] = idempotent */
+  2,   /* field[2] = incarnation */
+  15,   /* field[15] = key */
+  7,   /* field[7] = method */
+  8,   /* field[8] = path */
+  6,   /* field[6] = priority */
+  1,   /* field[1] = request */
+  12,   /* field[12] = resume_from */
+  14,   /* field[14] = service */
+  3,   /* field[3] = start_before_us */
+  11,   /* field[11] = stream */
+};
+static const ProtobufCIntRange skh__start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor skh__start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Start",
+  "Start",
+  "Skh__Start",
+  "skh",
+  sizeof(Skh__Start),
+  16,
+  skh__start__field_descriptors,
+  skh__start__field_indices_by_name,
+  1,  skh__start__number_ranges,
+  (ProtobufCMessageInit) skh__start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__cancel__field_descriptors[1] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Cancel, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__cancel__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-};
-static const ProtobufCIntRange skh__cancel__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Cancel",
-	"Cancel",
-	"Skh__Cancel",
-	"skh",
-	sizeof(Skh__Cancel),
-	1,
-	skh__cancel__field_descriptors,
-	skh__cancel__field_indices_by_name,
-	1,
-	skh__cancel__number_ranges,
-	(ProtobufCMessageInit)skh__cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__credit__field_descriptors[2] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Credit, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Credit, bytes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+};
+static const ProtobufCIntRange skh__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Cancel",
+  "Cancel",
+  "Skh__Cancel",
+  "skh",
+  sizeof(Skh__Cancel),
+  1,
+  skh__cancel__field_descriptors,
+  skh__cancel__field_indices_by_name,
+  1,  skh__cancel__number_ranges,
+  (ProtobufCMessageInit) skh__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__credit__field_descriptors[2] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Credit, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Credit, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__credit__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	1, /* field[1] = bytes */
-};
-static const ProtobufCIntRange skh__credit__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor skh__credit__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Credit",
-	"Credit",
-	"Skh__Credit",
-	"skh",
-	sizeof(Skh__Credit),
-	2,
-	skh__credit__field_descriptors,
-	skh__credit__field_indices_by_name,
-	1,
-	skh__credit__number_ranges,
-	(ProtobufCMessageInit)skh__credit__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__ask__field_descriptors[2] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Ask, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"start_before_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__Ask, start_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = bytes */
+};
+static const ProtobufCIntRange skh__credit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor skh__credit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Credit",
+  "Credit",
+  "Skh__Credit",
+  "skh",
+  sizeof(Skh__Credit),
+  2,
+  skh__credit__field_descriptors,
+  skh__credit__field_indices_by_name,
+  1,  skh__credit__number_ranges,
+  (ProtobufCMessageInit) skh__credit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__ask__field_descriptors[2] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_before_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, start_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__ask__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	1, /* field[1] = start_before_us */
-};
-static const ProtobufCIntRange skh__ask__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor skh__ask__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Ask",
-	"Ask",
-	"Skh__Ask",
-	"skh",
-	sizeof(Skh__Ask),
-	2,
-	skh__ask__field_descriptors,
-	skh__ask__field_indices_by_name,
-	1,
-	skh__ask__number_ranges,
-	(ProtobufCMessageInit)skh__ask__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__started__field_descriptors[1] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Started, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = start_before_us */
+};
+static const ProtobufCIntRange skh__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor skh__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Ask",
+  "Ask",
+  "Skh__Ask",
+  "skh",
+  sizeof(Skh__Ask),
+  2,
+  skh__ask__field_descriptors,
+  skh__ask__field_indices_by_name,
+  1,  skh__ask__number_ranges,
+  (ProtobufCMessageInit) skh__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__started__field_descriptors[1] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Started, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__started__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-};
-static const ProtobufCIntRange skh__started__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__started__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Started",
-	"Started",
-	"Skh__Started",
-	"skh",
-	sizeof(Skh__Started),
-	1,
-	skh__started__field_descriptors,
-	skh__started__field_indices_by_name,
-	1,
-	skh__started__number_ranges,
-	(ProtobufCMessageInit)skh__started__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__data__field_descriptors[6] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Data, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"seq", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(Skh__Data, seq), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__Data, bytes), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"events", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Data, events), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"http_status", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__Data, http_status), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"content_type", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Data, content_type), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+};
+static const ProtobufCIntRange skh__started__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__started__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Started",
+  "Started",
+  "Skh__Started",
+  "skh",
+  sizeof(Skh__Started),
+  1,
+  skh__started__field_descriptors,
+  skh__started__field_indices_by_name,
+  1,  skh__started__number_ranges,
+  (ProtobufCMessageInit) skh__started__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__data__field_descriptors[6] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, http_status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__data__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	2, /* field[2] = bytes */
-	5, /* field[5] = content_type */
-	3, /* field[3] = events */
-	4, /* field[4] = http_status */
-	1, /* field[1] = seq */
-};
-static const ProtobufCIntRange skh__data__number_ranges[1 + 1] = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor skh__data__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Data",
-	"Data",
-	"Skh__Data",
-	"skh",
-	sizeof(Skh__Data),
-	6,
-	skh__data__field_descriptors,
-	skh__data__field_indices_by_name,
-	1,
-	skh__data__number_ranges,
-	(ProtobufCMessageInit)skh__data__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__end__field_descriptors[5] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__End, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"pieces", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					   /* quantifier_offset */
-		offsetof(Skh__End, pieces), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				   /* reserved1,reserved2, etc */
-	},
-	{
-		"whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(Skh__End, whole), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"kind", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__End, kind), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__End, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  2,   /* field[2] = bytes */
+  5,   /* field[5] = content_type */
+  3,   /* field[3] = events */
+  4,   /* field[4] = http_status */
+  1,   /* field[1] = seq */
+};
+static const ProtobufCIntRange skh__data__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor skh__data__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Data",
+  "Data",
+  "Skh__Data",
+  "skh",
+  sizeof(Skh__Data),
+  6,
+  skh__data__field_descriptors,
+  skh__data__field_indices_by_name,
+  1,  skh__data__number_ranges,
+  (ProtobufCMessageInit) skh__data__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__end__field_descriptors[6] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replayed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, replayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__end__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	3, /* field[3] = kind */
-	1, /* field[1] = pieces */
-	4, /* field[4] = text */
-	2, /* field[2] = whole */
-};
-static const ProtobufCIntRange skh__end__number_ranges[1 + 1] = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor skh__end__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.End",
-	"End",
-	"Skh__End",
-	"skh",
-	sizeof(Skh__End),
-	5,
-	skh__end__field_descriptors,
-	skh__end__field_indices_by_name,
-	1,
-	skh__end__number_ranges,
-	(ProtobufCMessageInit)skh__end__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__refuse__field_descriptors[4] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Refuse, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"kind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Refuse, kind), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Refuse, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"retry_after_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Skh__Refuse, retry_after_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  3,   /* field[3] = kind */
+  1,   /* field[1] = pieces */
+  5,   /* field[5] = replayed */
+  4,   /* field[4] = text */
+  2,   /* field[2] = whole */
+};
+static const ProtobufCIntRange skh__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor skh__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.End",
+  "End",
+  "Skh__End",
+  "skh",
+  sizeof(Skh__End),
+  6,
+  skh__end__field_descriptors,
+  skh__end__field_indices_by_name,
+  1,  skh__end__number_ranges,
+  (ProtobufCMessageInit) skh__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__refuse__field_descriptors[4] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__refuse__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	1, /* field[1] = kind */
-	3, /* field[3] = retry_after_us */
-	2, /* field[2] = text */
-};
-static const ProtobufCIntRange skh__refuse__number_ranges[1 + 1] = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor skh__refuse__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Refuse",
-	"Refuse",
-	"Skh__Refuse",
-	"skh",
-	sizeof(Skh__Refuse),
-	4,
-	skh__refuse__field_descriptors,
-	skh__refuse__field_indices_by_name,
-	1,
-	skh__refuse__number_ranges,
-	(ProtobufCMessageInit)skh__refuse__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = retry_after_us */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange skh__refuse__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor skh__refuse__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Refuse",
+  "Refuse",
+  "Skh__Refuse",
+  "skh",
+  sizeof(Skh__Refuse),
+  4,
+  skh__refuse__field_descriptors,
+  skh__refuse__field_indices_by_name,
+  1,  skh__refuse__number_ranges,
+  (ProtobufCMessageInit) skh__refuse__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- /dev/null
+++ b/src/worker.c
@@ -0,0 +1,652 @@
+#include "worker.h"
+
+#include "backend.h"
+#include "claimer.h"
+#include "clock.h"
+#include "fetch.h"
+#include "log.h"
+#include "metrics.h"
+#include "tell.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+#define PART		  "worker"
+#define ENTRY_MEMORY_US	  (300 * SKH_US_PER_S)
+#define RECORD_WAIT_US	  (1 * SKH_US_PER_S)
+#define CLAIM_INTERVAL_US (20 * SKH_US_PER_MS)
+
+/** enum step - where an attempt stands */
+typedef enum step {
+	STEP_WAITING,	/* in the gate's queue */
+	STEP_CLAIMING,	/* its claim is being written; nothing has run */
+	STEP_RUNNING,	/* at the backend server */
+	STEP_RECORDING, /* ran; its answer is being recorded */
+	STEP_RELEASING	/* did not run; its claim is being given back */
+} step_t;
+
+/* One attempt that this sidecar has accepted. */
+typedef struct attempt {
+	uint64_t id;
+	step_t step;
+	char entry[SKH_PORT_PEER_BYTES];
+	Skh__Frame *frame; /* its Start, owned */
+	skh_answer_t answer;
+	uint64_t pieces;
+	uint64_t sent_bytes;
+	uint64_t credited_bytes;
+	bool head_sent;
+	/* Of an attempt with an idempotency key: */
+	char *claim_path;
+	skh_claim_t claim;
+	int64_t claim_revision; /* of the stored record; 0 for none */
+	int64_t tell_by_us;	/* the end is told by then, recorded or not */
+	bool told;
+	skh_error_t refusal;	/* told once the claim is given back */
+} attempt_t;
+
+struct skh_worker {
+	const skh_settings_t *settings;
+	skh_teller_t teller;
+	skh_gate_t *gate;
+	skh_fetch_t *fetch;
+	skh_backend_t *backend;
+	skh_claimer_t *claimer;
+	uint64_t cancels;	 /* numbers the cancel orders */
+	GHashTable *attempts;	 /* id -> attempt_t */
+	GHashTable *entries;	 /* routing id -> when it was last heard, int64_t */
+	skh_buffer_t piece;	 /* reused for each piece */
+	int64_t newest_revision; /* that any entry has named */
+	skh_phase_t told_phase;	 /* what the entries know */
+};
+
+static void free_attempt(gpointer item)
+{
+	attempt_t *attempt = item;
+
+	skh_wire_free(attempt->frame);
+	skh_buffer_free(&attempt->answer.rest);
+	skh_claim_clear(&attempt->claim);
+	g_free(attempt->claim_path);
+	g_free(attempt);
+}
+
+static attempt_t *find(const skh_worker_t *worker, uint64_t id)
+{
+	return g_hash_table_lookup(worker->attempts, &id);
+}
+
+static bool is_keyed(const attempt_t *attempt)
+{
+	const Skh__Start *start = attempt->frame->start;
+
+	return !start->idempotent && *start->key;
+}
+
+static void run_attempt(skh_worker_t *worker, attempt_t *attempt)
+{
+	const Skh__Start *start = attempt->frame->start;
+
+	attempt->step = STEP_RUNNING;
+	skh_metrics_add(SKH_COUNT_STARTED, 1);
+	skh_tell_started(&worker->teller, attempt->entry, attempt->id);
+	worker->backend->ops->start(worker->backend, worker->fetch, start, start->finish_before_us,
+				    skh_clock_now_us());
+}
+
+static void submit_claim(skh_worker_t *worker, attempt_t *attempt)
+{
+	g_autofree char *value = skh_claim_encode(&attempt->claim);
+
+	skh_claimer_submit(worker->claimer, attempt->id, attempt->claim_path, value,
+			   attempt->claim_revision);
+}
+
+/* The same key stands for the same request only if all of this is the same. */
+static uint64_t hash_request(const Skh__Start *start)
+{
+	uint64_t hash = skh_chunk_hash(skh_chunk_from_string(start->service), 0);
+
+	hash = skh_chunk_hash(skh_chunk_from_string(start->method), hash);
+	hash = skh_chunk_hash(skh_chunk_from_string(start->path), hash);
+	return skh_chunk_hash(skh_chunk_make(start->body.data, start->body.len), hash);
+}
+
+static void claim_attempt(skh_worker_t *worker, attempt_t *attempt)
+{
+	const Skh__Start *start = attempt->frame->start;
+
+	attempt->step = STEP_CLAIMING;
+	attempt->claim_path = skh_claim_path(worker->settings->store_prefix, start->customer,
+					     start->key);
+	attempt->claim.state = SKH_CLAIM_CLAIMED;
+	attempt->claim.owner = g_strdup_printf("%016" PRIx64 "-%016" PRIx64,
+					       worker->teller.incarnation, attempt->id);
+	attempt->claim.body_hash = hash_request(start);
+	submit_claim(worker, attempt);
+}
+
+static void begin(skh_worker_t *worker, attempt_t *attempt)
+{
+	if (is_keyed(attempt))
+		claim_attempt(worker, attempt);
+	else
+		run_attempt(worker, attempt);
+}
+
+static void begin_waiting(skh_worker_t *worker)
+{
+	uint64_t id;
+
+	while ((id = skh_gate_next(worker->gate, skh_clock_now_us())) != 0)
+		begin(worker, find(worker, id));
+}
+
+static void forget(skh_worker_t *worker, uint64_t id, bool started)
+{
+	skh_gate_ended(worker->gate, id, started);
+	g_hash_table_remove(worker->attempts, &id);
+	begin_waiting(worker);
+}
+
+/* The backend server never got the attempt. */
+static void refuse(skh_worker_t *worker, attempt_t *attempt, const skh_error_t *err)
+{
+	skh_tell_refused(&worker->teller, attempt->entry, attempt->id, err);
+	forget(worker, attempt->id, false);
+}
+
+static void refuse_waiting(skh_worker_t *worker, uint64_t id, skh_kind_t kind, const char *text)
+{
+	attempt_t *attempt = find(worker, id);
+	skh_error_t err;
+
+	(void)skh_error_set(&err, kind, "%s", text);
+	skh_tell_refused(&worker->teller, attempt->entry, id, &err);
+	g_hash_table_remove(worker->attempts, &id);
+}
+
+/* The claim says that nothing ran before the caller is told so, and may claim again. */
+static void release_and_refuse(skh_worker_t *worker, attempt_t *attempt, const skh_error_t *err)
+{
+	if (attempt->claim_revision == 0) {
+		refuse(worker, attempt, err);
+		return;
+	}
+	attempt->step = STEP_RELEASING;
+	attempt->refusal = *err;
+	attempt->claim.state = SKH_CLAIM_NOT_RUN;
+	submit_claim(worker, attempt);
+}
+
+static void tell_end(skh_worker_t *worker, attempt_t *attempt, const skh_error_t *err,
+		     bool replayed)
+{
+	if (!attempt->told)
+		skh_tell_end(&worker->teller, attempt->entry, attempt->id, attempt->pieces, err,
+			     replayed);
+	attempt->told = true;
+}
+
+static void end(skh_worker_t *worker, attempt_t *attempt, const skh_error_t *err)
+{
+	tell_end(worker, attempt, err, false);
+	forget(worker, attempt->id, true);
+}
+
+/* Close the transfer of a running attempt and tell the engine to stop. */
+static void abandon(skh_worker_t *worker, uint64_t id)
+{
+	uint64_t order = SKH_WIRE_RESERVED_ATTEMPT | ++worker->cancels;
+
+	skh_fetch_cancel(worker->fetch, id);
+	worker->backend->ops->cancel(worker->backend, worker->fetch, id, order, skh_clock_now_us());
+	skh_metrics_add(SKH_COUNT_CANCELS, 1);
+	forget(worker, id, true);
+}
+
+static void on_start(skh_worker_t *worker, const char *entry, Skh__Frame *frame)
+{
+	skh_error_t err;
+	uint64_t id = frame->start->attempt;
+	skh_verdict_t verdict =
+		skh_gate_start(worker->gate, frame->start, skh_clock_now_us(), &err);
+	attempt_t *attempt;
+
+	if (verdict == SKH_VERDICT_REFUSE)
+		skh_tell_refused(&worker->teller, entry, id, &err);
+	if (verdict != SKH_VERDICT_START && verdict != SKH_VERDICT_QUEUE) {
+		skh_wire_free(frame);
+		return;
+	}
+	attempt = g_new0(attempt_t, 1);
+	attempt->id = id;
+	attempt->frame = frame;
+	attempt->credited_bytes = (uint64_t)worker->settings->window_bytes;
+	(void)g_strlcpy(attempt->entry, entry, sizeof(attempt->entry));
+	g_hash_table_insert(worker->attempts, &attempt->id, attempt);
+	if (verdict == SKH_VERDICT_START)
+		begin(worker, attempt);
+}
+
+static void on_cancel(skh_worker_t *worker, uint64_t id)
+{
+	attempt_t *attempt = find(worker, id);
+	skh_verdict_t verdict;
+
+	if (!attempt)
+		return;
+	verdict = skh_gate_cancel(worker->gate, id);
+	if (verdict == SKH_VERDICT_REFUSE) {
+		refuse_waiting(worker, id, SKH_CANCELLED, "cancelled before it started");
+		return;
+	}
+	/* Work that may not be repeated is left to finish rather than be cut in half. */
+	if (verdict == SKH_VERDICT_STARTED && attempt->frame->start->idempotent)
+		abandon(worker, id);
+}
+
+static void on_credit(skh_worker_t *worker, const Skh__Credit *credit)
+{
+	attempt_t *attempt = find(worker, credit->attempt);
+
+	if (!attempt)
+		return;
+	attempt->credited_bytes += credit->bytes;
+	if (attempt->sent_bytes < attempt->credited_bytes)
+		skh_fetch_pause(worker->fetch, attempt->id, false);
+}
+
+static void on_ask(skh_worker_t *worker, const char *entry, const Skh__Ask *ask)
+{
+	const skh_teller_t *teller = &worker->teller;
+	const attempt_t *attempt = find(worker, ask->attempt);
+	skh_error_t err;
+
+	switch (skh_gate_ask(worker->gate, ask->attempt, ask->start_before_us,
+			     skh_clock_now_us())) {
+	case SKH_FATE_WAITING:
+		break;
+	case SKH_FATE_RUNNING:
+		if (attempt->step == STEP_RUNNING || attempt->step == STEP_RECORDING)
+			skh_tell_started(teller, entry, ask->attempt);
+		break;
+	case SKH_FATE_REFUSED:
+		(void)skh_error_set(&err, SKH_STALE, "it never started here");
+		skh_tell_refused(teller, entry, ask->attempt, &err);
+		break;
+	case SKH_FATE_ENDED:
+	case SKH_FATE_UNKNOWN:
+		(void)skh_error_set(&err, SKH_OUTCOME_UNKNOWN, "its answer was lost on the way");
+		skh_tell_end(teller, entry, ask->attempt, 0, &err, false);
+		break;
+	}
+}
+
+static void note_entry(skh_worker_t *worker, const char *entry, int64_t revision)
+{
+	int64_t *heard_at_us = g_hash_table_lookup(worker->entries, entry);
+
+	if (!heard_at_us) {
+		heard_at_us = g_new(int64_t, 1);
+		g_hash_table_insert(worker->entries, g_strdup(entry), heard_at_us);
+	}
+	*heard_at_us = skh_clock_now_us();
+	worker->newest_revision = MAX(worker->newest_revision, revision);
+}
+
+void skh_worker_on_frame(skh_worker_t *worker, const char *entry, Skh__Frame *frame)
+{
+	note_entry(worker, entry, (int64_t)frame->revision);
+	switch (frame->body_case) {
+	case SKH__FRAME__BODY_START:
+		on_start(worker, entry, frame);
+		return;
+	case SKH__FRAME__BODY_HELLO:
+		skh_tell_status(&worker->teller, entry);
+		break;
+	case SKH__FRAME__BODY_CANCEL:
+		on_cancel(worker, frame->cancel->attempt);
+		break;
+	case SKH__FRAME__BODY_CREDIT:
+		on_credit(worker, frame->credit);
+		break;
+	case SKH__FRAME__BODY_ASK:
+		on_ask(worker, entry, frame->ask);
+		break;
+	default:
+		break;
+	}
+	skh_wire_free(frame);
+}
+
+static void send_piece(skh_worker_t *worker, attempt_t *attempt, skh_chunk_t bytes, int32_t status,
+		       const char *content_type, uint32_t events)
+{
+	Skh__Data data = SKH__DATA__INIT;
+
+	data.attempt = attempt->id;
+	data.seq = attempt->pieces++;
+	data.bytes.data = (uint8_t *)bytes.data;
+	data.bytes.len = bytes.len;
+	data.events = events;
+	if (!attempt->head_sent) {
+		data.http_status = (uint32_t)status;
+		data.content_type = (char *)content_type;
+		attempt->head_sent = true;
+	}
+	attempt->sent_bytes += bytes.len;
+	if (!skh_tell_data(&worker->teller, attempt->entry, &data))
+		skh_log(SKH_LOG_DEBUG, PART, "A piece had nowhere to go.", "entry=%s",
+			attempt->entry);
+}
+
+static void keep_for_record(attempt_t *attempt, skh_chunk_t bytes)
+{
+	if (attempt->claim.answer.len + bytes.len <= SKH_CLAIM_ANSWER_BYTES)
+		skh_buffer_append(&attempt->claim.answer, bytes);
+	else
+		attempt->claim.has_answer = false;
+}
+
+static void on_bytes(void *context, uint64_t id, int32_t status, const char *content_type,
+		     skh_chunk_t bytes)
+{
+	skh_worker_t *worker = context;
+	attempt_t *attempt = find(worker, id);
+	uint32_t events;
+
+	if (!attempt)
+		return;
+	skh_buffer_clear(&worker->piece);
+	events = worker->backend->ops->pieces(&attempt->answer, content_type, bytes,
+					      &worker->piece);
+	if (is_keyed(attempt))
+		keep_for_record(attempt, bytes);
+	if (worker->piece.len > 0)
+		send_piece(worker, attempt, skh_buffer_chunk(&worker->piece), status, content_type,
+			   events);
+	if (attempt->sent_bytes >= attempt->credited_bytes)
+		skh_fetch_pause(worker->fetch, id, true);
+}
+
+static void record(skh_worker_t *worker, attempt_t *attempt, int32_t status,
+		   const char *content_type)
+{
+	attempt->step = STEP_RECORDING;
+	attempt->tell_by_us = skh_clock_now_us() + RECORD_WAIT_US;
+	attempt->claim.state = SKH_CLAIM_DONE;
+	attempt->claim.status = status;
+	attempt->claim.content_type = g_strdup(content_type);
+	submit_claim(worker, attempt);
+}
+
+static void finish(skh_worker_t *worker, attempt_t *attempt, int32_t status,
+		   const char *content_type)
+{
+	/* An answer without a body still has a status to pass on. */
+	if (!attempt->head_sent)
+		send_piece(worker, attempt, skh_chunk_from_string(""), status, content_type, 0);
+	if (is_keyed(attempt))
+		record(worker, attempt, status, content_type);
+	else
+		end(worker, attempt, NULL);
+}
+
+static void on_done(void *context, uint64_t id, int32_t status, const char *content_type,
+		    const skh_error_t *err)
+{
+	skh_worker_t *worker = context;
+	attempt_t *attempt = find(worker, id);
+	skh_error_t cut_off;
+
+	if (!attempt)
+		return;
+	if (err && err->kind == SKH_NO_BACKEND) {
+		release_and_refuse(worker, attempt, err);
+		return;
+	}
+	if (!err && !worker->backend->ops->is_whole(&attempt->answer, status)) {
+		(void)skh_error_set(&cut_off, SKH_BACKEND_FAILED,
+				    "the backend server's answer has no end mark");
+		err = &cut_off;
+	}
+	if (err)
+		end(worker, attempt, err);
+	else
+		finish(worker, attempt, status, content_type);
+}
+
+static void replay(skh_worker_t *worker, attempt_t *attempt, const skh_claim_t *found)
+{
+	skh_error_t err;
+
+	skh_metrics_add(SKH_COUNT_CLAIM_REPLAYS, 1);
+	if (!found->has_answer) {
+		(void)skh_error_set(&err, SKH_ALREADY_RAN,
+				    "it ran; its answer was too long to be recorded");
+		end(worker, attempt, &err);
+		return;
+	}
+	send_piece(worker, attempt, skh_buffer_chunk(&found->answer), found->status,
+		   found->content_type, 0);
+	tell_end(worker, attempt, NULL, true);
+	forget(worker, attempt->id, true);
+}
+
+static void on_claim_conflict(skh_worker_t *worker, attempt_t *attempt,
+			      const skh_claim_done_t *done)
+{
+	skh_claim_t found = { 0 };
+	skh_error_t err;
+
+	if (!done->found) {
+		(void)skh_error_set(&err, SKH_OUTCOME_UNKNOWN, "the record of the key is gone");
+		end(worker, attempt, &err);
+		return;
+	}
+	if (!skh_claim_decode(done->found, &found, &err)) {
+		end(worker, attempt, &err);
+		return;
+	}
+	switch (skh_claim_judge(&found, attempt->claim.owner, attempt->claim.body_hash)) {
+	case SKH_CLAIM_IS_DONE:
+		replay(worker, attempt, &found);
+		break;
+	case SKH_CLAIM_IS_FREE:
+		attempt->claim_revision = done->mod_revision;
+		submit_claim(worker, attempt);
+		break;
+	case SKH_CLAIM_IS_REUSED:
+		(void)skh_error_set(&err, SKH_KEY_REUSED,
+				    "the key was used before with another request");
+		refuse(worker, attempt, &err);
+		break;
+	case SKH_CLAIM_IS_MINE:
+	case SKH_CLAIM_IS_UNFINISHED:
+		skh_metrics_add(SKH_COUNT_CLAIM_UNFINISHED, 1);
+		(void)skh_error_set(&err, SKH_OUTCOME_UNKNOWN,
+				    "an earlier request with this key has not been seen to end");
+		end(worker, attempt, &err);
+		break;
+	}
+	skh_claim_clear(&found);
+}
+
+static void on_claimed(skh_worker_t *worker, attempt_t *attempt, const skh_claim_done_t *done)
+{
+	skh_error_t err;
+
+	attempt->claim_revision = done->mod_revision;
+	if (skh_clock_now_us() >= attempt->frame->start->start_before_us) {
+		(void)skh_error_set(&err, SKH_STALE, "it could not start in time");
+		release_and_refuse(worker, attempt, &err);
+		return;
+	}
+	attempt->claim.has_answer = true;
+	run_attempt(worker, attempt);
+}
+
+static void on_claim_written(skh_worker_t *worker, attempt_t *attempt, skh_claim_done_t *done)
+{
+	skh_error_t err;
+
+	if (done->state == SKH_WRITE_DONE) {
+		on_claimed(worker, attempt, done);
+	} else if (done->state == SKH_WRITE_CONFLICT) {
+		on_claim_conflict(worker, attempt, done);
+	} else {
+		/* Whether or not the claim is stored, this attempt does not run. */
+		(void)skh_error_set(&err, SKH_STORE_UNAVAILABLE, "%s", done->err.text);
+		refuse(worker, attempt, &err);
+	}
+}
+
+static void on_claim_result(skh_worker_t *worker, skh_claim_done_t *done)
+{
+	attempt_t *attempt = find(worker, done->id);
+
+	if (!attempt)
+		return;
+	switch (attempt->step) {
+	case STEP_CLAIMING:
+		on_claim_written(worker, attempt, done);
+		break;
+	case STEP_RECORDING:
+		end(worker, attempt, NULL);
+		break;
+	case STEP_RELEASING:
+		refuse(worker, attempt, &attempt->refusal);
+		break;
+	default:
+		break;
+	}
+}
+
+static void take_claim_results(skh_worker_t *worker)
+{
+	skh_claim_done_t *done;
+
+	while ((done = skh_claimer_take(worker->claimer)) != NULL) {
+		on_claim_result(worker, done);
+		skh_claim_done_free(done);
+	}
+}
+
+/* A service that does not record in time holds no answer back. */
+static void tell_unrecorded(skh_worker_t *worker, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, worker->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		attempt_t *attempt = value;
+
+		if (attempt->step == STEP_RECORDING && now_us >= attempt->tell_by_us)
+			tell_end(worker, attempt, NULL, false);
+	}
+}
+
+static void tell_entries(skh_worker_t *worker, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer entry;
+	gpointer heard_at_us;
+
+	worker->told_phase = skh_gate_phase(worker->gate);
+	g_hash_table_iter_init(&iter, worker->entries);
+	while (g_hash_table_iter_next(&iter, &entry, &heard_at_us)) {
+		if (*(int64_t *)heard_at_us + ENTRY_MEMORY_US < now_us)
+			g_hash_table_iter_remove(&iter);
+		else
+			skh_tell_status(&worker->teller, entry);
+	}
+}
+
+void skh_worker_tick(skh_worker_t *worker, bool ready, bool leaving, int64_t now_us)
+{
+	uint64_t id;
+
+	skh_gate_leave(worker->gate, leaving);
+	if (ready)
+		skh_gate_open(worker->gate);
+	while ((id = skh_gate_hand_back(worker->gate)) != 0)
+		refuse_waiting(worker, id, SKH_LEAVING, "the backend server is leaving");
+	while ((id = skh_gate_expire(worker->gate, now_us)) != 0)
+		refuse_waiting(worker, id, SKH_OVERLOADED, "it could not start in time");
+	tell_unrecorded(worker, now_us);
+	begin_waiting(worker);
+	if (skh_gate_phase(worker->gate) != worker->told_phase)
+		tell_entries(worker, now_us);
+}
+
+void skh_worker_abandon_rest(skh_worker_t *worker)
+{
+	GHashTableIter iter;
+	gpointer value;
+	skh_error_t err;
+
+	(void)skh_error_set(&err, SKH_BACKEND_FAILED, "the backend server stopped at its deadline");
+	g_hash_table_iter_init(&iter, worker->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tell_end(worker, value, &err, false);
+}
+
+void skh_worker_wait(skh_worker_t *worker, int64_t until_us)
+{
+	skh_fetch_wait(worker->fetch, until_us);
+	take_claim_results(worker);
+}
+
+size_t skh_worker_count(const skh_worker_t *worker)
+{
+	return g_hash_table_size(worker->attempts);
+}
+
+const skh_gate_t *skh_worker_gate(const skh_worker_t *worker)
+{
+	return worker->gate;
+}
+
+int64_t skh_worker_newest_revision(const skh_worker_t *worker)
+{
+	return worker->newest_revision;
+}
+
+static const skh_fetch_events_t fetch_events = { .bytes = on_bytes, .done = on_done };
+
+skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board,
+			     skh_store_t *store, skh_port_t *port)
+{
+	skh_worker_t *worker = g_new0(skh_worker_t, 1);
+	uint64_t incarnation = skh_random_u64() | 1;
+
+	worker->settings = settings;
+	worker->gate = skh_gate_new((uint32_t)settings->backend_capacity,
+				    (uint32_t)settings->backend_queue, incarnation);
+	worker->teller = (skh_teller_t){ settings, board, port, worker->gate, incarnation };
+	worker->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
+	worker->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	worker->fetch = skh_fetch_new(&fetch_events, worker);
+	worker->claimer = skh_claimer_start(store, CLAIM_INTERVAL_US);
+	worker->backend = settings->backend_kind == SKH_BACKEND_ENGINE ?
+				  skh_backend_new_engine(settings->backend_url) :
+				  skh_backend_new_plain(settings->backend_url);
+	skh_fetch_watch(worker->fetch, skh_port_fd(port));
+	skh_fetch_watch(worker->fetch, skh_claimer_fd(worker->claimer));
+	return worker;
+}
+
+void skh_worker_free(skh_worker_t *worker)
+{
+	skh_claimer_stop(worker->claimer);
+	skh_fetch_free(worker->fetch);
+	skh_backend_free(worker->backend);
+	skh_gate_free(worker->gate);
+	skh_buffer_free(&worker->piece);
+	g_hash_table_unref(worker->entries);
+	g_hash_table_unref(worker->attempts);
+	g_free(worker);
+}
--- /dev/null
+++ b/test/claim_test.cc
@@ -0,0 +1,224 @@
+// At most once: records, their verdicts, and batches under lost answers.
+#include "batch.h"
+#include "claim.h"
+#include "fake_store.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t kNowMs = 1764800000000;
+
+std::string key_of(int64_t unix_ms)
+{
+	char text[64];
+
+	(void)g_snprintf(text, sizeof(text), "%08x-%04x-7abc-8def-0123456789ab",
+			 static_cast<unsigned>(unix_ms >> 16),
+			 static_cast<unsigned>(unix_ms & 0xffff));
+	return text;
+}
+
+skh_kind_t check(const std::string &key)
+{
+	skh_error_t err = {};
+
+	return skh_claim_check_key(key.c_str(), kNowMs, &err) ? SKH_OK : err.kind;
+}
+
+TEST(Claim, OnlyKeysYoungerThanTheHorizonAreTaken)
+{
+	EXPECT_EQ(check(key_of(kNowMs)), SKH_OK);
+	EXPECT_EQ(check(key_of(kNowMs - SKH_CLAIM_HORIZON_MS)), SKH_OK);
+	EXPECT_EQ(check(key_of(kNowMs - SKH_CLAIM_HORIZON_MS - 1)), SKH_KEY_EXPIRED);
+	EXPECT_EQ(check(key_of(kNowMs + 2 * SKH_CLAIM_SKEW_MS)), SKH_BAD_REQUEST);
+	EXPECT_EQ(check("sale-1"), SKH_BAD_REQUEST);
+	EXPECT_EQ(check("01234567-89ab-4abc-8def-0123456789ab"), SKH_BAD_REQUEST);
+	EXPECT_EQ(check("01234567-89ab-7abc-8def-0123456789aZ"), SKH_BAD_REQUEST);
+}
+
+TEST(Claim, ARecordComesBackAsItWas)
+{
+	skh_claim_t claim = {};
+	skh_claim_t back = {};
+	skh_error_t err = {};
+	const std::string bytes("\0\x01\xff sold", 8);
+
+	claim.state = SKH_CLAIM_DONE;
+	claim.owner = g_strdup("me");
+	claim.body_hash = 0xfedcba9876543210U;
+	claim.status = 201;
+	claim.content_type = g_strdup("application/json");
+	claim.has_answer = true;
+	skh_buffer_append(&claim.answer, skh_chunk_make(bytes.data(), bytes.size()));
+	char *text = skh_claim_encode(&claim);
+	ASSERT_TRUE(skh_claim_decode(text, &back, &err));
+	EXPECT_EQ(back.state, SKH_CLAIM_DONE);
+	EXPECT_EQ(back.body_hash, claim.body_hash);
+	EXPECT_EQ(back.status, 201);
+	EXPECT_EQ(std::string(reinterpret_cast<char *>(back.answer.data), back.answer.len), bytes);
+	g_free(text);
+	skh_claim_clear(&claim);
+	skh_claim_clear(&back);
+}
+
+TEST(Claim, AnUnreadableRecordIsUnknown)
+{
+	skh_claim_t claim = {};
+	skh_error_t err = {};
+
+	EXPECT_FALSE(skh_claim_decode("{\"state\":\"maybe\"}", &claim, &err));
+	EXPECT_EQ(err.run, SKH_RUN_UNKNOWN);
+}
+
+TEST(Claim, OnlyARecordThatSaysNotRunMayBeReplaced)
+{
+	char owner[] = "other";
+	skh_claim_t found = {};
+
+	found.owner = owner;
+	found.body_hash = 5;
+	found.state = SKH_CLAIM_CLAIMED;
+	EXPECT_EQ(skh_claim_judge(&found, "me", 5), SKH_CLAIM_IS_UNFINISHED);
+	EXPECT_EQ(skh_claim_judge(&found, "me", 6), SKH_CLAIM_IS_REUSED);
+	EXPECT_EQ(skh_claim_judge(&found, "other", 5), SKH_CLAIM_IS_MINE);
+	found.state = SKH_CLAIM_DONE;
+	EXPECT_EQ(skh_claim_judge(&found, "me", 5), SKH_CLAIM_IS_DONE);
+	found.state = SKH_CLAIM_NOT_RUN;
+	EXPECT_EQ(skh_claim_judge(&found, "me", 5), SKH_CLAIM_IS_FREE);
+	EXPECT_EQ(skh_claim_judge(&found, "me", 6), SKH_CLAIM_IS_REUSED);
+}
+
+struct Writes {
+	explicit Writes(size_t n, const std::string &owner) : list(n)
+	{
+		for (size_t i = 0; i < n; i++) {
+			keys.push_back("k" + std::to_string(i));
+			values.push_back(owner + std::to_string(i));
+		}
+		for (size_t i = 0; i < n; i++) {
+			list[i] = {};
+			list[i].key = keys[i].c_str();
+			list[i].value = values[i].c_str();
+		}
+	}
+
+	~Writes()
+	{
+		for (auto &write : list)
+			g_free(write.found);
+	}
+
+	std::vector<std::string> keys;
+	std::vector<std::string> values;
+	std::vector<skh_write_t> list;
+};
+
+TEST(Batch, OneTransactionCarriesManyClaims)
+{
+	FakeStore store;
+	Writes writes(SKH_BATCH_MAX, "a");
+
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	EXPECT_EQ(store.n_txns, 1);
+	for (const auto &write : writes.list)
+		EXPECT_EQ(write.state, SKH_WRITE_DONE);
+}
+
+TEST(Batch, AClaimThatLosesDoesNotTakeTheOthersWithIt)
+{
+	FakeStore store;
+	Writes rival(1, "rival");
+	Writes writes(8, "a");
+
+	skh_batch_run(&store.base, rival.list.data(), 1);
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	EXPECT_EQ(writes.list[0].state, SKH_WRITE_CONFLICT);
+	EXPECT_STREQ(writes.list[0].found, "rival0");
+	for (size_t i = 1; i < 8; i++)
+		EXPECT_EQ(writes.list[i].state, SKH_WRITE_DONE);
+}
+
+TEST(Batch, AnAnswerLostAfterTheWriteIsSettledByReadingBack)
+{
+	FakeStore store;
+	Writes writes(4, "a");
+
+	store.lose_answer_of_txn = 1;
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	for (const auto &write : writes.list)
+		EXPECT_EQ(write.state, SKH_WRITE_DONE);
+	EXPECT_EQ(store.n_txns, 2);
+}
+
+TEST(Batch, AWriteThatWasDroppedIsWrittenAgain)
+{
+	FakeStore store;
+	Writes writes(4, "a");
+
+	store.drop_txn = 1;
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	for (const auto &write : writes.list)
+		EXPECT_EQ(write.state, SKH_WRITE_DONE);
+}
+
+TEST(Batch, ALostAnswerDuringAnOutageStaysUnknown)
+{
+	FakeStore store;
+	Writes writes(2, "a");
+
+	store.lose_answer_of_txn = 1;
+	store.down_after_loss = true;
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	for (const auto &write : writes.list) {
+		EXPECT_EQ(write.state, SKH_WRITE_FAILED);
+		EXPECT_EQ(write.err.kind, SKH_STORE_UNKNOWN);
+	}
+}
+
+TEST(Batch, AnOutageIsCertain)
+{
+	FakeStore store;
+	Writes writes(2, "a");
+
+	store.down = true;
+	skh_batch_run(&store.base, writes.list.data(), writes.list.size());
+	for (const auto &write : writes.list)
+		EXPECT_EQ(write.err.kind, SKH_STORE_UNAVAILABLE);
+	EXPECT_TRUE(store.values.empty());
+}
+
+// Differential: whatever is lost, each key has one winner, and every writer
+// that is told it won is the one whose value the naive store would hold.
+RC_GTEST_PROP(Batch, EachKeyHasOneWinnerUnderAnyLoss, ())
+{
+	FakeStore store;
+	std::map<std::string, std::string> naive;
+
+	for (int round = 0; round < 12; round++) {
+		const size_t n = *rc::gen::inRange(1, 6);
+		Writes writes(n, "r" + std::to_string(round) + "-");
+
+		store.lose_answer_of_txn = *rc::gen::inRange(0, 3) == 0 ? store.n_txns + 1 : 0;
+		store.drop_txn = *rc::gen::inRange(0, 3) == 0 ? store.n_txns + 1 : 0;
+		skh_batch_run(&store.base, writes.list.data(), n);
+		for (size_t i = 0; i < n; i++) {
+			const skh_write_t &write = writes.list[i];
+
+			if (write.state == SKH_WRITE_DONE)
+				RC_ASSERT(naive.emplace(write.key, write.value).second);
+			if (write.state == SKH_WRITE_CONFLICT)
+				RC_ASSERT(naive.at(write.key) == write.found);
+			RC_ASSERT(write.state != SKH_WRITE_PENDING);
+		}
+	}
+	for (const auto &[key, value] : naive)
+		RC_ASSERT(store.values.at(key).value == value);
+}
+
+} // namespace
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -80,12 +80,32 @@
 	return true;
 }
 
-inline void run(FakeStore *fake, const skh_txn_t *txn)
+inline void add_pair(FakeStore *fake, const char *key, skh_pairs_t *pairs)
 {
-	fake->revision++;
-	for (size_t i = 0; i < txn->n_ops; i++) {
-		const skh_op_t &op = txn->ops[i];
+	auto found = fake->values.find(key);
+
+	if (found == fake->values.end())
+		return;
+	pairs->list = g_renew(skh_pair_t, pairs->list, pairs->count + 1);
+	pairs->list[pairs->count++] = { g_strdup(key), g_strdup(found->second.value.c_str()),
+					found->second.create_revision,
+					found->second.mod_revision, found->second.lease };
+}
+
+inline void run(FakeStore *fake, const skh_op_t *ops, size_t n_ops, skh_pairs_t *pairs)
+{
+	bool written = false;
 
+	for (size_t i = 0; i < n_ops; i++)
+		written = written || ops[i].type != SKH_OP_READ;
+	fake->revision += written;
+	for (size_t i = 0; i < n_ops; i++) {
+		const skh_op_t &op = ops[i];
+
+		if (op.type == SKH_OP_READ) {
+			add_pair(fake, op.key, pairs);
+			continue;
+		}
 		if (op.type == SKH_OP_DELETE) {
 			fake->values.erase(op.key);
 			continue;
@@ -99,25 +119,28 @@
 	}
 }
 
-inline bool txn(skh_store_t *store, const skh_txn_t *txn, bool *succeeded, int64_t *revision,
+inline bool txn(skh_store_t *store, const skh_txn_t *txn, skh_txn_result_t *result,
 		skh_error_t *err)
 {
 	FakeStore *fake = of(store);
 	const int number = ++fake->n_txns;
 
+	*result = {};
 	if (fake->down)
 		return skh_error_set(err, SKH_STORE_UNAVAILABLE, "the fake is down");
 	if (number == fake->before_txn && fake->intrude)
 		fake->intrude();
 	if (number == fake->drop_txn)
 		return skh_error_set(err, SKH_STORE_UNKNOWN, "the fake dropped it");
-	*succeeded = holds(fake, txn);
-	if (*succeeded)
-		run(fake, txn);
-	if (revision)
-		*revision = fake->revision;
+	result->succeeded = holds(fake, txn);
+	if (result->succeeded)
+		run(fake, txn->ops, txn->n_ops, &result->pairs);
+	else
+		run(fake, txn->else_ops, txn->n_else_ops, &result->pairs);
+	result->pairs.store_revision = fake->revision;
 	if (number == fake->lose_answer_of_txn) {
 		fake->down = fake->down_after_loss;
+		skh_pairs_clear(&result->pairs);
 		return skh_error_set(err, SKH_STORE_UNKNOWN, "the fake lost the answer");
 	}
 	return true;
--- a/test/gate_test.cc
+++ b/test/gate_test.cc
@@ -72,7 +72,7 @@
 	EXPECT_EQ(arrive(gate.get(), start_of(1, 100), 0), SKH_VERDICT_START);
 	EXPECT_EQ(arrive(gate.get(), start_of(2, 100), 0), SKH_VERDICT_QUEUE);
 	EXPECT_EQ(arrive(gate.get(), start_of(3, 100), 0), SKH_VERDICT_REFUSE);
-	skh_gate_ended(gate.get(), 1);
+	skh_gate_ended(gate.get(), 1, true);
 	EXPECT_EQ(skh_gate_next(gate.get(), 1), 2U);
 	EXPECT_EQ(arrive(gate.get(), start_of(3, 100), 1), SKH_VERDICT_DUPLICATE);
 	EXPECT_EQ(skh_gate_ask(gate.get(), 3, 100, 1), SKH_FATE_REFUSED);
@@ -91,7 +91,7 @@
 	GatePtr gate = open_gate(1, 1);
 
 	EXPECT_EQ(arrive(gate.get(), start_of(1, 100), 0), SKH_VERDICT_START);
-	skh_gate_ended(gate.get(), 1);
+	skh_gate_ended(gate.get(), 1, true);
 	EXPECT_EQ(skh_gate_ask(gate.get(), 1, 100, 50), SKH_FATE_ENDED);
 	EXPECT_EQ(skh_gate_expire(gate.get(), 100), 0U);
 	EXPECT_EQ(skh_gate_remembered(gate.get()), 0U);
@@ -124,7 +124,7 @@
 	for (uint64_t expected : { 3U, 4U, 2U }) {
 		uint64_t before = expected == 3U ? 1U : expected == 4U ? 3U : 4U;
 
-		skh_gate_ended(gate.get(), before);
+		skh_gate_ended(gate.get(), before, true);
 		EXPECT_EQ(skh_gate_next(gate.get(), 1), expected);
 	}
 }
@@ -135,7 +135,7 @@
 
 	EXPECT_EQ(arrive(gate.get(), start_of(1, 100), 0), SKH_VERDICT_START);
 	EXPECT_EQ(arrive(gate.get(), start_of(2, 50), 0), SKH_VERDICT_QUEUE);
-	skh_gate_ended(gate.get(), 1);
+	skh_gate_ended(gate.get(), 1, true);
 	EXPECT_EQ(skh_gate_next(gate.get(), 50), 0U);
 	EXPECT_EQ(skh_gate_expire(gate.get(), 50), 2U);
 }
@@ -181,7 +181,7 @@
 				break;
 			}
 		} else if (action == 3 && !running.empty()) {
-			skh_gate_ended(gate.get(), *running.begin());
+			skh_gate_ended(gate.get(), *running.begin(), true);
 			running.erase(running.begin());
 			begun = skh_gate_next(gate.get(), now_us);
 		} else if (action == 4) {
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -82,6 +82,38 @@
 	EXPECT_EQ(relay.error.run, SKH_RUN_NOT_RUN);
 }
 
+TEST(Relay, ARefusalAfterTheStartWasAnnouncedIsStillNotRun)
+{
+	skh_relay_t relay = relay_of(false, false);
+	skh_error_t err = error_of(SKH_NO_BACKEND);
+
+	skh_relay_sent(&relay, 7);
+	EXPECT_EQ(skh_relay_started(&relay, 7), SKH_ACT_WAIT);
+	EXPECT_EQ(skh_relay_refused(&relay, 7, &err), SKH_ACT_PLACE);
+	EXPECT_EQ(skh_relay_not_placed(&relay, &err), SKH_ACT_FAIL);
+	EXPECT_EQ(relay.error.run, SKH_RUN_NOT_RUN);
+}
+
+TEST(Relay, ARefusalThatNoOtherSidecarCanMendEndsTheRequest)
+{
+	skh_relay_t relay = relay_of(false, false);
+	skh_error_t err = error_of(SKH_KEY_REUSED);
+
+	skh_relay_sent(&relay, 7);
+	EXPECT_EQ(skh_relay_refused(&relay, 7, &err), SKH_ACT_FAIL);
+	EXPECT_EQ(relay.error.run, SKH_RUN_NOT_RUN);
+}
+
+TEST(Relay, ARecordedRunIsKnownToHaveRun)
+{
+	skh_relay_t relay = relay_of(false, false);
+	skh_error_t err = error_of(SKH_ALREADY_RAN);
+
+	skh_relay_sent(&relay, 7);
+	EXPECT_EQ(skh_relay_end(&relay, 7, 0, &err), SKH_ACT_FAIL);
+	EXPECT_EQ(relay.error.run, SKH_RUN_RAN);
+}
+
 TEST(Relay, ARefusalOfAnOldAttemptSaysNothingAboutTheNewOne)
 {
 	skh_relay_t relay = relay_of(true, false);
--- a/test/standin/kv.c
+++ b/test/standin/kv.c
@@ -216,8 +216,12 @@
 	g_autofree char *end = decode(request, "range_end");
 	range_t range = { from, end, json_array() };
 	json_t *answer = json_object();
+	const entry_t *one = *end ? NULL : g_tree_lookup(entries, from);
 
-	g_tree_foreach(entries, collect_range, &range);
+	if (one)
+		json_array_append_new(range.kvs, pair_to_json(from, one));
+	else if (*end)
+		g_tree_foreach(entries, collect_range, &range);
 	json_object_set_new(answer, "header", header());
 	json_object_set_new(answer, "count", number((int64_t)json_array_size(range.kvs)));
 	json_object_set_new(answer, "kvs", range.kvs);
@@ -232,7 +236,7 @@
 	return (entry ? entry->mod_revision : 0) == integer_of(compare, "mod_revision");
 }
 
-static void do_op(const json_t *op)
+static void do_write(const json_t *op)
 {
 	const json_t *request = json_object_get(op, "request_put");
 	g_autofree char *key = NULL;
@@ -246,23 +250,43 @@
 	}
 	request = json_object_get(op, "request_delete_range");
 	key = decode(request, "key");
-	delete (key);
+	delete(key);
+}
+
+static json_t *do_ops(const json_t *ops)
+{
+	json_t *responses = json_array();
+	bool written = false;
+	json_t *op;
+	size_t i;
+
+	json_array_foreach (ops, i, op)
+		written = written || !json_object_get(op, "request_range");
+	revision += written;
+	json_array_foreach (ops, i, op) {
+		const json_t *range = json_object_get(op, "request_range");
+		json_t *response = json_object();
+
+		if (range)
+			json_object_set_new(response, "response_range", do_range(range));
+		else
+			do_write(op);
+		json_array_append_new(responses, response);
+	}
+	return responses;
 }
 
 static json_t *do_txn(const json_t *request)
 {
-	const json_t *ops = json_object_get(request, "success");
 	json_t *answer = json_object();
 	bool holds = true;
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(json_object_get(request, "compare"), i, item) holds =
-		holds && compare_holds(item);
-	if (holds && json_array_size(ops) > 0) {
-		revision++;
-		json_array_foreach(ops, i, item) do_op(item);
-	}
+	json_array_foreach (json_object_get(request, "compare"), i, item)
+		holds = holds && compare_holds(item);
+	json_object_set_new(answer, "responses",
+			    do_ops(json_object_get(request, holds ? "success" : "failure")));
 	json_object_set_new(answer, "header", header());
 	json_object_set_new(answer, "succeeded", json_boolean(holds));
 	return answer;
@@ -402,16 +426,26 @@
 	return json;
 }
 
+/* Events are in order of revision, so the newer ones stand at the end. */
+static guint first_event_since(int64_t from)
+{
+	guint at = events->len;
+
+	while (at > 0 && ((event_t *)events->pdata[at - 1])->revision >= from)
+		at--;
+	return at;
+}
+
 static json_t *events_since(int64_t from, const char *key, const char *end, int64_t *next)
 {
 	json_t *list = json_array();
 
 	g_mutex_lock(&lock);
 	expire_leases();
-	for (guint i = 0; i < events->len; i++) {
+	for (guint i = first_event_since(from); i < events->len; i++) {
 		const event_t *event = events->pdata[i];
 
-		if (event->revision >= from && in_range(event->key, key, end))
+		if (in_range(event->key, key, end))
 			json_array_append_new(list, event_to_json(event));
 	}
 	*next = revision + 1;
--- a/test/standin/plain.c
+++ b/test/standin/plain.c
@@ -1,6 +1,6 @@
 /*
  * Stand-in for a plain service, a ledger: POST adds the body as a line and
- * answers with its number, GET /runs tells the lines. "X-Delay-Ms" makes a
+ * answers with its number, GET /runs tells the lines. "?delay_ms=N" makes a
  * POST slow. POST /fault {"hang_up":N} runs the next N posts and then closes
  * the connection instead of answering.
  */
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define DELAY "delay_ms="
+
 static GMutex lock;
 static GPtrArray *lines;
 static int64_t hang_up;
@@ -18,7 +20,8 @@
 static int handle_post(struct mg_connection *connection)
 {
 	char *body = standin_read(connection);
-	const char *delay = mg_get_header(connection, "X-Delay-Ms");
+	const char *query = mg_get_request_info(connection)->query_string;
+	const char *delay = query ? strstr(query, DELAY) : NULL;
 	json_int_t number;
 	bool silent;
 
@@ -30,7 +33,7 @@
 		hang_up--;
 	g_mutex_unlock(&lock);
 	if (delay)
-		(void)usleep((useconds_t)(g_ascii_strtoll(delay, NULL, 10) * 1000));
+		(void)usleep((useconds_t)(g_ascii_strtoll(delay + strlen(DELAY), NULL, 10) * 1000));
 	if (silent)
 		return standin_hang_up(connection);
 	return standin_answer(connection, 201,
