Prove leaving, planned stops, deaths and outages by scripted runs

Found by them, with causes: - A service that came back empty made apply count from revision 1, which no process adopts. apply now counts on from the newest revision in force anywhere.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 BUILD_TEST ?= build-test
 
-.PHONY: all deps build demo test bench capacity soak format lint clean
+.PHONY: all deps build demo test bench capacity format lint clean
 
 all: build
 
@@ -24,6 +24,9 @@
 bench: build
 	@BUILD=$(BUILD) bench/run.sh
 
+capacity: build
+	@BUILD=$(BUILD) bench/capacity.sh
+
 format:
 	@clang-format -i $$(git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -154,10 +154,10 @@
 	int running = 1;
 
 	for (int64_t i = 0; i < n; i++) {
-		g_autofree char *body = g_strdup_printf(
-			"{\"model\":\"spares-7b\",\"stream\":true,\"stamp\":true,\"max_tokens\":%" PRId64
-			",\"prompt\":\"%" PRId64 "\"}",
-			tokens, i);
+		g_autofree char *body =
+			g_strdup_printf("{\"model\":\"spares-7b\",\"stream\":true,\"stamp\":true,"
+					"\"max_tokens\":%" PRId64 ",\"prompt\":\"%" PRId64 "\"}",
+					tokens, i);
 
 		streams[i].curl = new_request(url, body, headers);
 		streams[i].started_us = begin;
--- a/scripts/world.sh
+++ b/scripts/world.sh
@@ -16,6 +16,7 @@
 KV_PORT=$PORT_BASE
 KV="http://127.0.0.1:$KV_PORT"
 declare -A PID
+J=()
 
 # Ports: base+0 the key-value service; entry N has base+10N callers and +1
 # admin; sidecar N has base+100+10N link, +1 admin and +2 its backend server.
@@ -54,6 +55,13 @@
 	done
 }
 
+# Waits for the background jobs whose ids stand in the array J.
+wait_jobs() {
+	local i
+	for i in "${!J[@]}"; do wait "${J[$i]}" || true; done
+	J=()
+}
+
 wait_until() { # command...
 	local i
 	for ((i = 0; i < 300; i++)); do
@@ -70,6 +78,11 @@
 	curl -sf "$KV/v3/kv/put" -d "{\"key\":\"$(b64 "$1")\",\"value\":\"$(b64 "$2")\"}" >/dev/null
 }
 
+unlist() { # id
+	curl -sf "$KV/v3/kv/txn" -d \
+		"{\"success\":[{\"request_delete_range\":{\"key\":\"$(b64 "/platform/instances/$1")\"}}]}" >/dev/null
+}
+
 list_instance() { # id role link admin domain state
 	kv_put "/platform/instances/$1" \
 		"{\"role\":\"$2\",\"link\":\"$3\",\"admin\":\"$4\",\"failure_domain\":\"$5\",\"state\":\"$6\"}"
--- a/src/apply.c
+++ b/src/apply.c
@@ -38,10 +38,11 @@
 	return good;
 }
 
-static void prepare(applying_t *applying, const skh_manifest_t *manifest)
+static void prepare(applying_t *applying, const skh_manifest_t *manifest, int64_t floor)
 {
 	g_autoptr(GHashTable) parts = skh_parts_split(skh_manifest_tree(manifest), applying->texts);
-	int64_t revision = applying->current ? applying->current->revision + 1 : 1;
+	int64_t current = applying->current ? applying->current->revision : 0;
+	int64_t revision = MAX(current, floor) + 1;
 	g_autofree char *attempt = g_strdup_printf("%016" PRIx64, skh_random_u64());
 
 	applying->wanted =
@@ -179,12 +180,12 @@
 			     base, revision, applying->current ? applying->current->by : "nobody");
 }
 
-static bool run(applying_t *applying, const skh_manifest_t *manifest, int64_t base,
+static bool run(applying_t *applying, const skh_manifest_t *manifest, int64_t base, int64_t floor,
 		skh_apply_result_t *result, skh_error_t *err)
 {
 	if (!read_head(applying, &applying->current, &applying->head_mod_revision, err))
 		return false;
-	prepare(applying, manifest);
+	prepare(applying, manifest, floor);
 	if (applying->current)
 		result->changed_parts = skh_head_difference(applying->current, applying->wanted);
 	else
@@ -203,7 +204,7 @@
 }
 
 bool skh_apply(skh_store_t *store, const char *prefix, const skh_manifest_t *manifest, int64_t base,
-	       skh_apply_result_t *result, skh_error_t *err)
+	       int64_t floor, skh_apply_result_t *result, skh_error_t *err)
 {
 	applying_t applying = { .store = store, .prefix = prefix };
 	bool accepted;
@@ -211,7 +212,7 @@
 	*result = (skh_apply_result_t){ 0 };
 	applying.head_key = g_strconcat(prefix, SKH_CONFIG_HEAD, NULL);
 	applying.texts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	accepted = run(&applying, manifest, base, result, err);
+	accepted = run(&applying, manifest, base, floor, result, err);
 	skh_head_free(applying.current);
 	skh_head_free(applying.wanted);
 	g_hash_table_unref(applying.texts);
--- a/src/claim.c
+++ b/src/claim.c
@@ -33,8 +33,7 @@
 		json_object_set_new(json, "type", json_string(claim->content_type));
 	}
 	if (claim->state == SKH_CLAIM_DONE && claim->has_answer) {
-		g_autofree char *answer =
-			g_base64_encode(claim->answer.data, claim->answer.len);
+		g_autofree char *answer = g_base64_encode(claim->answer.data, claim->answer.len);
 
 		json_object_set_new(json, "answer", json_string(answer));
 	}
@@ -82,7 +81,8 @@
 	*claim = (skh_claim_t){ 0 };
 	if (!owner || !hash || !read_state(json, &claim->state)) {
 		json_decref(json);
-		return skh_error_set(err, SKH_OUTCOME_UNKNOWN, "the record of the key is unreadable");
+		return skh_error_set(err, SKH_OUTCOME_UNKNOWN,
+				     "the record of the key is unreadable");
 	}
 	claim->owner = g_strdup(owner);
 	claim->body_hash = g_ascii_strtoull(hash, NULL, HEX_RADIX);
@@ -142,7 +142,8 @@
 	age_ms = now_unix_ms - uuid_time_ms(key);
 	if (age_ms > SKH_CLAIM_HORIZON_MS)
 		return skh_error_set(err, SKH_KEY_EXPIRED,
-				     "the key is older than the %" PRId64 " hours that records last",
+				     "the key is older than the %" PRId64
+				     " hours that records last",
 				     SKH_CLAIM_HORIZON_MS / 3600000);
 	if (age_ms < -SKH_CLAIM_SKEW_MS)
 		return skh_error_set(err, SKH_BAD_REQUEST, "the key's time is in the future");
--- a/src/claim.h
+++ b/src/claim.h
@@ -30,7 +30,7 @@
 /** struct skh_claim - one record; texts owned */
 typedef struct skh_claim {
 	skh_claim_state_t state;
-	char *owner;	   /* attempt that wrote it */
+	char *owner; /* attempt that wrote it */
 	uint64_t body_hash;
 	int32_t status;
 	char *content_type;
--- a/src/cmd_apply.c
+++ b/src/cmd_apply.c
@@ -56,6 +56,23 @@
 	return count;
 }
 
+/* Newest revision in force at any listed instance; 0 when none tells. */
+static int64_t newest_in_force(skh_store_t *store, const char *instances_prefix)
+{
+	skh_error_t err;
+	skh_members_t *members = skh_fleet_read(store, instances_prefix, &err);
+	int64_t newest = 0;
+
+	for (size_t i = 0; members && i < members->count; i++) {
+		json_t *status = skh_fleet_status(&members->list[i], &err);
+
+		newest = MAX(newest, json_integer_value(json_object_get(status, "revision")));
+		json_decref(status);
+	}
+	skh_members_free(members);
+	return newest;
+}
+
 static int wait_in_force(skh_store_t *store, const apply_options_t *options, int64_t revision)
 {
 	size_t last = SIZE_MAX;
@@ -94,12 +111,14 @@
 	skh_store_t *store;
 	skh_apply_result_t result;
 	skh_error_t err;
+	int64_t floor;
 	int status;
 
 	if (!manifest)
 		return SKH_EXIT_FAULT;
 	store = skh_store_open_etcd(endpoints, STORE_TIMEOUT_MS);
-	if (skh_apply(store, options->prefix, manifest, options->base, &result, &err)) {
+	floor = newest_in_force(store, options->instances_prefix);
+	if (skh_apply(store, options->prefix, manifest, options->base, floor, &result, &err)) {
 		if (result.unchanged)
 			(void)printf("revision %" PRId64 " already holds this manifest\n",
 				     result.revision);
--- a/src/config.c
+++ b/src/config.c
@@ -168,6 +168,12 @@
 		pairs.list[pairs.count].value = value;
 		pairs.count++;
 	}
+	/* A list without anybody comes from a service that has lost it, not from the fleet. */
+	if (pairs.count == 0) {
+		skh_log(SKH_LOG_WARNING, PART, "The platform lists no instance.", "kept=last");
+		g_free(pairs.list);
+		return true;
+	}
 	members = skh_members_read(&pairs, follower->settings->instances_prefix, &n_bad);
 	g_free(pairs.list);
 	if (n_bad > 0)
--- a/src/relay.c
+++ b/src/relay.c
@@ -20,6 +20,9 @@
 static skh_action_t fail(skh_relay_t *relay, const skh_error_t *why)
 {
 	relay->error = *why;
+	/* What the caller holds is a part, whatever the backend server's own trouble was. */
+	if (relay->stream && relay->events > 0 && why->kind != SKH_DEADLINE_PASSED)
+		relay->error.kind = SKH_CUT_OFF;
 	relay->error.run = skh_relay_run(relay);
 	relay->state = SKH_RELAY_ENDED;
 	relay->attempt = 0;
@@ -92,9 +95,8 @@
 static skh_action_t lose_with(skh_relay_t *relay, const char *text)
 {
 	skh_error_t why;
-	bool cut_off = relay->stream && relay->events > 0;
 
-	(void)skh_error_set(&why, cut_off ? SKH_CUT_OFF : SKH_OUTCOME_UNKNOWN, "%s", text);
+	(void)skh_error_set(&why, SKH_OUTCOME_UNKNOWN, "%s", text);
 	return lose(relay, &why);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -254,7 +254,8 @@
 		return sink->ops->end(sink);
 	observe_first_byte(serving);
 	return sink->ops->whole(sink, serving->status ? serving->status : HTTP_OK,
-				serving->content_type, skh_buffer_chunk(&serving->kept), serving->replayed);
+				serving->content_type, skh_buffer_chunk(&serving->kept),
+				serving->replayed);
 }
 
 static bool drive(serving_t *serving)
--- a/src/sidecar.c
+++ b/src/sidecar.c
@@ -43,8 +43,8 @@
 static bool service_is_known(const sidecar_t *sidecar)
 {
 	const skh_config_t *config = skh_board_config(sidecar->board);
-	bool known = config && skh_manifest_service(config->manifest,
-						    sidecar->settings->backend_service);
+	bool known = config &&
+		     skh_manifest_service(config->manifest, sidecar->settings->backend_service);
 
 	skh_board_release(config);
 	return known;
@@ -151,8 +151,7 @@
 	sidecar->port = skh_port_open(settings->id, settings->link_listen, err);
 	if (!sidecar->port)
 		return false;
-	sidecar->worker =
-		skh_worker_new(settings, sidecar->board, sidecar->store, sidecar->port);
+	sidecar->worker = skh_worker_new(settings, sidecar->board, sidecar->store, sidecar->port);
 	return true;
 }
 
--- a/src/store.h
+++ b/src/store.h
@@ -80,8 +80,8 @@
 
 /** struct skh_txn_result - what a transaction did; free with skh_pairs_clear(&pairs) */
 typedef struct skh_txn_result {
-	bool succeeded;	    /* the compares held and @ops were done */
-	skh_pairs_t pairs;  /* found by the SKH_OP_READ ops; absent keys are left out */
+	bool succeeded;	   /* the compares held and @ops were done */
+	skh_pairs_t pairs; /* found by the SKH_OP_READ ops; absent keys are left out */
 } skh_txn_result_t;
 
 /** skh_watch_fn() - one change; @value is NULL for a deletion. Return false to end the watch. */
--- a/src/store_etcd.c
+++ b/src/store_etcd.c
@@ -258,7 +258,7 @@
 		return false;
 	result->succeeded = json_is_true(json_object_get(answer, "succeeded"));
 	result->pairs.store_revision = integer_of(json_object_get(answer, "header"), "revision");
-	json_array_foreach (json_object_get(answer, "responses"), index, response)
+	json_array_foreach(json_object_get(answer, "responses"), index, response)
 		read_pairs(json_object_get(json_object_get(response, "response_range"), "kvs"),
 			   &result->pairs);
 	json_decref(answer);
--- a/src/worker.c
+++ b/src/worker.c
@@ -43,7 +43,7 @@
 	int64_t claim_revision; /* of the stored record; 0 for none */
 	int64_t tell_by_us;	/* the end is told by then, recorded or not */
 	bool told;
-	skh_error_t refusal;	/* told once the claim is given back */
+	skh_error_t refusal; /* told once the claim is given back */
 } attempt_t;
 
 struct skh_worker {
@@ -118,8 +118,8 @@
 	const Skh__Start *start = attempt->frame->start;
 
 	attempt->step = STEP_CLAIMING;
-	attempt->claim_path = skh_claim_path(worker->settings->store_prefix, start->customer,
-					     start->key);
+	attempt->claim_path =
+		skh_claim_path(worker->settings->store_prefix, start->customer, start->key);
 	attempt->claim.state = SKH_CLAIM_CLAIMED;
 	attempt->claim.owner = g_strdup_printf("%016" PRIx64 "-%016" PRIx64,
 					       worker->teller.incarnation, attempt->id);
@@ -360,8 +360,8 @@
 	if (!attempt)
 		return;
 	skh_buffer_clear(&worker->piece);
-	events = worker->backend->ops->pieces(&attempt->answer, content_type, bytes,
-					      &worker->piece);
+	events =
+		worker->backend->ops->pieces(&attempt->answer, content_type, bytes, &worker->piece);
 	if (is_keyed(attempt))
 		keep_for_record(attempt, bytes);
 	if (worker->piece.len > 0)
@@ -617,8 +617,8 @@
 
 static const skh_fetch_events_t fetch_events = { .bytes = on_bytes, .done = on_done };
 
-skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board,
-			     skh_store_t *store, skh_port_t *port)
+skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board, skh_store_t *store,
+			     skh_port_t *port)
 {
 	skh_worker_t *worker = g_new0(skh_worker_t, 1);
 	uint64_t incarnation = skh_random_u64() | 1;
@@ -631,9 +631,9 @@
 	worker->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	worker->fetch = skh_fetch_new(&fetch_events, worker);
 	worker->claimer = skh_claimer_start(store, CLAIM_INTERVAL_US);
-	worker->backend = settings->backend_kind == SKH_BACKEND_ENGINE ?
-				  skh_backend_new_engine(settings->backend_url) :
-				  skh_backend_new_plain(settings->backend_url);
+	worker->backend = settings->backend_kind == SKH_BACKEND_ENGINE
+				  ? skh_backend_new_engine(settings->backend_url)
+				  : skh_backend_new_plain(settings->backend_url);
 	skh_fetch_watch(worker->fetch, skh_port_fd(port));
 	skh_fetch_watch(worker->fetch, skh_claimer_fd(worker->claimer));
 	return worker;
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -96,7 +96,8 @@
 	bool apply(const std::string &text, int64_t base = -1)
 	{
 		skh_manifest_t *manifest = manifest_of(text);
-		bool accepted = skh_apply(&store.base, "/skh/", manifest, base, &result, &err);
+		bool accepted =
+			skh_apply(&store.base, "/skh/", manifest, base, floor, &result, &err);
 
 		skh_manifest_unref(manifest);
 		skh_apply_result_clear_keeping_numbers();
@@ -120,6 +121,7 @@
 	}
 
 	FakeStore store;
+	int64_t floor = 0;
 	skh_apply_result_t result = {};
 	skh_error_t err = {};
 };
@@ -141,6 +143,13 @@
 	EXPECT_EQ(result.revision, 1);
 }
 
+TEST_F(Apply, AServiceThatLostItsContentsDoesNotCountFromOneAgain)
+{
+	floor = 41;
+	ASSERT_TRUE(apply(good_text()));
+	EXPECT_EQ(result.revision, 42);
+}
+
 TEST_F(Apply, AnAnswerLostAfterTheWriteIsSettledByReadingBack)
 {
 	ASSERT_TRUE(apply(good_text()));
@@ -176,7 +185,8 @@
 		skh_manifest_t *rival = manifest_of(with_rate(70));
 		skh_apply_result_t rival_result = {};
 		skh_error_t rival_err = {};
-		EXPECT_TRUE(skh_apply(&store.base, "/skh/", rival, -1, &rival_result, &rival_err));
+		EXPECT_TRUE(
+			skh_apply(&store.base, "/skh/", rival, -1, 0, &rival_result, &rival_err));
 		skh_apply_result_clear(&rival_result);
 		skh_manifest_unref(rival);
 	};
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -88,8 +88,8 @@
 		return;
 	pairs->list = g_renew(skh_pair_t, pairs->list, pairs->count + 1);
 	pairs->list[pairs->count++] = { g_strdup(key), g_strdup(found->second.value.c_str()),
-					found->second.create_revision,
-					found->second.mod_revision, found->second.lease };
+					found->second.create_revision, found->second.mod_revision,
+					found->second.lease };
 }
 
 inline void run(FakeStore *fake, const skh_op_t *ops, size_t n_ops, skh_pairs_t *pairs)
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -88,10 +88,10 @@
 {
 	g_autofree char *text = token(body, index);
 	/* The benches ask for a time stamp; it is no part of the answer proper. */
-	g_autofree char *stamp = strstr(body, "\"stamp\":true") ?
-					 g_strdup_printf(",\"sent_us\":%" PRId64,
-							 g_get_monotonic_time()) :
-					 g_strdup("");
+	g_autofree char *stamp =
+		strstr(body, "\"stamp\":true")
+			? g_strdup_printf(",\"sent_us\":%" PRId64, g_get_monotonic_time())
+			: g_strdup("");
 	g_autofree char *event = g_strdup_printf("data: {\"choices\":[{\"index\":0,\"delta\":"
 						 "{\"content\":\"%s \"}}]%s}\n\n",
 						 text, stamp);
--- a/test/standin/kv.c
+++ b/test/standin/kv.c
@@ -2,7 +2,8 @@
  * Stand-in for the platform's key-value service: the part of the etcd v3 JSON
  * gateway that the product uses. POST /fault {"mode":M,"count":N} makes the
  * next N calls fail: "lose" does the work and hangs up, "drop" hangs up
- * without doing it, "stall" answers late by "ms". GET /counts tells the calls.
+ * without doing it, "stall" answers late by "ms"; "only" names a part of the
+ * path of the calls that it strikes, "skip" lets so many of them pass. GET /counts tells the calls.
  */
 #define _GNU_SOURCE
 #include "standin.h"
@@ -31,6 +32,8 @@
 
 typedef struct fault {
 	char mode[16];
+	char only[16];
+	int64_t skip;
 	int64_t count;
 	int64_t ms;
 } fault_t;
@@ -250,7 +253,7 @@
 	}
 	request = json_object_get(op, "request_delete_range");
 	key = decode(request, "key");
-	delete(key);
+	delete (key);
 }
 
 static json_t *do_ops(const json_t *ops)
@@ -260,10 +263,10 @@
 	json_t *op;
 	size_t i;
 
-	json_array_foreach (ops, i, op)
-		written = written || !json_object_get(op, "request_range");
+	json_array_foreach(ops, i, op) written = written || !json_object_get(op, "request_range");
 	revision += written;
-	json_array_foreach (ops, i, op) {
+	json_array_foreach(ops, i, op)
+	{
 		const json_t *range = json_object_get(op, "request_range");
 		json_t *response = json_object();
 
@@ -283,8 +286,8 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach (json_object_get(request, "compare"), i, item)
-		holds = holds && compare_holds(item);
+	json_array_foreach(json_object_get(request, "compare"), i, item) holds =
+		holds && compare_holds(item);
 	json_object_set_new(answer, "responses",
 			    do_ops(json_object_get(request, holds ? "success" : "failure")));
 	json_object_set_new(answer, "header", header());
@@ -364,9 +367,11 @@
 };
 
 /* Returns the mode of the fault that this call meets, "" for none. */
-static const char *take_fault(void)
+static const char *take_fault(const char *path)
 {
-	if (fault.count <= 0)
+	if (fault.count <= 0 || !strstr(path, fault.only))
+		return "";
+	if (fault.skip-- > 0)
 		return "";
 	fault.count--;
 	return fault.mode;
@@ -382,7 +387,7 @@
 	g_mutex_lock(&lock);
 	expire_leases();
 	(*call->counter)++;
-	mode = take_fault();
+	mode = take_fault(call->path);
 	ms = fault.ms;
 	if (strcmp(mode, "drop") != 0)
 		answer = call->run(request);
@@ -489,9 +494,12 @@
 {
 	json_t *request = standin_read_json(connection);
 	const char *mode = json_string_value(json_object_get(request, "mode"));
+	const char *only = json_string_value(json_object_get(request, "only"));
 
 	g_mutex_lock(&lock);
 	(void)g_strlcpy(fault.mode, mode ? mode : "", sizeof(fault.mode));
+	(void)g_strlcpy(fault.only, only ? only : "", sizeof(fault.only));
+	fault.skip = integer_of(request, "skip");
 	fault.count = integer_of(request, "count");
 	fault.ms = integer_of(request, "ms");
 	g_mutex_unlock(&lock);
