Switch a group's expert map without ever mixing two; check whole histories

The question did not name the process it was about. Ruled out: the gate's memory, which is per process by design. Both sockets now have a largest size.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@BUILD=$(BUILD) bench/capacity.sh
 
 format:
-	@clang-format -i $$(git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
+	@clang-format -i $$(git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 
 lint: deps
 	@BUILD=$(BUILD_TEST) scripts/lint.sh
--- a/scripts/world.sh
+++ b/scripts/world.sh
@@ -8,6 +8,8 @@
 : "${TOKEN_US:=2000}"
 : "${CAPACITY:=64}"
 : "${DRAIN_MS:=20000}"
+: "${GROUP:=}"
+: "${WAIT_TRIES:=300}"
 : "${HTTP_THREADS:=64}"
 : "${STACK_KIB:=256}"
 : "${STORE_TIMEOUT_MS:=1000}"
@@ -26,7 +28,8 @@
 start() { # name command...
 	local name=$1
 	shift
-	"$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+	# A session of its own: a stopped process is not hung up with its terminal.
+	setsid "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
 	PID[$name]=$!
 }
 
@@ -64,7 +67,7 @@
 
 wait_until() { # command...
 	local i
-	for ((i = 0; i < 300; i++)); do
+	for ((i = 0; i < WAIT_TRIES; i++)); do
 		"$@" >/dev/null 2>&1 && return 0
 		sleep 0.1
 	done
@@ -141,7 +144,8 @@
 }
 
 write_sidecar_settings() { # n domain kind service
-	local port
+	local port group_line=
+	[ -z "$GROUP" ] || group_line="group = \"$GROUP\""
 	port=$(sidecar_port "$1")
 	cat >"$WORK/sidecar-$1.toml" <<END
 [instance]
@@ -159,6 +163,8 @@
 url = "http://127.0.0.1:$((port + 2))"
 service = "$4"
 capacity = $CAPACITY
+$group_line
+rank = $(($1 - 1))
 [stop]
 drain_ms = $DRAIN_MS
 [log]
--- a/src/backend.c
+++ b/src/backend.c
@@ -11,6 +11,7 @@
 #define LAST_EVENT	  "data: [DONE]"
 #define STREAM_TYPE	  "text/event-stream"
 #define CANCEL_TIMEOUT_US (2 * SKH_US_PER_S)
+#define ORDER_TIMEOUT_US  (60 * SKH_US_PER_S)
 #define HTTP_OK		  200
 
 static void submit(skh_backend_t *backend, skh_fetch_t *fetch, const Skh__Start *start,
@@ -111,6 +112,28 @@
 	skh_fetch_start(fetch, &request, now_us);
 }
 
+static void engine_order(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+			 const skh_order_t *order, const char *placement, int64_t now_us)
+{
+	static const char *const steps[] = { "prepare", "hold", "set", "go" };
+	static const char *const headers[] = { "Content-Type: application/json", NULL };
+	g_autofree char *url = g_strconcat(backend->url, "/v1/orders", NULL);
+	g_autofree char *body = g_strdup_printf(
+		"{\"order\":\"%s\",\"fence\":%" PRIu64 ",\"version\":%" PRIu64 ",\"placement\":%s}",
+		steps[order->step], order->fence, order->version, *placement ? placement : "null");
+	skh_fetch_request_t request = {
+		.id = id,
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = skh_chunk_from_string(body),
+		.finish_by_us = now_us + ORDER_TIMEOUT_US,
+		.once = true,
+	};
+
+	skh_fetch_start(fetch, &request, now_us);
+}
+
 static uint32_t plain_pieces(skh_answer_t *answer, const char *content_type, skh_chunk_t bytes,
 			     skh_buffer_t *out)
 {
@@ -142,6 +165,7 @@
 	.pieces = engine_pieces,
 	.is_whole = engine_is_whole,
 	.cancel = engine_cancel,
+	.order = engine_order,
 };
 
 static const skh_backend_ops_t plain_ops = {
--- a/src/backend.h
+++ b/src/backend.h
@@ -12,6 +12,7 @@
 #include "buffer.h"
 #include "error.h"
 #include "fetch.h"
+#include "rank.h"
 #include "wire.h"
 
 #ifdef __cplusplus
@@ -40,6 +41,9 @@
 	/* Stop work on an attempt whose transfer was closed. */
 	void (*cancel)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t attempt, uint64_t id,
 		       int64_t now_us);
+	/* Give the engine an order of a map switch; NULL where there are none. */
+	void (*order)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+		      const skh_order_t *order, const char *placement, int64_t now_us);
 } skh_backend_ops_t;
 
 /** struct skh_backend - first member of every implementation */
--- a/src/config.c
+++ b/src/config.c
@@ -11,6 +11,7 @@
 
 #define PART		 "config"
 #define HINT_INTERVAL_US (1 * SKH_US_PER_S)
+#define PARTS_PER_READ	 64
 
 struct skh_follower {
 	skh_store_t *store;
@@ -32,38 +33,56 @@
 	return skh_store_open_etcd(endpoints, settings->store_timeout_ms);
 }
 
-static char *fetch_part(skh_follower_t *follower, const char *hash, skh_error_t *err)
+/* Reads up to PARTS_PER_READ parts in one call. */
+static bool fetch_parts(skh_follower_t *follower, char *const *hashes, size_t n, GHashTable *texts,
+			skh_error_t *err)
 {
-	g_autofree char *key =
-		g_strconcat(follower->settings->store_prefix, SKH_CONFIG_PART, hash, NULL);
-	skh_pairs_t pairs;
-	char *text = NULL;
+	g_autofree char *prefix =
+		g_strconcat(follower->settings->store_prefix, SKH_CONFIG_PART, NULL);
+	skh_op_t reads[PARTS_PER_READ];
+	skh_txn_t txn = { .ops = reads, .n_ops = n };
+	skh_txn_result_t result;
+	bool read_all;
 
-	if (!follower->store->ops->range(follower->store, key, false, &pairs, err))
-		return NULL;
-	if (pairs.count == 1)
-		text = g_strdup(pairs.list[0].value);
-	else
-		(void)skh_error_set(err, SKH_CONFIG_INVALID, "part %s is missing", hash);
-	skh_pairs_clear(&pairs);
-	return text;
+	for (size_t i = 0; i < n; i++)
+		reads[i] = (skh_op_t){ SKH_OP_READ, g_strconcat(prefix, hashes[i], NULL), NULL, 0 };
+	read_all = follower->store->ops->txn(follower->store, &txn, &result, err);
+	for (size_t i = 0; i < n; i++)
+		g_free((char *)reads[i].key);
+	if (!read_all)
+		return false;
+	for (size_t i = 0; i < result.pairs.count; i++)
+		g_hash_table_insert(texts, g_strdup(result.pairs.list[i].key + strlen(prefix)),
+				    g_strdup(result.pairs.list[i].value));
+	if (result.pairs.count < n)
+		read_all = skh_error_set(err, SKH_CONFIG_INVALID, "%zu parts are missing",
+					 n - result.pairs.count);
+	skh_pairs_clear(&result.pairs);
+	return read_all;
 }
 
 /* Parts that stayed the same are taken from the configuration in force. */
 static bool gather_parts(skh_follower_t *follower, const skh_head_t *head, GHashTable *texts,
 			 skh_error_t *err)
 {
+	g_autoptr(GPtrArray) wanted = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer hash;
 
 	g_hash_table_iter_init(&iter, head->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &hash)) {
 		const char *known = g_hash_table_lookup(follower->texts, hash);
-		char *text = known ? g_strdup(known) : fetch_part(follower, hash, err);
 
-		if (!text)
+		if (known)
+			g_hash_table_insert(texts, g_strdup(hash), g_strdup(known));
+		else
+			g_ptr_array_add(wanted, hash);
+	}
+	for (size_t at = 0; at < wanted->len; at += PARTS_PER_READ) {
+		size_t n = MIN(wanted->len - at, PARTS_PER_READ);
+
+		if (!fetch_parts(follower, (char *const *)&wanted->pdata[at], n, texts, err))
 			return false;
-		g_hash_table_insert(texts, g_strdup(hash), text);
 	}
 	return true;
 }
--- a/src/gate.c
+++ b/src/gate.c
@@ -141,7 +141,8 @@
 	return SKH_VERDICT_REFUSE;
 }
 
-skh_fate_t skh_gate_ask(skh_gate_t *gate, uint64_t attempt, int64_t start_before_us, int64_t now_us)
+skh_fate_t skh_gate_ask(skh_gate_t *gate, uint64_t attempt, uint64_t incarnation,
+			int64_t start_before_us, int64_t now_us)
 {
 	static const skh_fate_t fates[] = {
 		[SLOT_WAITING] = SKH_FATE_WAITING,
@@ -154,7 +155,7 @@
 	if (slot)
 		return fates[slot->state];
 	/* Past its last moment to start, its slot may have been forgotten. */
-	if (start_before_us <= now_us)
+	if (start_before_us <= now_us || incarnation != gate->incarnation)
 		return SKH_FATE_UNKNOWN;
 	remember_refused(gate, attempt, start_before_us);
 	return SKH_FATE_REFUSED;
--- a/src/gate.h
+++ b/src/gate.h
@@ -62,11 +62,14 @@
 /**
  * skh_gate_ask() - what became of @attempt
  *
+ * @incarnation: the sidecar process that it was meant for
+ *
  * One that never arrived is fenced: it will not start if it arrives later.
+ * Of what an earlier process did, nothing is known.
  * Return: what the entry may be told.
  */
-skh_fate_t skh_gate_ask(skh_gate_t *gate, uint64_t attempt, int64_t start_before_us,
-			int64_t now_us);
+skh_fate_t skh_gate_ask(skh_gate_t *gate, uint64_t attempt, uint64_t incarnation,
+			int64_t start_before_us, int64_t now_us);
 
 /**
  * skh_gate_ended() - @attempt no longer runs
--- a/src/link.c
+++ b/src/link.c
@@ -317,6 +317,7 @@
 		waiting->ask_at_us = now_us + ASK_AFTER_US;
 		ask.attempt = waiting->attempt;
 		ask.start_before_us = waiting->start_before_us;
+		ask.incarnation = waiting->incarnation;
 		frame.body_case = SKH__FRAME__BODY_ASK;
 		frame.ask = &ask;
 		send_frame(link, waiting->peer->id, &frame);
@@ -369,11 +370,6 @@
 	return NULL;
 }
 
-static void set_option(void *socket, int option, int value)
-{
-	(void)zmq_setsockopt(socket, option, &value, sizeof(value));
-}
-
 static bool open_socket(skh_link_t *link, skh_error_t *err)
 {
 	link->context = zmq_ctx_new();
@@ -381,15 +377,16 @@
 	if (!link->router)
 		return skh_error_set(err, SKH_INTERNAL, "no ZeroMQ socket: %s",
 				     zmq_strerror(errno));
-	set_option(link->router, ZMQ_LINGER, 0);
-	set_option(link->router, ZMQ_SNDHWM, SEND_HWM);
-	set_option(link->router, ZMQ_RCVHWM, SEND_HWM);
+	skh_wire_set_option(link->router, ZMQ_LINGER, 0);
+	skh_wire_set_option(link->router, ZMQ_SNDHWM, SEND_HWM);
+	skh_wire_set_option(link->router, ZMQ_RCVHWM, SEND_HWM);
 	/* A frame is either taken by a live connection or refused at once. */
-	set_option(link->router, ZMQ_IMMEDIATE, 1);
-	set_option(link->router, ZMQ_ROUTER_MANDATORY, 1);
-	set_option(link->router, ZMQ_ROUTER_HANDOVER, 1);
-	set_option(link->router, ZMQ_RECONNECT_IVL, 100);
-	set_option(link->router, ZMQ_RECONNECT_IVL_MAX, 2000);
+	skh_wire_set_option(link->router, ZMQ_IMMEDIATE, 1);
+	skh_wire_set_option(link->router, ZMQ_ROUTER_MANDATORY, 1);
+	skh_wire_set_option(link->router, ZMQ_ROUTER_HANDOVER, 1);
+	skh_wire_limit_size(link->router);
+	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL, 100);
+	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL_MAX, 2000);
 	if (zmq_setsockopt(link->router, ZMQ_ROUTING_ID, link->entry_id, strlen(link->entry_id)))
 		return skh_error_set(err, SKH_CONFIG_INVALID, "the instance id can't be used: %s",
 				     zmq_strerror(errno));
--- a/src/port.c
+++ b/src/port.c
@@ -16,22 +16,19 @@
 	skh_buffer_t packed; /* reused for each frame */
 };
 
-static void set_option(void *socket, int option, int value)
-{
-	(void)zmq_setsockopt(socket, option, &value, sizeof(value));
-}
-
 skh_port_t *skh_port_open(const char *id, const char *listen, skh_error_t *err)
 {
 	skh_port_t *port = g_new0(skh_port_t, 1);
 
 	port->context = zmq_ctx_new();
 	port->router = zmq_socket(port->context, ZMQ_ROUTER);
-	set_option(port->router, ZMQ_LINGER, LINGER_MS);
-	set_option(port->router, ZMQ_SNDHWM, HIGH_WATER);
-	set_option(port->router, ZMQ_RCVHWM, HIGH_WATER);
-	set_option(port->router, ZMQ_ROUTER_MANDATORY, 1);
-	set_option(port->router, ZMQ_ROUTER_HANDOVER, 1);
+	skh_wire_set_option(port->router, ZMQ_LINGER, LINGER_MS);
+	skh_wire_set_option(port->router, ZMQ_SNDHWM, HIGH_WATER);
+	skh_wire_set_option(port->router, ZMQ_RCVHWM, HIGH_WATER);
+	skh_wire_set_option(port->router, ZMQ_IMMEDIATE, 1);
+	skh_wire_set_option(port->router, ZMQ_ROUTER_MANDATORY, 1);
+	skh_wire_set_option(port->router, ZMQ_ROUTER_HANDOVER, 1);
+	skh_wire_limit_size(port->router);
 	if (zmq_setsockopt(port->router, ZMQ_ROUTING_ID, id, strlen(id)) != 0 ||
 	    zmq_bind(port->router, listen) != 0) {
 		(void)skh_error_set(err, SKH_CONFIG_INVALID, "can't listen on %s: %s", listen,
@@ -50,6 +47,16 @@
 	g_free(port);
 }
 
+void skh_port_connect(skh_port_t *port, const char *address)
+{
+	(void)zmq_connect(port->router, address);
+}
+
+void skh_port_disconnect(skh_port_t *port, const char *address)
+{
+	(void)zmq_disconnect(port->router, address);
+}
+
 int skh_port_fd(const skh_port_t *port)
 {
 	int fd = -1;
--- a/src/port.h
+++ b/src/port.h
@@ -25,6 +25,10 @@
 /** skh_port_close() - waits a bounded time for frames that are still queued */
 void skh_port_close(skh_port_t *port);
 
+/** skh_port_connect() - reach the sidecar that listens at @address */
+void skh_port_connect(skh_port_t *port, const char *address);
+void skh_port_disconnect(skh_port_t *port, const char *address);
+
 /** skh_port_fd() - becomes readable when skh_port_receive() may have something */
 int skh_port_fd(const skh_port_t *port);
 
--- a/src/sidecar.c
+++ b/src/sidecar.c
@@ -4,6 +4,7 @@
 #include "board.h"
 #include "clock.h"
 #include "config.h"
+#include "group.h"
 #include "log.h"
 #include "port.h"
 #include "process.h"
@@ -20,13 +21,16 @@
 	skh_store_t *store;
 	skh_follower_t *follower;
 	skh_port_t *port;
+	skh_backend_t *backend;
 	skh_worker_t *worker;
+	skh_group_member_t *group; /* NULL outside of groups */
 	int64_t tick_at_us;
 	int64_t stop_by_us; /* deadline of a planned stop; 0 for none */
 	gint drain_asked;   /* set by the administration listener */
 	gint phase_copy;    /* for the administration listener's threads */
 	gint running_copy;
 	gint queued_copy;
+	uint64_t map_copy;
 } sidecar_t;
 
 static bool listed_leaving(const sidecar_t *sidecar)
@@ -66,6 +70,9 @@
 	g_atomic_int_set(&sidecar->phase_copy, (gint)skh_gate_phase(gate));
 	g_atomic_int_set(&sidecar->running_copy, (gint)skh_gate_running(gate));
 	g_atomic_int_set(&sidecar->queued_copy, (gint)skh_gate_queued(gate));
+	if (sidecar->group)
+		__atomic_store_n(&sidecar->map_copy, skh_group_member_version(sidecar->group),
+				 __ATOMIC_RELAXED);
 }
 
 static void tick(sidecar_t *sidecar)
@@ -81,6 +88,8 @@
 		  listed_leaving(sidecar);
 	skh_worker_tick(sidecar->worker, service_is_known(sidecar), leaving, now_us);
 	skh_follower_hint(sidecar->follower, skh_worker_newest_revision(sidecar->worker));
+	if (sidecar->group)
+		skh_group_member_tick(sidecar->group, now_us);
 	copy_for_admin(sidecar);
 }
 
@@ -97,6 +106,20 @@
 	return true;
 }
 
+static void on_frame(sidecar_t *sidecar, const char *peer, Skh__Frame *frame)
+{
+	bool is_order = frame->body_case == SKH__FRAME__BODY_ORDER ||
+			frame->body_case == SKH__FRAME__BODY_ORDER_REPLY;
+
+	if (!is_order) {
+		skh_worker_on_frame(sidecar->worker, peer, frame);
+		return;
+	}
+	if (sidecar->group)
+		skh_group_member_on_frame(sidecar->group, peer, frame);
+	skh_wire_free(frame);
+}
+
 static void loop(sidecar_t *sidecar)
 {
 	char entry[SKH_PORT_PEER_BYTES];
@@ -106,7 +129,7 @@
 		tick(sidecar);
 		/* ZeroMQ's descriptor only signals changes, so the port is read until empty. */
 		while ((frame = skh_port_receive(sidecar->port, entry)) != NULL)
-			skh_worker_on_frame(sidecar->worker, entry, frame);
+			on_frame(sidecar, entry, frame);
 		skh_worker_wait(sidecar->worker, sidecar->tick_at_us);
 	}
 }
@@ -124,14 +147,16 @@
 	sidecar_t *sidecar = context;
 	const skh_settings_t *settings = sidecar->settings;
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:i, s:i, s:i}", "id", settings->id,
-			 "role", "sidecar", "failure_domain", settings->failure_domain, "service",
-			 settings->backend_service, "ready", is_ready(sidecar), "phase",
-			 phases[g_atomic_int_get(&sidecar->phase_copy)], "revision",
-			 (json_int_t)skh_board_revision(sidecar->board), "running",
+	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:i, s:i, s:i, s:s, s:I}", "id",
+			 settings->id, "role", "sidecar", "failure_domain",
+			 settings->failure_domain, "service", settings->backend_service, "ready",
+			 is_ready(sidecar), "phase", phases[g_atomic_int_get(&sidecar->phase_copy)],
+			 "revision", (json_int_t)skh_board_revision(sidecar->board), "running",
 			 g_atomic_int_get(&sidecar->running_copy), "queued",
 			 g_atomic_int_get(&sidecar->queued_copy), "capacity",
-			 (int)settings->backend_capacity);
+			 (int)settings->backend_capacity, "group", settings->backend_group,
+			 "map_version",
+			 (json_int_t)__atomic_load_n(&sidecar->map_copy, __ATOMIC_RELAXED));
 }
 
 static void drain(void *context, bool drain)
@@ -151,14 +176,23 @@
 	sidecar->port = skh_port_open(settings->id, settings->link_listen, err);
 	if (!sidecar->port)
 		return false;
-	sidecar->worker = skh_worker_new(settings, sidecar->board, sidecar->store, sidecar->port);
+	sidecar->backend = settings->backend_kind == SKH_BACKEND_ENGINE
+				   ? skh_backend_new_engine(settings->backend_url)
+				   : skh_backend_new_plain(settings->backend_url);
+	sidecar->worker = skh_worker_new(settings, sidecar->board, sidecar->store, sidecar->port,
+					 sidecar->backend);
+	if (*settings->backend_group && sidecar->backend->ops->order)
+		sidecar->group = skh_group_member_new(settings, sidecar->board, sidecar->store,
+						      sidecar->port, sidecar->backend);
 	return true;
 }
 
 static void close_sidecar(sidecar_t *sidecar)
 {
 	if (sidecar->port) {
+		skh_group_member_free(sidecar->group);
 		skh_worker_free(sidecar->worker);
+		skh_backend_free(sidecar->backend);
 		skh_port_close(sidecar->port);
 	}
 	skh_follower_stop(sidecar->follower);
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,6 +1,20 @@
 #include "wire.h"
 
 #include <string.h>
+#include <zmq.h>
+
+void skh_wire_set_option(void *socket, int option, int value)
+{
+	(void)zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+/* ZeroMQ reserves what a peer announces before a byte of it has come. */
+void skh_wire_limit_size(void *socket)
+{
+	const int64_t limit_bytes = SKH_WIRE_MAX_FRAME_BYTES;
+
+	(void)zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit_bytes, sizeof(limit_bytes));
+}
 
 void skh_wire_pack(const Skh__Frame *frame, skh_buffer_t *out)
 {
@@ -42,6 +56,10 @@
 		return name_fits(frame->end->kind);
 	case SKH__FRAME__BODY_REFUSE:
 		return name_fits(frame->refuse->kind) && frame->refuse->retry_after_us >= 0;
+	case SKH__FRAME__BODY_ORDER:
+		return name_fits(frame->order->group);
+	case SKH__FRAME__BODY_ORDER_REPLY:
+		return name_fits(frame->order_reply->group);
 	default:
 		return true;
 	}
--- a/src/wire.h
+++ b/src/wire.h
@@ -29,6 +29,12 @@
 	SKH_PHASE_LEAVING
 } skh_phase_t;
 
+/** skh_wire_set_option() - an integer option of a ZeroMQ socket */
+void skh_wire_set_option(void *socket, int option, int value);
+
+/** skh_wire_limit_size() - let a ZeroMQ socket drop whoever announces a longer frame */
+void skh_wire_limit_size(void *socket);
+
 /** skh_wire_pack() - append the packed @frame to @out */
 void skh_wire_pack(const Skh__Frame *frame, skh_buffer_t *out);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -502,7 +502,97 @@
   assert(message->base.descriptor == &skh__refuse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor skh__frame__field_descriptors[12] =
+void   skh__order__init
+                     (Skh__Order         *message)
+{
+  static const Skh__Order init_value = SKH__ORDER__INIT;
+  *message = init_value;
+}
+size_t skh__order__get_packed_size
+                     (const Skh__Order *message)
+{
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__order__pack
+                     (const Skh__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__order__pack_to_buffer
+                     (const Skh__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__Order *
+       skh__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__Order *)
+     protobuf_c_message_unpack (&skh__order__descriptor,
+                                allocator, len, data);
+}
+void   skh__order__free_unpacked
+                     (Skh__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   skh__order_reply__init
+                     (Skh__OrderReply         *message)
+{
+  static const Skh__OrderReply init_value = SKH__ORDER_REPLY__INIT;
+  *message = init_value;
+}
+size_t skh__order_reply__get_packed_size
+                     (const Skh__OrderReply *message)
+{
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__order_reply__pack
+                     (const Skh__OrderReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__order_reply__pack_to_buffer
+                     (const Skh__OrderReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__OrderReply *
+       skh__order_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__OrderReply *)
+     protobuf_c_message_unpack (&skh__order_reply__descriptor,
+                                allocator, len, data);
+}
+void   skh__order_reply__free_unpacked
+                     (Skh__OrderReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] =
 {
   {
     "version",
@@ -600,6 +690,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, order),
+    &skh__order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, order_reply),
+    &skh__order_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "started",
     20,
@@ -653,13 +767,15 @@
   7,   /* field[7] = ask */
   5,   /* field[5] = cancel */
   6,   /* field[6] = credit */
-  9,   /* field[9] = data */
-  10,   /* field[10] = end */
+  11,   /* field[11] = data */
+  12,   /* field[12] = end */
   3,   /* field[3] = hello */
-  11,   /* field[11] = refuse */
+  8,   /* field[8] = order */
+  9,   /* field[9] = order_reply */
+  13,   /* field[13] = refuse */
   1,   /* field[1] = revision */
   4,   /* field[4] = start */
-  8,   /* field[8] = started */
+  10,   /* field[10] = started */
   2,   /* field[2] = status */
   0,   /* field[0] = version */
 };
@@ -667,8 +783,8 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 20, 8 },
-  { 0, 12 }
+  { 20, 10 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor skh__frame__descriptor =
 {
@@ -678,7 +794,7 @@
   "Skh__Frame",
   "skh",
   sizeof(Skh__Frame),
-  12,
+  14,
   skh__frame__field_descriptors,
   skh__frame__field_indices_by_name,
   3,  skh__frame__number_ranges,
@@ -1226,7 +1342,7 @@
   (ProtobufCMessageInit) skh__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor skh__ask__field_descriptors[3] =
 {
   {
     "attempt",
@@ -1252,15 +1368,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__ask__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
+  2,   /* field[2] = incarnation */
   1,   /* field[1] = start_before_us */
 };
 static const ProtobufCIntRange skh__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor skh__ask__descriptor =
 {
@@ -1270,7 +1399,7 @@
   "Skh__Ask",
   "skh",
   sizeof(Skh__Ask),
-  2,
+  3,
   skh__ask__field_descriptors,
   skh__ask__field_indices_by_name,
   1,  skh__ask__number_ranges,
@@ -1598,3 +1727,222 @@
   (ProtobufCMessageInit) skh__refuse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor skh__order__field_descriptors[5] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placement",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, placement),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned skh__order__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  0,   /* field[0] = group */
+  4,   /* field[4] = placement */
+  2,   /* field[2] = step */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange skh__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor skh__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Order",
+  "Order",
+  "Skh__Order",
+  "skh",
+  sizeof(Skh__Order),
+  5,
+  skh__order__field_descriptors,
+  skh__order__field_indices_by_name,
+  1,  skh__order__number_ranges,
+  (ProtobufCMessageInit) skh__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__order_reply__field_descriptors[8] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_seen",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, fence_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_place",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, in_place),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned skh__order_reply__field_indices_by_name[] = {
+  2,   /* field[2] = fence */
+  6,   /* field[6] = fence_seen */
+  0,   /* field[0] = group */
+  7,   /* field[7] = in_place */
+  5,   /* field[5] = outcome */
+  1,   /* field[1] = rank */
+  3,   /* field[3] = step */
+  4,   /* field[4] = version */
+};
+static const ProtobufCIntRange skh__order_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor skh__order_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.OrderReply",
+  "OrderReply",
+  "Skh__OrderReply",
+  "skh",
+  sizeof(Skh__OrderReply),
+  8,
+  skh__order_reply__field_descriptors,
+  skh__order_reply__field_indices_by_name,
+  1,  skh__order_reply__number_ranges,
+  (ProtobufCMessageInit) skh__order_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Skh__Data Skh__Data;
 typedef struct Skh__End Skh__End;
 typedef struct Skh__Refuse Skh__Refuse;
+typedef struct Skh__Order Skh__Order;
+typedef struct Skh__OrderReply Skh__OrderReply;
 
 
 /* --- enums --- */
@@ -40,6 +42,8 @@
   SKH__FRAME__BODY_CANCEL = 12,
   SKH__FRAME__BODY_CREDIT = 13,
   SKH__FRAME__BODY_ASK = 14,
+  SKH__FRAME__BODY_ORDER = 15,
+  SKH__FRAME__BODY_ORDER_REPLY = 16,
   SKH__FRAME__BODY_STARTED = 20,
   SKH__FRAME__BODY_DATA = 21,
   SKH__FRAME__BODY_END = 22,
@@ -66,6 +70,8 @@
     Skh__Cancel *cancel;
     Skh__Credit *credit;
     Skh__Ask *ask;
+    Skh__Order *order;
+    Skh__OrderReply *order_reply;
     Skh__Started *started;
     Skh__Data *data;
     Skh__End *end;
@@ -190,10 +196,14 @@
   ProtobufCMessage base;
   uint64_t attempt;
   int64_t start_before_us;
+  /*
+   * the sidecar process that the attempt was meant for
+   */
+  uint64_t incarnation;
 };
 #define SKH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__ask__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -276,6 +286,55 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Coordinator of a group -> the sidecar of each rank, see src/rank.h.
+ */
+struct  Skh__Order
+{
+  ProtobufCMessage base;
+  char *group;
+  uint64_t fence;
+  uint32_t step;
+  uint64_t version;
+  /*
+   * JSON, with the prepare step
+   */
+  char *placement;
+};
+#define SKH__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&skh__order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Sidecar of a rank -> coordinator.
+ */
+struct  Skh__OrderReply
+{
+  ProtobufCMessage base;
+  char *group;
+  uint32_t rank;
+  /*
+   * of the order that is answered
+   */
+  uint64_t fence;
+  uint32_t step;
+  uint64_t version;
+  uint32_t outcome;
+  /*
+   * highest that the rank has seen
+   */
+  uint64_t fence_seen;
+  /*
+   * the engine runs with this version already
+   */
+  protobuf_c_boolean in_place;
+};
+#define SKH__ORDER_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&skh__order_reply__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
 /* Skh__Frame methods */
 void   skh__frame__init
                      (Skh__Frame         *message);
@@ -485,6 +544,44 @@
 void   skh__refuse__free_unpacked
                      (Skh__Refuse *message,
                       ProtobufCAllocator *allocator);
+/* Skh__Order methods */
+void   skh__order__init
+                     (Skh__Order         *message);
+size_t skh__order__get_packed_size
+                     (const Skh__Order   *message);
+size_t skh__order__pack
+                     (const Skh__Order   *message,
+                      uint8_t             *out);
+size_t skh__order__pack_to_buffer
+                     (const Skh__Order   *message,
+                      ProtobufCBuffer     *buffer);
+Skh__Order *
+       skh__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   skh__order__free_unpacked
+                     (Skh__Order *message,
+                      ProtobufCAllocator *allocator);
+/* Skh__OrderReply methods */
+void   skh__order_reply__init
+                     (Skh__OrderReply         *message);
+size_t skh__order_reply__get_packed_size
+                     (const Skh__OrderReply   *message);
+size_t skh__order_reply__pack
+                     (const Skh__OrderReply   *message,
+                      uint8_t             *out);
+size_t skh__order_reply__pack_to_buffer
+                     (const Skh__OrderReply   *message,
+                      ProtobufCBuffer     *buffer);
+Skh__OrderReply *
+       skh__order_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   skh__order_reply__free_unpacked
+                     (Skh__OrderReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Skh__Frame_Closure)
@@ -520,6 +617,12 @@
 typedef void (*Skh__Refuse_Closure)
                  (const Skh__Refuse *message,
                   void *closure_data);
+typedef void (*Skh__Order_Closure)
+                 (const Skh__Order *message,
+                  void *closure_data);
+typedef void (*Skh__OrderReply_Closure)
+                 (const Skh__OrderReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -537,6 +640,8 @@
 extern const ProtobufCMessageDescriptor skh__data__descriptor;
 extern const ProtobufCMessageDescriptor skh__end__descriptor;
 extern const ProtobufCMessageDescriptor skh__refuse__descriptor;
+extern const ProtobufCMessageDescriptor skh__order__descriptor;
+extern const ProtobufCMessageDescriptor skh__order_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -1,6 +1,5 @@
 #include "worker.h"
 
-#include "backend.h"
 #include "claimer.h"
 #include "clock.h"
 #include "fetch.h"
@@ -264,7 +263,7 @@
 	const attempt_t *attempt = find(worker, ask->attempt);
 	skh_error_t err;
 
-	switch (skh_gate_ask(worker->gate, ask->attempt, ask->start_before_us,
+	switch (skh_gate_ask(worker->gate, ask->attempt, ask->incarnation, ask->start_before_us,
 			     skh_clock_now_us())) {
 	case SKH_FATE_WAITING:
 		break;
@@ -618,7 +617,7 @@
 static const skh_fetch_events_t fetch_events = { .bytes = on_bytes, .done = on_done };
 
 skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board, skh_store_t *store,
-			     skh_port_t *port)
+			     skh_port_t *port, skh_backend_t *backend)
 {
 	skh_worker_t *worker = g_new0(skh_worker_t, 1);
 	uint64_t incarnation = skh_random_u64() | 1;
@@ -631,9 +630,7 @@
 	worker->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	worker->fetch = skh_fetch_new(&fetch_events, worker);
 	worker->claimer = skh_claimer_start(store, CLAIM_INTERVAL_US);
-	worker->backend = settings->backend_kind == SKH_BACKEND_ENGINE
-				  ? skh_backend_new_engine(settings->backend_url)
-				  : skh_backend_new_plain(settings->backend_url);
+	worker->backend = backend;
 	skh_fetch_watch(worker->fetch, skh_port_fd(port));
 	skh_fetch_watch(worker->fetch, skh_claimer_fd(worker->claimer));
 	return worker;
@@ -643,7 +640,6 @@
 {
 	skh_claimer_stop(worker->claimer);
 	skh_fetch_free(worker->fetch);
-	skh_backend_free(worker->backend);
 	skh_gate_free(worker->gate);
 	skh_buffer_free(&worker->piece);
 	g_hash_table_unref(worker->entries);
--- a/src/worker.h
+++ b/src/worker.h
@@ -9,6 +9,7 @@
  * server, and back in pieces. One thread.
  */
 
+#include "backend.h"
 #include "board.h"
 #include "gate.h"
 #include "port.h"
@@ -23,7 +24,7 @@
 
 /** skh_worker_new() - all arguments are borrowed */
 skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board, skh_store_t *store,
-			     skh_port_t *port);
+			     skh_port_t *port, skh_backend_t *backend);
 void skh_worker_free(skh_worker_t *worker);
 
 /** skh_worker_on_frame() - an entry's frame; takes ownership of @frame */
--- a/test/gate_test.cc
+++ b/test/gate_test.cc
@@ -75,27 +75,34 @@
 	skh_gate_ended(gate.get(), 1, true);
 	EXPECT_EQ(skh_gate_next(gate.get(), 1), 2U);
 	EXPECT_EQ(arrive(gate.get(), start_of(3, 100), 1), SKH_VERDICT_DUPLICATE);
-	EXPECT_EQ(skh_gate_ask(gate.get(), 3, 100, 1), SKH_FATE_REFUSED);
+	EXPECT_EQ(skh_gate_ask(gate.get(), 3, kIncarnation, 100, 1), SKH_FATE_REFUSED);
 }
 
 TEST(Gate, AFencedRequestThatArrivesLaterIsNotStarted)
 {
 	GatePtr gate = open_gate(1, 1);
 
-	EXPECT_EQ(skh_gate_ask(gate.get(), 1, 100, 0), SKH_FATE_REFUSED);
+	EXPECT_EQ(skh_gate_ask(gate.get(), 1, kIncarnation, 100, 0), SKH_FATE_REFUSED);
 	EXPECT_EQ(arrive(gate.get(), start_of(1, 100), 50), SKH_VERDICT_DUPLICATE);
 }
 
+TEST(Gate, WhatAnEarlierProcessDidIsUnknown)
+{
+	GatePtr gate = open_gate(1, 1);
+
+	EXPECT_EQ(skh_gate_ask(gate.get(), 1, kIncarnation - 1, 100, 0), SKH_FATE_UNKNOWN);
+}
+
 TEST(Gate, WhatMayHaveBeenForgottenIsUnknownNotRefused)
 {
 	GatePtr gate = open_gate(1, 1);
 
 	EXPECT_EQ(arrive(gate.get(), start_of(1, 100), 0), SKH_VERDICT_START);
 	skh_gate_ended(gate.get(), 1, true);
-	EXPECT_EQ(skh_gate_ask(gate.get(), 1, 100, 50), SKH_FATE_ENDED);
+	EXPECT_EQ(skh_gate_ask(gate.get(), 1, kIncarnation, 100, 50), SKH_FATE_ENDED);
 	EXPECT_EQ(skh_gate_expire(gate.get(), 100), 0U);
 	EXPECT_EQ(skh_gate_remembered(gate.get()), 0U);
-	EXPECT_EQ(skh_gate_ask(gate.get(), 1, 100, 100), SKH_FATE_UNKNOWN);
+	EXPECT_EQ(skh_gate_ask(gate.get(), 1, kIncarnation, 100, 100), SKH_FATE_UNKNOWN);
 }
 
 TEST(Gate, LeavingHandsBackTheQueueAndLetsWorkEnd)
@@ -168,7 +175,8 @@
 			if (verdict == SKH_VERDICT_REFUSE)
 				naive.refused.insert(attempt);
 		} else if (action == 2) {
-			switch (skh_gate_ask(gate.get(), attempt, start_before_us, now_us)) {
+			switch (skh_gate_ask(gate.get(), attempt, kIncarnation, start_before_us,
+					     now_us)) {
 			case SKH_FATE_REFUSED:
 				RC_ASSERT(naive.started.count(attempt) == 0U);
 				naive.refused.insert(attempt);
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -3,7 +3,8 @@
  * i of an answer depends only on the request's body, so any engine continues
  * any answer. GET /runs tells what was run. POST /fault {"cut_after":N} makes
  * the next answer end after N tokens without its end mark; {"exit_after":N}
- * ends the process there; {"stall_after":N,"ms":M} pauses it there.
+ * ends the process there; {"stall_after":N,"ms":M} pauses it there. Orders of a map switch are obeyed whoever gives them
+ * and are listed by GET /orders; {"order_ms":N} makes each take that long.
  */
 #define _GNU_SOURCE
 #include "standin.h"
@@ -33,6 +34,8 @@
 static int64_t exit_after = NO_FAULT;
 static int64_t stall_after = NO_FAULT;
 static int64_t stall_ms;
+static int64_t order_ms;
+static json_t *orders;
 
 static run_t *add_run(const char *attempt, const char *body, int64_t first)
 {
@@ -172,6 +175,32 @@
 	return standin_answer(connection, 200, json_object());
 }
 
+static int handle_order(struct mg_connection *connection)
+{
+	json_t *order = standin_read_json(connection);
+	int64_t ms;
+
+	g_mutex_lock(&lock);
+	ms = order_ms;
+	g_mutex_unlock(&lock);
+	if (ms > 0)
+		(void)usleep((useconds_t)(ms * 1000));
+	g_mutex_lock(&lock);
+	json_array_append_new(orders, order);
+	g_mutex_unlock(&lock);
+	return standin_answer(connection, 200, json_object());
+}
+
+static int handle_orders(struct mg_connection *connection)
+{
+	json_t *copy;
+
+	g_mutex_lock(&lock);
+	copy = json_deep_copy(orders);
+	g_mutex_unlock(&lock);
+	return standin_answer(connection, 200, copy);
+}
+
 static int handle_runs(struct mg_connection *connection)
 {
 	json_t *list = json_array();
@@ -206,6 +235,7 @@
 	exit_after = fault_of(request, "exit_after");
 	stall_after = fault_of(request, "stall_after");
 	stall_ms = fault_of(request, "ms");
+	order_ms = fault_of(request, "order_ms");
 	g_mutex_unlock(&lock);
 	json_decref(request);
 	return standin_answer(connection, 200, json_object());
@@ -220,6 +250,10 @@
 		return handle_completion(connection);
 	if (g_str_has_prefix(path, "/v1/cancel/"))
 		return handle_cancel(connection, path + strlen("/v1/cancel/"));
+	if (strcmp(path, "/v1/orders") == 0)
+		return handle_order(connection);
+	if (strcmp(path, "/orders") == 0)
+		return handle_orders(connection);
 	if (strcmp(path, "/runs") == 0)
 		return handle_runs(connection);
 	if (strcmp(path, "/fault") == 0)
@@ -235,5 +269,6 @@
 	}
 	token_us = argc > 2 ? g_ascii_strtoll(argv[2], NULL, 10) : 0;
 	runs = g_ptr_array_new();
+	orders = json_array();
 	return standin_serve(argv[1], handle);
 }
