Let only holders of the link key speak to sidecars

Cause: sidecars took work and orders from whoever reached their link port.

Change: ZeroMQ CURVE with one key pair for all processes, checked by a ZAP handler in constant time; `skylarkhead keygen` prints the section.

Left open: rotation without a stop, TLS for callers and administration.

--- a/scripts/world.sh
+++ b/scripts/world.sh
@@ -9,6 +9,7 @@
 : "${CAPACITY:=64}"
 : "${DRAIN_MS:=20000}"
 : "${GROUP:=}"
+: "${SECURITY:=}" # a whole [security] section
 : "${WAIT_TRIES:=300}"
 : "${HTTP_THREADS:=64}"
 : "${STACK_KIB:=256}"
@@ -140,6 +141,7 @@
 drain_ms = $DRAIN_MS
 [log]
 level = "debug"
+$SECURITY
 END
 }
 
@@ -169,6 +171,7 @@
 drain_ms = $DRAIN_MS
 [log]
 level = "debug"
+$SECURITY
 END
 }
 
--- a/src/cmd.c
+++ b/src/cmd.c
@@ -4,6 +4,7 @@
 #include "sidecar.h"
 
 #include <stdio.h>
+#include <zmq.h>
 
 bool skh_cmd_parse(int argc, char **argv, void **table, const struct arg_lit *help,
 		   struct arg_end *end, const char *summary, int *status)
@@ -51,6 +52,8 @@
 	return settings;
 }
 
+#define Z85_KEY_BYTES 41 /* with the NUL */
+
 static int run_role(int argc, char **argv, skh_role_t role, const char *summary,
 		    int (*run)(const skh_settings_t *settings))
 {
@@ -95,3 +98,22 @@
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return status;
 }
+
+int skh_cmd_keygen(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(2);
+	void *table[] = { help, end };
+	char public_key[Z85_KEY_BYTES];
+	char secret_key[Z85_KEY_BYTES];
+	int status = SKH_EXIT_OK;
+
+	if (skh_cmd_parse(argc, argv, table, help, end,
+			  "Print a new key pair as the [security] section of settings.", &status)) {
+		(void)zmq_curve_keypair(public_key, secret_key);
+		(void)printf("[security]\nlink_public_key = '%s'\nlink_secret_key = '%s'\n",
+			     public_key, secret_key);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return status;
+}
--- a/src/entry.c
+++ b/src/entry.c
@@ -62,7 +62,7 @@
 	entry->admit = skh_admit_new();
 	g_mutex_init(&entry->admit_lock);
 	entry->follower = skh_follower_start(entry->store, entry->settings, entry->board);
-	entry->link = skh_link_start(entry->settings->id, entry->board, err);
+	entry->link = skh_link_start(entry->settings, entry->board, err);
 	return entry->link != NULL;
 }
 
--- a/src/link.c
+++ b/src/link.c
@@ -1,6 +1,7 @@
 #include "link.h"
 
 #include "clock.h"
+#include "guard.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -39,6 +40,7 @@
 } waiting_t;
 
 struct skh_link {
+	const skh_settings_t *settings;
 	char *entry_id;
 	skh_board_t *board;
 	void *context;
@@ -387,6 +389,7 @@
 	skh_wire_limit_size(link->router);
 	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL, 100);
 	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL_MAX, 2000);
+	skh_guard_as_client(link->router, link->settings);
 	if (zmq_setsockopt(link->router, ZMQ_ROUTING_ID, link->entry_id, strlen(link->entry_id)))
 		return skh_error_set(err, SKH_CONFIG_INVALID, "the instance id can't be used: %s",
 				     zmq_strerror(errno));
@@ -412,13 +415,14 @@
 	g_free(link);
 }
 
-skh_link_t *skh_link_start(const char *entry_id, skh_board_t *board, skh_error_t *err)
+skh_link_t *skh_link_start(const skh_settings_t *settings, skh_board_t *board, skh_error_t *err)
 {
 	skh_link_t *link = g_new0(skh_link_t, 1);
 
 	/* The suffix keeps a restarted entry apart from its predecessor's connection. */
-	link->entry_id = g_strdup_printf("%s-%08x", entry_id, (uint32_t)skh_random_u64());
+	link->entry_id = g_strdup_printf("%s-%08x", settings->id, (uint32_t)skh_random_u64());
 	link->board = board;
+	link->settings = settings;
 	link->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	link->peers = skh_peers_new();
 	link->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
--- a/src/link.h
+++ b/src/link.h
@@ -12,6 +12,7 @@
 #include "board.h"
 #include "inbox.h"
 #include "route.h"
+#include "settings.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -20,7 +21,7 @@
 typedef struct skh_link skh_link_t;
 
 /** skh_link_start() - open the socket and run the thread; NULL with @err */
-skh_link_t *skh_link_start(const char *entry_id, skh_board_t *board, skh_error_t *err);
+skh_link_t *skh_link_start(const skh_settings_t *settings, skh_board_t *board, skh_error_t *err);
 
 /** skh_link_stop() - after every caller's thread has stopped */
 void skh_link_stop(skh_link_t *link);
--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
 	{ "check", skh_cmd_check, "print every fault of settings or of a manifest" },
 	{ "apply", skh_cmd_apply, "put a manifest in force and wait until it is" },
 	{ "status", skh_cmd_status, "print what instances say of themselves" },
+	{ "keygen", skh_cmd_keygen, "print a new key pair for the links between processes" },
 	{ "version", skh_cmd_version, "print the version" },
 };
 
--- a/src/port.c
+++ b/src/port.c
@@ -1,5 +1,6 @@
 #include "port.h"
 
+#include "guard.h"
 #include "metrics.h"
 
 #include <errno.h>
@@ -11,16 +12,20 @@
 #define LINGER_MS  2000
 
 struct skh_port {
+	const skh_settings_t *settings;
+	skh_guard_t *guard;
 	void *context;
 	void *router;
 	skh_buffer_t packed; /* reused for each frame */
 };
 
-skh_port_t *skh_port_open(const char *id, const char *listen, skh_error_t *err)
+skh_port_t *skh_port_open(const skh_settings_t *settings, skh_error_t *err)
 {
 	skh_port_t *port = g_new0(skh_port_t, 1);
 
+	port->settings = settings;
 	port->context = zmq_ctx_new();
+	port->guard = skh_guard_start(port->context, settings);
 	port->router = zmq_socket(port->context, ZMQ_ROUTER);
 	skh_wire_set_option(port->router, ZMQ_LINGER, LINGER_MS);
 	skh_wire_set_option(port->router, ZMQ_SNDHWM, HIGH_WATER);
@@ -29,10 +34,11 @@
 	skh_wire_set_option(port->router, ZMQ_ROUTER_MANDATORY, 1);
 	skh_wire_set_option(port->router, ZMQ_ROUTER_HANDOVER, 1);
 	skh_wire_limit_size(port->router);
-	if (zmq_setsockopt(port->router, ZMQ_ROUTING_ID, id, strlen(id)) != 0 ||
-	    zmq_bind(port->router, listen) != 0) {
-		(void)skh_error_set(err, SKH_CONFIG_INVALID, "can't listen on %s: %s", listen,
-				    zmq_strerror(errno));
+	skh_guard_as_server(port->router, settings);
+	if (zmq_setsockopt(port->router, ZMQ_ROUTING_ID, settings->id, strlen(settings->id)) != 0 ||
+	    zmq_bind(port->router, settings->link_listen) != 0) {
+		(void)skh_error_set(err, SKH_CONFIG_INVALID, "can't listen on %s: %s",
+				    settings->link_listen, zmq_strerror(errno));
 		skh_port_close(port);
 		return NULL;
 	}
@@ -42,6 +48,7 @@
 void skh_port_close(skh_port_t *port)
 {
 	(void)zmq_close(port->router);
+	skh_guard_stop(port->guard);
 	(void)zmq_ctx_term(port->context);
 	skh_buffer_free(&port->packed);
 	g_free(port);
@@ -49,6 +56,7 @@
 
 void skh_port_connect(skh_port_t *port, const char *address)
 {
+	skh_guard_as_client(port->router, port->settings);
 	(void)zmq_connect(port->router, address);
 }
 
--- a/src/port.h
+++ b/src/port.h
@@ -10,6 +10,7 @@
 
 #include "buffer.h"
 #include "error.h"
+#include "settings.h"
 #include "wire.h"
 
 #ifdef __cplusplus
@@ -20,7 +21,8 @@
 
 typedef struct skh_port skh_port_t;
 
-skh_port_t *skh_port_open(const char *id, const char *listen, skh_error_t *err);
+/** skh_port_open() - listen as the settings say; they are borrowed */
+skh_port_t *skh_port_open(const skh_settings_t *settings, skh_error_t *err);
 
 /** skh_port_close() - waits a bounded time for frames that are still queued */
 void skh_port_close(skh_port_t *port);
--- a/src/settings.c
+++ b/src/settings.c
@@ -4,6 +4,7 @@
 
 #define FIELD(member)  offsetof(skh_settings_t, member)
 #define MAX_TEXT_BYTES 255
+#define Z85_KEY_CHARS  40
 #define TEXT(key, member, required)                                                                \
 	{                                                                                          \
 		key, SKH_FIELD_TEXT, required, FIELD(member), 1, MAX_TEXT_BYTES, NULL              \
@@ -38,6 +39,12 @@
 	TEXT("listen", link_listen, true),
 	INTEGER("window_bytes", window_bytes, 4096, 16 << 20),
 };
+static const skh_field_t security_fields[] = {
+	{ "link_public_key", SKH_FIELD_TEXT, true, FIELD(link_public_key), Z85_KEY_CHARS,
+	  Z85_KEY_CHARS, NULL },
+	{ "link_secret_key", SKH_FIELD_TEXT, true, FIELD(link_secret_key), Z85_KEY_CHARS,
+	  Z85_KEY_CHARS, NULL },
+};
 static const skh_field_t store_fields[] = {
 	{ "endpoints", SKH_FIELD_TEXTS, true, FIELD(store_endpoints), 0, 0, NULL },
 	TEXT("prefix", store_prefix, false),
@@ -70,17 +77,20 @@
 	const skh_field_t *fields;
 	size_t n_fields;
 	uint32_t roles;
+	bool optional; /* its required keys matter only where it stands */
 } section_t;
 
 static const section_t sections[] = {
-	{ "instance", instance_fields, G_N_ELEMENTS(instance_fields), BOTH_ROLES },
-	{ "http", http_fields, G_N_ELEMENTS(http_fields), ROLE_BIT(SKH_ROLE_ENTRY) },
-	{ "admin", admin_fields, G_N_ELEMENTS(admin_fields), BOTH_ROLES },
-	{ "link", link_fields, G_N_ELEMENTS(link_fields), ROLE_BIT(SKH_ROLE_SIDECAR) },
-	{ "store", store_fields, G_N_ELEMENTS(store_fields), BOTH_ROLES },
-	{ "backend", backend_fields, G_N_ELEMENTS(backend_fields), ROLE_BIT(SKH_ROLE_SIDECAR) },
-	{ "stop", stop_fields, G_N_ELEMENTS(stop_fields), BOTH_ROLES },
-	{ "log", log_fields, G_N_ELEMENTS(log_fields), BOTH_ROLES },
+	{ "instance", instance_fields, G_N_ELEMENTS(instance_fields), BOTH_ROLES, false },
+	{ "http", http_fields, G_N_ELEMENTS(http_fields), ROLE_BIT(SKH_ROLE_ENTRY), false },
+	{ "admin", admin_fields, G_N_ELEMENTS(admin_fields), BOTH_ROLES, false },
+	{ "link", link_fields, G_N_ELEMENTS(link_fields), ROLE_BIT(SKH_ROLE_SIDECAR), false },
+	{ "security", security_fields, G_N_ELEMENTS(security_fields), BOTH_ROLES, true },
+	{ "store", store_fields, G_N_ELEMENTS(store_fields), BOTH_ROLES, false },
+	{ "backend", backend_fields, G_N_ELEMENTS(backend_fields), ROLE_BIT(SKH_ROLE_SIDECAR),
+	  false },
+	{ "stop", stop_fields, G_N_ELEMENTS(stop_fields), BOTH_ROLES, false },
+	{ "log", log_fields, G_N_ELEMENTS(log_fields), BOTH_ROLES, false },
 };
 
 static void set_defaults(skh_settings_t *settings)
@@ -129,10 +139,12 @@
 		return settings;
 	}
 	for (size_t s = 0; s < G_N_ELEMENTS(sections); s++) {
-		if (!(sections[s].roles & ROLE_BIT(role)))
+		const skh_node_t *table = skh_node_find(settings->tree, sections[s].name);
+
+		if (!(sections[s].roles & ROLE_BIT(role)) || (!table && sections[s].optional))
 			continue;
-		skh_schema_read(skh_node_find(settings->tree, sections[s].name), sections[s].name,
-				1, sections[s].fields, sections[s].n_fields, settings, faults);
+		skh_schema_read(table, sections[s].name, 1, sections[s].fields,
+				sections[s].n_fields, settings, faults);
 	}
 	if (settings->store_endpoints && skh_node_count(settings->store_endpoints) == 0)
 		skh_faults_add(faults, skh_node_line(settings->store_endpoints), "store.endpoints",
--- a/src/settings.h
+++ b/src/settings.h
@@ -41,6 +41,9 @@
 	/* [link]: where a sidecar hears entries */
 	const char *link_listen;
 	int64_t window_bytes;
+	/* [security]: CURVE keys of the links in Z85, NULL for none */
+	const char *link_public_key;
+	const char *link_secret_key;
 	/* [store] */
 	const skh_node_t *store_endpoints;
 	const char *store_prefix;
--- a/src/sidecar.c
+++ b/src/sidecar.c
@@ -173,7 +173,7 @@
 	sidecar->board = skh_board_new();
 	sidecar->store = skh_settings_store(settings);
 	sidecar->follower = skh_follower_start(sidecar->store, settings, sidecar->board);
-	sidecar->port = skh_port_open(settings->id, settings->link_listen, err);
+	sidecar->port = skh_port_open(settings, err);
 	if (!sidecar->port)
 		return false;
 	sidecar->backend = settings->backend_kind == SKH_BACKEND_ENGINE
--- a/src/skylarkhead.h
+++ b/src/skylarkhead.h
@@ -41,6 +41,8 @@
 int skh_cmd_apply(int argc, char **argv);
 /** skh_cmd_status() - print what instances say of themselves */
 int skh_cmd_status(int argc, char **argv);
+/** skh_cmd_keygen() - print a new key pair for the links between processes */
+int skh_cmd_keygen(int argc, char **argv);
 /** skh_cmd_version() - print the version */
 int skh_cmd_version(int argc, char **argv);
 
