--- /dev/null
+++ b/bench/bench_claims.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Claims: keyed posts through entry, sidecar and plain service, and the
+# transactions that carry their claims and records.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+PORT_BASE=${PORT_BASE:-27000}
+CAPACITY=512
+HTTP_THREADS=512
+. scripts/world.sh
+trap stop_all EXIT
+field() { sed -nE "s/.*\b$2=([0-9.]+).*/\1/p" <<<"$1"; }
+txns() { curl -s "$KV/counts" | sed -nE 's/.*"txn":([0-9]+).*/\1/p'; }
+
+start_kv
+start_plain 1
+start_sidecar 1 nairobi plain ledger
+list_sidecar 1 nairobi live
+start_entry 1 nairobi
+list_entry 1 nairobi live
+write_manifest "$WORK/manifest.toml" bench
+sed -i 's/^priority = "counter"/priority = "counter"\nrate_per_s = 100000.0\nburst = 100000\nmax_in_flight = 100000/' "$WORK/manifest.toml"
+"$SKH" apply --store "$KV" "$WORK/manifest.toml" >/dev/null || exit 1
+wait_until peer_ready 1 1 || exit 1
+
+echo "keyed posts at one sidecar, by posts under way at once"
+printf '%10s %8s %8s %10s %10s %10s %14s %10s\n' "under way" posts good posts/s "p50 us" "p99 us" "transactions/s" "a post"
+for c in 1 16 64 256; do
+	n=$((c * 40))
+	before=$(txns)
+	line=$("$BUILD/bench/load" keyed "http://127.0.0.1:$(entry_port 1)/services/ledger/$c" "$n" "$c") || exit 1
+	used=$(($(txns) - before))
+	rate=$(field "$line" per_s)
+	printf '%10s %8s %8s %10s %10s %10s %14s %10s\n' "$c" "$n" "$(field "$line" good)" "$rate" \
+		"$(field "$line" p50)" "$(field "$line" p99)" \
+		"$(awk -v u="$used" -v n="$n" -v r="$rate" 'BEGIN {printf "%.0f", u * r / n}')" \
+		"$(awk -v u="$used" -v n="$n" 'BEGIN {printf "%.2f", u / n}')"
+done
--- a/bench/load.c
+++ b/bench/load.c
@@ -4,6 +4,7 @@
  *
  *   load latency URL_A URL_B N         whole answers, in turn at A and at B
  *   load streams URL N TOKENS          N streams at once, token by token
+ *   load keyed URL N CONCURRENT        N posts, each with a key of its own
  *
  * Prints one line of name=value figures; times are microseconds.
  */
@@ -182,6 +183,74 @@
 	return whole == n ? 0 : 1;
 }
 
+/* A UUID of version 7 of now, with @number in its random part. */
+static char *key_of(int64_t number)
+{
+	uint64_t ms = (uint64_t)(g_get_real_time() / 1000);
+
+	return g_strdup_printf("Idempotency-Key: %08" PRIx64 "-%04" PRIx64 "-7abc-8def-%012" PRIx64,
+			       ms >> 16, ms & 0xffff, (uint64_t)number);
+}
+
+typedef struct keyed {
+	CURL *curl;
+	struct curl_slist *headers;
+	int64_t begun_us;
+} keyed_t;
+
+static void begin_keyed(CURLM *multi, keyed_t *keyed, int64_t number)
+{
+	g_autofree char *key = key_of(number);
+
+	curl_slist_free_all(keyed->headers);
+	keyed->headers = curl_slist_append(NULL, "Authorization: Bearer clerk-key");
+	keyed->headers = curl_slist_append(keyed->headers, key);
+	curl_easy_setopt(keyed->curl, CURLOPT_HTTPHEADER, keyed->headers);
+	keyed->begun_us = g_get_monotonic_time();
+	curl_multi_add_handle(multi, keyed->curl);
+}
+
+static int run_keyed(const char *url, int64_t n, int64_t concurrent)
+{
+	CURLM *multi = curl_multi_init();
+	keyed_t *list = g_new0(keyed_t, concurrent);
+	samples_t took = { 0 };
+	int64_t begun = 0;
+	int64_t ended = 0;
+	int64_t good = 0;
+	int64_t start_us = g_get_monotonic_time();
+	CURLMsg *message;
+	int running;
+	int left;
+
+	for (int64_t i = 0; i < concurrent && begun < n; i++) {
+		list[i].curl = new_request(url, "sold", NULL);
+		curl_easy_setopt(list[i].curl, CURLOPT_PRIVATE, &list[i]);
+		begin_keyed(multi, &list[i], begun++);
+	}
+	while (ended < n) {
+		(void)curl_multi_perform(multi, &running);
+		while ((message = curl_multi_info_read(multi, &left)) != NULL) {
+			keyed_t *keyed;
+			long status = 0;
+
+			curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&keyed);
+			curl_easy_getinfo(keyed->curl, CURLINFO_RESPONSE_CODE, &status);
+			add_sample(&took, g_get_monotonic_time() - keyed->begun_us);
+			curl_multi_remove_handle(multi, keyed->curl);
+			good += status == 201;
+			ended++;
+			if (begun < n)
+				begin_keyed(multi, keyed, begun++);
+		}
+		(void)curl_multi_poll(multi, NULL, 0, 1000, NULL);
+	}
+	(void)printf("n=%" PRId64 " good=%" PRId64 " per_s=%.0f p50=%" PRId64 " p99=%" PRId64 "\n",
+		     n, good, (double)n * 1e6 / (double)(g_get_monotonic_time() - start_us),
+		     percentile(&took, 0.50), percentile(&took, 0.99));
+	return good == n ? 0 : 1;
+}
+
 int main(int argc, char **argv)
 {
 	struct curl_slist *headers = curl_slist_append(NULL, "Authorization: Bearer clerk-key");
@@ -193,6 +262,10 @@
 	if (argc == 5 && strcmp(argv[1], "streams") == 0)
 		return run_streams(argv[2], g_ascii_strtoll(argv[3], NULL, 10),
 				   g_ascii_strtoll(argv[4], NULL, 10), headers);
-	(void)fprintf(stderr, "usage: load latency URL_A URL_B N | load streams URL N TOKENS\n");
+	if (argc == 5 && strcmp(argv[1], "keyed") == 0)
+		return run_keyed(argv[2], g_ascii_strtoll(argv[3], NULL, 10),
+				 g_ascii_strtoll(argv[4], NULL, 10));
+	(void)fprintf(stderr, "usage: load latency URL_A URL_B N | streams URL N TOKENS | "
+			      "keyed URL N CONCURRENT\n");
 	return 2;
 }
