Read load reports and cache events, give engines orders, drop useless work

Change: engine.c polls the load report and cache events (late, with gaps, both counted) and gives load and role orders one at a time under the revision as fence; the report counts into the sidecar's status.

--- a/src/admin.c
+++ b/src/admin.c
@@ -88,6 +88,25 @@
 	return set_drain(admin, request, false, err);
 }
 
+static bool handle_order(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+{
+	skh_buffer_t body = SKH_BUFFER_INIT;
+	json_t *json = NULL;
+	bool queued;
+
+	if (!admin->ops->order)
+		return skh_error_set(err, SKH_NOT_FOUND, "this process has no engine");
+	if (!skh_http_read_body(request, &body, err)) {
+		skh_buffer_free(&body);
+		return false;
+	}
+	json = json_loadb(skh_buffer_text(&body), body.len, JSON_REJECT_DUPLICATES, NULL);
+	skh_buffer_free(&body);
+	queued = admin->ops->order(admin->context, json, err);
+	json_decref(json);
+	return queued && answer_text(request, JSON_TYPE, "{\"queued\":true}");
+}
+
 static const admin_route_t routes[] = {
 	{ "GET", "/healthz", handle_health },
 	{ "GET", "/readyz", handle_ready },
@@ -95,6 +114,7 @@
 	{ "GET", "/admin/v1/status", handle_status },
 	{ "POST", "/admin/v1/drain", handle_drain },
 	{ "POST", "/admin/v1/undrain", handle_undrain },
+	{ "POST", "/admin/v1/orders", handle_order },
 };
 
 static void handle(void *context, skh_http_request_t *request)
--- a/src/admin.h
+++ b/src/admin.h
@@ -25,6 +25,8 @@
 	json_t *(*status)(void *context);
 	/* Take no new work from now on, or again; NULL where that can't be asked. */
 	void (*drain)(void *context, bool drain);
+	/* Queue the order that @body names; NULL where there is no engine. */
+	bool (*order)(void *context, const json_t *body, skh_error_t *err);
 } skh_admin_ops_t;
 
 skh_admin_t *skh_admin_start(const char *listen, const skh_admin_ops_t *ops, void *context,
--- a/src/backend.c
+++ b/src/backend.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <string.h>
 
 #define EVENT_END	  "\n\n"
@@ -12,6 +13,7 @@
 #define STREAM_TYPE	  "text/event-stream"
 #define CANCEL_TIMEOUT_US (2 * SKH_US_PER_S)
 #define ORDER_TIMEOUT_US  (60 * SKH_US_PER_S)
+#define REPORT_TIMEOUT_US (3 * SKH_US_PER_S)
 #define HTTP_OK		  200
 
 static void submit(skh_backend_t *backend, skh_fetch_t *fetch, const Skh__Start *start,
@@ -134,6 +136,66 @@
 	skh_fetch_start(fetch, &request, now_us);
 }
 
+static char *instruction_text(const skh_engine_order_t *order)
+{
+	static const char *const kinds[] = { "load_model", "load_adapter", "set_role" };
+	json_t *json =
+		json_pack("{s:s, s:s, s:s, s:I}", "order", kinds[order->kind], "name", order->name,
+			  "version", order->version, "fence", (json_int_t)order->fence);
+	char *dump = json_dumps(json, JSON_COMPACT);
+	char *text = g_strdup(dump ? dump : "{}");
+
+	free(dump);
+	json_decref(json);
+	return text;
+}
+
+static void engine_instruct(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+			    const skh_engine_order_t *order, int64_t now_us)
+{
+	static const char *const headers[] = { "Content-Type: application/json", NULL };
+	g_autofree char *url = g_strconcat(backend->url, "/v1/orders", NULL);
+	g_autofree char *body = instruction_text(order);
+	skh_fetch_request_t request = {
+		.id = id,
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = skh_chunk_from_string(body),
+		.finish_by_us = now_us + ORDER_TIMEOUT_US,
+		.once = true,
+	};
+
+	skh_fetch_start(fetch, &request, now_us);
+}
+
+static void get(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, const char *path,
+		int64_t now_us)
+{
+	g_autofree char *url = g_strconcat(backend->url, path, NULL);
+	skh_fetch_request_t request = {
+		.id = id,
+		.method = "GET",
+		.url = url,
+		.finish_by_us = now_us + REPORT_TIMEOUT_US,
+	};
+
+	skh_fetch_start(fetch, &request, now_us);
+}
+
+static void engine_ask_load(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, int64_t now_us)
+{
+	get(backend, fetch, id, "/v1/load", now_us);
+}
+
+static void engine_ask_events(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+			      uint64_t from, int64_t now_us)
+{
+	g_autofree char *path = g_strdup_printf("/v1/cache_events?from=%" PRIu64, from);
+
+	get(backend, fetch, id, path, now_us);
+}
+
 static uint32_t plain_pieces(skh_answer_t *answer, const char *content_type, skh_chunk_t bytes,
 			     skh_buffer_t *out)
 {
@@ -166,6 +228,9 @@
 	.is_whole = engine_is_whole,
 	.cancel = engine_cancel,
 	.order = engine_order,
+	.instruct = engine_instruct,
+	.ask_load = engine_ask_load,
+	.ask_events = engine_ask_events,
 };
 
 static const skh_backend_ops_t plain_ops = {
--- a/src/backend.h
+++ b/src/backend.h
@@ -28,6 +28,22 @@
 	skh_buffer_t rest; /* start of an event whose end has not come yet */
 } skh_answer_t;
 
+typedef enum skh_engine_order_kind {
+	SKH_ENGINE_LOAD_MODEL,
+	SKH_ENGINE_LOAD_ADAPTER,
+	SKH_ENGINE_SET_ROLE
+} skh_engine_order_kind_t;
+
+#define SKH_ENGINE_NAME_BYTES 128
+
+/** struct skh_engine_order - an order that concerns one engine alone */
+typedef struct skh_engine_order {
+	skh_engine_order_kind_t kind;
+	uint64_t fence;
+	char name[SKH_ENGINE_NAME_BYTES]; /* of the model, adapter or role */
+	char version[SKH_ENGINE_NAME_BYTES];
+} skh_engine_order_t;
+
 /** struct skh_backend_ops - what a protocol implements */
 typedef struct skh_backend_ops {
 	/* Hand one attempt over. */
@@ -44,6 +60,14 @@
 	/* Give the engine an order of a map switch; NULL where there are none. */
 	void (*order)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
 		      const skh_order_t *order, const char *placement, int64_t now_us);
+	/* Load a model or adapter, change role; NULL where there are none. */
+	void (*instruct)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+			 const skh_engine_order_t *order, int64_t now_us);
+	/* Ask for the load report; NULL where there is none. */
+	void (*ask_load)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, int64_t now_us);
+	/* Ask for cache events from number @from on. */
+	void (*ask_events)(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, uint64_t from,
+			   int64_t now_us);
 } skh_backend_ops_t;
 
 /** struct skh_backend - first member of every implementation */
--- a/src/serve.c
+++ b/src/serve.c
@@ -30,6 +30,7 @@
 	char content_type[SKH_WIRE_MAX_NAME_BYTES + 1];
 	bool begun; /* the caller has seen the start of the answer */
 	bool caller_gone;
+	bool too_long;	     /* the answer does not fit into what is kept back */
 	bool replayed;	     /* the answer was recorded by an earlier run */
 	skh_buffer_t kept;   /* an answer that is handed over whole */
 	uint32_t uncredited; /* bytes taken since the last credit */
@@ -161,7 +162,7 @@
 		skh_metrics_add(SKH_COUNT_TOKENS, data->events);
 	} else {
 		skh_buffer_append(&serving->kept, bytes);
-		serving->caller_gone = serving->kept.len > MAX_BUFFERED_BYTES;
+		serving->too_long = serving->kept.len > MAX_BUFFERED_BYTES;
 	}
 	give_credit(serving, bytes.len);
 }
@@ -258,11 +259,23 @@
 				serving->replayed);
 }
 
+/* Not the relay's decision: the caller is gone, or can't be given the answer. */
+static void give_up(serving_t *serving)
+{
+	skh_error_t *err = &serving->relay.error;
+
+	if (serving->too_long)
+		(void)skh_error_set(err, SKH_BACKEND_FAILED, "the answer is over the limit");
+	else
+		(void)skh_error_set(err, SKH_CANCELLED, "the caller hung up");
+	err->run = skh_relay_run(&serving->relay);
+}
+
 static bool drive(serving_t *serving)
 {
 	skh_action_t action = SKH_ACT_PLACE;
 
-	while (!serving->caller_gone) {
+	while (!serving->caller_gone && !serving->too_long) {
 		if (action == SKH_ACT_PLACE)
 			action = place(serving);
 		else if (action == SKH_ACT_FINISH)
@@ -272,8 +285,7 @@
 		else
 			action = wait_one(serving);
 	}
-	(void)skh_error_set(&serving->relay.error, SKH_CANCELLED, "the caller hung up");
-	serving->relay.error.run = skh_relay_run(&serving->relay);
+	give_up(serving);
 	return false;
 }
 
@@ -305,10 +317,8 @@
 	serving.query.failure_domain = job->failure_domain;
 	serving.query.prefix_hash = job->prefix_hash;
 	whole = drive(&serving);
-	if (!whole && serving.relay.error.kind == SKH_OK) {
-		(void)skh_error_set(&serving.relay.error, SKH_CANCELLED, "the caller hung up");
-		serving.relay.error.run = skh_relay_run(&serving.relay);
-	}
+	if (!whole && serving.relay.error.kind == SKH_OK)
+		give_up(&serving);
 	settle(&serving, true, !whole);
 	if (!whole && serving.relay.error.kind != SKH_CANCELLED)
 		sink->ops->fail(sink, &serving.relay.error);
--- a/src/sidecar.c
+++ b/src/sidecar.c
@@ -23,6 +23,7 @@
 	skh_port_t *port;
 	skh_backend_t *backend;
 	skh_worker_t *worker;
+	skh_engine_t *engine;	   /* NULL beside a plain service */
 	skh_group_member_t *group; /* NULL outside of groups */
 	int64_t tick_at_us;
 	int64_t stop_by_us; /* deadline of a planned stop; 0 for none */
@@ -88,6 +89,8 @@
 		  listed_leaving(sidecar);
 	skh_worker_tick(sidecar->worker, service_is_known(sidecar), leaving, now_us);
 	skh_follower_hint(sidecar->follower, skh_worker_newest_revision(sidecar->worker));
+	if (sidecar->engine)
+		skh_engine_tick(sidecar->engine, now_us);
 	if (sidecar->group)
 		skh_group_member_tick(sidecar->group, now_us);
 	copy_for_admin(sidecar);
@@ -141,13 +144,28 @@
 	return g_atomic_int_get(&sidecar->phase_copy) == SKH_PHASE_READY;
 }
 
+static json_t *engine_status(sidecar_t *sidecar)
+{
+	skh_engine_view_t view;
+
+	if (!sidecar->engine)
+		return json_null();
+	skh_engine_look(sidecar->engine, &view);
+	return json_pack("{s:b, s:i, s:i, s:i, s:I, s:I, s:I}", "reported",
+			 view.reported_at_us != 0, "running", (int)view.running, "queued",
+			 (int)view.queued, "cached_prefixes", (int)view.cached_prefixes,
+			 "events_missed", (json_int_t)view.events_missed, "orders_done",
+			 (json_int_t)view.orders_done, "orders_failed",
+			 (json_int_t)view.orders_failed);
+}
+
 static json_t *status(void *context)
 {
 	static const char *const phases[] = { "starting", "ready", "leaving" };
 	sidecar_t *sidecar = context;
 	const skh_settings_t *settings = sidecar->settings;
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:i, s:i, s:i, s:s, s:I}", "id",
+	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:i, s:i, s:i, s:s, s:I, s:o}", "id",
 			 settings->id, "role", "sidecar", "failure_domain",
 			 settings->failure_domain, "service", settings->backend_service, "ready",
 			 is_ready(sidecar), "phase", phases[g_atomic_int_get(&sidecar->phase_copy)],
@@ -156,7 +174,35 @@
 			 g_atomic_int_get(&sidecar->queued_copy), "capacity",
 			 (int)settings->backend_capacity, "group", settings->backend_group,
 			 "map_version",
-			 (json_int_t)__atomic_load_n(&sidecar->map_copy, __ATOMIC_RELAXED));
+			 (json_int_t)__atomic_load_n(&sidecar->map_copy, __ATOMIC_RELAXED),
+			 "engine", engine_status(sidecar));
+}
+
+/* An order's fence is the revision in force, so an engine can refuse an older one. */
+static bool order(void *context, const json_t *body, skh_error_t *err)
+{
+	static const char *const kinds[] = { "load_model", "load_adapter", "set_role" };
+	sidecar_t *sidecar = context;
+	const char *kind = json_string_value(json_object_get(body, "order"));
+	const char *name = json_string_value(json_object_get(body, "name"));
+	const char *version = json_string_value(json_object_get(body, "version"));
+	skh_engine_order_t wanted = { .fence = (uint64_t)skh_board_revision(sidecar->board) };
+
+	if (!sidecar->engine)
+		return skh_error_set(err, SKH_NOT_FOUND, "a plain service takes no orders");
+	if (!kind || !name || strlen(name) >= SKH_ENGINE_NAME_BYTES ||
+	    (version && strlen(version) >= SKH_ENGINE_NAME_BYTES))
+		return skh_error_set(err, SKH_BAD_REQUEST, "\"order\" and \"name\" are needed");
+	(void)g_strlcpy(wanted.name, name, sizeof(wanted.name));
+	(void)g_strlcpy(wanted.version, version ? version : "", sizeof(wanted.version));
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (strcmp(kinds[i], kind) != 0)
+			continue;
+		wanted.kind = (skh_engine_order_kind_t)i;
+		skh_engine_order(sidecar->engine, &wanted);
+		return true;
+	}
+	return skh_error_set(err, SKH_BAD_REQUEST, "no order is called \"%.32s\"", kind);
 }
 
 static void drain(void *context, bool drain)
@@ -164,7 +210,9 @@
 	g_atomic_int_set(&((sidecar_t *)context)->drain_asked, drain);
 }
 
-static const skh_admin_ops_t admin_ops = { .is_ready = is_ready, .status = status, .drain = drain };
+static const skh_admin_ops_t admin_ops = {
+	.is_ready = is_ready, .status = status, .drain = drain, .order = order
+};
 
 static bool open_sidecar(sidecar_t *sidecar, skh_error_t *err)
 {
@@ -179,8 +227,9 @@
 	sidecar->backend = settings->backend_kind == SKH_BACKEND_ENGINE
 				   ? skh_backend_new_engine(settings->backend_url)
 				   : skh_backend_new_plain(settings->backend_url);
+	sidecar->engine = skh_engine_new(sidecar->backend);
 	sidecar->worker = skh_worker_new(settings, sidecar->board, sidecar->store, sidecar->port,
-					 sidecar->backend);
+					 sidecar->backend, sidecar->engine);
 	if (*settings->backend_group && sidecar->backend->ops->order)
 		sidecar->group = skh_group_member_new(settings, sidecar->board, sidecar->store,
 						      sidecar->port, sidecar->backend);
@@ -192,6 +241,7 @@
 	if (sidecar->port) {
 		skh_group_member_free(sidecar->group);
 		skh_worker_free(sidecar->worker);
+		skh_engine_free(sidecar->engine);
 		skh_backend_free(sidecar->backend);
 		skh_port_close(sidecar->port);
 	}
--- a/src/tell.c
+++ b/src/tell.c
@@ -3,8 +3,22 @@
 #include "clock.h"
 #include "metrics.h"
 
+#include <glib.h>
+
 #define RETRY_AFTER_US (1 * SKH_US_PER_S)
 
+/* An engine may have work that did not come through here. */
+static void add_engine_load(const skh_teller_t *teller, Skh__Status *status)
+{
+	skh_engine_view_t view;
+
+	if (!teller->engine)
+		return;
+	skh_engine_look(teller->engine, &view);
+	status->running = MAX(status->running, view.running);
+	status->queued = MAX(status->queued, view.queued);
+}
+
 static void fill_status(const skh_teller_t *teller, Skh__Status *status)
 {
 	const skh_settings_t *settings = teller->settings;
@@ -20,6 +34,7 @@
 	status->group = (char *)settings->backend_group;
 	status->rank = (uint32_t)settings->backend_rank;
 	status->admin = (char *)settings->admin_listen;
+	add_engine_load(teller, status);
 }
 
 static bool send_frame(const skh_teller_t *teller, const char *entry, Skh__Frame *frame)
--- a/src/tell.h
+++ b/src/tell.h
@@ -9,6 +9,7 @@
  */
 
 #include "board.h"
+#include "engine.h"
 #include "gate.h"
 #include "port.h"
 #include "settings.h"
@@ -24,6 +25,7 @@
 	skh_port_t *port;
 	skh_gate_t *gate;
 	uint64_t incarnation;
+	skh_engine_t *engine; /* NULL where there are no reports */
 } skh_teller_t;
 
 void skh_tell_status(const skh_teller_t *teller, const char *entry);
--- a/src/worker.c
+++ b/src/worker.c
@@ -3,7 +3,6 @@
 #include "claimer.h"
 #include "clock.h"
 #include "fetch.h"
-#include "log.h"
 #include "metrics.h"
 #include "tell.h"
 
@@ -11,7 +10,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define PART		  "worker"
 #define ENTRY_MEMORY_US	  (300 * SKH_US_PER_S)
 #define RECORD_WAIT_US	  (1 * SKH_US_PER_S)
 #define CLAIM_INTERVAL_US (20 * SKH_US_PER_MS)
@@ -36,6 +34,7 @@
 	uint64_t sent_bytes;
 	uint64_t credited_bytes;
 	bool head_sent;
+	bool unreachable; /* its entry is gone: a piece had nowhere to go */
 	/* Of an attempt with an idempotency key: */
 	char *claim_path;
 	skh_claim_t claim;
@@ -337,8 +336,7 @@
 	}
 	attempt->sent_bytes += bytes.len;
 	if (!skh_tell_data(&worker->teller, attempt->entry, &data))
-		skh_log(SKH_LOG_DEBUG, PART, "A piece had nowhere to go.", "entry=%s",
-			attempt->entry);
+		attempt->unreachable = true;
 }
 
 static void keep_for_record(attempt_t *attempt, skh_chunk_t bytes)
@@ -548,6 +546,30 @@
 	}
 }
 
+static bool is_useless(const attempt_t *attempt)
+{
+	return attempt->unreachable && attempt->step == STEP_RUNNING &&
+	       attempt->frame->start->idempotent;
+}
+
+/* With a piece lost no one can use the rest; what may not be repeated goes on all the same. */
+static void abandon_unreachable(skh_worker_t *worker)
+{
+	g_autoptr(GArray) useless = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, worker->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const attempt_t *attempt = value;
+
+		if (is_useless(attempt))
+			g_array_append_val(useless, attempt->id);
+	}
+	for (guint i = 0; i < useless->len; i++)
+		abandon(worker, g_array_index(useless, uint64_t, i));
+}
+
 static void tell_entries(skh_worker_t *worker, int64_t now_us)
 {
 	GHashTableIter iter;
@@ -576,6 +598,7 @@
 	while ((id = skh_gate_expire(worker->gate, now_us)) != 0)
 		refuse_waiting(worker, id, SKH_OVERLOADED, "it could not start in time");
 	tell_unrecorded(worker, now_us);
+	abandon_unreachable(worker);
 	begin_waiting(worker);
 	if (skh_gate_phase(worker->gate) != worker->told_phase)
 		tell_entries(worker, now_us);
@@ -617,7 +640,7 @@
 static const skh_fetch_events_t fetch_events = { .bytes = on_bytes, .done = on_done };
 
 skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board, skh_store_t *store,
-			     skh_port_t *port, skh_backend_t *backend)
+			     skh_port_t *port, skh_backend_t *backend, skh_engine_t *engine)
 {
 	skh_worker_t *worker = g_new0(skh_worker_t, 1);
 	uint64_t incarnation = skh_random_u64() | 1;
@@ -625,7 +648,7 @@
 	worker->settings = settings;
 	worker->gate = skh_gate_new((uint32_t)settings->backend_capacity,
 				    (uint32_t)settings->backend_queue, incarnation);
-	worker->teller = (skh_teller_t){ settings, board, port, worker->gate, incarnation };
+	worker->teller = (skh_teller_t){ settings, board, port, worker->gate, incarnation, engine };
 	worker->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
 	worker->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	worker->fetch = skh_fetch_new(&fetch_events, worker);
--- a/src/worker.h
+++ b/src/worker.h
@@ -11,6 +11,7 @@
 
 #include "backend.h"
 #include "board.h"
+#include "engine.h"
 #include "gate.h"
 #include "port.h"
 #include "settings.h"
@@ -22,9 +23,9 @@
 
 typedef struct skh_worker skh_worker_t;
 
-/** skh_worker_new() - all arguments are borrowed */
+/** skh_worker_new() - all arguments are borrowed; @engine may be NULL */
 skh_worker_t *skh_worker_new(const skh_settings_t *settings, skh_board_t *board, skh_store_t *store,
-			     skh_port_t *port, skh_backend_t *backend);
+			     skh_port_t *port, skh_backend_t *backend, skh_engine_t *engine);
 void skh_worker_free(skh_worker_t *worker);
 
 /** skh_worker_on_frame() - an entry's frame; takes ownership of @frame */
--- /dev/null
+++ b/test/engine_test.cc
@@ -0,0 +1,62 @@
+// What engines report, late, with gaps and sometimes broken.
+#include "engine.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+skh_engine_view_t fresh()
+{
+	skh_engine_view_t view = {};
+
+	view.next_event = 1;
+	return view;
+}
+
+bool read_events(const std::string &text, skh_engine_view_t *view)
+{
+	return skh_engine_read_events(skh_chunk_make(text.data(), text.size()), view);
+}
+
+TEST(Engine, GapsInTheEventsAreCountedAndRepeatsIgnored)
+{
+	skh_engine_view_t view = fresh();
+
+	EXPECT_TRUE(read_events(
+		"[{\"seq\":1,\"event\":\"stored\"},{\"seq\":4,\"event\":\"stored\"}]", &view));
+	EXPECT_EQ(view.cached_prefixes, 2U);
+	EXPECT_EQ(view.events_missed, 2U);
+	EXPECT_TRUE(read_events(
+		"[{\"seq\":4,\"event\":\"stored\"},{\"seq\":5,\"event\":\"evicted\"}]", &view));
+	EXPECT_EQ(view.cached_prefixes, 1U);
+	EXPECT_EQ(view.next_event, 6U);
+	EXPECT_TRUE(read_events("[{\"seq\":6,\"event\":\"cleared\"}]", &view));
+	EXPECT_EQ(view.cached_prefixes, 0U);
+}
+
+TEST(Engine, ABrokenReportChangesNothing)
+{
+	skh_engine_view_t view = fresh();
+	const std::string good = "{\"running\":3,\"queued\":1}";
+	const std::string bad = "{\"running\":-3,\"queued\":1}";
+
+	EXPECT_TRUE(skh_engine_read_load(skh_chunk_make(good.data(), good.size()), &view));
+	EXPECT_FALSE(skh_engine_read_load(skh_chunk_make(bad.data(), bad.size()), &view));
+	EXPECT_EQ(view.running, 3U);
+	EXPECT_EQ(view.queued, 1U);
+}
+
+RC_GTEST_PROP(Engine, AnyBytesAreRefusedOrSafe, (const std::string &text))
+{
+	skh_engine_view_t view = fresh();
+
+	(void)read_events(text, &view);
+	(void)skh_engine_read_load(skh_chunk_make(text.data(), text.size()), &view);
+	RC_ASSERT(view.next_event >= 1U);
+}
+
+} // namespace
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -25,6 +25,7 @@
 	int64_t sent;
 	bool whole;
 	bool cancelled;
+	bool ended; /* whole or not */
 } run_t;
 
 static GMutex lock;
@@ -153,11 +154,14 @@
 	bool streamed = json_is_true(json_object_get(json, "stream"));
 	const char *from = mg_get_header(connection, "X-Resume-From");
 	run_t *run;
+	int status;
 
 	json_decref(json);
 	run = add_run(mg_get_header(connection, "X-Request-Id"), body,
 		      from ? g_ascii_strtoll(from, NULL, 10) : 0);
-	return streamed ? stream(connection, run, n) : whole(connection, run, n);
+	status = streamed ? stream(connection, run, n) : whole(connection, run, n);
+	run->ended = true;
+	return status;
 }
 
 static int handle_cancel(struct mg_connection *connection, const char *attempt)
@@ -219,6 +223,38 @@
 	return standin_answer(connection, 200, list);
 }
 
+static int handle_load(struct mg_connection *connection)
+{
+	json_int_t running = 0;
+
+	g_mutex_lock(&lock);
+	for (guint i = 0; i < runs->len; i++) {
+		const run_t *run = runs->pdata[i];
+
+		running += !run->whole && !run->cancelled && !run->ended;
+	}
+	g_mutex_unlock(&lock);
+	return standin_answer(connection, 200,
+			      json_pack("{s:I, s:i}", "running", running, "queued", 0));
+}
+
+/* Every run stores its prefix; each fifth event is lost, as real ones are. */
+static int handle_events(struct mg_connection *connection)
+{
+	const char *query = mg_get_request_info(connection)->query_string;
+	int64_t from = query ? g_ascii_strtoll(query + strlen("from="), NULL, 10) : 1;
+	json_t *list = json_array();
+
+	g_mutex_lock(&lock);
+	for (guint i = 0; i < runs->len; i++) {
+		if ((int64_t)i + 1 >= from && (i + 1) % 5 != 0)
+			json_array_append_new(list, json_pack("{s:i, s:s}", "seq", (int)i + 1,
+							      "event", "stored"));
+	}
+	g_mutex_unlock(&lock);
+	return standin_answer(connection, 200, list);
+}
+
 static int64_t fault_of(const json_t *request, const char *key)
 {
 	const json_t *value = json_object_get(request, key);
@@ -250,6 +286,10 @@
 		return handle_completion(connection);
 	if (g_str_has_prefix(path, "/v1/cancel/"))
 		return handle_cancel(connection, path + strlen("/v1/cancel/"));
+	if (strcmp(path, "/v1/load") == 0)
+		return handle_load(connection);
+	if (strcmp(path, "/v1/cache_events") == 0)
+		return handle_events(connection);
 	if (strcmp(path, "/v1/orders") == 0)
 		return handle_order(connection);
 	if (strcmp(path, "/orders") == 0)
