--- a/src/buffer.c
+++ b/src/buffer.c
@@ -17,11 +17,6 @@
 	return skh_chunk_make(text, strlen(text));
 }
 
-bool skh_chunk_equal(skh_chunk_t a, skh_chunk_t b)
-{
-	return a.len == b.len && (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
-}
-
 uint64_t skh_chunk_hash(skh_chunk_t chunk, uint64_t seed)
 {
 	return XXH64(chunk.data, chunk.len, seed);
@@ -105,11 +100,3 @@
 {
 	return buffer->data ? (const char *)buffer->data : "";
 }
-
-char *skh_buffer_steal(skh_buffer_t *buffer)
-{
-	char *text = buffer->data ? (char *)buffer->data : g_strdup("");
-
-	*buffer = (skh_buffer_t)SKH_BUFFER_INIT;
-	return text;
-}
--- a/src/buffer.h
+++ b/src/buffer.h
@@ -36,7 +36,6 @@
 
 skh_chunk_t skh_chunk_make(const void *data, size_t len);
 skh_chunk_t skh_chunk_from_string(const char *text);
-bool skh_chunk_equal(skh_chunk_t a, skh_chunk_t b);
 
 /** skh_chunk_hash() - 64-bit content hash (xxHash), the same on all hosts */
 uint64_t skh_chunk_hash(skh_chunk_t chunk, uint64_t seed);
@@ -58,9 +57,6 @@
 /** skh_buffer_text() - the contents as a C string; "" when empty */
 const char *skh_buffer_text(const skh_buffer_t *buffer);
 
-/** skh_buffer_steal() - take the bytes as a C string; free with g_free() */
-char *skh_buffer_steal(skh_buffer_t *buffer);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/config.c
+++ b/src/config.c
@@ -8,10 +8,12 @@
 
 #include <inttypes.h>
 #include <string.h>
+#include <unistd.h>
 
-#define PART		 "config"
-#define HINT_INTERVAL_US (1 * SKH_US_PER_S)
-#define PARTS_PER_READ	 64
+#define PART		       "config"
+#define HINT_INTERVAL_US       (1 * SKH_US_PER_S)
+#define SPREAD_PER_INSTANCE_US 1000
+#define PARTS_PER_READ	       64
 
 struct skh_follower {
 	skh_store_t *store;
@@ -146,6 +148,17 @@
 	return true;
 }
 
+/* All processes learn of a change at once; the larger the fleet, the longer they spread. */
+static void spread_reads(skh_follower_t *follower)
+{
+	const skh_members_t *members = skh_board_members(follower->board);
+	uint64_t spread_us = members ? members->count * SPREAD_PER_INSTANCE_US : 0;
+
+	skh_board_release(members);
+	if (spread_us > 0)
+		(void)usleep((useconds_t)(skh_random_u64() % spread_us));
+}
+
 static bool on_head(void *context, GHashTable *pairs)
 {
 	skh_follower_t *follower = context;
@@ -159,8 +172,10 @@
 		return true;
 	head = skh_head_parse(text, &err);
 	/* Never backwards: a head that is not newer changes nothing. */
-	if (head && head->revision > skh_board_revision(follower->board))
+	if (head && head->revision > skh_board_revision(follower->board)) {
+		spread_reads(follower);
 		done = adopt(follower, head, &err);
+	}
 	if (!head || !done) {
 		skh_metrics_add(SKH_COUNT_CONFIG_FAILED, 1);
 		skh_log(SKH_LOG_ERROR, PART, "Configuration can't be put in force.", "reason=%s",
--- a/src/error.c
+++ b/src/error.c
@@ -22,7 +22,6 @@
 	[SKH_KEY_EXPIRED] = { "key_expired", 400, SKH_RUN_UNKNOWN, false },
 	[SKH_KEY_REUSED] = { "key_reused", 422, SKH_RUN_NOT_RUN, false },
 	[SKH_CONFLICT] = { "conflict", 409, SKH_RUN_NOT_RUN, false },
-	[SKH_UNPROCESSABLE] = { "unprocessable", 422, SKH_RUN_NOT_RUN, false },
 	[SKH_LIMITED] = { "limited", 429, SKH_RUN_NOT_RUN, true },
 	[SKH_OVERLOADED] = { "overloaded", 503, SKH_RUN_NOT_RUN, true },
 	[SKH_NO_BACKEND] = { "no_backend", 503, SKH_RUN_NOT_RUN, true },
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -242,11 +242,6 @@
 		curl_easy_pause(transfer->curl, CURLPAUSE_CONT);
 }
 
-size_t skh_fetch_count(const skh_fetch_t *fetch)
-{
-	return g_hash_table_size(fetch->transfers);
-}
-
 void skh_fetch_watch(skh_fetch_t *fetch, int fd)
 {
 	struct epoll_event event = { .events = EPOLLIN, .data.fd = fd };
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -50,8 +50,6 @@
 /** skh_fetch_pause() - stop or go on reading an answer */
 void skh_fetch_pause(skh_fetch_t *fetch, uint64_t id, bool paused);
 
-size_t skh_fetch_count(const skh_fetch_t *fetch);
-
 /** skh_fetch_watch() - let skh_fetch_wait() also return when @fd is readable */
 void skh_fetch_watch(skh_fetch_t *fetch, int fd);
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -267,15 +267,3 @@
 {
 	return g_hash_table_size(gate->slots);
 }
-
-int64_t skh_gate_wake_at(const skh_gate_t *gate)
-{
-	int64_t wake_at_us = INT64_MAX;
-
-	for (size_t i = 0; i < gate->waiting->len; i++) {
-		const slot_t *slot = gate->waiting->pdata[i];
-
-		wake_at_us = MIN(wake_at_us, slot->start_before_us);
-	}
-	return wake_at_us;
-}
--- a/src/gate.h
+++ b/src/gate.h
@@ -100,9 +100,6 @@
 uint32_t skh_gate_queued(const skh_gate_t *gate);
 size_t skh_gate_remembered(const skh_gate_t *gate);
 
-/** skh_gate_wake_at() - when skh_gate_expire() is next needed */
-int64_t skh_gate_wake_at(const skh_gate_t *gate);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/group.c
+++ b/src/group.c
@@ -252,11 +252,6 @@
 	return member->rank.version;
 }
 
-bool skh_group_member_is_held(const skh_group_member_t *member)
-{
-	return member->rank.held_by != 0;
-}
-
 static const skh_fetch_events_t engine_events = { .bytes = on_engine_bytes,
 						  .done = on_engine_done };
 
--- a/src/group.h
+++ b/src/group.h
@@ -37,9 +37,6 @@
 /** skh_group_member_version() - map that this rank's engine uses; 0 when not known */
 uint64_t skh_group_member_version(const skh_group_member_t *member);
 
-/** skh_group_member_is_held() - whether the engine is held for a switch */
-bool skh_group_member_is_held(const skh_group_member_t *member);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/manifest.c
+++ b/src/manifest.c
@@ -380,12 +380,6 @@
 	return skh_manifest_from_tree(tree, faults);
 }
 
-skh_manifest_t *skh_manifest_ref(skh_manifest_t *manifest)
-{
-	g_atomic_int_inc(&manifest->references);
-	return manifest;
-}
-
 void skh_manifest_unref(skh_manifest_t *manifest)
 {
 	if (!manifest || !g_atomic_int_dec_and_test(&manifest->references))
@@ -422,21 +416,11 @@
 	return manifest->cost_weight;
 }
 
-size_t skh_manifest_count_models(const skh_manifest_t *manifest)
-{
-	return manifest->models->len;
-}
-
 size_t skh_manifest_count_services(const skh_manifest_t *manifest)
 {
 	return manifest->services->len;
 }
 
-size_t skh_manifest_count_customers(const skh_manifest_t *manifest)
-{
-	return manifest->customers->len;
-}
-
 const skh_service_t *skh_manifest_service_at(const skh_manifest_t *manifest, size_t index)
 {
 	return &g_array_index(manifest->services, skh_service_t, index);
--- a/src/manifest.h
+++ b/src/manifest.h
@@ -76,7 +76,6 @@
 /** skh_manifest_from_tree() - the same from @tree, which is then owned */
 skh_manifest_t *skh_manifest_from_tree(skh_node_t *tree, skh_faults_t *faults);
 
-skh_manifest_t *skh_manifest_ref(skh_manifest_t *manifest);
 void skh_manifest_unref(skh_manifest_t *manifest);
 
 const skh_node_t *skh_manifest_tree(const skh_manifest_t *manifest);
@@ -85,9 +84,7 @@
 double skh_manifest_skew_weight(const skh_manifest_t *manifest);
 double skh_manifest_cost_weight(const skh_manifest_t *manifest);
 
-size_t skh_manifest_count_models(const skh_manifest_t *manifest);
 size_t skh_manifest_count_services(const skh_manifest_t *manifest);
-size_t skh_manifest_count_customers(const skh_manifest_t *manifest);
 const skh_service_t *skh_manifest_service_at(const skh_manifest_t *manifest, size_t index);
 const skh_customer_t *skh_manifest_customer_at(const skh_manifest_t *manifest, size_t index);
 
--- a/src/port.c
+++ b/src/port.c
@@ -60,11 +60,6 @@
 	(void)zmq_connect(port->router, address);
 }
 
-void skh_port_disconnect(skh_port_t *port, const char *address)
-{
-	(void)zmq_disconnect(port->router, address);
-}
-
 int skh_port_fd(const skh_port_t *port)
 {
 	int fd = -1;
--- a/src/port.h
+++ b/src/port.h
@@ -29,7 +29,6 @@
 
 /** skh_port_connect() - reach the sidecar that listens at @address */
 void skh_port_connect(skh_port_t *port, const char *address);
-void skh_port_disconnect(skh_port_t *port, const char *address);
 
 /** skh_port_fd() - becomes readable when skh_port_receive() may have something */
 int skh_port_fd(const skh_port_t *port);
--- a/src/settings.c
+++ b/src/settings.c
@@ -59,7 +59,6 @@
 	INTEGER("rank", backend_rank, 0, 1023),
 	INTEGER("capacity", backend_capacity, 1, 65536),
 	INTEGER("queue", backend_queue, 1, 65536),
-	{ "checks_fence", SKH_FIELD_BOOL, false, FIELD(backend_checks_fence), 0, 0, NULL },
 };
 static const skh_field_t stop_fields[] = {
 	INTEGER("drain_ms", drain_ms, 0, 3600000),
--- a/src/settings.h
+++ b/src/settings.h
@@ -57,7 +57,6 @@
 	int64_t backend_rank;
 	int64_t backend_capacity;
 	int64_t backend_queue;
-	bool backend_checks_fence;
 	/* [stop] */
 	int64_t drain_ms;
 	/* [log] */
--- a/src/skylarkhead.h
+++ b/src/skylarkhead.h
@@ -10,8 +10,11 @@
  *
  * Foundations: error.h, buffer.h, clock.h, log.h, metrics.h.
  * Documents: node.h, schema.h, settings.h, manifest.h, parts.h.
- * Decisions (pure): relay.h, gate.h, peers.h, route.h, admit.h.
- * Shell: board.h, store.h, mirror.h, config.h, link.h, port.h, fetch.h.
+ * Decisions (pure): relay.h, gate.h, peers.h, route.h, admit.h, claim.h,
+ * rank.h, mapswitch.h.
+ * Shell: board.h, store.h, mirror.h, config.h, link.h, port.h, fetch.h,
+ * backend.h, engine.h, claimer.h, leader.h, group.h, guard.h, http.h.
+ * Roles: entry.h (with caller.h, serve.h), sidecar.h (with worker.h, tell.h).
  */
 
 #ifdef __cplusplus
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -37,7 +37,7 @@
 	}
 }
 
-TEST(Buffer, GrowsConsumesAndHandsOver)
+TEST(Buffer, GrowsAndConsumes)
 {
 	skh_buffer_t buffer = SKH_BUFFER_INIT;
 
@@ -47,9 +47,7 @@
 	EXPECT_EQ(buffer.len, 2000U);
 	skh_buffer_consume(&buffer, 1998);
 	EXPECT_STREQ(skh_buffer_text(&buffer), "9,");
-	char *text = skh_buffer_steal(&buffer);
-	EXPECT_STREQ(text, "9,");
-	g_free(text);
+	skh_buffer_free(&buffer);
 	EXPECT_EQ(buffer.len, 0U);
 }
 
