--- a/src/backend.c
+++ b/src/backend.c
@@ -114,15 +114,12 @@
 	skh_fetch_start(fetch, &request, now_us);
 }
 
-static void engine_order(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
-			 const skh_order_t *order, const char *placement, int64_t now_us)
+/* An order is sent once: repeated by a library, it could overtake a later one. */
+static void post_order(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, const char *body,
+		       int64_t now_us)
 {
-	static const char *const steps[] = { "prepare", "hold", "set", "go" };
 	static const char *const headers[] = { "Content-Type: application/json", NULL };
 	g_autofree char *url = g_strconcat(backend->url, "/v1/orders", NULL);
-	g_autofree char *body = g_strdup_printf(
-		"{\"order\":\"%s\",\"fence\":%" PRIu64 ",\"version\":%" PRIu64 ",\"placement\":%s}",
-		steps[order->step], order->fence, order->version, *placement ? placement : "null");
 	skh_fetch_request_t request = {
 		.id = id,
 		.method = "POST",
@@ -136,6 +133,17 @@
 	skh_fetch_start(fetch, &request, now_us);
 }
 
+static void engine_order(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
+			 const skh_order_t *order, const char *placement, int64_t now_us)
+{
+	static const char *const steps[] = { "prepare", "hold", "set", "go" };
+	g_autofree char *body = g_strdup_printf(
+		"{\"order\":\"%s\",\"fence\":%" PRIu64 ",\"version\":%" PRIu64 ",\"placement\":%s}",
+		steps[order->step], order->fence, order->version, *placement ? placement : "null");
+
+	post_order(backend, fetch, id, body, now_us);
+}
+
 static char *instruction_text(const skh_engine_order_t *order)
 {
 	static const char *const kinds[] = { "load_model", "load_adapter", "set_role" };
@@ -153,20 +161,9 @@
 static void engine_instruct(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id,
 			    const skh_engine_order_t *order, int64_t now_us)
 {
-	static const char *const headers[] = { "Content-Type: application/json", NULL };
-	g_autofree char *url = g_strconcat(backend->url, "/v1/orders", NULL);
 	g_autofree char *body = instruction_text(order);
-	skh_fetch_request_t request = {
-		.id = id,
-		.method = "POST",
-		.url = url,
-		.headers = headers,
-		.body = skh_chunk_from_string(body),
-		.finish_by_us = now_us + ORDER_TIMEOUT_US,
-		.once = true,
-	};
 
-	skh_fetch_start(fetch, &request, now_us);
+	post_order(backend, fetch, id, body, now_us);
 }
 
 static void get(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t id, const char *path,
--- a/src/link.c
+++ b/src/link.c
@@ -17,7 +17,6 @@
 
 #define PART	     "link"
 #define TICK_MS	     100
-#define SEND_HWM     100000
 #define ASK_AFTER_US (2 * SKH_US_PER_S)
 #define MAX_RECEIVES 256 /* frames handled before the tick is looked at again */
 
@@ -379,14 +378,7 @@
 	if (!link->router)
 		return skh_error_set(err, SKH_INTERNAL, "no ZeroMQ socket: %s",
 				     zmq_strerror(errno));
-	skh_wire_set_option(link->router, ZMQ_LINGER, 0);
-	skh_wire_set_option(link->router, ZMQ_SNDHWM, SEND_HWM);
-	skh_wire_set_option(link->router, ZMQ_RCVHWM, SEND_HWM);
-	/* A frame is either taken by a live connection or refused at once. */
-	skh_wire_set_option(link->router, ZMQ_IMMEDIATE, 1);
-	skh_wire_set_option(link->router, ZMQ_ROUTER_MANDATORY, 1);
-	skh_wire_set_option(link->router, ZMQ_ROUTER_HANDOVER, 1);
-	skh_wire_limit_size(link->router);
+	skh_wire_setup_router(link->router, 0);
 	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL, 100);
 	skh_wire_set_option(link->router, ZMQ_RECONNECT_IVL_MAX, 2000);
 	skh_guard_as_client(link->router, link->settings);
--- a/src/port.c
+++ b/src/port.c
@@ -8,8 +8,7 @@
 #include <string.h>
 #include <zmq.h>
 
-#define HIGH_WATER 100000
-#define LINGER_MS  2000
+#define LINGER_MS 2000
 
 struct skh_port {
 	const skh_settings_t *settings;
@@ -27,13 +26,7 @@
 	port->context = zmq_ctx_new();
 	port->guard = skh_guard_start(port->context, settings);
 	port->router = zmq_socket(port->context, ZMQ_ROUTER);
-	skh_wire_set_option(port->router, ZMQ_LINGER, LINGER_MS);
-	skh_wire_set_option(port->router, ZMQ_SNDHWM, HIGH_WATER);
-	skh_wire_set_option(port->router, ZMQ_RCVHWM, HIGH_WATER);
-	skh_wire_set_option(port->router, ZMQ_IMMEDIATE, 1);
-	skh_wire_set_option(port->router, ZMQ_ROUTER_MANDATORY, 1);
-	skh_wire_set_option(port->router, ZMQ_ROUTER_HANDOVER, 1);
-	skh_wire_limit_size(port->router);
+	skh_wire_setup_router(port->router, LINGER_MS);
 	skh_guard_as_server(port->router, settings);
 	if (zmq_setsockopt(port->router, ZMQ_ROUTING_ID, settings->id, strlen(settings->id)) != 0 ||
 	    zmq_bind(port->router, settings->link_listen) != 0) {
--- a/src/wire.c
+++ b/src/wire.c
@@ -3,16 +3,24 @@
 #include <string.h>
 #include <zmq.h>
 
+#define HIGH_WATER 100000 /* frames queued for one peer */
+
 void skh_wire_set_option(void *socket, int option, int value)
 {
 	(void)zmq_setsockopt(socket, option, &value, sizeof(value));
 }
 
-/* ZeroMQ reserves what a peer announces before a byte of it has come. */
-void skh_wire_limit_size(void *socket)
+void skh_wire_setup_router(void *socket, int linger_ms)
 {
 	const int64_t limit_bytes = SKH_WIRE_MAX_FRAME_BYTES;
 
+	skh_wire_set_option(socket, ZMQ_LINGER, linger_ms);
+	skh_wire_set_option(socket, ZMQ_SNDHWM, HIGH_WATER);
+	skh_wire_set_option(socket, ZMQ_RCVHWM, HIGH_WATER);
+	skh_wire_set_option(socket, ZMQ_IMMEDIATE, 1);
+	skh_wire_set_option(socket, ZMQ_ROUTER_MANDATORY, 1);
+	skh_wire_set_option(socket, ZMQ_ROUTER_HANDOVER, 1);
+	/* ZeroMQ reserves what a peer announces before a byte of it has come. */
 	(void)zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit_bytes, sizeof(limit_bytes));
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -32,8 +32,15 @@
 /** skh_wire_set_option() - an integer option of a ZeroMQ socket */
 void skh_wire_set_option(void *socket, int option, int value);
 
-/** skh_wire_limit_size() - let a ZeroMQ socket drop whoever announces a longer frame */
-void skh_wire_limit_size(void *socket);
+/**
+ * skh_wire_setup_router() - what the ROUTER sockets of both roles share
+ * @linger_ms: how long closing waits for frames that are still queued
+ *
+ * A frame is taken by a live connection or refused at once, a reconnecting
+ * peer replaces its old connection, and whoever announces a frame over the
+ * limit is dropped.
+ */
+void skh_wire_setup_router(void *socket, int linger_ms);
 
 /** skh_wire_pack() - append the packed @frame to @out */
 void skh_wire_pack(const Skh__Frame *frame, skh_buffer_t *out);
