Give no order to a rank that joins during a switch; look at the wanted map once

Cause: found on reading the whole change again. A rank that registers while a switch is under way was looked up past the end of the switch's ranks; the leader serialised and hashed the placement five times a second; lose() in relay.c asked twice whether a request is idempotent.

Change: the bound stands in skh_mapswitch_order_for(); the wanted map is kept by revision; lose() asks once. Nothing else behaves otherwise.

--- a/src/group.c
+++ b/src/group.c
@@ -28,7 +28,10 @@
 	/* While this sidecar leads: */
 	skh_mapswitch_t *mapswitch;
 	uint64_t switch_fence;
-	uint64_t done_version; /* brought about under @switch_fence */
+	uint64_t done_version;	 /* brought about under @switch_fence */
+	int64_t wanted_revision; /* of the configuration that the next three are from */
+	uint64_t wanted_version; /* 0 when it does not name the group */
+	size_t wanted_ranks;
 	char *wanted_placement;
 	int64_t resend_at_us;
 	GHashTable *connected; /* addresses of other ranks */
@@ -168,24 +171,30 @@
 	member->mapswitch = NULL;
 }
 
-/* The wanted map: version by content, so that every leader names it alike. */
-static uint64_t look_at_wanted(skh_group_member_t *member, size_t *ranks)
+/* Version by content, so that every leader names a map alike. */
+static void take_wanted(skh_group_member_t *member, const skh_config_t *config)
 {
-	const skh_config_t *config = skh_board_config(member->board);
 	const skh_group_t *group =
-		config ? skh_manifest_group(config->manifest, member->settings->backend_group)
-		       : NULL;
-	uint64_t version = 0;
-
-	if (group) {
-		g_free(member->wanted_placement);
-		member->wanted_placement = skh_node_to_json(group->placement);
-		version = skh_chunk_hash(skh_chunk_from_string(member->wanted_placement), 0) >> 1;
-		version |= 1;
-		*ranks = (size_t)group->ranks;
-	}
+		skh_manifest_group(config->manifest, member->settings->backend_group);
+
+	member->wanted_revision = config->revision;
+	member->wanted_version = 0;
+	if (!group)
+		return;
+	g_free(member->wanted_placement);
+	member->wanted_placement = skh_node_to_json(group->placement);
+	member->wanted_version =
+		skh_chunk_hash(skh_chunk_from_string(member->wanted_placement), 0) >> 1 | 1;
+	member->wanted_ranks = (size_t)group->ranks;
+}
+
+static void look_at_wanted(skh_group_member_t *member)
+{
+	const skh_config_t *config = skh_board_config(member->board);
+
+	if (config && config->revision != member->wanted_revision)
+		take_wanted(member, config);
 	skh_board_release(config);
-	return version;
 }
 
 static void note_end(skh_group_member_t *member)
@@ -204,18 +213,17 @@
 
 static void drive(skh_group_member_t *member, const skh_leader_view_t *view)
 {
-	size_t ranks = 0;
-	uint64_t wanted = look_at_wanted(member, &ranks);
-
-	if (wanted == 0 || view->n_ranks != ranks)
+	look_at_wanted(member);
+	if (member->wanted_version == 0 || view->n_ranks != member->wanted_ranks)
 		return;
 	if (view->fence != member->switch_fence) {
 		end_switch(member);
 		member->switch_fence = view->fence;
 		member->done_version = 0;
 	}
-	if (!member->mapswitch && wanted != member->done_version)
-		member->mapswitch = skh_mapswitch_new(ranks, view->fence, wanted);
+	if (!member->mapswitch && member->wanted_version != member->done_version)
+		member->mapswitch = skh_mapswitch_new(member->wanted_ranks, view->fence,
+						      member->wanted_version);
 	if (!member->mapswitch)
 		return;
 	send_orders(member, view);
--- a/src/mapswitch.c
+++ b/src/mapswitch.c
@@ -51,7 +51,9 @@
 
 bool skh_mapswitch_order_for(const skh_mapswitch_t *mapswitch, size_t rank, skh_order_t *order)
 {
-	if (mapswitch->fenced || skh_mapswitch_is_done(mapswitch) || mapswitch->confirmed_by[rank])
+	/* A rank may have joined since the switch began; it is none of its ranks. */
+	if (rank >= mapswitch->ranks || mapswitch->fenced || skh_mapswitch_is_done(mapswitch) ||
+	    mapswitch->confirmed_by[rank])
 		return false;
 	*order = (skh_order_t){ mapswitch->fence, mapswitch->step, mapswitch->version };
 	return true;
--- a/src/relay.c
+++ b/src/relay.c
@@ -77,16 +77,17 @@
 /* An attempt that may have run ended without a whole answer. */
 static skh_action_t lose(skh_relay_t *relay, const skh_error_t *why)
 {
+	bool was_running = relay->state == SKH_RELAY_RUNNING;
+
+	relay->state = SKH_RELAY_PLACING;
 	relay->may_have_run = true;
 	relay->losses++;
-	/* Non-idempotent work may have started without ending; only a record proves that it ran. */
-	if (relay->idempotent)
-		relay->has_run = relay->has_run || relay->state == SKH_RELAY_RUNNING;
-	else
+	if (!relay->idempotent) {
+		/* It may have started without ending; only a record proves that it ran. */
 		relay->has_run = why->kind == SKH_ALREADY_RAN;
-	relay->state = SKH_RELAY_PLACING;
-	if (!relay->idempotent)
 		return fail(relay, why);
+	}
+	relay->has_run = relay->has_run || was_running;
 	if (relay->losses >= SKH_RELAY_MAX_LOSSES || relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
 		return fail(relay, why);
 	return place_again(relay);
--- a/test/map_test.cc
+++ b/test/map_test.cc
@@ -334,6 +334,16 @@
 	}
 }
 
+TEST(ExpertMap, ARankThatJoinsDuringASwitchIsGivenNoOrderOfIt)
+{
+	std::unique_ptr<skh_mapswitch_t, decltype(&skh_mapswitch_free)> mapswitch(
+		skh_mapswitch_new(2, 1, 7), skh_mapswitch_free);
+	skh_order_t order = {};
+
+	EXPECT_TRUE(skh_mapswitch_order_for(mapswitch.get(), 1, &order));
+	EXPECT_FALSE(skh_mapswitch_order_for(mapswitch.get(), 2, &order));
+}
+
 TEST(ExpertMap, TheCheckCatchesPlantedFaults)
 {
 	for (Planted planted : { Planted::kNoHold, Planted::kNoFence, Planted::kEarlyGo }) {
