--- /dev/null
+++ b/src/forecast.c
@@ -0,0 +1,115 @@
+#include "forecast.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* Holt's linear smoothing of the logarithm of each share. */
+#define LEVEL_GAIN 0.8
+#define TREND_GAIN 0.1
+/* A step beyond this is taken for a burst: its level counts, its trend does not. */
+#define BURST_STEP 0.7
+/* No expert is taken for unused: its next token may come any moment. */
+#define LEAST_SHARE 1e-6
+
+struct skh_forecast {
+	uint32_t n_experts;
+	uint32_t n_seen;
+	bool *seen;    /* reported at least once */
+	double *level; /* logarithm of the share */
+	double *trend; /* its change an interval */
+	double *shares;
+};
+
+skh_forecast_t *skh_forecast_new(uint32_t n_experts)
+{
+	skh_forecast_t *forecast = g_new0(skh_forecast_t, 1);
+
+	forecast->n_experts = n_experts;
+	forecast->seen = g_new0(bool, n_experts);
+	forecast->level = g_new(double, n_experts);
+	forecast->trend = g_new0(double, n_experts);
+	forecast->shares = g_new(double, n_experts);
+	for (uint32_t i = 0; i < n_experts; i++) {
+		forecast->shares[i] = 1.0 / (double)n_experts;
+		forecast->level[i] = log(forecast->shares[i]);
+	}
+	return forecast;
+}
+
+void skh_forecast_free(skh_forecast_t *forecast)
+{
+	g_free(forecast->seen);
+	g_free(forecast->level);
+	g_free(forecast->trend);
+	g_free(forecast->shares);
+	g_free(forecast);
+}
+
+/* The tokens of experts that were not reported are taken to be as foretold. */
+static double total_of(const skh_forecast_t *forecast, const double *counts)
+{
+	double known = 0.0;
+	double share = 0.0;
+
+	for (uint32_t i = 0; i < forecast->n_experts; i++) {
+		if (counts[i] < 0.0)
+			continue;
+		known += counts[i];
+		share += forecast->shares[i];
+	}
+	return share > 0.0 ? known / share : 0.0;
+}
+
+static void follow(skh_forecast_t *forecast, uint32_t i, double share)
+{
+	double seen = log(MAX(share, LEAST_SHARE));
+	double expected = forecast->level[i] + forecast->trend[i];
+	double step = seen - expected;
+
+	if (!forecast->seen[i]) {
+		forecast->seen[i] = true;
+		forecast->n_seen++;
+		forecast->level[i] = seen;
+		return;
+	}
+	forecast->level[i] = expected + LEVEL_GAIN * step;
+	if (fabs(step) < BURST_STEP)
+		forecast->trend[i] += TREND_GAIN * step;
+}
+
+static void foretell(skh_forecast_t *forecast)
+{
+	double sum = 0.0;
+
+	for (uint32_t i = 0; i < forecast->n_experts; i++) {
+		forecast->shares[i] = exp(forecast->level[i] + forecast->trend[i]);
+		sum += forecast->shares[i];
+	}
+	for (uint32_t i = 0; i < forecast->n_experts; i++)
+		forecast->shares[i] /= sum;
+}
+
+void skh_forecast_observe(skh_forecast_t *forecast, const double *counts)
+{
+	double total = total_of(forecast, counts);
+
+	if (total <= 0.0)
+		return;
+	for (uint32_t i = 0; i < forecast->n_experts; i++) {
+		if (counts[i] >= 0.0)
+			follow(forecast, i, counts[i] / total);
+		else
+			forecast->level[i] += forecast->trend[i];
+	}
+	foretell(forecast);
+}
+
+bool skh_forecast_is_ready(const skh_forecast_t *forecast)
+{
+	return forecast->n_seen == forecast->n_experts;
+}
+
+const double *skh_forecast_shares(const skh_forecast_t *forecast)
+{
+	return forecast->shares;
+}
--- /dev/null
+++ b/src/forecast.h
@@ -0,0 +1,40 @@
+#ifndef SKH_FORECAST_H
+#define SKH_FORECAST_H
+
+/**
+ * DOC: Forecast of expert popularity
+ *
+ * Smooths lagging, gappy counts of tokens per expert and foretells the shares
+ * of the interval that is about to begin. Pure state.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct skh_forecast skh_forecast_t;
+
+skh_forecast_t *skh_forecast_new(uint32_t n_experts);
+void skh_forecast_free(skh_forecast_t *forecast);
+
+#define SKH_FORECAST_GAP (-1.0)
+
+/**
+ * skh_forecast_observe() - the counts of one interval
+ * @counts: tokens of each expert, [n_experts]; SKH_FORECAST_GAP where unknown
+ */
+void skh_forecast_observe(skh_forecast_t *forecast, const double *counts);
+
+/** skh_forecast_is_ready() - whether every expert has been reported at least once */
+bool skh_forecast_is_ready(const skh_forecast_t *forecast);
+
+/** skh_forecast_shares() - expected shares of the next interval, [n_experts], sum 1 */
+const double *skh_forecast_shares(const skh_forecast_t *forecast);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
