--- a/src/admin.c
+++ b/src/admin.c
@@ -58,18 +58,35 @@
 	return true;
 }
 
-static bool handle_status(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+/* Takes @json. */
+static bool answer_json(skh_http_request_t *request, json_t *json)
 {
-	json_t *status = admin->ops->status(admin->context);
-	char *text = json_dumps(status, JSON_COMPACT);
+	char *text = json_dumps(json, JSON_COMPACT);
 
-	(void)err;
 	(void)answer_text(request, JSON_TYPE, text);
 	free(text);
-	json_decref(status);
+	json_decref(json);
 	return true;
 }
 
+/* A body that is not JSON leaves *@json NULL; true when a body was read. */
+static bool read_json(skh_http_request_t *request, json_t **json, skh_error_t *err)
+{
+	skh_buffer_t body = SKH_BUFFER_INIT;
+	bool complete = skh_http_read_body(request, &body, err);
+
+	if (complete)
+		*json = json_loadb(skh_buffer_text(&body), body.len, JSON_REJECT_DUPLICATES, NULL);
+	skh_buffer_free(&body);
+	return complete;
+}
+
+static bool handle_status(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+{
+	(void)err;
+	return answer_json(request, admin->ops->status(admin->context));
+}
+
 static bool set_drain(skh_admin_t *admin, skh_http_request_t *request, bool drain, skh_error_t *err)
 {
 	if (!admin->ops->drain)
@@ -90,23 +107,45 @@
 
 static bool handle_order(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
 {
-	skh_buffer_t body = SKH_BUFFER_INIT;
 	json_t *json = NULL;
 	bool queued;
 
 	if (!admin->ops->order)
 		return skh_error_set(err, SKH_NOT_FOUND, "this process has no engine");
-	if (!skh_http_read_body(request, &body, err)) {
-		skh_buffer_free(&body);
+	if (!read_json(request, &json, err))
 		return false;
-	}
-	json = json_loadb(skh_buffer_text(&body), body.len, JSON_REJECT_DUPLICATES, NULL);
-	skh_buffer_free(&body);
 	queued = admin->ops->order(admin->context, json, err);
 	json_decref(json);
 	return queued && answer_text(request, JSON_TYPE, "{\"queued\":true}");
 }
 
+static bool handle_suspects(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+{
+	if (!admin->ops->suspects)
+		return skh_error_set(err, SKH_NOT_FOUND, "this process keeps no suspects");
+	return answer_json(request, admin->ops->suspects(admin->context));
+}
+
+static bool handle_clear(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+{
+	json_t *json = NULL;
+	const char *content;
+	bool cleared;
+
+	if (!admin->ops->clear_suspect)
+		return skh_error_set(err, SKH_NOT_FOUND, "this process keeps no suspects");
+	if (!read_json(request, &json, err))
+		return false;
+	content = json_string_value(json_object_get(json, "content"));
+	if (!content) {
+		json_decref(json);
+		return skh_error_set(err, SKH_BAD_REQUEST, "\"content\" must be a text");
+	}
+	cleared = admin->ops->clear_suspect(admin->context, content);
+	json_decref(json);
+	return answer_json(request, json_pack("{s:b}", "cleared", cleared));
+}
+
 static const admin_route_t routes[] = {
 	{ "GET", "/healthz", handle_health },
 	{ "GET", "/readyz", handle_ready },
@@ -115,6 +154,8 @@
 	{ "POST", "/admin/v1/drain", handle_drain },
 	{ "POST", "/admin/v1/undrain", handle_undrain },
 	{ "POST", "/admin/v1/orders", handle_order },
+	{ "GET", "/admin/v1/suspects", handle_suspects },
+	{ "POST", "/admin/v1/suspects/clear", handle_clear },
 };
 
 static void handle(void *context, skh_http_request_t *request)
--- a/src/admin.h
+++ b/src/admin.h
@@ -27,6 +27,10 @@
 	void (*drain)(void *context, bool drain);
 	/* Queue the order that @body names; NULL where there is no engine. */
 	bool (*order)(void *context, const json_t *body, skh_error_t *err);
+	/* Returns a new JSON array of suspected requests; NULL where none are kept. */
+	json_t *(*suspects)(void *context);
+	/* Hold nothing against the request with hash @content; true when something was. */
+	bool (*clear_suspect)(void *context, const char *content);
 } skh_admin_ops_t;
 
 skh_admin_t *skh_admin_start(const char *listen, const skh_admin_ops_t *ops, void *context,
--- a/src/caller.c
+++ b/src/caller.c
@@ -225,6 +225,7 @@
 		.customer = intake->customer->name,
 		.class_name = intake->priority->name,
 		.priority = (uint32_t)intake->priority->level,
+		.weight = intake->customer->weight,
 		.service = intake->service->name,
 		.failure_domain = intake->entry->settings->failure_domain,
 		.method = method,
@@ -241,7 +242,8 @@
 
 	if (!admit(intake, err))
 		return false;
-	(void)skh_serve_run(intake->entry->link, &job, &sink.base, &result);
+	(void)skh_serve_run(intake->entry->link, intake->entry->quarantine, &job, &sink.base,
+			    &result);
 	release(intake);
 	return true;
 }
--- a/src/claimer.c
+++ b/src/claimer.c
@@ -1,6 +1,7 @@
 #include "claimer.h"
 
 #include "clock.h"
+#include "lease.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -13,9 +14,7 @@
 #define PART	       "claimer"
 #define LEASE_PERIOD_S 600
 /* A record must outlast the last moment at which its key is accepted. */
-#define LEASE_TTL_S                                                                                \
-	(LEASE_PERIOD_S + SKH_CLAIM_HORIZON_MS / SKH_MS_PER_S +                                    \
-	 4 * SKH_CLAIM_SKEW_MS / SKH_MS_PER_S)
+#define RECORD_HOLD_S (SKH_CLAIM_HORIZON_MS / SKH_MS_PER_S + 4 * SKH_CLAIM_SKEW_MS / SKH_MS_PER_S)
 
 typedef struct submitted {
 	uint64_t id;
@@ -34,8 +33,7 @@
 	GQueue done;  /* skh_claim_done_t */
 	bool stop;
 	int event_fd;
-	int64_t lease; /* claimer thread only */
-	int64_t lease_until_us;
+	skh_period_lease_t lease; /* claimer thread only */
 };
 
 static void free_submitted(gpointer item)
@@ -78,20 +76,6 @@
 	return n;
 }
 
-static bool ensure_lease(skh_claimer_t *claimer, skh_error_t *err)
-{
-	int64_t now_us = skh_clock_now_us();
-
-	if (claimer->lease != 0 && now_us < claimer->lease_until_us)
-		return true;
-	if (!claimer->store->ops->lease_grant(claimer->store, LEASE_TTL_S, &claimer->lease, err)) {
-		claimer->lease = 0;
-		return false;
-	}
-	claimer->lease_until_us = now_us + LEASE_PERIOD_S * SKH_US_PER_S;
-	return true;
-}
-
 static void report(skh_claimer_t *claimer, submitted_t **batch, skh_write_t *writes, size_t n)
 {
 	const uint64_t one = 1;
@@ -117,13 +101,14 @@
 {
 	skh_write_t writes[SKH_BATCH_MAX] = { 0 };
 	skh_error_t err;
-	bool leased = ensure_lease(claimer, &err);
+	bool leased =
+		skh_period_lease_ensure(&claimer->lease, claimer->store, skh_clock_now_us(), &err);
 
 	for (size_t i = 0; i < n; i++) {
 		writes[i].key = batch[i]->key;
 		writes[i].value = batch[i]->value;
 		writes[i].expected = batch[i]->expected;
-		writes[i].lease = claimer->lease;
+		writes[i].lease = claimer->lease.id;
 		if (leased)
 			continue;
 		writes[i].state = SKH_WRITE_FAILED;
@@ -163,6 +148,8 @@
 
 	claimer->store = store;
 	claimer->interval_us = interval_us;
+	claimer->lease.period_s = LEASE_PERIOD_S;
+	claimer->lease.hold_s = RECORD_HOLD_S;
 	claimer->event_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	g_mutex_init(&claimer->lock);
 	g_cond_init(&claimer->wake);
--- a/src/entry.c
+++ b/src/entry.c
@@ -53,7 +53,23 @@
 	return json;
 }
 
-static const skh_admin_ops_t admin_ops = { .is_ready = is_ready, .status = status };
+static json_t *suspects(void *context)
+{
+	return skh_quarantine_list(((skh_entry_t *)context)->quarantine);
+}
+
+static bool clear_suspect(void *context, const char *content)
+{
+	return skh_quarantine_clear(((skh_entry_t *)context)->quarantine,
+				    g_ascii_strtoull(content, NULL, 16));
+}
+
+static const skh_admin_ops_t admin_ops = {
+	.is_ready = is_ready,
+	.status = status,
+	.suspects = suspects,
+	.clear_suspect = clear_suspect,
+};
 
 static bool open_entry(skh_entry_t *entry, skh_error_t *err)
 {
@@ -62,6 +78,7 @@
 	entry->admit = skh_admit_new();
 	g_mutex_init(&entry->admit_lock);
 	entry->follower = skh_follower_start(entry->store, entry->settings, entry->board);
+	entry->quarantine = skh_quarantine_start(entry->store, entry->settings->store_prefix);
 	entry->link = skh_link_start(entry->settings, entry->board, err);
 	return entry->link != NULL;
 }
@@ -70,6 +87,7 @@
 {
 	if (entry->link)
 		skh_link_stop(entry->link);
+	skh_quarantine_stop(entry->quarantine);
 	skh_follower_stop(entry->follower);
 	entry->store->ops->close(entry->store);
 	skh_admit_free(entry->admit);
--- a/src/entry.h
+++ b/src/entry.h
@@ -12,6 +12,7 @@
 #include "board.h"
 #include "config.h"
 #include "link.h"
+#include "quarantine.h"
 #include "settings.h"
 
 #ifdef __cplusplus
@@ -25,6 +26,7 @@
 	skh_store_t *store;
 	skh_follower_t *follower;
 	skh_link_t *link;
+	skh_quarantine_t *quarantine;
 	GMutex admit_lock;
 	skh_admit_t *admit;
 	gint in_flight; /* callers' requests being handled */
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -22,6 +22,7 @@
 	void *context;
 	GHashTable *transfers; /* id -> transfer_t */
 	GPtrArray *cancelled;  /* freed outside of libcurl's callbacks */
+	GPtrArray *not_begun;  /* reported outside of libcurl's callbacks */
 	GPtrArray *spare;      /* idle easy handles: reusing one saves its set-up */
 	bool in_callback;
 };
@@ -88,6 +89,7 @@
 	fetch->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	fetch->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fetch->cancelled = g_ptr_array_new();
+	fetch->not_begun = g_ptr_array_new();
 	fetch->spare = g_ptr_array_new();
 	fetch->multi = curl_multi_init();
 	curl_multi_setopt(fetch->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -119,6 +121,7 @@
 	curl_multi_cleanup(fetch->multi);
 	g_ptr_array_unref(fetch->spare);
 	g_ptr_array_unref(fetch->cancelled);
+	g_ptr_array_unref(fetch->not_begun);
 	g_hash_table_unref(fetch->transfers);
 	(void)close(fetch->epoll_fd);
 	g_free(fetch);
@@ -214,7 +217,9 @@
 	curl_easy_setopt(transfer->curl, CURLOPT_FRESH_CONNECT, request->once ? 1L : 0L);
 	set_body(transfer->curl, request);
 	g_hash_table_insert(fetch->transfers, &transfer->id, transfer);
-	curl_multi_add_handle(fetch->multi, transfer->curl);
+	/* libcurl takes none while it delivers bytes; nothing is sent then. */
+	if (curl_multi_add_handle(fetch->multi, transfer->curl) != CURLM_OK)
+		g_ptr_array_add(fetch->not_begun, transfer);
 }
 
 void skh_fetch_cancel(skh_fetch_t *fetch, uint64_t id)
@@ -256,6 +261,9 @@
 		return SKH_NO_BACKEND;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return SKH_OUTCOME_UNKNOWN;
+	if (code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR ||
+	    code == CURLE_PARTIAL_FILE)
+		return SKH_BACKEND_LOST;
 	return SKH_BACKEND_FAILED;
 }
 
@@ -279,6 +287,17 @@
 	release(fetch, transfer);
 }
 
+static void report_not_begun(skh_fetch_t *fetch)
+{
+	while (fetch->not_begun->len > 0) {
+		transfer_t *transfer =
+			g_ptr_array_remove_index(fetch->not_begun, fetch->not_begun->len - 1);
+
+		if (!transfer->cancelled)
+			finish(fetch, transfer, CURLE_COULDNT_CONNECT);
+	}
+}
+
 static void reap_finished(skh_fetch_t *fetch)
 {
 	CURLMsg *message;
@@ -334,5 +353,6 @@
 		curl_multi_socket_action(fetch->multi, events[i].data.fd, what, &running);
 	}
 	run_timer(fetch);
+	report_not_begun(fetch);
 	reap_finished(fetch);
 }
--- a/src/gate.h
+++ b/src/gate.h
@@ -48,10 +48,24 @@
 skh_gate_t *skh_gate_new(uint32_t capacity, uint32_t queue, uint64_t incarnation);
 void skh_gate_free(skh_gate_t *gate);
 
-/** skh_gate_start() - an attempt arrives; @err is filled for SKH_VERDICT_REFUSE */
+/**
+ * skh_gate_start() - an attempt arrives
+ *
+ * One that asks not to queue is refused unless it can start at once, so that
+ * its entry may try a server that has room.
+ * Return: the verdict; @err is filled for SKH_VERDICT_REFUSE.
+ */
 skh_verdict_t skh_gate_start(skh_gate_t *gate, const Skh__Start *start, int64_t now_us,
 			     skh_error_t *err);
 
+/**
+ * skh_gate_evicted() - a waiting attempt that had to make room; 0 for none
+ *
+ * In a full queue an attempt of a customer over its share is refused when one
+ * of a customer under its share arrives. Ask after each skh_gate_start().
+ */
+uint64_t skh_gate_evicted(skh_gate_t *gate);
+
 /**
  * skh_gate_cancel() - the entry no longer wants @attempt
  * Return: SKH_VERDICT_STARTED when it runs, SKH_VERDICT_REFUSE when it was
@@ -77,7 +91,12 @@
  */
 void skh_gate_ended(skh_gate_t *gate, uint64_t attempt, bool started);
 
-/** skh_gate_next() - waiting attempt to start now, by priority then age; 0 for none */
+/**
+ * skh_gate_next() - waiting attempt to start now; 0 for none
+ *
+ * By priority, which rises with the time spent waiting; among equals by the
+ * customers' weights (fair.h); then by age.
+ */
 uint64_t skh_gate_next(skh_gate_t *gate, int64_t now_us);
 
 /**
@@ -86,6 +105,13 @@
  */
 uint64_t skh_gate_expire(skh_gate_t *gate, int64_t now_us);
 
+/**
+ * skh_gate_survived() - the suspect @attempt has run past where it was suspected
+ *
+ * A gate runs one suspect at a time; from now on another may start.
+ */
+void skh_gate_survived(skh_gate_t *gate, uint64_t attempt);
+
 /** skh_gate_leave() - take no new work while @leaving */
 void skh_gate_leave(skh_gate_t *gate, bool leaving);
 
--- a/src/inbox.h
+++ b/src/inbox.h
@@ -8,7 +8,7 @@
  * caller's thread, which pops.
  */
 
-#include "error.h"
+#include "relay.h"
 #include "wire.h"
 
 #ifdef __cplusplus
@@ -18,14 +18,14 @@
 typedef enum skh_event_type {
 	SKH_EVENT_FRAME,    /* @frame from the sidecar */
 	SKH_EVENT_NOT_SENT, /* the attempt was never handed over; @err says why */
-	SKH_EVENT_LOST	    /* the sidecar is gone; @certain when its process was replaced */
+	SKH_EVENT_LOST	    /* the sidecar is gone; @loss says what shows it */
 } skh_event_type_t;
 
 typedef struct skh_event {
 	skh_event_type_t type;
 	uint64_t attempt;
 	Skh__Frame *frame; /* owned */
-	bool certain;
+	skh_loss_t loss;
 	skh_error_t err;
 } skh_event_t;
 
--- a/src/link.c
+++ b/src/link.c
@@ -1,6 +1,7 @@
 #include "link.h"
 
 #include "clock.h"
+#include "heat.h"
 #include "guard.h"
 #include "log.h"
 #include "metrics.h"
@@ -51,6 +52,7 @@
 	struct cds_wfcq_tail queue_tail;
 	GMutex lock; /* guards all below */
 	skh_peers_t *peers;
+	skh_heat_t *heat;      /* under the same lock */
 	GHashTable *waiting;   /* attempt -> waiting_t */
 	GHashTable *connected; /* peer id -> address; link thread only */
 	int64_t newest_revision;
@@ -152,7 +154,7 @@
 }
 
 /* Called with the lock held. */
-static void push_lost(skh_link_t *link, const skh_peer_t *peer, bool certain)
+static void push_lost(skh_link_t *link, const skh_peer_t *peer, skh_loss_t loss)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -164,10 +166,10 @@
 
 		if (waiting->peer != peer)
 			continue;
-		if (certain && waiting->incarnation == peer->incarnation)
+		if (loss == SKH_LOSS_REPLACED && waiting->incarnation == peer->incarnation)
 			continue;
 		event = skh_event_new(SKH_EVENT_LOST, waiting->attempt);
-		event->certain = certain;
+		event->loss = loss;
 		skh_inbox_push(waiting->inbox, event);
 	}
 }
@@ -180,7 +182,7 @@
 	if (skh_peers_heard(peer, frame->status, revision, now_us)) {
 		skh_log(SKH_LOG_WARNING, PART, "A sidecar process was replaced.", "sidecar=%s",
 			peer->id);
-		push_lost(link, peer, true);
+		push_lost(link, peer, SKH_LOSS_REPLACED);
 	}
 }
 
@@ -296,7 +298,7 @@
 		skh_metrics_add(SKH_COUNT_CONTROL_BYTES_OUT, item->bytes.len);
 	} else if (peer->reachable) {
 		skh_peers_set_lost(peer, now_us);
-		push_lost(link, peer, false);
+		push_lost(link, peer, SKH_LOSS_CLOSED);
 	}
 	free_outgoing(item);
 }
@@ -340,7 +342,7 @@
 			skh_log(SKH_LOG_WARNING, PART, "A sidecar with work went silent.",
 				"sidecar=%s", peer->id);
 			skh_peers_set_lost(peer, now_us);
-			push_lost(link, peer, false);
+			push_lost(link, peer, SKH_LOSS_SILENT);
 		}
 	}
 	ask_about_silent(link, now_us);
@@ -401,6 +403,7 @@
 	g_hash_table_unref(link->connected);
 	g_hash_table_unref(link->waiting);
 	skh_peers_free(link->peers);
+	skh_heat_free(link->heat);
 	g_mutex_clear(&link->lock);
 	cds_wfcq_destroy(&link->queue_head, &link->queue_tail);
 	g_free(link->entry_id);
@@ -417,6 +420,7 @@
 	link->settings = settings;
 	link->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	link->peers = skh_peers_new();
+	link->heat = skh_heat_new();
 	link->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	link->connected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_mutex_init(&link->lock);
@@ -478,6 +482,7 @@
 	if (peer) {
 		(void)g_strlcpy(placement->peer, peer->id, sizeof(placement->peer));
 		fill_times(start, peer, start_by_us, finish_by_us, now_us);
+		placement->incarnation = start->incarnation;
 		skh_peers_take(peer, now_us);
 		remember(link, start, peer, inbox, now_us);
 	}
@@ -493,6 +498,18 @@
 	return true;
 }
 
+double skh_link_heat(skh_link_t *link, uint64_t prefix_hash)
+{
+	double heat;
+
+	if (prefix_hash == 0)
+		return 0.0;
+	g_mutex_lock(&link->lock);
+	heat = skh_heat_note(link->heat, prefix_hash, skh_clock_now_us());
+	g_mutex_unlock(&link->lock);
+	return heat;
+}
+
 void skh_link_settle(skh_link_t *link, const skh_placement_t *placement, bool succeeded,
 		     bool cancel)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -29,10 +29,12 @@
 /**
  * struct skh_placement - one attempt as it was handed to the link thread
  * @attempt: its number, unique among all entries
+ * @incarnation: the sidecar process that it is meant for
  * @peer: id of the chosen sidecar
  */
 typedef struct skh_placement {
 	uint64_t attempt;
+	uint64_t incarnation;
 	char peer[SKH_WIRE_MAX_NAME_BYTES + 1];
 } skh_placement_t;
 
@@ -47,6 +49,9 @@
 		    int64_t start_by_us, int64_t finish_by_us, skh_inbox_t *inbox,
 		    skh_placement_t *placement, skh_error_t *err);
 
+/** skh_link_heat() - note a request; the part of recent ones that share its prefix */
+double skh_link_heat(skh_link_t *link, uint64_t prefix_hash);
+
 /**
  * skh_link_settle() - no more events of @placement are wanted
  * @succeeded: whether the sidecar did its part
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -41,6 +41,8 @@
 	[SKH_COUNT_CLAIM_BATCHES] = { "claim_batches", "Transactions that carried claims" },
 	[SKH_COUNT_CLAIM_UNFINISHED] = { "claim_unfinished",
 					 "Requests whose key is claimed by an unfinished run" },
+	[SKH_COUNT_ACCUSED] = { "accused", "Crashes held against a request" },
+	[SKH_COUNT_QUARANTINED] = { "quarantined", "Requests refused for crashing servers" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -145,6 +145,7 @@
 		peer->revision = revision;
 	peer->reachable = true;
 	peer->heard_at_us = now_us;
+	peer->own_at_report = peer->own_in_flight;
 	take_status(peer, status);
 	return replaced;
 }
@@ -174,6 +175,15 @@
 	return !peer->reachable || peer->own_in_flight == 0 || silent;
 }
 
+/* What this entry has sent and had back since the report is not in it. */
+uint32_t skh_peers_work(const skh_peer_t *peer)
+{
+	int64_t reported = (int64_t)peer->running + peer->queued;
+	int64_t since = (int64_t)peer->own_in_flight - peer->own_at_report;
+
+	return (uint32_t)MAX(reported + since, (int64_t)peer->own_in_flight);
+}
+
 bool skh_peers_is_lost(const skh_peer_t *peer, int64_t now_us)
 {
 	return peer->reachable && peer->own_in_flight > 0 && now_us >= peer->lost_at_us;
--- a/src/peers.h
+++ b/src/peers.h
@@ -40,7 +40,8 @@
 	uint32_t queued;
 	uint32_t capacity;
 	uint32_t own_in_flight;
-	uint32_t failures; /* in a row */
+	uint32_t own_at_report; /* own_in_flight when @running was heard */
+	uint32_t failures;	/* in a row */
 	int64_t avoid_until_us;
 } skh_peer_t;
 
@@ -65,6 +66,9 @@
 /** skh_peers_hello_due() - whether to send @peer a hello now; plans the next one */
 bool skh_peers_hello_due(skh_peers_t *peers, skh_peer_t *peer, int64_t now_us);
 
+/** skh_peers_work() - what is estimated to run and wait at @peer */
+uint32_t skh_peers_work(const skh_peer_t *peer);
+
 /** skh_peers_is_lost() - whether @peer has work in flight and has gone silent */
 bool skh_peers_is_lost(const skh_peer_t *peer, int64_t now_us);
 void skh_peers_set_lost(skh_peer_t *peer, int64_t now_us);
--- a/src/relay.c
+++ b/src/relay.c
@@ -81,14 +81,14 @@
 
 	relay->state = SKH_RELAY_PLACING;
 	relay->may_have_run = true;
-	relay->losses++;
 	if (!relay->idempotent) {
 		/* It may have started without ending; only a record proves that it ran. */
 		relay->has_run = why->kind == SKH_ALREADY_RAN;
 		return fail(relay, why);
 	}
 	relay->has_run = relay->has_run || was_running;
-	if (relay->losses >= SKH_RELAY_MAX_LOSSES || relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
+	if (relay->losses >= SKH_RELAY_MAX_LOSSES || relay->silences >= SKH_RELAY_MAX_SILENCES ||
+	    relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
 		return fail(relay, why);
 	return place_again(relay);
 }
@@ -106,8 +106,10 @@
 	if (!is_current(relay, attempt))
 		return SKH_ACT_WAIT;
 	mark_running(relay);
-	if (seq != relay->next_seq)
+	if (seq != relay->next_seq) {
+		relay->losses++;
 		return lose_with(relay, "a piece of the answer was lost on the way");
+	}
 	relay->next_seq++;
 	relay->events += events;
 	return SKH_ACT_FORWARD;
@@ -118,13 +120,15 @@
 {
 	if (!is_current(relay, attempt))
 		return SKH_ACT_WAIT;
+	if (!fault && pieces == relay->next_seq) {
+		relay->has_run = true;
+		relay->state = SKH_RELAY_ENDED;
+		return SKH_ACT_FINISH;
+	}
+	relay->losses++;
 	if (fault)
 		return lose(relay, fault);
-	if (pieces != relay->next_seq)
-		return lose_with(relay, "a piece of the answer was lost on the way");
-	relay->has_run = true;
-	relay->state = SKH_RELAY_ENDED;
-	return SKH_ACT_FINISH;
+	return lose_with(relay, "a piece of the answer was lost on the way");
 }
 
 /* Another sidecar may do what this one would not. */
@@ -138,20 +142,29 @@
 {
 	if (!is_current(relay, attempt))
 		return SKH_ACT_WAIT;
-	if (!is_local_refusal(err->kind) || relay->placements >= SKH_RELAY_MAX_PLACEMENTS)
+	if (err->kind == SKH_OVERLOADED && relay->may_queue)
+		relay->overloads++;
+	/* Where a few lines are too long the others are, too: say so at once. */
+	if (!is_local_refusal(err->kind) || relay->placements >= SKH_RELAY_MAX_PLACEMENTS ||
+	    relay->overloads >= SKH_RELAY_MAX_OVERLOADS)
 		return fail(relay, err);
 	return place_again(relay);
 }
 
-skh_action_t skh_relay_lost(skh_relay_t *relay, uint64_t attempt, bool certain)
+skh_action_t skh_relay_lost(skh_relay_t *relay, uint64_t attempt, skh_loss_t loss)
 {
 	if (!is_current(relay, attempt))
 		return SKH_ACT_WAIT;
-	/* A silent sidecar may still answer; non-idempotent work can only wait for it. */
-	if (!certain && !relay->idempotent) {
+	/* Unless replaced it may still answer; non-idempotent work can only wait for it. */
+	if (loss != SKH_LOSS_REPLACED && !relay->idempotent) {
 		relay->may_have_run = true;
 		return SKH_ACT_WAIT;
 	}
+	/* A stall is no sign that the request crashes what runs it. */
+	if (loss == SKH_LOSS_SILENT)
+		relay->silences++;
+	else
+		relay->losses++;
 	return lose_with(relay, "the backend server was lost");
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -29,6 +29,13 @@
 	SKH_RELAY_ENDED
 } skh_relay_state_t;
 
+/** enum skh_loss - what shows that a sidecar is gone */
+typedef enum skh_loss {
+	SKH_LOSS_SILENT,   /* nothing is heard: a stall or the network, it may come back */
+	SKH_LOSS_CLOSED,   /* its connection is closed */
+	SKH_LOSS_REPLACED, /* another process answers in its place */
+} skh_loss_t;
+
 /** enum skh_action - what the owner does next */
 typedef enum skh_action {
 	SKH_ACT_PLACE,	 /* choose a sidecar and hand an attempt over */
@@ -47,7 +54,10 @@
  * @next_seq: number of the next piece of @attempt
  * @events: whole stream events passed on to the caller
  * @placements: attempts handed over so far
- * @losses: attempts that were lost after they were handed over
+ * @may_queue: no more looking for a free server: attempts may wait in line
+ * @overloads: refusals for want of room since then
+ * @losses: attempts that were lost after they were handed over, with their server
+ * @silences: attempts given up because nothing was heard
  * @may_have_run: an earlier attempt was lost without proof that it did not run
  * @has_run: an earlier attempt, or the one that ended, is known to have run
  * @error: why the request failed
@@ -61,14 +71,19 @@
 	uint64_t next_seq;
 	uint64_t events;
 	uint32_t placements;
+	bool may_queue;
+	uint32_t overloads;
 	uint32_t losses;
+	uint32_t silences;
 	bool may_have_run;
 	bool has_run;
 	skh_error_t error;
 } skh_relay_t;
 
-#define SKH_RELAY_MAX_PLACEMENTS 8
+#define SKH_RELAY_MAX_PLACEMENTS 16
 #define SKH_RELAY_MAX_LOSSES	 2
+#define SKH_RELAY_MAX_SILENCES	 3
+#define SKH_RELAY_MAX_OVERLOADS	 2
 
 void skh_relay_init(skh_relay_t *relay, bool idempotent, bool stream, int64_t deadline_us);
 
@@ -84,11 +99,8 @@
 			   const skh_error_t *fault);
 skh_action_t skh_relay_refused(skh_relay_t *relay, uint64_t attempt, const skh_error_t *err);
 
-/**
- * skh_relay_lost() - the sidecar of @attempt is gone
- * @certain: its process was replaced; otherwise it only went silent
- */
-skh_action_t skh_relay_lost(skh_relay_t *relay, uint64_t attempt, bool certain);
+/** skh_relay_lost() - the sidecar of @attempt is gone */
+skh_action_t skh_relay_lost(skh_relay_t *relay, uint64_t attempt, skh_loss_t loss);
 
 /** skh_relay_timeout() - the deadline has passed */
 skh_action_t skh_relay_timeout(skh_relay_t *relay);
--- a/src/route.c
+++ b/src/route.c
@@ -8,16 +8,20 @@
 /* Affinity may load its server this much above the mean, as in bounded-load hashing. */
 #define AFFINITY_HEADROOM 1.25
 #define AFFINITY_SLACK	  0.10
+/* Homes of a prefix that are looked at, best first; the hottest need many. */
+#define AFFINITY_HOMES 16
+/* After this many refusals a free slot is worth more than a cached prefix. */
+#define HEAT_SPREAD 3.0
+#define HOME_TRIES  5
+/* A server that was full longer ago than this is worth asking again. */
+#define FULL_MEMORY_US (100 * SKH_US_PER_MS)
 /* A remote failure domain is used when the local choice is fuller by this much. */
 #define LOCAL_PREFERENCE 0.25
 #define RETRY_US	 (1 * SKH_US_PER_S)
 
 double skh_route_load(const skh_peer_t *peer)
 {
-	uint32_t reported = peer->running + peer->queued;
-	uint32_t work = MAX(reported, peer->own_in_flight);
-
-	return (double)work / (double)MAX(peer->capacity, 1);
+	return (double)skh_peers_work(peer) / (double)MAX(peer->capacity, 1);
 }
 
 static bool was_tried(const skh_route_query_t *query, const char *id)
@@ -61,22 +65,38 @@
 	return sum / (double)list->len;
 }
 
-/* Highest random weight: each prefix has one home, and only 1/n move with a change. */
-static skh_peer_t *home_of(const GPtrArray *list, uint64_t prefix_hash)
+typedef struct home {
+	skh_peer_t *peer;
+	uint64_t weight;
+} home_t;
+
+/*
+ * Highest random weight: each prefix has an order of homes that all entries
+ * agree on, and only 1/n of the prefixes move when a server comes or goes.
+ */
+static size_t find_homes(const GPtrArray *list, uint64_t prefix_hash, home_t *homes)
 {
-	skh_peer_t *best = NULL;
-	uint64_t best_weight = 0;
+	size_t n = 0;
 
 	for (size_t i = 0; i < list->len; i++) {
 		skh_peer_t *peer = list->pdata[i];
 		uint64_t weight = skh_chunk_hash(skh_chunk_from_string(peer->id), prefix_hash);
+		size_t place;
 
-		if (!best || weight > best_weight) {
-			best = peer;
-			best_weight = weight;
-		}
+		if (n == AFFINITY_HOMES && weight <= homes[n - 1].weight)
+			continue;
+		n = MIN(n + 1, AFFINITY_HOMES);
+		for (place = n - 1; place > 0 && homes[place - 1].weight < weight; place--)
+			homes[place] = homes[place - 1];
+		homes[place] = (home_t){ peer, weight };
 	}
-	return best;
+	return n;
+}
+
+static bool is_full(const skh_peer_t *peer, int64_t now_us)
+{
+	return skh_peers_work(peer) >= peer->capacity &&
+	       now_us - peer->heard_at_us < FULL_MEMORY_US;
 }
 
 static double cost(const skh_peer_t *peer, const skh_route_query_t *query)
@@ -95,6 +115,46 @@
 	return cost(second, query) < cost(first, query) ? second : first;
 }
 
+/* A hot prefix fills several homes: enough for its part of all work, and one more. */
+static size_t homes_of_heat(const GPtrArray *list, double heat)
+{
+	return (size_t)(heat * HEAT_SPREAD * (double)list->len) + 1;
+}
+
+/* The first home that is neither full nor far above the others. */
+static skh_peer_t *first_home(const GPtrArray *list, const home_t *homes, size_t n, int64_t now_us)
+{
+	double bound = mean_load(list) * AFFINITY_HEADROOM + AFFINITY_SLACK;
+
+	for (size_t i = 0; i < n; i++) {
+		skh_peer_t *peer = homes[i].peer;
+
+		if (!is_full(peer, now_us) && skh_route_load(peer) <= bound)
+			return peer;
+	}
+	return NULL;
+}
+
+/*
+ * A prefix that several homes hold anyway goes to the emptier of two of them,
+ * which leaves room for the prefixes that have only one.
+ */
+static skh_peer_t *pick_home(const GPtrArray *list, const skh_route_query_t *query, uint64_t random,
+			     int64_t now_us)
+{
+	home_t homes[AFFINITY_HOMES];
+	size_t n = find_homes(list, query->prefix_hash, homes);
+	size_t warm = MIN(homes_of_heat(list, query->heat), n);
+	skh_peer_t *first;
+	skh_peer_t *second;
+
+	if (warm < 2)
+		return first_home(list, homes, n, now_us);
+	first = homes[(uint32_t)random % warm].peer;
+	second = homes[(uint32_t)(random >> 32) % warm].peer;
+	return skh_route_load(second) < skh_route_load(first) ? second : first;
+}
+
 skh_peer_t *skh_route_pick(const skh_peers_t *peers, const skh_route_query_t *query,
 			   uint64_t random, int64_t now_us, skh_error_t *err)
 {
@@ -112,10 +172,8 @@
 		err->retry_at_us = now_us + RETRY_US;
 		return NULL;
 	}
-	if (query->prefix_hash == 0)
-		return better_of_two(list, query, random);
-	home = home_of(list, query->prefix_hash);
-	if (skh_route_load(home) <= mean_load(list) * AFFINITY_HEADROOM + AFFINITY_SLACK)
-		return home;
-	return better_of_two(list, query, random);
+	home = query->prefix_hash != 0 && query->n_tried < HOME_TRIES
+		       ? pick_home(list, query, random, now_us)
+		       : NULL;
+	return home ? home : better_of_two(list, query, random);
 }
--- a/src/route.h
+++ b/src/route.h
@@ -14,13 +14,16 @@
 extern "C" {
 #endif
 
-#define SKH_ROUTE_MAX_TRIED 8
+#define SKH_ROUTE_MAX_TRIED 16
+/** SKH_ROUTE_PROBES - placements that are refused rather than queued at a full server */
+#define SKH_ROUTE_PROBES 7
 
 /** struct skh_route_query - what an attempt needs */
 typedef struct skh_route_query {
 	const char *service;
 	const char *failure_domain; /* of the asking entry */
 	uint64_t prefix_hash;	    /* of the prompt's start; 0 for no affinity */
+	double heat;		    /* part of the requests that share it, see heat.h */
 	const char *tried[SKH_ROUTE_MAX_TRIED];
 	size_t n_tried;
 } skh_route_query_t;
--- a/src/serve.c
+++ b/src/serve.c
@@ -18,6 +18,7 @@
 /* One request while it is being served. */
 typedef struct serving {
 	skh_link_t *link;
+	skh_quarantine_t *quarantine;
 	const skh_job_t *job;
 	skh_sink_t *sink;
 	skh_relay_t relay;
@@ -26,6 +27,7 @@
 	skh_placement_t placement;
 	bool placed; /* @placement is not settled yet */
 	char tried[SKH_ROUTE_MAX_TRIED][SKH_WIRE_MAX_NAME_BYTES + 1];
+	bool had_no_room[SKH_ROUTE_MAX_TRIED]; /* what each of @tried said */
 	int32_t status;
 	char content_type[SKH_WIRE_MAX_NAME_BYTES + 1];
 	bool begun; /* the caller has seen the start of the answer */
@@ -34,6 +36,8 @@
 	bool replayed;	     /* the answer was recorded by an earlier run */
 	skh_buffer_t kept;   /* an answer that is handed over whole */
 	uint32_t uncredited; /* bytes taken since the last credit */
+	uint64_t content;    /* hash of the request, whatever its id */
+	bool suspect;	     /* a crash is held against @content */
 } serving_t;
 
 static int64_t start_by(const skh_job_t *job, int64_t now_us)
@@ -51,10 +55,28 @@
 	if (n == SKH_ROUTE_MAX_TRIED)
 		return;
 	(void)g_strlcpy(serving->tried[n], serving->placement.peer, sizeof(serving->tried[n]));
+	serving->had_no_room[n] = false;
 	serving->query.tried[n] = serving->tried[n];
 	serving->query.n_tried++;
 }
 
+/* Nobody has room: from now on one of those that said so may queue the request. */
+static void forget_full(serving_t *serving)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < serving->query.n_tried; i++) {
+		if (serving->had_no_room[i])
+			continue;
+		memmove(serving->tried[kept], serving->tried[i], sizeof(serving->tried[i]));
+		serving->had_no_room[kept] = false;
+		serving->query.tried[kept] = serving->tried[kept];
+		kept++;
+	}
+	serving->query.n_tried = kept;
+	serving->relay.may_queue = true;
+}
+
 static void settle(serving_t *serving, bool succeeded, bool cancel)
 {
 	if (!serving->placed)
@@ -70,6 +92,7 @@
 	start->request = (char *)job->request_id;
 	start->customer = (char *)job->customer;
 	start->priority = job->priority;
+	start->weight = job->weight;
 	start->service = (char *)job->service;
 	start->method = (char *)job->method;
 	start->path = (char *)job->path;
@@ -90,6 +113,39 @@
 		skh_metrics_add(SKH_COUNT_RESUMES, 1);
 }
 
+static bool check_standing(serving_t *serving, Skh__Start *start, skh_error_t *err)
+{
+	skh_standing_t standing;
+
+	if (serving->content == 0)
+		serving->content = skh_wire_hash_content(start) | 1;
+	standing = skh_quarantine_standing(serving->quarantine, serving->content);
+	serving->suspect = standing != SKH_STANDING_CLEAR;
+	start->suspect = serving->suspect;
+	if (standing != SKH_STANDING_QUARANTINED)
+		return true;
+	skh_metrics_add(SKH_COUNT_QUARANTINED, 1);
+	return skh_error_set(err, SKH_QUARANTINED,
+			     "backend servers crashed while they ran this request");
+}
+
+static bool hand_over(serving_t *serving, Skh__Start *start, int64_t now_us, skh_error_t *err)
+{
+	const skh_job_t *job = serving->job;
+
+	if (serving->query.n_tried >= SKH_ROUTE_PROBES && !serving->relay.may_queue)
+		forget_full(serving);
+	for (;;) {
+		start->no_queue = !serving->relay.may_queue;
+		if (skh_link_place(serving->link, &serving->query, start, start_by(job, now_us),
+				   job->deadline_us, serving->inbox, &serving->placement, err))
+			return true;
+		if (err->kind != SKH_NO_BACKEND || serving->relay.may_queue)
+			return false;
+		forget_full(serving);
+	}
+}
+
 static skh_action_t place(serving_t *serving)
 {
 	const skh_job_t *job = serving->job;
@@ -106,8 +162,9 @@
 		serving->status = 0;
 	}
 	fill_start(serving, &start);
-	if (!skh_link_place(serving->link, &serving->query, &start, start_by(job, now_us),
-			    job->deadline_us, serving->inbox, &serving->placement, &err))
+	if (!check_standing(serving, &start, &err))
+		return skh_relay_not_placed(&serving->relay, &err);
+	if (!hand_over(serving, &start, now_us, &err))
 		return skh_relay_not_placed(&serving->relay, &err);
 	serving->placed = true;
 	note_tried(serving);
@@ -183,6 +240,8 @@
 	skh_error_t err;
 
 	(void)skh_error_set(&err, skh_kind_from_name(refuse->kind), "%s", refuse->text);
+	if (err.kind == SKH_OVERLOADED && !serving->relay.may_queue && serving->query.n_tried > 0)
+		serving->had_no_room[serving->query.n_tried - 1] = true;
 	if (skh_kind_may_retry(err.kind))
 		err.retry_at_us =
 			skh_clock_now_us() +
@@ -221,6 +280,28 @@
 	return event->type == SKH_EVENT_NOT_SENT;
 }
 
+/* The crash that an event tells of; 0 for none. */
+static uint64_t crash_in(const serving_t *serving, const skh_event_t *event)
+{
+	if (event->attempt != serving->placement.attempt)
+		return 0;
+	if (event->type == SKH_EVENT_LOST && event->loss != SKH_LOSS_SILENT)
+		return serving->placement.incarnation;
+	if (event->type == SKH_EVENT_FRAME && event->frame->body_case == SKH__FRAME__BODY_END)
+		return event->frame->end->crash;
+	return 0;
+}
+
+static void note_crash(serving_t *serving, const skh_event_t *event)
+{
+	uint64_t crash = crash_in(serving, event);
+
+	if (crash == 0 || !serving->placed)
+		return;
+	skh_quarantine_accuse(serving->quarantine, serving->content, crash);
+	serving->suspect = true;
+}
+
 static skh_action_t wait_one(serving_t *serving)
 {
 	skh_event_t *event = skh_inbox_pop(serving->inbox, serving->relay.deadline_us);
@@ -228,6 +309,7 @@
 
 	if (!event)
 		return skh_relay_timeout(&serving->relay);
+	note_crash(serving, event);
 	switch (event->type) {
 	case SKH_EVENT_FRAME:
 		action = on_frame(serving, event->frame);
@@ -236,7 +318,7 @@
 		action = skh_relay_refused(&serving->relay, event->attempt, &event->err);
 		break;
 	case SKH_EVENT_LOST:
-		action = skh_relay_lost(&serving->relay, event->attempt, event->certain);
+		action = skh_relay_lost(&serving->relay, event->attempt, event->loss);
 		break;
 	}
 	/* A refusal is an honest answer; a loss or a fault counts against the sidecar. */
@@ -251,6 +333,8 @@
 	skh_sink_t *sink = serving->sink;
 
 	settle(serving, true, false);
+	if (serving->suspect)
+		(void)skh_quarantine_clear(serving->quarantine, serving->content);
 	if (serving->begun)
 		return sink->ops->end(sink);
 	observe_first_byte(serving);
@@ -306,9 +390,16 @@
 		whole ? "" : serving->relay.error.text);
 }
 
-bool skh_serve_run(skh_link_t *link, const skh_job_t *job, skh_sink_t *sink, skh_error_t *result)
+bool skh_serve_run(skh_link_t *link, skh_quarantine_t *quarantine, const skh_job_t *job,
+		   skh_sink_t *sink, skh_error_t *result)
 {
-	serving_t serving = { .link = link, .job = job, .sink = sink, .kept = SKH_BUFFER_INIT };
+	serving_t serving = {
+		.link = link,
+		.quarantine = quarantine,
+		.job = job,
+		.sink = sink,
+		.kept = SKH_BUFFER_INIT,
+	};
 	bool whole;
 
 	skh_relay_init(&serving.relay, job->idempotent, job->stream, job->deadline_us);
@@ -316,6 +407,7 @@
 	serving.query.service = job->service;
 	serving.query.failure_domain = job->failure_domain;
 	serving.query.prefix_hash = job->prefix_hash;
+	serving.query.heat = skh_link_heat(link, job->prefix_hash);
 	whole = drive(&serving);
 	if (!whole && serving.relay.error.kind == SKH_OK)
 		give_up(&serving);
--- a/src/serve.h
+++ b/src/serve.h
@@ -9,6 +9,7 @@
  */
 
 #include "link.h"
+#include "quarantine.h"
 #include "relay.h"
 
 #ifdef __cplusplus
@@ -21,6 +22,7 @@
 	const char *customer;
 	const char *class_name; /* name of its priority */
 	uint32_t priority;
+	double weight; /* of the customer */
 	const char *service;
 	const char *failure_domain; /* of this entry */
 	const char *method;
@@ -58,7 +60,8 @@
  * @result: filled with the failure; SKH_OK when the answer was whole
  * Return: true when the whole answer was handed to @sink.
  */
-bool skh_serve_run(skh_link_t *link, const skh_job_t *job, skh_sink_t *sink, skh_error_t *result);
+bool skh_serve_run(skh_link_t *link, skh_quarantine_t *quarantine, const skh_job_t *job,
+		   skh_sink_t *sink, skh_error_t *result);
 
 #ifdef __cplusplus
 }
--- a/src/tell.c
+++ b/src/tell.c
@@ -65,7 +65,8 @@
 	refuse.attempt = attempt;
 	refuse.kind = (char *)skh_kind_name(err->kind);
 	refuse.text = (char *)err->text;
-	refuse.retry_after_us = RETRY_AFTER_US;
+	refuse.retry_after_us =
+		err->retry_at_us > 0 ? err->retry_at_us - skh_clock_now_us() : RETRY_AFTER_US;
 	frame.body_case = SKH__FRAME__BODY_REFUSE;
 	frame.refuse = &refuse;
 	(void)send_frame(teller, entry, &frame);
@@ -92,19 +93,19 @@
 	return send_frame(teller, entry, &frame);
 }
 
-void skh_tell_end(const skh_teller_t *teller, const char *entry, uint64_t attempt, uint64_t pieces,
-		  const skh_error_t *err, bool replayed)
+void skh_tell_end(const skh_teller_t *teller, const char *entry, const skh_ending_t *ending)
 {
 	Skh__Frame frame = SKH__FRAME__INIT;
 	Skh__End end = SKH__END__INIT;
 
-	end.attempt = attempt;
-	end.pieces = pieces;
-	end.whole = err == NULL;
-	end.replayed = replayed;
-	if (err) {
-		end.kind = (char *)skh_kind_name(err->kind);
-		end.text = (char *)err->text;
+	end.attempt = ending->attempt;
+	end.pieces = ending->pieces;
+	end.whole = ending->err == NULL;
+	end.replayed = ending->replayed;
+	end.crash = ending->crash;
+	if (ending->err) {
+		end.kind = (char *)skh_kind_name(ending->err->kind);
+		end.text = (char *)ending->err->text;
 	}
 	frame.body_case = SKH__FRAME__BODY_END;
 	frame.end = &end;
--- a/src/tell.h
+++ b/src/tell.h
@@ -39,13 +39,22 @@
 bool skh_tell_data(const skh_teller_t *teller, const char *entry, Skh__Data *data);
 
 /**
- * skh_tell_end() - nothing follows
+ * struct skh_ending - how an attempt ended
  * @pieces: data frames sent before
  * @err: NULL when the answer is whole
  * @replayed: the answer was recorded by an earlier run
+ * @crash: the backend server's crash that ended it; 0 for none
  */
-void skh_tell_end(const skh_teller_t *teller, const char *entry, uint64_t attempt, uint64_t pieces,
-		  const skh_error_t *err, bool replayed);
+typedef struct skh_ending {
+	uint64_t attempt;
+	uint64_t pieces;
+	const skh_error_t *err;
+	bool replayed;
+	uint64_t crash;
+} skh_ending_t;
+
+/** skh_tell_end() - nothing follows */
+void skh_tell_end(const skh_teller_t *teller, const char *entry, const skh_ending_t *ending);
 
 #ifdef __cplusplus
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -104,3 +104,12 @@
 {
 	skh__frame__free_unpacked(frame, NULL);
 }
+
+uint64_t skh_wire_hash_content(const Skh__Start *start)
+{
+	uint64_t hash = skh_chunk_hash(skh_chunk_from_string(start->service), 0);
+
+	hash = skh_chunk_hash(skh_chunk_from_string(start->method), hash);
+	hash = skh_chunk_hash(skh_chunk_from_string(start->path), hash);
+	return skh_chunk_hash(skh_chunk_make(start->body.data, start->body.len), hash);
+}
--- a/src/wire.h
+++ b/src/wire.h
@@ -42,6 +42,9 @@
  */
 void skh_wire_setup_router(void *socket, int linger_ms);
 
+/** skh_wire_hash_content() - the same for each copy of a request, whoever sends it */
+uint64_t skh_wire_hash_content(const Skh__Start *start);
+
 /** skh_wire_pack() - append the packed @frame to @out */
 void skh_wire_pack(const Skh__Frame *frame, skh_buffer_t *out);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1020,7 +1020,7 @@
   (ProtobufCMessageInit) skh__status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__start__field_descriptors[16] =
+static const ProtobufCFieldDescriptor skh__start__field_descriptors[19] =
 {
   {
     "attempt",
@@ -1214,6 +1214,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, suspect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_queue",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, no_queue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__start__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
@@ -1225,6 +1261,7 @@
   2,   /* field[2] = incarnation */
   15,   /* field[15] = key */
   7,   /* field[7] = method */
+  17,   /* field[17] = no_queue */
   8,   /* field[8] = path */
   6,   /* field[6] = priority */
   1,   /* field[1] = request */
@@ -1232,11 +1269,13 @@
   14,   /* field[14] = service */
   3,   /* field[3] = start_before_us */
   11,   /* field[11] = stream */
+  16,   /* field[16] = suspect */
+  18,   /* field[18] = weight */
 };
 static const ProtobufCIntRange skh__start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor skh__start__descriptor =
 {
@@ -1246,7 +1285,7 @@
   "Skh__Start",
   "skh",
   sizeof(Skh__Start),
-  16,
+  19,
   skh__start__field_descriptors,
   skh__start__field_indices_by_name,
   1,  skh__start__number_ranges,
@@ -1547,7 +1586,7 @@
   (ProtobufCMessageInit) skh__data__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__end__field_descriptors[6] =
+static const ProtobufCFieldDescriptor skh__end__field_descriptors[7] =
 {
   {
     "attempt",
@@ -1621,9 +1660,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__end__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
+  6,   /* field[6] = crash */
   3,   /* field[3] = kind */
   1,   /* field[1] = pieces */
   5,   /* field[5] = replayed */
@@ -1633,7 +1685,7 @@
 static const ProtobufCIntRange skh__end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor skh__end__descriptor =
 {
@@ -1643,7 +1695,7 @@
   "Skh__End",
   "skh",
   sizeof(Skh__End),
-  6,
+  7,
   skh__end__field_descriptors,
   skh__end__field_indices_by_name,
   1,  skh__end__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -157,10 +157,22 @@
    * idempotency key; empty for none
    */
   char *key;
+  /*
+   * ran when a backend server crashed
+   */
+  protobuf_c_boolean suspect;
+  /*
+   * refuse rather than let it wait
+   */
+  protobuf_c_boolean no_queue;
+  /*
+   * the customer's share
+   */
+  double weight;
 };
 #define SKH__START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__start__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Skh__Cancel
@@ -264,10 +276,14 @@
    * the answer was recorded by an earlier run
    */
   protobuf_c_boolean replayed;
+  /*
+   * the backend server's crash that ended it; 0 for none
+   */
+  uint64_t crash;
 };
 #define SKH__END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__end__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/worker.c
+++ b/src/worker.c
@@ -13,6 +13,10 @@
 #define ENTRY_MEMORY_US	  (300 * SKH_US_PER_S)
 #define RECORD_WAIT_US	  (1 * SKH_US_PER_S)
 #define CLAIM_INTERVAL_US (20 * SKH_US_PER_MS)
+/* Connections that break within this time broke in the same crash. */
+#define SAME_CRASH_US (5 * SKH_US_PER_S)
+/* A suspect that has gone on for this many events is past what it is suspected of. */
+#define SURVIVED_EVENTS 32
 
 /** enum step - where an attempt stands */
 typedef enum step {
@@ -31,6 +35,7 @@
 	Skh__Frame *frame; /* its Start, owned */
 	skh_answer_t answer;
 	uint64_t pieces;
+	uint64_t events;
 	uint64_t sent_bytes;
 	uint64_t credited_bytes;
 	bool head_sent;
@@ -56,7 +61,10 @@
 	GHashTable *entries;	 /* routing id -> when it was last heard, int64_t */
 	skh_buffer_t piece;	 /* reused for each piece */
 	int64_t newest_revision; /* that any entry has named */
-	skh_phase_t told_phase;	 /* what the entries know */
+	uint64_t crash;		 /* the latest crash of the backend server */
+	int64_t crash_at_us;
+	bool room_made;		/* a waiting attempt may start */
+	skh_phase_t told_phase; /* what the entries know */
 };
 
 static void free_attempt(gpointer item)
@@ -101,16 +109,6 @@
 			   attempt->claim_revision);
 }
 
-/* The same key stands for the same request only if all of this is the same. */
-static uint64_t hash_request(const Skh__Start *start)
-{
-	uint64_t hash = skh_chunk_hash(skh_chunk_from_string(start->service), 0);
-
-	hash = skh_chunk_hash(skh_chunk_from_string(start->method), hash);
-	hash = skh_chunk_hash(skh_chunk_from_string(start->path), hash);
-	return skh_chunk_hash(skh_chunk_make(start->body.data, start->body.len), hash);
-}
-
 static void claim_attempt(skh_worker_t *worker, attempt_t *attempt)
 {
 	const Skh__Start *start = attempt->frame->start;
@@ -121,7 +119,7 @@
 	attempt->claim.state = SKH_CLAIM_CLAIMED;
 	attempt->claim.owner = g_strdup_printf("%016" PRIx64 "-%016" PRIx64,
 					       worker->teller.incarnation, attempt->id);
-	attempt->claim.body_hash = hash_request(start);
+	attempt->claim.body_hash = skh_wire_hash_content(start);
 	submit_claim(worker, attempt);
 }
 
@@ -178,12 +176,28 @@
 	submit_claim(worker, attempt);
 }
 
+/* Attempts that end together name the same crash. */
+static uint64_t crash_of(skh_worker_t *worker, const skh_error_t *err)
+{
+	int64_t now_us = skh_clock_now_us();
+
+	if (!err || err->kind != SKH_BACKEND_LOST)
+		return 0;
+	if (worker->crash == 0 || now_us - worker->crash_at_us > SAME_CRASH_US) {
+		worker->crash = skh_random_u64() | 1;
+		worker->crash_at_us = now_us;
+	}
+	return worker->crash;
+}
+
 static void tell_end(skh_worker_t *worker, attempt_t *attempt, const skh_error_t *err,
 		     bool replayed)
 {
+	const skh_ending_t ending = { attempt->id, attempt->pieces, err, replayed,
+				      crash_of(worker, err) };
+
 	if (!attempt->told)
-		skh_tell_end(&worker->teller, attempt->entry, attempt->id, attempt->pieces, err,
-			     replayed);
+		skh_tell_end(&worker->teller, attempt->entry, &ending);
 	attempt->told = true;
 }
 
@@ -204,6 +218,14 @@
 	forget(worker, id, true);
 }
 
+static void refuse_evicted(skh_worker_t *worker)
+{
+	uint64_t id;
+
+	while ((id = skh_gate_evicted(worker->gate)) != 0)
+		refuse_waiting(worker, id, SKH_OVERLOADED, "its customer is over its share");
+}
+
 static void on_start(skh_worker_t *worker, const char *entry, Skh__Frame *frame)
 {
 	skh_error_t err;
@@ -214,6 +236,7 @@
 
 	if (verdict == SKH_VERDICT_REFUSE)
 		skh_tell_refused(&worker->teller, entry, id, &err);
+	refuse_evicted(worker);
 	if (verdict != SKH_VERDICT_START && verdict != SKH_VERDICT_QUEUE) {
 		skh_wire_free(frame);
 		return;
@@ -277,7 +300,7 @@
 	case SKH_FATE_ENDED:
 	case SKH_FATE_UNKNOWN:
 		(void)skh_error_set(&err, SKH_OUTCOME_UNKNOWN, "its answer was lost on the way");
-		skh_tell_end(teller, entry, ask->attempt, 0, &err, false);
+		skh_tell_end(teller, entry, &(skh_ending_t){ ask->attempt, 0, &err, false, 0 });
 		break;
 	}
 }
@@ -347,6 +370,18 @@
 		attempt->claim.has_answer = false;
 }
 
+static void note_events(skh_worker_t *worker, attempt_t *attempt, uint32_t events)
+{
+	bool was_past = attempt->events >= SURVIVED_EVENTS;
+
+	attempt->events += events;
+	if (was_past || attempt->events < SURVIVED_EVENTS)
+		return;
+	skh_gate_survived(worker->gate, attempt->id);
+	/* Not now: libcurl is delivering these events and takes no new transfer. */
+	worker->room_made = true;
+}
+
 static void on_bytes(void *context, uint64_t id, int32_t status, const char *content_type,
 		     skh_chunk_t bytes)
 {
@@ -366,6 +401,7 @@
 			   events);
 	if (attempt->sent_bytes >= attempt->credited_bytes)
 		skh_fetch_pause(worker->fetch, id, true);
+	note_events(worker, attempt, events);
 }
 
 static void record(skh_worker_t *worker, attempt_t *attempt, int32_t status,
@@ -619,6 +655,9 @@
 void skh_worker_wait(skh_worker_t *worker, int64_t until_us)
 {
 	skh_fetch_wait(worker->fetch, until_us);
+	if (worker->room_made)
+		begin_waiting(worker);
+	worker->room_made = false;
 	take_claim_results(worker);
 }
 
--- a/test/history_test.cc
+++ b/test/history_test.cc
@@ -333,7 +333,8 @@
 			act(id, skh_relay_refused(&send.relay, attempt, &err));
 			return;
 		}
-		act(id, skh_relay_lost(&send.relay, attempt, certain));
+		act(id, skh_relay_lost(&send.relay, attempt,
+				       certain ? SKH_LOSS_REPLACED : SKH_LOSS_SILENT));
 	}
 
 	static skh_error_t error_of(skh_kind_t kind)
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -43,7 +43,7 @@
 
 	skh_relay_sent(&relay, 7);
 	EXPECT_EQ(skh_relay_data(&relay, 7, 0, 1), SKH_ACT_FORWARD);
-	EXPECT_EQ(skh_relay_lost(&relay, 7, false), SKH_ACT_PLACE);
+	EXPECT_EQ(skh_relay_lost(&relay, 7, SKH_LOSS_SILENT), SKH_ACT_PLACE);
 	skh_relay_sent(&relay, 8);
 	EXPECT_EQ(skh_relay_data(&relay, 7, 1, 1), SKH_ACT_WAIT);
 	EXPECT_EQ(skh_relay_end(&relay, 7, 2, nullptr), SKH_ACT_WAIT);
@@ -120,7 +120,7 @@
 	skh_error_t err = error_of(SKH_OVERLOADED);
 
 	skh_relay_sent(&relay, 7);
-	EXPECT_EQ(skh_relay_lost(&relay, 7, false), SKH_ACT_PLACE);
+	EXPECT_EQ(skh_relay_lost(&relay, 7, SKH_LOSS_SILENT), SKH_ACT_PLACE);
 	skh_relay_sent(&relay, 8);
 	EXPECT_EQ(skh_relay_refused(&relay, 7, &err), SKH_ACT_WAIT);
 	EXPECT_EQ(relay.attempt, 8U);
@@ -134,7 +134,7 @@
 		skh_relay_sent(&relay, 7);
 		if (started)
 			(void)skh_relay_started(&relay, 7);
-		EXPECT_EQ(skh_relay_lost(&relay, 7, true), SKH_ACT_FAIL);
+		EXPECT_EQ(skh_relay_lost(&relay, 7, SKH_LOSS_REPLACED), SKH_ACT_FAIL);
 		EXPECT_EQ(relay.error.run, SKH_RUN_UNKNOWN);
 	}
 }
@@ -144,7 +144,7 @@
 	skh_relay_t relay = relay_of(false, false);
 
 	skh_relay_sent(&relay, 7);
-	EXPECT_EQ(skh_relay_lost(&relay, 7, false), SKH_ACT_WAIT);
+	EXPECT_EQ(skh_relay_lost(&relay, 7, SKH_LOSS_SILENT), SKH_ACT_WAIT);
 	EXPECT_EQ(skh_relay_data(&relay, 7, 0, 0), SKH_ACT_FORWARD);
 	EXPECT_EQ(skh_relay_end(&relay, 7, 1, nullptr), SKH_ACT_FINISH);
 }
@@ -177,7 +177,7 @@
 
 	for (uint64_t attempt = 1; action == SKH_ACT_PLACE; attempt++) {
 		skh_relay_sent(&relay, attempt);
-		action = skh_relay_lost(&relay, attempt, true);
+		action = skh_relay_lost(&relay, attempt, SKH_LOSS_REPLACED);
 		losses++;
 	}
 	EXPECT_EQ(action, SKH_ACT_FAIL);
@@ -190,9 +190,9 @@
 
 	skh_relay_sent(&relay, 1);
 	(void)skh_relay_data(&relay, 1, 0, 1);
-	EXPECT_EQ(skh_relay_lost(&relay, 1, true), SKH_ACT_PLACE);
+	EXPECT_EQ(skh_relay_lost(&relay, 1, SKH_LOSS_REPLACED), SKH_ACT_PLACE);
 	skh_relay_sent(&relay, 2);
-	EXPECT_EQ(skh_relay_lost(&relay, 2, true), SKH_ACT_FAIL);
+	EXPECT_EQ(skh_relay_lost(&relay, 2, SKH_LOSS_REPLACED), SKH_ACT_FAIL);
 	EXPECT_EQ(relay.error.kind, SKH_CUT_OFF);
 }
 
@@ -215,7 +215,7 @@
 	skh_relay_sent(&relay, 7);
 	EXPECT_EQ(skh_relay_end(&relay, 7, 0, nullptr), SKH_ACT_FINISH);
 	EXPECT_EQ(skh_relay_data(&relay, 7, 0, 0), SKH_ACT_WAIT);
-	EXPECT_EQ(skh_relay_lost(&relay, 7, true), SKH_ACT_WAIT);
+	EXPECT_EQ(skh_relay_lost(&relay, 7, SKH_LOSS_REPLACED), SKH_ACT_WAIT);
 	EXPECT_EQ(skh_relay_timeout(&relay), SKH_ACT_WAIT);
 }
 
--- a/test/route_test.cc
+++ b/test/route_test.cc
@@ -1,5 +1,6 @@
 // The choice of a sidecar, as a pure function of the view.
 #include "clock.h"
+#include "heat.h"
 #include "route.h"
 
 #include <gtest/gtest.h>
@@ -144,6 +145,62 @@
 	EXPECT_NE(fleet.pick(1, 12345), home);
 }
 
+TEST(Route, EveryEntryAgreesOnTheOrderOfHomes)
+{
+	Fleet one(8);
+	Fleet other(8);
+	skh_peer_t *home = one.pick(1, 777);
+
+	EXPECT_STREQ(home->id, other.pick(99, 777)->id);
+	one.say(static_cast<size_t>(atoi(home->id + 1)), SKH_PHASE_READY, 1, 8);
+	other.say(static_cast<size_t>(atoi(home->id + 1)), SKH_PHASE_READY, 1, 8);
+	EXPECT_STRNE(home->id, one.pick(1, 777)->id);
+	EXPECT_STREQ(one.pick(1, 777)->id, other.pick(99, 777)->id);
+}
+
+TEST(Route, AServerThatWasFullAWhileAgoIsAskedAgain)
+{
+	Fleet fleet(8);
+	skh_peer_t *home = fleet.pick(1, 777);
+	const size_t index = static_cast<size_t>(atoi(home->id + 1));
+
+	for (size_t i = 0; i < 8; i++)
+		fleet.say(i, SKH_PHASE_READY, 1, 8);
+	EXPECT_NE(fleet.peer(index), fleet.pick(1, 777));
+	fleet.now_us += 200 * SKH_US_PER_MS;
+	EXPECT_EQ(fleet.peer(index), fleet.pick(1, 777));
+}
+
+TEST(Route, WorkSentSinceTheReportCounts)
+{
+	Fleet fleet(1);
+	skh_peer_t *peer = fleet.peer(0);
+
+	skh_peers_take(peer, fleet.now_us);
+	fleet.say(0, SKH_PHASE_READY, 1, 5);
+	EXPECT_EQ(5u, skh_peers_work(peer));
+	skh_peers_take(peer, fleet.now_us);
+	EXPECT_EQ(6u, skh_peers_work(peer));
+	skh_peers_give_back(peer, true, fleet.now_us);
+	skh_peers_give_back(peer, true, fleet.now_us);
+	EXPECT_EQ(4u, skh_peers_work(peer));
+}
+
+TEST(Route, AHotPrefixUsesSeveralHomes)
+{
+	skh_heat_t *heat = skh_heat_new();
+	double hot = 0.0;
+	double cold = 0.0;
+
+	for (int i = 0; i < 200; i++)
+		hot = skh_heat_note(heat, i % 2 ? 0x100000000ULL : 0x1000000000ULL * i, 1000 + i);
+	cold = skh_heat_note(heat, 0xabcd00000000ULL, 2000);
+	EXPECT_GT(hot, 0.3);
+	EXPECT_EQ(0.0, cold);
+	EXPECT_LT(skh_heat_note(heat, 0x100000000ULL, 200 * SKH_US_PER_S), 0.1);
+	skh_heat_free(heat);
+}
+
 TEST(Route, AReplacedProcessIsNoticed)
 {
 	Fleet fleet(1);
