Administer the whole system through any entry; hold retries to a budget

Cause: (1) only a command with access to the key-value service could change the configuration; nobody could tell teams apart, see the history or ask why a request went where it went. (2) Servers that take work and lose it were sent half as much again: every loss was repeated at once.

Changes: PUT/GET/dry-run/history/reach/why on the administration address, roles and teams from [[operator]] in the manifest, ETag and If-Match, an OpenAPI file held against the table of routes by a test; a retry budget for each customer and entry (budget.c), lost work waits for it at jittered moments.

Ruled out: keys in the settings (a rotation would be a restart); an administration process of its own (an instance set aside for control).

Conclusion: the first operators come while nobody is listed; the apply command still writes to the service itself.

--- a/src/admin.c
+++ b/src/admin.c
@@ -1,8 +1,10 @@
 #include "admin.h"
 
+#include "decisions.h"
 #include "metrics.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 
 #define ADMIN_THREADS	 4
@@ -16,13 +18,24 @@
 	skh_http_server_t *server;
 	const skh_admin_ops_t *ops;
 	void *context;
+	skh_board_t *board;
+	const skh_control_t *control;
 };
 
-typedef bool (*admin_fn)(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err);
+/* One request: who asks, and the configuration that says so. */
+typedef struct call {
+	skh_admin_t *admin;
+	skh_http_request_t *request;
+	const skh_config_t *config; /* NULL before the first */
+	const skh_operator_t *who;  /* NULL while no operator is listed */
+} call_t;
+
+typedef bool (*admin_fn)(const call_t *call, skh_error_t *err);
 
 typedef struct admin_route {
 	const char *method;
 	const char *path;
+	skh_need_t need;
 	admin_fn handle;
 } admin_route_t;
 
@@ -32,32 +45,6 @@
 	return true;
 }
 
-static bool handle_health(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
-{
-	(void)admin;
-	(void)err;
-	return answer_text(request, TEXT_TYPE, "ok\n");
-}
-
-static bool handle_ready(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
-{
-	if (!admin->ops->is_ready(admin->context))
-		return skh_error_set(err, SKH_NOT_READY, "takes no new work now");
-	return answer_text(request, TEXT_TYPE, "ready\n");
-}
-
-static bool handle_metrics(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
-{
-	skh_buffer_t out = SKH_BUFFER_INIT;
-
-	(void)admin;
-	(void)err;
-	skh_metrics_write(&out);
-	(void)answer_text(request, TEXT_TYPE, skh_buffer_text(&out));
-	skh_buffer_free(&out);
-	return true;
-}
-
 /* Takes @json. */
 static bool answer_json(skh_http_request_t *request, json_t *json)
 {
@@ -81,106 +68,247 @@
 	return complete;
 }
 
-static bool handle_status(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_health(const call_t *call, skh_error_t *err)
+{
+	(void)err;
+	return answer_text(call->request, TEXT_TYPE, "ok\n");
+}
+
+static bool handle_ready(const call_t *call, skh_error_t *err)
+{
+	if (!call->admin->ops->is_ready(call->admin->context))
+		return skh_error_set(err, SKH_NOT_READY, "takes no new work now");
+	return answer_text(call->request, TEXT_TYPE, "ready\n");
+}
+
+static bool handle_metrics(const call_t *call, skh_error_t *err)
+{
+	skh_buffer_t out = SKH_BUFFER_INIT;
+
+	(void)err;
+	skh_metrics_write(&out);
+	(void)answer_text(call->request, TEXT_TYPE, skh_buffer_text(&out));
+	skh_buffer_free(&out);
+	return true;
+}
+
+static bool handle_status(const call_t *call, skh_error_t *err)
 {
 	(void)err;
-	return answer_json(request, admin->ops->status(admin->context));
+	return answer_json(call->request, call->admin->ops->status(call->admin->context));
 }
 
-static bool set_drain(skh_admin_t *admin, skh_http_request_t *request, bool drain, skh_error_t *err)
+static bool set_drain(const call_t *call, bool drain, skh_error_t *err)
 {
-	if (!admin->ops->drain)
+	if (!call->admin->ops->drain)
 		return skh_error_set(err, SKH_NOT_FOUND, "this process can't be drained");
-	admin->ops->drain(admin->context, drain);
-	return answer_text(request, JSON_TYPE, drain ? "{\"drain\":true}" : "{\"drain\":false}");
+	call->admin->ops->drain(call->admin->context, drain);
+	return answer_text(call->request, JSON_TYPE,
+			   drain ? "{\"drain\":true}" : "{\"drain\":false}");
 }
 
-static bool handle_drain(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_drain(const call_t *call, skh_error_t *err)
 {
-	return set_drain(admin, request, true, err);
+	return set_drain(call, true, err);
 }
 
-static bool handle_undrain(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_undrain(const call_t *call, skh_error_t *err)
 {
-	return set_drain(admin, request, false, err);
+	return set_drain(call, false, err);
 }
 
-static bool handle_order(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_order(const call_t *call, skh_error_t *err)
 {
 	json_t *json = NULL;
 	bool queued;
 
-	if (!admin->ops->order)
+	if (!call->admin->ops->order)
 		return skh_error_set(err, SKH_NOT_FOUND, "this process has no engine");
-	if (!read_json(request, &json, err))
+	if (!read_json(call->request, &json, err))
 		return false;
-	queued = admin->ops->order(admin->context, json, err);
+	queued = call->admin->ops->order(call->admin->context, json, err);
 	json_decref(json);
-	return queued && answer_text(request, JSON_TYPE, "{\"queued\":true}");
+	return queued && answer_text(call->request, JSON_TYPE, "{\"queued\":true}");
 }
 
-static bool handle_suspects(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_suspects(const call_t *call, skh_error_t *err)
 {
-	if (!admin->ops->suspects)
+	if (!call->admin->ops->suspects)
 		return skh_error_set(err, SKH_NOT_FOUND, "this process keeps no suspects");
-	return answer_json(request, admin->ops->suspects(admin->context));
+	return answer_json(call->request, call->admin->ops->suspects(call->admin->context));
 }
 
-static bool handle_clear(skh_admin_t *admin, skh_http_request_t *request, skh_error_t *err)
+static bool handle_clear(const call_t *call, skh_error_t *err)
 {
 	json_t *json = NULL;
 	const char *content;
 	bool cleared;
 
-	if (!admin->ops->clear_suspect)
+	if (!call->admin->ops->clear_suspect)
 		return skh_error_set(err, SKH_NOT_FOUND, "this process keeps no suspects");
-	if (!read_json(request, &json, err))
+	if (!read_json(call->request, &json, err))
 		return false;
 	content = json_string_value(json_object_get(json, "content"));
 	if (!content) {
 		json_decref(json);
 		return skh_error_set(err, SKH_BAD_REQUEST, "\"content\" must be a text");
 	}
-	cleared = admin->ops->clear_suspect(admin->context, content);
+	cleared = call->admin->ops->clear_suspect(call->admin->context, content);
 	json_decref(json);
-	return answer_json(request, json_pack("{s:b}", "cleared", cleared));
+	return answer_json(call->request, json_pack("{s:b}", "cleared", cleared));
+}
+
+static bool needs_control(const call_t *call, skh_error_t *err)
+{
+	return call->admin->control || skh_error_set(err, SKH_NOT_FOUND, "ask an entry");
+}
+
+static bool answer_or_fail(const call_t *call, json_t *json)
+{
+	return json && answer_json(call->request, json);
+}
+
+static void add_etag(const call_t *call, int64_t revision)
+{
+	char etag[32];
+
+	(void)g_snprintf(etag, sizeof(etag), "\"%" PRId64 "\"", revision);
+	skh_http_add_header(call->request, "ETag", etag);
+}
+
+static bool handle_config(const call_t *call, skh_error_t *err)
+{
+	if (!call->config)
+		return skh_error_set(err, SKH_NOT_READY, "no configuration is in force yet");
+	add_etag(call, call->config->revision);
+	return answer_json(call->request, skh_control_config(call->config));
+}
+
+/* If-Match: "REVISION" guards against a change that came in between. */
+static bool read_base(const call_t *call, int64_t *base, skh_error_t *err)
+{
+	const char *text = skh_http_header(call->request, "If-Match");
+	char *end = NULL;
+
+	*base = -1;
+	if (!text || strcmp(text, "*") == 0)
+		return true;
+	*base = g_ascii_strtoll(*text == '"' ? text + 1 : text, &end, 10);
+	if (end == text || (*end != '"' && *end != '\0') || *base < 0)
+		return skh_error_set(err, SKH_BAD_REQUEST, "If-Match is not a revision");
+	return true;
+}
+
+static bool put_config(const call_t *call, bool dry_run, skh_error_t *err)
+{
+	skh_buffer_t body = SKH_BUFFER_INIT;
+	json_t *answer = NULL;
+	int64_t base;
+
+	if (needs_control(call, err) && read_base(call, &base, err) &&
+	    skh_http_read_body(call->request, &body, err))
+		answer = skh_control_apply(call->admin->control, call->config, call->who,
+					   skh_buffer_chunk(&body), base, dry_run, err);
+	skh_buffer_free(&body);
+	return answer_or_fail(call, answer);
+}
+
+static bool handle_put_config(const call_t *call, skh_error_t *err)
+{
+	return put_config(call, false, err);
+}
+
+static bool handle_dry_run(const call_t *call, skh_error_t *err)
+{
+	return put_config(call, true, err);
+}
+
+static bool handle_history(const call_t *call, skh_error_t *err)
+{
+	return needs_control(call, err) &&
+	       answer_or_fail(call, skh_control_history(call->admin->control, err));
+}
+
+static bool handle_reach(const call_t *call, skh_error_t *err)
+{
+	return needs_control(call, err) &&
+	       answer_or_fail(call, skh_control_reach(call->admin->control, err));
+}
+
+static bool handle_why(const call_t *call, skh_error_t *err)
+{
+	const char *query = skh_http_query(call->request);
+	json_t *found = NULL;
+
+	if (g_str_has_prefix(query, "request="))
+		found = skh_decisions_find(query + strlen("request="));
+	if (!found)
+		return skh_error_set(err, SKH_NOT_FOUND,
+				     "this process remembers no such request; ask another entry");
+	return answer_json(call->request, found);
 }
 
 static const admin_route_t routes[] = {
-	{ "GET", "/healthz", handle_health },
-	{ "GET", "/readyz", handle_ready },
-	{ "GET", "/metrics", handle_metrics },
-	{ "GET", "/admin/v1/status", handle_status },
-	{ "POST", "/admin/v1/drain", handle_drain },
-	{ "POST", "/admin/v1/undrain", handle_undrain },
-	{ "POST", "/admin/v1/orders", handle_order },
-	{ "GET", "/admin/v1/suspects", handle_suspects },
-	{ "POST", "/admin/v1/suspects/clear", handle_clear },
+	{ "GET", "/healthz", SKH_NEED_NOTHING, handle_health },
+	{ "GET", "/readyz", SKH_NEED_NOTHING, handle_ready },
+	{ "GET", "/metrics", SKH_NEED_NOTHING, handle_metrics },
+	{ "GET", "/admin/v1/status", SKH_NEED_NOTHING, handle_status },
+	{ "POST", "/admin/v1/drain", SKH_NEED_OPERATOR, handle_drain },
+	{ "POST", "/admin/v1/undrain", SKH_NEED_OPERATOR, handle_undrain },
+	{ "POST", "/admin/v1/orders", SKH_NEED_OPERATOR, handle_order },
+	{ "GET", "/admin/v1/suspects", SKH_NEED_READER, handle_suspects },
+	{ "POST", "/admin/v1/suspects/clear", SKH_NEED_OPERATOR, handle_clear },
+	{ "GET", "/admin/v1/config", SKH_NEED_READER, handle_config },
+	{ "PUT", "/admin/v1/config", SKH_NEED_TEAM, handle_put_config },
+	{ "POST", "/admin/v1/config/dry-run", SKH_NEED_TEAM, handle_dry_run },
+	{ "GET", "/admin/v1/history", SKH_NEED_READER, handle_history },
+	{ "GET", "/admin/v1/reach", SKH_NEED_READER, handle_reach },
+	{ "GET", "/admin/v1/why", SKH_NEED_READER, handle_why },
 };
 
-static void handle(void *context, skh_http_request_t *request)
+bool skh_admin_route(size_t index, const char **method, const char **path)
+{
+	if (index >= G_N_ELEMENTS(routes))
+		return false;
+	*method = routes[index].method;
+	*path = routes[index].path;
+	return true;
+}
+
+static const admin_route_t *find_route(const skh_http_request_t *request, skh_error_t *err)
 {
-	skh_admin_t *admin = context;
-	skh_error_t err;
 	bool path_known = false;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
 		if (strcmp(routes[i].path, skh_http_path(request)) != 0)
 			continue;
 		path_known = true;
-		if (strcmp(routes[i].method, skh_http_method(request)) != 0)
-			continue;
-		if (!routes[i].handle(admin, request, &err))
-			skh_http_problem(request, &err);
-		return;
+		if (strcmp(routes[i].method, skh_http_method(request)) == 0)
+			return &routes[i];
 	}
-	(void)skh_error_set(&err, path_known ? SKH_METHOD_NOT_ALLOWED : SKH_NOT_FOUND,
+	(void)skh_error_set(err, path_known ? SKH_METHOD_NOT_ALLOWED : SKH_NOT_FOUND,
 			    path_known ? "the method is not allowed here" : "no such path");
-	skh_http_problem(request, &err);
+	return NULL;
+}
+
+static void handle(void *context, skh_http_request_t *request)
+{
+	skh_admin_t *admin = context;
+	call_t call = { admin, request, skh_board_config(admin->board), NULL };
+	skh_error_t err;
+	const admin_route_t *route = find_route(request, &err);
+
+	if (!route ||
+	    !skh_access_check(call.config ? call.config->manifest : NULL,
+			      skh_http_header(request, "Authorization"), route->need, &call.who,
+			      &err) ||
+	    !route->handle(&call, &err))
+		skh_http_problem(request, &err);
+	skh_board_release(call.config);
 }
 
 skh_admin_t *skh_admin_start(const char *listen, const skh_admin_ops_t *ops, void *context,
-			     skh_error_t *err)
+			     skh_board_t *board, const skh_control_t *control, skh_error_t *err)
 {
 	skh_admin_t *admin = g_new0(skh_admin_t, 1);
 	const skh_http_options_t options = { listen, ADMIN_THREADS, ADMIN_STACK_KIB,
@@ -188,6 +316,8 @@
 
 	admin->ops = ops;
 	admin->context = context;
+	admin->board = board;
+	admin->control = control;
 	admin->server = skh_http_start(&options, handle, admin, err);
 	if (!admin->server) {
 		g_free(admin);
--- a/src/admin.h
+++ b/src/admin.h
@@ -8,6 +8,9 @@
  * own.
  */
 
+#include "access.h"
+#include "board.h"
+#include "control.h"
 #include "http.h"
 
 #include <jansson.h>
@@ -33,8 +36,17 @@
 	bool (*clear_suspect)(void *context, const char *content);
 } skh_admin_ops_t;
 
+/**
+ * skh_admin_start() - listen and answer
+ * @board: the configuration in force names who may do what
+ * @control: for the whole system; NULL where it is not offered
+ */
 skh_admin_t *skh_admin_start(const char *listen, const skh_admin_ops_t *ops, void *context,
-			     skh_error_t *err);
+			     skh_board_t *board, const skh_control_t *control, skh_error_t *err);
+
+/** skh_admin_route() - method and path of route number @index; false beyond the last */
+bool skh_admin_route(size_t index, const char **method, const char **path);
+
 void skh_admin_stop(skh_admin_t *admin);
 
 #ifdef __cplusplus
--- a/src/caller.c
+++ b/src/caller.c
@@ -2,6 +2,7 @@
 
 #include "claim.h"
 #include "clock.h"
+#include "decisions.h"
 #include "log.h"
 #include "metrics.h"
 #include "serve.h"
@@ -382,6 +383,8 @@
 	skh_http_add_header(request, "X-Request-Id", intake.request_id);
 	if (!handle(&intake, &err)) {
 		skh_metrics_add(SKH_COUNT_REFUSED, 1);
+		skh_decisions_note(intake.request_id, intake.customer ? intake.customer->name : "",
+				   intake.service ? intake.service->name : "", NULL, 0, &err);
 		skh_log(SKH_LOG_DEBUG, PART, "Request refused.", "request=%s kind=%s reason=%s",
 			intake.request_id, skh_kind_name(err.kind), err.text);
 		skh_http_problem(request, &err);
--- /dev/null
+++ b/src/control.c
@@ -0,0 +1,133 @@
+#include "control.h"
+
+#include "apply.h"
+#include "config.h"
+#include "difference.h"
+#include "fleet.h"
+
+#include <glib.h>
+
+json_t *skh_control_config(const skh_config_t *config)
+{
+	g_autofree char *text = skh_node_to_json(skh_manifest_tree(config->manifest));
+
+	return json_pack("{s:I, s:s, s:s, s:o}", "revision", (json_int_t)config->revision, "by",
+			 config->by, "reason", config->reason, "manifest",
+			 json_loads(text, 0, NULL));
+}
+
+static void list_difference(void *context, const skh_difference_t *difference)
+{
+	json_array_append_new(context,
+			      json_pack("{s:s, s:s, s:s}", "kind", difference->kind, "name",
+					difference->name, "change", difference->change));
+}
+
+static json_t *list_differences(const skh_config_t *config, const skh_manifest_t *manifest)
+{
+	json_t *list = json_array();
+
+	skh_difference_each(config ? skh_manifest_tree(config->manifest) : NULL,
+			    skh_manifest_tree(manifest), list_difference, list);
+	return list;
+}
+
+static skh_manifest_t *read_manifest(skh_chunk_t text, skh_error_t *err)
+{
+	skh_faults_t *faults = skh_faults_new();
+	skh_manifest_t *manifest = skh_manifest_from_toml(text, faults);
+
+	if (!manifest) {
+		const skh_fault_t *first = skh_faults_at(faults, 0);
+
+		(void)skh_error_set(err, SKH_CONFIG_INVALID, "%zu faults; line %u: %s: %s",
+				    skh_faults_count(faults), first->line, first->key,
+				    first->reason);
+	}
+	skh_faults_free(faults);
+	return manifest;
+}
+
+static json_t *have_accepted(const skh_control_t *control, const skh_manifest_t *manifest,
+			     int64_t base, skh_error_t *err)
+{
+	skh_apply_result_t result;
+	json_t *answer = NULL;
+
+	if (skh_apply(control->store, control->settings->store_prefix, manifest, base,
+		      skh_board_revision(control->board), &result, err))
+		answer = json_pack("{s:b, s:I, s:b}", "accepted", 1, "revision",
+				   (json_int_t)result.revision, "unchanged", result.unchanged);
+	skh_apply_result_clear(&result);
+	return answer;
+}
+
+json_t *skh_control_apply(const skh_control_t *control, const skh_config_t *config,
+			  const skh_operator_t *who, skh_chunk_t text, int64_t base, bool dry_run,
+			  skh_error_t *err)
+{
+	skh_manifest_t *manifest = read_manifest(text, err);
+	json_t *answer = NULL;
+
+	if (!manifest)
+		return NULL;
+	if (skh_access_may_change(who, config ? config->manifest : NULL, manifest, err))
+		answer = dry_run ? json_pack("{s:b}", "accepted", 0)
+				 : have_accepted(control, manifest, base, err);
+	if (answer)
+		json_object_set_new(answer, "differences", list_differences(config, manifest));
+	skh_manifest_unref(manifest);
+	return answer;
+}
+
+static json_t *describe(const skh_head_t *head)
+{
+	return json_pack("{s:I, s:I, s:s, s:s, s:s}", "revision", (json_int_t)head->revision,
+			 "unix_ms", (json_int_t)head->unix_ms, "by", head->by, "reason",
+			 head->reason, "attempt", head->attempt);
+}
+
+json_t *skh_control_history(const skh_control_t *control, skh_error_t *err)
+{
+	g_autofree char *prefix =
+		g_strconcat(control->settings->store_prefix, SKH_CONFIG_HISTORY, NULL);
+	json_t *list;
+	skh_pairs_t pairs;
+
+	if (!control->store->ops->range(control->store, prefix, true, &pairs, err))
+		return NULL;
+	list = json_array();
+	for (size_t i = 0; i < pairs.count; i++) {
+		skh_error_t unreadable;
+		skh_head_t *head = skh_head_parse(pairs.list[i].value, &unreadable);
+
+		if (head)
+			json_array_append_new(list, describe(head));
+		skh_head_free(head);
+	}
+	skh_pairs_clear(&pairs);
+	return list;
+}
+
+json_t *skh_control_reach(const skh_control_t *control, skh_error_t *err)
+{
+	skh_members_t *members =
+		skh_fleet_read(control->store, control->settings->instances_prefix, err);
+	json_t *list;
+
+	if (!members)
+		return NULL;
+	list = json_array();
+	for (size_t i = 0; i < members->count; i++) {
+		skh_error_t silent;
+		json_t *status = skh_fleet_status(&members->list[i], &silent);
+		json_t *revision = json_object_get(status, "revision");
+
+		json_array_append_new(list, json_pack("{s:s, s:O?}", "id", members->list[i].id,
+						      "revision", revision));
+		json_decref(status);
+	}
+	skh_members_free(members);
+	return json_pack("{s:I, s:o}", "revision", (json_int_t)skh_board_revision(control->board),
+			 "instances", list);
+}
--- a/src/entry.c
+++ b/src/entry.c
@@ -119,8 +119,10 @@
 	const skh_settings_t *settings = entry->settings;
 	const skh_http_options_t options = { settings->http_listen, settings->http_threads,
 					     settings->http_stack_kib, settings->max_body_bytes };
+	const skh_control_t control = { settings, entry->store, entry->board };
 	skh_error_t err;
-	skh_admin_t *admin = skh_admin_start(settings->admin_listen, &admin_ops, entry, &err);
+	skh_admin_t *admin = skh_admin_start(settings->admin_listen, &admin_ops, entry,
+					     entry->board, &control, &err);
 	skh_http_server_t *server = NULL;
 
 	if (admin)
--- a/src/link.c
+++ b/src/link.c
@@ -1,5 +1,6 @@
 #include "link.h"
 
+#include "budget.h"
 #include "clock.h"
 #include "heat.h"
 #include "guard.h"
@@ -53,6 +54,7 @@
 	GMutex lock; /* guards all below */
 	skh_peers_t *peers;
 	skh_heat_t *heat;      /* under the same lock */
+	skh_budget_t *budget;  /* the same */
 	GHashTable *waiting;   /* attempt -> waiting_t */
 	GHashTable *connected; /* peer id -> address; link thread only */
 	int64_t newest_revision;
@@ -404,6 +406,7 @@
 	g_hash_table_unref(link->waiting);
 	skh_peers_free(link->peers);
 	skh_heat_free(link->heat);
+	skh_budget_free(link->budget);
 	g_mutex_clear(&link->lock);
 	cds_wfcq_destroy(&link->queue_head, &link->queue_tail);
 	g_free(link->entry_id);
@@ -421,6 +424,7 @@
 	link->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	link->peers = skh_peers_new();
 	link->heat = skh_heat_new();
+	link->budget = skh_budget_new();
 	link->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	link->connected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_mutex_init(&link->lock);
@@ -498,18 +502,36 @@
 	return true;
 }
 
-double skh_link_heat(skh_link_t *link, uint64_t prefix_hash)
+double skh_link_note_request(skh_link_t *link, const char *customer, uint64_t prefix_hash)
 {
-	double heat;
+	int64_t now_us = skh_clock_now_us();
+	double heat = 0.0;
 
-	if (prefix_hash == 0)
-		return 0.0;
 	g_mutex_lock(&link->lock);
-	heat = skh_heat_note(link->heat, prefix_hash, skh_clock_now_us());
+	skh_budget_note(link->budget, customer, now_us);
+	if (prefix_hash != 0)
+		heat = skh_heat_note(link->heat, prefix_hash, now_us);
 	g_mutex_unlock(&link->lock);
 	return heat;
 }
 
+void skh_link_note_end(skh_link_t *link, const char *customer)
+{
+	g_mutex_lock(&link->lock);
+	skh_budget_done(link->budget, customer);
+	g_mutex_unlock(&link->lock);
+}
+
+bool skh_link_may_repeat(skh_link_t *link, const char *customer)
+{
+	bool may;
+
+	g_mutex_lock(&link->lock);
+	may = skh_budget_take(link->budget, customer, skh_clock_now_us());
+	g_mutex_unlock(&link->lock);
+	return may;
+}
+
 void skh_link_settle(skh_link_t *link, const skh_placement_t *placement, bool succeeded,
 		     bool cancel)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -49,8 +49,17 @@
 		    int64_t start_by_us, int64_t finish_by_us, skh_inbox_t *inbox,
 		    skh_placement_t *placement, skh_error_t *err);
 
-/** skh_link_heat() - note a request; the part of recent ones that share its prefix */
-double skh_link_heat(skh_link_t *link, uint64_t prefix_hash);
+/**
+ * skh_link_note_request() - a new request of @customer is about to be placed
+ * Return: the part of recent requests that share its prefix.
+ */
+double skh_link_note_request(skh_link_t *link, const char *customer, uint64_t prefix_hash);
+
+/** skh_link_note_end() - a request that was noted has ended */
+void skh_link_note_end(skh_link_t *link, const char *customer);
+
+/** skh_link_may_repeat() - whether lost work of @customer may be placed again now */
+bool skh_link_may_repeat(skh_link_t *link, const char *customer);
 
 /**
  * skh_link_settle() - no more events of @placement are wanted
--- a/src/manifest.c
+++ b/src/manifest.c
@@ -17,7 +17,9 @@
 	GArray *services;
 	GArray *customers;
 	GArray *groups;
-	GHashTable *by_key; /* SHA-256 text -> index + 1 of the customer */
+	GArray *operators;
+	GHashTable *by_operator_key; /* the same for operators */
+	GHashTable *by_key;	     /* SHA-256 text -> index + 1 of the customer */
 };
 
 #define TEXT(key, type, member, required)                                                          \
@@ -35,6 +37,8 @@
 
 static const char *const service_kinds[] = { "model", "plain", NULL };
 
+static const char *const operator_roles[] = { "reader", "team", "operator", NULL };
+
 static const skh_field_t change_fields[] = {
 	TEXT("by", skh_manifest_t, by, true),
 	{ "reason", SKH_FIELD_TEXT, true, offsetof(skh_manifest_t, reason), 1, 500, NULL },
@@ -74,6 +78,12 @@
 	       1000000),
 	TEXT("owner", skh_customer_t, owner, false),
 };
+static const skh_field_t operator_fields[] = {
+	TEXT("name", skh_operator_t, name, true),
+	TEXTS("key_sha256", skh_operator_t, key_sha256, true),
+	{ "role", SKH_FIELD_CHOICE, true, offsetof(skh_operator_t, role), 0, 0, operator_roles },
+	TEXT("team", skh_operator_t, team, false),
+};
 static const skh_field_t group_fields[] = {
 	TEXT("name", skh_group_t, name, true),
 	TEXT("service", skh_group_t, service, true),
@@ -93,6 +103,7 @@
 						 .burst = 1000,
 						 .max_in_flight = 1000,
 						 .owner = "" };
+static const skh_operator_t operator_default = { .team = "" };
 static const skh_group_t group_default = { .service = "" };
 
 /** struct collection - one repeated table of the manifest and its schema */
@@ -116,7 +127,7 @@
 static const collection_t collections[] = {
 	COLLECTION("model", model, models),	  COLLECTION("priority", priority, priorities),
 	COLLECTION("service", service, services), COLLECTION("customer", customer, customers),
-	COLLECTION("group", group, groups),
+	COLLECTION("group", group, groups),	  COLLECTION("operator", operator, operators),
 };
 
 static GArray **collection_array(skh_manifest_t *manifest, const collection_t *collection)
@@ -211,29 +222,50 @@
 	       strspn(text, "0123456789abcdef") == SKH_KEY_HASH_CHARS;
 }
 
-static void index_keys(skh_manifest_t *manifest, size_t index, skh_faults_t *faults)
+/* Of a customer or an operator: @index goes to the bearer of each of its keys. */
+static void index_keys(GHashTable *by_key, const skh_node_t *hashes, size_t index, const char *key,
+		       skh_faults_t *faults)
 {
-	const skh_customer_t *customer = skh_manifest_customer_at(manifest, index);
-
-	for (size_t k = 0; customer->key_sha256 && k < skh_node_count(customer->key_sha256); k++) {
-		const skh_node_t *node = skh_node_at(customer->key_sha256, k);
+	for (size_t k = 0; hashes && k < skh_node_count(hashes); k++) {
+		const skh_node_t *node = skh_node_at(hashes, k);
 		char *hash = (char *)skh_node_text(node);
 
 		if (!is_key_hash(hash))
-			skh_faults_add(faults, skh_node_line(node), "customer.key_sha256",
+			skh_faults_add(faults, skh_node_line(node), key,
 				       "not a SHA-256 in lower-case hexadecimal");
-		else if (!g_hash_table_insert(manifest->by_key, hash, GSIZE_TO_POINTER(index + 1)))
-			skh_faults_add(faults, skh_node_line(node), "customer.key_sha256",
+		else if (!g_hash_table_insert(by_key, hash, GSIZE_TO_POINTER(index + 1)))
+			skh_faults_add(faults, skh_node_line(node), key,
 				       "the same key stands twice");
 	}
 }
 
+static void check_operators(skh_manifest_t *manifest, skh_faults_t *faults)
+{
+	bool has_operator = false;
+
+	for (size_t i = 0; i < manifest->operators->len; i++) {
+		const skh_operator_t *operator= &
+			g_array_index(manifest->operators, skh_operator_t, i);
+
+		index_keys(manifest->by_operator_key, operator->key_sha256, i,
+			   "operator.key_sha256", faults);
+		if ((operator->role == SKH_OPERATOR_TEAM) != (*operator->team != '\0'))
+			skh_faults_add(faults, operator->line, "operator.team",
+				       "belongs to role \"team\", and only there");
+		has_operator = has_operator || operator->role == SKH_OPERATOR_FULL;
+	}
+	if (manifest->operators->len > 0 && !has_operator)
+		skh_faults_add(faults, 1, "operator.role",
+			       "nobody could change the manifest any more");
+}
+
 static void check_customers(skh_manifest_t *manifest, skh_faults_t *faults)
 {
 	for (size_t i = 0; i < manifest->customers->len; i++) {
 		const skh_customer_t *customer = skh_manifest_customer_at(manifest, i);
 
-		index_keys(manifest, i, faults);
+		index_keys(manifest->by_key, customer->key_sha256, i, "customer.key_sha256",
+			   faults);
 		if (!skh_manifest_priority(manifest, customer->priority))
 			skh_faults_add(faults, customer->line, "customer.priority",
 				       "no priority is called \"%s\"", customer->priority);
@@ -325,8 +357,9 @@
 
 static void refuse_unknown_tables(const skh_node_t *tree, skh_faults_t *faults)
 {
-	static const char *const known[] = { "change",	"balance",  "model", "priority",
-					     "service", "customer", "group", NULL };
+	static const char *const known[] = { "change",	 "balance",  "model",
+					     "priority", "service",  "customer",
+					     "group",	 "operator", NULL };
 
 	for (size_t i = 0; i < skh_node_count(tree); i++) {
 		const skh_node_t *child = skh_node_at(tree, i);
@@ -347,6 +380,7 @@
 	manifest->skew_weight = 1.0;
 	manifest->cost_weight = 1.0;
 	manifest->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	manifest->by_operator_key = g_hash_table_new(g_str_hash, g_str_equal);
 	skh_schema_read(skh_node_find(tree, "change"), "change", 1, change_fields,
 			G_N_ELEMENTS(change_fields), manifest, faults);
 	skh_schema_read(skh_node_find(tree, "balance"), "balance", 1, balance_fields,
@@ -360,6 +394,7 @@
 	check_services(manifest, faults);
 	check_customers(manifest, faults);
 	check_groups(manifest, faults);
+	check_operators(manifest, faults);
 	if (skh_faults_count(faults) > before) {
 		skh_manifest_unref(manifest);
 		return NULL;
@@ -387,6 +422,7 @@
 	for (size_t c = 0; c < G_N_ELEMENTS(collections); c++)
 		g_array_unref(*collection_array(manifest, &collections[c]));
 	g_hash_table_unref(manifest->by_key);
+	g_hash_table_unref(manifest->by_operator_key);
 	skh_node_free(manifest->tree);
 	g_free(manifest);
 }
@@ -463,15 +499,34 @@
 	return NULL;
 }
 
+static size_t index_of_key(GHashTable *by_key, const char *bearer_key)
+{
+	g_autofree char *hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, bearer_key, -1);
+
+	return GPOINTER_TO_SIZE(g_hash_table_lookup(by_key, hash));
+}
+
 const skh_customer_t *skh_manifest_customer_by_key(const skh_manifest_t *manifest,
 						   const char *bearer_key)
 {
-	g_autofree char *hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, bearer_key, -1);
-	size_t found = GPOINTER_TO_SIZE(g_hash_table_lookup(manifest->by_key, hash));
+	size_t found = index_of_key(manifest->by_key, bearer_key);
 
 	return found ? skh_manifest_customer_at(manifest, found - 1) : NULL;
 }
 
+size_t skh_manifest_count_operators(const skh_manifest_t *manifest)
+{
+	return manifest->operators->len;
+}
+
+const skh_operator_t *skh_manifest_operator_by_key(const skh_manifest_t *manifest,
+						   const char *bearer_key)
+{
+	size_t found = index_of_key(manifest->by_operator_key, bearer_key);
+
+	return found ? &g_array_index(manifest->operators, skh_operator_t, found - 1) : NULL;
+}
+
 static bool texts_contain(const skh_node_t *texts, const char *wanted)
 {
 	for (size_t i = 0; texts && i < skh_node_count(texts); i++) {
--- a/src/manifest.h
+++ b/src/manifest.h
@@ -68,6 +68,21 @@
 	uint32_t line;
 } skh_group_t;
 
+typedef enum skh_operator_role {
+	SKH_OPERATOR_READER, /* sees everything, changes nothing */
+	SKH_OPERATOR_TEAM,   /* changes what its team owns */
+	SKH_OPERATOR_FULL    /* changes everything */
+} skh_operator_role_t;
+
+/** struct skh_operator - who may use the administration */
+typedef struct skh_operator {
+	const char *name;
+	const skh_node_t *key_sha256;
+	int32_t role;
+	const char *team; /* of SKH_OPERATOR_TEAM */
+	uint32_t line;
+} skh_operator_t;
+
 typedef struct skh_manifest skh_manifest_t;
 
 /** skh_manifest_from_toml() - parse and validate; NULL when there is a fault */
@@ -101,6 +116,12 @@
 const skh_customer_t *skh_manifest_customer_by_key(const skh_manifest_t *manifest,
 						   const char *bearer_key);
 
+size_t skh_manifest_count_operators(const skh_manifest_t *manifest);
+
+/** skh_manifest_operator_by_key() - owner of the bearer key, or NULL */
+const skh_operator_t *skh_manifest_operator_by_key(const skh_manifest_t *manifest,
+						   const char *bearer_key);
+
 /** skh_customer_may_use() - whether @customer is allowed @service */
 bool skh_customer_may_use(const skh_customer_t *customer, const char *service);
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -22,6 +22,7 @@
 	[SKH_COUNT_REFUSED] = { "refused", "Requests refused before any attempt" },
 	[SKH_COUNT_ATTEMPTS] = { "attempts", "Attempts handed to a sidecar" },
 	[SKH_COUNT_RETRIES] = { "retries", "Attempts after the first of a request" },
+	[SKH_COUNT_RETRIES_HELD] = { "retries_held", "Waits of lost work for the retry budget" },
 	[SKH_COUNT_RESUMES] = { "resumes", "Streams resumed on another backend server" },
 	[SKH_COUNT_UNKNOWN] = { "unknown", "Requests whose outcome is unknown" },
 	[SKH_COUNT_LATE_FRAMES] = { "late_frames", "Frames of abandoned attempts dropped" },
--- a/src/serve.c
+++ b/src/serve.c
@@ -1,15 +1,18 @@
 #include "serve.h"
 
 #include "clock.h"
+#include "decisions.h"
 #include "log.h"
 #include "metrics.h"
 
 #include <glib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define PART		   "serve"
 #define STREAM_TYPE	   "text/event-stream"
 #define HTTP_OK		   200
+#define REPEAT_PAUSE_US	   (100 * SKH_US_PER_MS)
 #define MIN_START_US	   (1 * SKH_US_PER_S)
 #define CREDIT_BYTES	   (32U << 10)
 #define MAX_BUFFERED_BYTES (64U << 20)
@@ -25,6 +28,7 @@
 	skh_inbox_t *inbox;
 	skh_route_query_t query;
 	skh_placement_t placement;
+	bool lost;   /* the last attempt may have run */
 	bool placed; /* @placement is not settled yet */
 	char tried[SKH_ROUTE_MAX_TRIED][SKH_WIRE_MAX_NAME_BYTES + 1];
 	bool had_no_room[SKH_ROUTE_MAX_TRIED]; /* what each of @tried said */
@@ -321,6 +325,7 @@
 		action = skh_relay_lost(&serving->relay, event->attempt, event->loss);
 		break;
 	}
+	serving->lost = action == SKH_ACT_PLACE && !is_refusal(event);
 	/* A refusal is an honest answer; a loss or a fault counts against the sidecar. */
 	if (action == SKH_ACT_PLACE || action == SKH_ACT_FAIL)
 		settle(serving, is_refusal(event), event->type == SKH_EVENT_LOST);
@@ -355,19 +360,35 @@
 	err->run = skh_relay_run(&serving->relay);
 }
 
+/* What was lost is placed again as the budget allows, at differing moments. */
+static void wait_for_budget(const serving_t *serving)
+{
+	const skh_job_t *job = serving->job;
+
+	while (skh_clock_now_us() < job->deadline_us &&
+	       !skh_link_may_repeat(serving->link, job->customer)) {
+		skh_metrics_add(SKH_COUNT_RETRIES_HELD, 1);
+		(void)usleep(
+			(useconds_t)(REPEAT_PAUSE_US / 2 + skh_random_u64() % REPEAT_PAUSE_US));
+	}
+}
+
 static bool drive(serving_t *serving)
 {
 	skh_action_t action = SKH_ACT_PLACE;
 
 	while (!serving->caller_gone && !serving->too_long) {
-		if (action == SKH_ACT_PLACE)
+		if (action == SKH_ACT_PLACE) {
+			if (serving->lost)
+				wait_for_budget(serving);
 			action = place(serving);
-		else if (action == SKH_ACT_FINISH)
+		} else if (action == SKH_ACT_FINISH) {
 			return finish(serving);
-		else if (action == SKH_ACT_FAIL)
+		} else if (action == SKH_ACT_FAIL) {
 			return false;
-		else
+		} else {
 			action = wait_one(serving);
+		}
 	}
 	give_up(serving);
 	return false;
@@ -407,15 +428,18 @@
 	serving.query.service = job->service;
 	serving.query.failure_domain = job->failure_domain;
 	serving.query.prefix_hash = job->prefix_hash;
-	serving.query.heat = skh_link_heat(link, job->prefix_hash);
+	serving.query.heat = skh_link_note_request(link, job->customer, job->prefix_hash);
 	whole = drive(&serving);
 	if (!whole && serving.relay.error.kind == SKH_OK)
 		give_up(&serving);
 	settle(&serving, true, !whole);
+	skh_link_note_end(link, job->customer);
 	if (!whole && serving.relay.error.kind != SKH_CANCELLED)
 		sink->ops->fail(sink, &serving.relay.error);
 	count_result(&serving, whole);
 	*result = serving.relay.error;
+	skh_decisions_note(job->request_id, job->customer, job->service, serving.query.tried,
+			   serving.query.n_tried, result);
 	skh_inbox_free(serving.inbox);
 	skh_buffer_free(&serving.kept);
 	return whole;
--- a/src/sidecar.c
+++ b/src/sidecar.c
@@ -258,7 +258,8 @@
 
 	skh_process_setup(settings);
 	if (open_sidecar(&sidecar, &err))
-		admin = skh_admin_start(settings->admin_listen, &admin_ops, &sidecar, &err);
+		admin = skh_admin_start(settings->admin_listen, &admin_ops, &sidecar, sidecar.board,
+					NULL, &err);
 	if (admin) {
 		skh_log(SKH_LOG_INFO, PART, "Sidecar is listening.", "id=%s link=%s admin=%s",
 			settings->id, settings->link_listen, settings->admin_listen);
