Close claims that an outage left open; fuzz what comes from outside; cut off a domain

The same for the record of a run that ended during an outage. (2) Bytes from outside were tried only with random values. (3) The loss of a failure domain was untested.

Changes: a sidecar remembers such records (backlog.c) and writes each over its own open record once the service is back.

Found and mended: toml++ 3.3 reaches code marked unreachable on characters beyond ASCII outside of texts (fuzz_manifest, 20,000 inputs; any U+00A1..U+0499): manifests and settings are ASCII now, \\uXXXX stands for the rest.

Ruled out: giving such a claim back by whoever asks next: only its owner knows that it did not run.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 BUILD_TEST ?= build-test
 
-.PHONY: all deps build demo test bench capacity format lint clean
+.PHONY: all deps build demo test soak fuzz bench capacity format lint clean
 
 all: build
 
@@ -21,6 +21,15 @@
 test: deps
 	@BUILD=$(BUILD_TEST) scripts/test.sh
 
+# The seeded sweeps of the promises, longer than in CI.
+soak: build
+	@SKH_SEEDS=$${SKH_SEEDS:-20000} $(BUILD)/test/unit --gtest_brief=1 \
+		--gtest_filter='History.Nothing*:ExpertMap.No*:ExpertMap.Once*'
+
+# Each target for a minute; what it finds goes into fuzz/corpus and a test.
+fuzz: deps
+	@BUILD=build-fuzz FUZZ_SECONDS=$${FUZZ_SECONDS:-60} fuzz/run.sh
+
 bench: build
 	@BUILD=$(BUILD) bench/run.sh
 
--- /dev/null
+++ b/fuzz/fuzz_frame.c
@@ -0,0 +1,50 @@
+/* Frames from the network: whatever unpacks must be safe to use and to pack again. */
+#include "gate.h"
+#include "peers.h"
+#include "wire.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void use_start(const Skh__Start *start)
+{
+	skh_gate_t *gate = skh_gate_new(2, 2, start->incarnation);
+	skh_error_t err;
+
+	skh_gate_open(gate);
+	(void)skh_gate_start(gate, start, 0, &err);
+	(void)skh_gate_cancel(gate, start->attempt);
+	(void)skh_wire_hash_content(start);
+	skh_gate_free(gate);
+}
+
+static void use_status(const Skh__Frame *frame)
+{
+	static char text[] = "x";
+	skh_member_t member = { text, (char[]){ "sidecar" }, text, text, text, false };
+	skh_members_t members = { &member, 1 };
+	skh_peers_t *peers = skh_peers_new();
+	skh_peer_t *peer;
+
+	skh_peers_sync(peers, &members, 0);
+	peer = skh_peers_find(peers, text);
+	(void)skh_peers_heard(peer, frame->status, (int64_t)frame->revision, 1);
+	(void)skh_peers_work(peer);
+	skh_peers_free(peers);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	skh_buffer_t packed = SKH_BUFFER_INIT;
+	skh_error_t err;
+	Skh__Frame *frame = skh_wire_unpack(skh_chunk_make(data, size), &err);
+
+	if (!frame)
+		return 0;
+	if (frame->body_case == SKH__FRAME__BODY_START)
+		use_start(frame->start);
+	use_status(frame);
+	skh_wire_pack(frame, &packed);
+	skh_buffer_free(&packed);
+	skh_wire_free(frame);
+	return 0;
+}
--- a/src/cmd_apply.c
+++ b/src/cmd_apply.c
@@ -43,16 +43,12 @@
 
 static size_t count_in_force(const skh_members_t *members, int64_t revision)
 {
+	json_t **statuses = skh_fleet_ask(members);
 	size_t count = 0;
 
-	for (size_t i = 0; i < members->count; i++) {
-		skh_error_t err;
-		json_t *status = skh_fleet_status(&members->list[i], &err);
-
-		if (json_integer_value(json_object_get(status, "revision")) >= revision)
-			count++;
-		json_decref(status);
-	}
+	for (size_t i = 0; i < members->count; i++)
+		count += json_integer_value(json_object_get(statuses[i], "revision")) >= revision;
+	skh_fleet_free(statuses, members->count);
 	return count;
 }
 
@@ -63,12 +59,14 @@
 	skh_members_t *members = skh_fleet_read(store, instances_prefix, &err);
 	int64_t newest = 0;
 
-	for (size_t i = 0; members && i < members->count; i++) {
-		json_t *status = skh_fleet_status(&members->list[i], &err);
+	json_t **statuses;
 
-		newest = MAX(newest, json_integer_value(json_object_get(status, "revision")));
-		json_decref(status);
-	}
+	if (!members)
+		return 0;
+	statuses = skh_fleet_ask(members);
+	for (size_t i = 0; i < members->count; i++)
+		newest = MAX(newest, json_integer_value(json_object_get(statuses[i], "revision")));
+	skh_fleet_free(statuses, members->count);
 	skh_members_free(members);
 	return newest;
 }
--- a/src/cmd_status.c
+++ b/src/cmd_status.c
@@ -40,6 +40,7 @@
 {
 	skh_error_t err;
 	skh_members_t *members = skh_fleet_read(store, instances_prefix, &err);
+	json_t **statuses;
 
 	if (!members) {
 		(void)fprintf(stderr, "status: %s: %s\n", skh_kind_name(err.kind), err.text);
@@ -47,12 +48,10 @@
 	}
 	(void)printf("%-16s %-8s %-16s %-10s %9s %8s %s\n", "INSTANCE", "ROLE", "FAILURE DOMAIN",
 		     "STATE", "REVISION", "RUNNING", "SERVICE");
-	for (size_t i = 0; i < members->count; i++) {
-		json_t *status = skh_fleet_status(&members->list[i], &err);
-
-		print_row(&members->list[i], status);
-		json_decref(status);
-	}
+	statuses = skh_fleet_ask(members);
+	for (size_t i = 0; i < members->count; i++)
+		print_row(&members->list[i], statuses[i]);
+	skh_fleet_free(statuses, members->count);
 	skh_members_free(members);
 	return SKH_EXIT_OK;
 }
--- a/src/control.c
+++ b/src/control.c
@@ -113,20 +113,18 @@
 {
 	skh_members_t *members =
 		skh_fleet_read(control->store, control->settings->instances_prefix, err);
+	json_t **statuses;
 	json_t *list;
 
 	if (!members)
 		return NULL;
 	list = json_array();
-	for (size_t i = 0; i < members->count; i++) {
-		skh_error_t silent;
-		json_t *status = skh_fleet_status(&members->list[i], &silent);
-		json_t *revision = json_object_get(status, "revision");
-
+	statuses = skh_fleet_ask(members);
+	for (size_t i = 0; i < members->count; i++)
 		json_array_append_new(list, json_pack("{s:s, s:O?}", "id", members->list[i].id,
-						      "revision", revision));
-		json_decref(status);
-	}
+						      "revision",
+						      json_object_get(statuses[i], "revision")));
+	skh_fleet_free(statuses, members->count);
 	skh_members_free(members);
 	return json_pack("{s:I, s:o}", "revision", (json_int_t)skh_board_revision(control->board),
 			 "instances", list);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -2,6 +2,10 @@
 
 #include "client.h"
 
+#include <glib.h>
+
+#define ASKED_AT_ONCE 32
+
 skh_members_t *skh_fleet_read(skh_store_t *store, const char *instances_prefix, skh_error_t *err)
 {
 	skh_pairs_t pairs;
@@ -15,16 +19,43 @@
 	return members;
 }
 
-json_t *skh_fleet_status(const skh_member_t *member, skh_error_t *err)
+/* One question to a member; @status receives the answer. */
+typedef struct question {
+	const skh_member_t *member;
+	json_t **status;
+} question_t;
+
+static void ask_one(gpointer item, gpointer context)
 {
+	g_autofree question_t *question = item;
 	skh_buffer_t body = SKH_BUFFER_INIT;
-	json_t *json = NULL;
+	skh_error_t err;
 
-	if (skh_client_get(member->admin, "/admin/v1/status", &body, err)) {
-		json = json_loadb(skh_buffer_text(&body), body.len, 0, NULL);
-		if (!json)
-			(void)skh_error_set(err, SKH_BACKEND_FAILED, "%s: not JSON", member->id);
-	}
+	(void)context;
+	if (skh_client_get(question->member->admin, "/admin/v1/status", &body, &err))
+		*question->status = json_loadb(skh_buffer_text(&body), body.len, 0, NULL);
 	skh_buffer_free(&body);
-	return json;
+}
+
+json_t **skh_fleet_ask(const skh_members_t *members)
+{
+	json_t **statuses = g_new0(json_t *, members->count + 1);
+	GThreadPool *pool = g_thread_pool_new(ask_one, NULL, ASKED_AT_ONCE, FALSE, NULL);
+
+	for (size_t i = 0; i < members->count; i++) {
+		question_t *question = g_new0(question_t, 1);
+
+		question->member = &members->list[i];
+		question->status = &statuses[i];
+		(void)g_thread_pool_push(pool, question, NULL);
+	}
+	g_thread_pool_free(pool, FALSE, TRUE);
+	return statuses;
+}
+
+void skh_fleet_free(json_t **statuses, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		json_decref(statuses[i]);
+	g_free(statuses);
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -19,8 +19,15 @@
 /** skh_fleet_read() - the platform's list, or NULL with @err */
 skh_members_t *skh_fleet_read(skh_store_t *store, const char *instances_prefix, skh_error_t *err);
 
-/** skh_fleet_status() - status of @member as JSON, or NULL with @err */
-json_t *skh_fleet_status(const skh_member_t *member, skh_error_t *err);
+/**
+ * skh_fleet_ask() - ask all @members for their status, many at a time
+ *
+ * A silent one costs its timeout, but does not hold up the others.
+ * Return: an array of @members->count JSON objects, NULL for who did not answer;
+ * free with skh_fleet_free().
+ */
+json_t **skh_fleet_ask(const skh_members_t *members);
+void skh_fleet_free(json_t **statuses, size_t count);
 
 #ifdef __cplusplus
 }
--- a/src/node_toml.cc
+++ b/src/node_toml.cc
@@ -48,10 +48,31 @@
 	return skh_node_new_text("", line);
 }
 
+/*
+ * toml++ 3.3 reaches code that it marks as unreachable when a character beyond
+ * ASCII stands where it looks for white space, found by fuzz/fuzz_manifest.c.
+ */
+bool is_ascii(skh_chunk_t text, uint32_t *fault_line)
+{
+	*fault_line = 1;
+	for (size_t i = 0; i < text.len; i++) {
+		if (text.data[i] >= 0x80)
+			return false;
+		*fault_line += text.data[i] == '\n';
+	}
+	return true;
+}
+
 } // namespace
 
 skh_node_t *skh_node_from_toml(skh_chunk_t text, uint32_t *fault_line, skh_error_t *err)
 {
+	if (!is_ascii(text, fault_line)) {
+		(void)skh_error_set(
+			err, SKH_CONFIG_INVALID,
+			"a character beyond ASCII; write it as \\uXXXX in a quoted text");
+		return nullptr;
+	}
 	try {
 		const std::string_view view(reinterpret_cast<const char *>(text.data), text.len);
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -1,5 +1,6 @@
 #include "worker.h"
 
+#include "backlog.h"
 #include "claimer.h"
 #include "clock.h"
 #include "fetch.h"
@@ -56,6 +57,7 @@
 	skh_fetch_t *fetch;
 	skh_backend_t *backend;
 	skh_claimer_t *claimer;
+	skh_backlog_t *backlog;	 /* records to be written when the service is back */
 	uint64_t cancels;	 /* numbers the cancel orders */
 	GHashTable *attempts;	 /* id -> attempt_t */
 	GHashTable *entries;	 /* routing id -> when it was last heard, int64_t */
@@ -521,6 +523,35 @@
 	run_attempt(worker, attempt);
 }
 
+static void write_later(skh_worker_t *worker, attempt_t *attempt, skh_claim_state_t state)
+{
+	attempt->claim.state = state;
+	skh_backlog_add(worker->backlog, attempt->claim_path, &attempt->claim,
+			attempt->claim_revision, skh_clock_now_us());
+}
+
+static void on_backlog_result(skh_worker_t *worker, const skh_claim_done_t *done)
+{
+	int64_t now_us = skh_clock_now_us();
+
+	if (done->state == SKH_WRITE_DONE)
+		skh_backlog_written(worker->backlog, done->id);
+	else if (done->state == SKH_WRITE_CONFLICT)
+		skh_backlog_conflict(worker->backlog, done->id, done->found, done->mod_revision,
+				     now_us);
+	else
+		skh_backlog_failed(worker->backlog, done->id, now_us);
+}
+
+static void work_off_backlog(skh_worker_t *worker, int64_t now_us)
+{
+	skh_backlog_write_t write;
+
+	while (skh_backlog_due(worker->backlog, now_us, &write))
+		skh_claimer_submit(worker->claimer, write.id, write.path, write.value,
+				   write.expected);
+}
+
 static void on_claim_written(skh_worker_t *worker, attempt_t *attempt, skh_claim_done_t *done)
 {
 	skh_error_t err;
@@ -531,6 +562,8 @@
 		on_claim_conflict(worker, attempt, done);
 	} else {
 		/* Whether or not the claim is stored, this attempt does not run. */
+		if (done->err.kind == SKH_STORE_UNKNOWN)
+			write_later(worker, attempt, SKH_CLAIM_NOT_RUN);
 		(void)skh_error_set(&err, SKH_STORE_UNAVAILABLE, "%s", done->err.text);
 		refuse(worker, attempt, &err);
 	}
@@ -547,9 +580,13 @@
 		on_claim_written(worker, attempt, done);
 		break;
 	case STEP_RECORDING:
+		if (done->state == SKH_WRITE_FAILED)
+			write_later(worker, attempt, SKH_CLAIM_DONE);
 		end(worker, attempt, NULL);
 		break;
 	case STEP_RELEASING:
+		if (done->state == SKH_WRITE_FAILED)
+			write_later(worker, attempt, SKH_CLAIM_NOT_RUN);
 		refuse(worker, attempt, &attempt->refusal);
 		break;
 	default:
@@ -562,7 +599,10 @@
 	skh_claim_done_t *done;
 
 	while ((done = skh_claimer_take(worker->claimer)) != NULL) {
-		on_claim_result(worker, done);
+		if (done->id & SKH_WIRE_RESERVED_ATTEMPT)
+			on_backlog_result(worker, done);
+		else
+			on_claim_result(worker, done);
 		skh_claim_done_free(done);
 	}
 }
@@ -634,6 +674,7 @@
 	while ((id = skh_gate_expire(worker->gate, now_us)) != 0)
 		refuse_waiting(worker, id, SKH_OVERLOADED, "it could not start in time");
 	tell_unrecorded(worker, now_us);
+	work_off_backlog(worker, now_us);
 	abandon_unreachable(worker);
 	begin_waiting(worker);
 	if (skh_gate_phase(worker->gate) != worker->told_phase)
@@ -692,6 +733,7 @@
 	worker->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	worker->fetch = skh_fetch_new(&fetch_events, worker);
 	worker->claimer = skh_claimer_start(store, CLAIM_INTERVAL_US);
+	worker->backlog = skh_backlog_new();
 	worker->backend = backend;
 	skh_fetch_watch(worker->fetch, skh_port_fd(port));
 	skh_fetch_watch(worker->fetch, skh_claimer_fd(worker->claimer));
@@ -701,6 +743,7 @@
 void skh_worker_free(skh_worker_t *worker)
 {
 	skh_claimer_stop(worker->claimer);
+	skh_backlog_free(worker->backlog);
 	skh_fetch_free(worker->fetch);
 	skh_gate_free(worker->gate);
 	skh_buffer_free(&worker->piece);
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -40,6 +40,28 @@
 	return read_file("good-manifest.toml");
 }
 
+TEST(Manifest, CharactersBeyondAsciiAreRefusedWithTheirLine)
+{
+	/* What the fuzzer found: each made toml++ reach "unreachable" code. */
+	for (const char *bad :
+	     { "[change]\nby = 0\"x-\310\235\"\n", "a = 1\n[inst\312\250nce]\n" }) {
+		skh_error_t err = {};
+		uint32_t line = 0;
+
+		EXPECT_EQ(nullptr, skh_node_from_toml(skh_chunk_from_string(bad), &line, &err));
+		EXPECT_EQ(2u, line);
+		EXPECT_EQ(SKH_CONFIG_INVALID, err.kind);
+	}
+	skh_error_t err = {};
+	uint32_t line = 0;
+	skh_node_t *node =
+		skh_node_from_toml(skh_chunk_from_string("by = \"Juml\\u00e9\"\n"), &line, &err);
+
+	ASSERT_NE(nullptr, node) << err.text;
+	EXPECT_STREQ("Juml\303\251", skh_node_text(skh_node_find(node, "by")));
+	skh_node_free(node);
+}
+
 TEST(Manifest, LooksUpWhatItHolds)
 {
 	std::string faults;
--- a/test/history_test.cc
+++ b/test/history_test.cc
@@ -9,6 +9,7 @@
 #include "fake_store.h"
 #include "gate.h"
 #include "relay.h"
+#include "seeds.h"
 
 #include <gtest/gtest.h>
 
@@ -749,7 +750,7 @@
 	int hang_ups = 0;
 };
 
-constexpr uint32_t kSeeds = 600;
+const uint32_t kSeeds = seeds_or(600);
 
 TEST(History, NothingIsFoundInRunsWithEveryFault)
 {
--- a/test/map_test.cc
+++ b/test/map_test.cc
@@ -3,6 +3,7 @@
 // The history check is shown to catch planted faults.
 #include "mapswitch.h"
 #include "rank.h"
+#include "seeds.h"
 
 #include <gtest/gtest.h>
 
@@ -302,7 +303,7 @@
 	uint64_t last_version = 1;
 };
 
-constexpr uint32_t kSeeds = 400;
+const uint32_t kSeeds = seeds_or(400);
 constexpr int kEvents = 6000;
 
 TEST(ExpertMap, NoStepMixesTwoMapsUnderAnyFault)
