--- a/bench/replay_admit.c
+++ b/bench/replay_admit.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "gate.h"
 #include "relay.h"
+#include "replay.h"
 #include "route.h"
 
 #include <glib.h>
@@ -68,13 +69,6 @@
 	EVENT_TICK
 } event_type_t;
 
-typedef struct event {
-	int64_t at_us;
-	uint64_t order;
-	event_type_t type;
-	request_t *request;
-} event_t;
-
 typedef struct server {
 	skh_gate_t *gate;
 	/* The naive server: */
@@ -86,10 +80,8 @@
 	const scenario_t *scenario;
 	bool naive;
 	GRand *random;
-	GSequence *events;
-	uint64_t n_events;
+	replay_clock_t clock;
 	uint64_t n_attempts;
-	int64_t now_us;
 	server_t servers[SERVERS];
 	GHashTable *waiting; /* attempt -> request_t */
 	/* results */
@@ -102,26 +94,9 @@
 	uint64_t batch_on_time;
 } world_t;
 
-static int by_time(const void *a, const void *b, void *context)
-{
-	const event_t *left = a;
-	const event_t *right = b;
-
-	(void)context;
-	if (left->at_us != right->at_us)
-		return left->at_us < right->at_us ? -1 : 1;
-	return (left->order > right->order) - (left->order < right->order);
-}
-
 static void schedule(world_t *world, int64_t at_us, event_type_t type, request_t *request)
 {
-	event_t *event = g_new0(event_t, 1);
-
-	event->at_us = at_us;
-	event->order = world->n_events++;
-	event->type = type;
-	event->request = request;
-	g_sequence_insert_sorted(world->events, event, by_time, NULL);
+	replay_schedule(&world->clock, at_us, (int32_t)type, request);
 }
 
 static bool in_burst(int64_t at_us)
@@ -129,31 +104,22 @@
 	return at_us >= BURST_FROM_US && at_us < BURST_TO_US;
 }
 
-static double exponential_us(world_t *world, double per_us)
-{
-	return -log(g_rand_double_range(world->random, 1e-12, 1.0)) / per_us;
-}
-
 static int64_t draw_run_us(world_t *world)
 {
-	double normal = sqrt(-2.0 * log(g_rand_double_range(world->random, 1e-12, 1.0))) *
-			cos(2.0 * G_PI * g_rand_double(world->random));
-
-	return (int64_t)(MEAN_RUN_S * SKH_US_PER_S *
-			 exp(SIGMA_RUN * normal - SIGMA_RUN * SIGMA_RUN / 2.0));
+	return (int64_t)replay_lognormal(world->random, MEAN_RUN_S * SKH_US_PER_S, SIGMA_RUN);
 }
 
 static void place(world_t *world, request_t *request)
 {
 	request->server = (uint32_t)g_rand_int_range(world->random, 0, SERVERS);
 	request->placements++;
-	schedule(world, world->now_us + NET_US, EVENT_REACH, request);
+	schedule(world, world->clock.now_us + NET_US, EVENT_REACH, request);
 }
 
 static void come(world_t *world, request_t *request)
 {
-	request->came_us = world->now_us;
-	request->deadline_us = world->now_us + DEADLINE_US;
+	request->came_us = world->clock.now_us;
+	request->deadline_us = world->clock.now_us + DEADLINE_US;
 	request->placements = 0;
 	request->overloads = 0;
 	request->tries++;
@@ -167,24 +133,25 @@
 	request_t *request = g_new0(request_t, 1);
 	request_t *next = g_new0(request_t, 1);
 
-	if (in_burst(world->now_us))
+	if (in_burst(world->clock.now_us))
 		per_us *= factor;
 	request->customer = customer;
 	request->priority = g_rand_double(world->random) < world->scenario->batch ? 4 : 0;
-	request->first_us = world->now_us;
+	request->first_us = world->clock.now_us;
 	request->run_us = draw_run_us(world);
 	come(world, request);
 	next->customer = customer;
-	schedule(world, world->now_us + (int64_t)exponential_us(world, per_us) + 1, EVENT_COME,
-		 next);
+	schedule(world,
+		 world->clock.now_us + (int64_t)replay_exponential(world->random, per_us) + 1,
+		 EVENT_COME, next);
 }
 
 /* The caller has its answer: no. It comes again when it was told to, a few times. */
 static void refuse(world_t *world, request_t *request, int64_t retry_at_us)
 {
-	int64_t taken_us = world->now_us + NET_US - request->came_us;
+	int64_t taken_us = world->clock.now_us + NET_US - request->came_us;
 
-	if (in_burst(world->now_us)) {
+	if (in_burst(world->clock.now_us)) {
 		g_array_append_val(world->refusals_us, taken_us);
 		world->refused++;
 	}
@@ -193,20 +160,20 @@
 		return;
 	}
 	schedule(world,
-		 MAX(retry_at_us, world->now_us + SKH_US_PER_S) +
+		 MAX(retry_at_us, world->clock.now_us + SKH_US_PER_S) +
 			 g_rand_int_range(world->random, 0, (int32_t)SKH_US_PER_S),
 		 EVENT_COME, request);
 }
 
 static void start(world_t *world, request_t *request)
 {
-	int64_t waited_us = world->now_us - request->first_us;
+	int64_t waited_us = world->clock.now_us - request->first_us;
 
 	if (request->customer != 0 && in_burst(request->first_us))
 		g_array_append_val(world->others_us, waited_us);
 	if (request->first_us >= AFTER_FROM_US)
 		g_array_append_val(world->after_us, waited_us);
-	schedule(world, world->now_us + request->run_us, EVENT_FINISH, request);
+	schedule(world, world->clock.now_us + request->run_us, EVENT_FINISH, request);
 }
 
 static request_t *take_waiting(world_t *world, uint64_t attempt)
@@ -229,7 +196,7 @@
 		}
 		return;
 	}
-	while ((attempt = skh_gate_next(server->gate, world->now_us)) != 0)
+	while ((attempt = skh_gate_next(server->gate, world->clock.now_us)) != 0)
 		start(world, take_waiting(world, attempt));
 }
 
@@ -272,9 +239,9 @@
 	frame.customer = customer;
 	frame.weight = 1.0;
 	frame.priority = request->priority;
-	frame.start_before_us = world->now_us + START_PART_US;
+	frame.start_before_us = world->clock.now_us + START_PART_US;
 	frame.no_queue = request->placements <= SKH_ROUTE_PROBES;
-	verdict = skh_gate_start(server->gate, &frame, world->now_us, &err);
+	verdict = skh_gate_start(server->gate, &frame, world->clock.now_us, &err);
 	if (verdict == SKH_VERDICT_START)
 		start(world, request);
 	else if (verdict == SKH_VERDICT_QUEUE)
@@ -289,13 +256,13 @@
 static void finish(world_t *world, request_t *request)
 {
 	server_t *server = &world->servers[request->server];
-	bool on_time = world->now_us <= request->deadline_us;
+	bool on_time = world->clock.now_us <= request->deadline_us;
 
 	if (world->naive)
 		server->running--;
 	else
 		skh_gate_ended(server->gate, request->attempt, true);
-	if (in_burst(world->now_us)) {
+	if (in_burst(world->clock.now_us)) {
 		world->on_time += on_time;
 		world->late += !on_time;
 		world->batch_on_time += on_time && request->priority > 0;
@@ -310,28 +277,31 @@
 	uint64_t attempt;
 
 	for (uint32_t i = 0; i < SERVERS && !world->naive; i++) {
-		while ((attempt = skh_gate_expire(world->servers[i].gate, world->now_us)) != 0)
+		while ((attempt = skh_gate_expire(world->servers[i].gate, world->clock.now_us)) !=
+		       0)
 			on_refusal(world, take_waiting(world, attempt), &err, true);
 	}
-	schedule(world, world->now_us + TICK_US, EVENT_TICK, NULL);
+	schedule(world, world->clock.now_us + TICK_US, EVENT_TICK, NULL);
 }
 
-static void handle(world_t *world, const event_t *event)
+static void handle(world_t *world, const replay_event_t *event)
 {
-	switch (event->type) {
+	request_t *request = event->data;
+
+	switch ((event_type_t)event->type) {
 	case EVENT_COME:
-		if (event->request->tries > 0) {
-			come(world, event->request);
+		if (request->tries > 0) {
+			come(world, request);
 		} else {
-			come_first(world, event->request->customer);
-			g_free(event->request);
+			come_first(world, request->customer);
+			g_free(request);
 		}
 		break;
 	case EVENT_REACH:
-		reach(world, event->request);
+		reach(world, request);
 		break;
 	case EVENT_FINISH:
-		finish(world, event->request);
+		finish(world, request);
 		break;
 	case EVENT_TICK:
 		tick(world);
@@ -339,29 +309,13 @@
 	}
 }
 
-static int by_value(const void *a, const void *b)
-{
-	int64_t left = *(const int64_t *)a;
-	int64_t right = *(const int64_t *)b;
-
-	return (left > right) - (left < right);
-}
-
-static double part_ms(GArray *values, uint32_t percent)
-{
-	if (values->len == 0)
-		return 0.0;
-	qsort(values->data, values->len, sizeof(int64_t), by_value);
-	return (double)g_array_index(values, int64_t, values->len * percent / 100) / SKH_US_PER_MS;
-}
-
 static void open_world(world_t *world, const scenario_t *scenario, bool naive)
 {
 	memset(world, 0, sizeof(*world));
 	world->scenario = scenario;
 	world->naive = naive;
 	world->random = g_rand_new_with_seed(7);
-	world->events = g_sequence_new(g_free);
+	replay_open(&world->clock);
 	world->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
 	world->others_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	world->after_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -380,7 +334,7 @@
 		g_queue_clear(&world->servers[i].line);
 	}
 	g_hash_table_unref(world->waiting);
-	g_sequence_free(world->events);
+	replay_close(&world->clock);
 	g_array_unref(world->others_us);
 	g_array_unref(world->after_us);
 	g_array_unref(world->refusals_us);
@@ -391,29 +345,23 @@
 {
 	const double capacity =
 		SERVERS * SLOTS / MEAN_RUN_S * (double)(BURST_TO_US - BURST_FROM_US) / SKH_US_PER_S;
+	replay_event_t event;
 	world_t world;
 
 	open_world(&world, scenario, naive);
 	for (uint32_t customer = 0; customer < CUSTOMERS; customer++)
 		come_first(&world, customer);
 	schedule(&world, 0, EVENT_TICK, NULL);
-	for (;;) {
-		GSequenceIter *first = g_sequence_get_begin_iter(world.events);
-		event_t event = *(event_t *)g_sequence_get(first);
-
-		if (event.at_us > END_US)
-			break;
-		g_sequence_remove(first);
-		world.now_us = event.at_us;
+	while (replay_next(&world.clock, END_US, &event))
 		handle(&world, &event);
-	}
 	printf("| %-21s | %-7s | %8.0f | %5.1f%% | %6.1f%% | %7.1f%% | %6.0f | %6.0f | %8.0f |\n",
-	       scenario->name, naive ? "naive" : "gate.c", part_ms(world.others_us, 95),
-	       100.0 * (double)world.on_time / capacity,
+	       scenario->name, naive ? "naive" : "gate.c",
+	       replay_percentile_ms(world.others_us, 95), 100.0 * (double)world.on_time / capacity,
 	       100.0 * (double)world.late / MAX((double)(world.on_time + world.late), 1.0),
 	       100.0 * (double)world.batch_on_time / MAX((double)world.on_time, 1.0),
-	       part_ms(world.refusals_us, 50), part_ms(world.refusals_us, 95),
-	       part_ms(world.after_us, 95));
+	       replay_percentile_ms(world.refusals_us, 50),
+	       replay_percentile_ms(world.refusals_us, 95),
+	       replay_percentile_ms(world.after_us, 95));
 	close_world(&world);
 }
 
--- a/bench/replay_balance.c
+++ b/bench/replay_balance.c
@@ -9,6 +9,7 @@
 #include "balance.h"
 #include "forecast.h"
 #include "naive_balance.h"
+#include "replay.h"
 
 #include <glib.h>
 #include <math.h>
@@ -86,13 +87,6 @@
 	uint32_t decisions;
 } result_t;
 
-static double normal(GRand *random)
-{
-	double u = g_rand_double_range(random, 1e-12, 1.0);
-
-	return sqrt(-2.0 * log(u)) * cos(2.0 * G_PI * g_rand_double(random));
-}
-
 static void make_workload(const trace_t *trace, uint32_t seed, workload_t *workload)
 {
 	GRand *random = g_rand_new_with_seed(seed);
@@ -102,8 +96,8 @@
 	double walk[EXPERTS] = { 0.0 };
 
 	for (int32_t e = 0; e < EXPERTS; e++) {
-		first[e] = SIGMA * normal(random);
-		second[e] = SIGMA * normal(random);
+		first[e] = SIGMA * replay_normal(random);
+		second[e] = SIGMA * replay_normal(random);
 		phase[e] = g_rand_double_range(random, 0.0, 2.0 * G_PI);
 	}
 	for (int32_t t = 0; t <= INTERVALS; t++) {
@@ -117,7 +111,7 @@
 				       trace->hour * sin(2.0 * G_PI * t / 24.0 + phase[e]);
 
 			if (trace->walks)
-				walk[e] += WALK * normal(random);
+				walk[e] += WALK * replay_normal(random);
 			level += walk[e];
 
 			if (has_crowd && e == crowd)
@@ -129,7 +123,8 @@
 			double mean = HITS * workload->shares[t][e] / sum;
 
 			workload->shares[t][e] /= sum;
-			workload->counts[t][e] = MAX(0.0, mean + sqrt(mean) * normal(random));
+			workload->counts[t][e] =
+				MAX(0.0, mean + sqrt(mean) * replay_normal(random));
 			if (g_rand_int_range(random, 0, 100) < GAP_PERCENT)
 				workload->counts[t][e] = SKH_FORECAST_GAP;
 		}
--- a/bench/replay_route.c
+++ b/bench/replay_route.c
@@ -8,6 +8,7 @@
  */
 #include "clock.h"
 #include "heat.h"
+#include "replay.h"
 #include "route.h"
 
 #include <glib.h>
@@ -80,21 +81,12 @@
 	EVENT_SNAPSHOT
 } event_type_t;
 
-typedef struct event {
-	int64_t at_us;
-	uint64_t order;
-	event_type_t type;
-	request_t *request;
-} event_t;
-
 typedef struct world {
 	policy_t policy;
 	uint32_t n_entries;
 	double rate_per_us;
 	GRand *random;
-	GSequence *events;
-	uint64_t n_events;
-	int64_t now_us;
+	replay_clock_t clock;
 	server_t *servers;
 	skh_peers_t **views; /* of each entry; only for POLICY_ROUTE */
 	skh_heat_t **heats;  /* the same */
@@ -107,26 +99,9 @@
 	uint64_t refusals;
 } world_t;
 
-static int by_time(const void *a, const void *b, void *context)
-{
-	const event_t *left = a;
-	const event_t *right = b;
-
-	(void)context;
-	if (left->at_us != right->at_us)
-		return left->at_us < right->at_us ? -1 : 1;
-	return (left->order > right->order) - (left->order < right->order);
-}
-
 static void schedule(world_t *world, int64_t at_us, event_type_t type, request_t *request)
 {
-	event_t *event = g_new0(event_t, 1);
-
-	event->at_us = at_us;
-	event->order = world->n_events++;
-	event->type = type;
-	event->request = request;
-	g_sequence_insert_sorted(world->events, event, by_time, NULL);
+	replay_schedule(&world->clock, at_us, (int32_t)type, request);
 }
 
 static uint32_t load_of(const server_t *server)
@@ -136,7 +111,7 @@
 
 static uint32_t lagged_load(const world_t *world, const server_t *server)
 {
-	int64_t index = MAX(world->now_us - REPORT_US, 0) / SNAPSHOT_US;
+	int64_t index = MAX(world->clock.now_us - REPORT_US, 0) / SNAPSHOT_US;
 
 	return server->loads[index % SNAPSHOTS];
 }
@@ -194,7 +169,7 @@
 /* When the first token would come, if the request were here now. */
 static double true_wait_us(const world_t *world, const server_t *server, uint32_t prefix)
 {
-	double wait_us = (double)MAX(server->prefill_free_us - world->now_us, 0);
+	double wait_us = (double)MAX(server->prefill_free_us - world->clock.now_us, 0);
 
 	wait_us += (double)(is_cached(server, prefix) ? HIT_US : MISS_US) * server->slowness;
 	if (server->running >= SLOTS)
@@ -262,10 +237,10 @@
 
 	for (uint32_t i = 0; i < request->placements; i++)
 		query.tried[query.n_tried++] = world->servers[request->tried[i]].id;
-	peer = skh_route_pick(view, &query, random_u64(world), world->now_us, &err);
+	peer = skh_route_pick(view, &query, random_u64(world), world->clock.now_us, &err);
 	if (!peer)
 		return (uint32_t)g_rand_int_range(world->random, 0, SERVERS);
-	skh_peers_take(peer, world->now_us);
+	skh_peers_take(peer, world->clock.now_us);
 	return (uint32_t)atoi(peer->id + 1);
 }
 
@@ -294,27 +269,25 @@
 	if (request->placements < SKH_ROUTE_MAX_TRIED)
 		request->tried[request->placements] = request->server;
 	request->placements++;
-	schedule(world, world->now_us + NET_US, EVENT_REACH, request);
+	schedule(world, world->clock.now_us + NET_US, EVENT_REACH, request);
 }
 
 static void arrive(world_t *world)
 {
 	request_t *request = g_new0(request_t, 1);
-	double gap_us = -log(g_rand_double_range(world->random, 1e-12, 1.0)) / world->rate_per_us;
-	double normal = sqrt(-2.0 * log(g_rand_double_range(world->random, 1e-12, 1.0))) *
-			cos(2.0 * G_PI * g_rand_double(world->random));
+	double gap_us = replay_exponential(world->random, world->rate_per_us);
+	double decode_us =
+		replay_lognormal(world->random, MEAN_DECODE_S * SKH_US_PER_S, SIGMA_DECODE);
 
 	request->entry = (uint32_t)g_rand_int_range(world->random, 0, (int32_t)world->n_entries);
 	request->prefix = draw_prefix(world);
-	request->arrived_us = world->now_us;
-	request->decode_us =
-		(int64_t)(MEAN_DECODE_S * SKH_US_PER_S *
-			  exp(SIGMA_DECODE * normal - SIGMA_DECODE * SIGMA_DECODE / 2.0));
+	request->arrived_us = world->clock.now_us;
+	request->decode_us = (int64_t)decode_us;
 	if (world->policy == POLICY_ROUTE)
 		request->heat = skh_heat_note(world->heats[request->entry],
-					      prefix_hash(request->prefix), world->now_us);
+					      prefix_hash(request->prefix), world->clock.now_us);
 	place(world, request);
-	schedule(world, world->now_us + (int64_t)gap_us + 1, EVENT_ARRIVE, NULL);
+	schedule(world, world->clock.now_us + (int64_t)gap_us + 1, EVENT_ARRIVE, NULL);
 }
 
 static void hear(world_t *world, uint32_t entry, uint32_t index, uint32_t running, uint32_t queued)
@@ -328,7 +301,7 @@
 	status.running = running;
 	status.queued = queued;
 	(void)skh_peers_heard(skh_peers_find(world->views[entry], world->servers[index].id),
-			      &status, 1, world->now_us);
+			      &status, 1, world->clock.now_us);
 }
 
 static void hear_now(world_t *world, const request_t *request)
@@ -344,13 +317,13 @@
 {
 	server_t *server = &world->servers[request->server];
 	bool hit = is_cached(server, request->prefix);
-	int64_t begin_us = MAX(world->now_us, server->prefill_free_us);
+	int64_t begin_us = MAX(world->clock.now_us, server->prefill_free_us);
 	int64_t first_us =
 		begin_us + (int64_t)((double)(hit ? HIT_US : MISS_US) * server->slowness);
 
 	server->running++;
 	server->prefill_free_us = first_us;
-	cache(server, request->prefix, world->now_us);
+	cache(server, request->prefix, world->clock.now_us);
 	if (request->arrived_us >= WARM_UP_US) {
 		int64_t taken_us = first_us + NET_US - request->arrived_us;
 
@@ -358,7 +331,7 @@
 		world->hits += hit;
 		world->requests++;
 	}
-	schedule(world, world->now_us + NET_US, EVENT_STARTED, request);
+	schedule(world, world->clock.now_us + NET_US, EVENT_STARTED, request);
 	schedule(world, first_us + (int64_t)((double)request->decode_us * server->slowness),
 		 EVENT_FINISH, request);
 }
@@ -371,7 +344,7 @@
 		start(world, request);
 	} else if (world->policy == POLICY_ROUTE && request->placements <= PROBES) {
 		world->refusals++;
-		schedule(world, world->now_us + NET_US, EVENT_REFUSED, request);
+		schedule(world, world->clock.now_us + NET_US, EVENT_REFUSED, request);
 	} else {
 		g_queue_push_tail(&server->queue, request);
 	}
@@ -382,7 +355,7 @@
 	if (world->policy == POLICY_ROUTE)
 		skh_peers_give_back(skh_peers_find(world->views[request->entry],
 						   world->servers[request->server].id),
-				    true, world->now_us);
+				    true, world->clock.now_us);
 }
 
 static void finish(world_t *world, request_t *request)
@@ -402,7 +375,7 @@
 static void report(world_t *world)
 {
 	uint32_t steps = REPORT_US / SNAPSHOT_US;
-	uint32_t step = (uint32_t)(world->now_us / SNAPSHOT_US) % steps;
+	uint32_t step = (uint32_t)(world->clock.now_us / SNAPSHOT_US) % steps;
 
 	for (uint32_t e = 0; e < world->n_entries; e++) {
 		for (uint32_t i = (e + step) % steps; i < SERVERS; i += steps) {
@@ -410,7 +383,7 @@
 				skh_peers_find(world->views[e], world->servers[i].id);
 			uint32_t load = lagged_load(world, &world->servers[i]);
 
-			if (peer->heard_at_us < world->now_us - REPORT_US)
+			if (peer->heard_at_us < world->clock.now_us - REPORT_US)
 				hear(world, e, i, MIN(load, SLOTS), load - MIN(load, SLOTS));
 		}
 	}
@@ -418,34 +391,36 @@
 
 static void snapshot(world_t *world)
 {
-	int64_t index = world->now_us / SNAPSHOT_US % SNAPSHOTS;
+	int64_t index = world->clock.now_us / SNAPSHOT_US % SNAPSHOTS;
 
 	for (uint32_t i = 0; i < SERVERS; i++)
 		world->servers[i].loads[index] = load_of(&world->servers[i]);
 	if (world->policy == POLICY_ROUTE)
 		report(world);
-	schedule(world, world->now_us + SNAPSHOT_US, EVENT_SNAPSHOT, NULL);
+	schedule(world, world->clock.now_us + SNAPSHOT_US, EVENT_SNAPSHOT, NULL);
 }
 
-static void handle(world_t *world, const event_t *event)
+static void handle(world_t *world, const replay_event_t *event)
 {
-	switch (event->type) {
+	request_t *request = event->data;
+
+	switch ((event_type_t)event->type) {
 	case EVENT_ARRIVE:
 		arrive(world);
 		break;
 	case EVENT_REACH:
-		reach(world, event->request);
+		reach(world, request);
 		break;
 	case EVENT_REFUSED:
-		give_back(world, event->request);
-		hear_now(world, event->request);
-		place(world, event->request);
+		give_back(world, request);
+		hear_now(world, request);
+		place(world, request);
 		break;
 	case EVENT_STARTED:
-		hear_now(world, event->request);
+		hear_now(world, request);
 		break;
 	case EVENT_FINISH:
-		finish(world, event->request);
+		finish(world, request);
 		break;
 	case EVENT_SNAPSHOT:
 		snapshot(world);
@@ -479,7 +454,7 @@
 	world->n_entries = n_entries;
 	world->rate_per_us = load * SERVERS * SLOTS / (MEAN_DECODE_S * SKH_US_PER_S);
 	world->random = g_rand_new_with_seed(7);
-	world->events = g_sequence_new(g_free);
+	replay_open(&world->clock);
 	world->first_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	world->servers = g_new0(server_t, SERVERS);
 	for (uint32_t i = 0; i < PREFIXES; i++) {
@@ -514,47 +489,25 @@
 	for (uint32_t i = 0; i < SERVERS; i++)
 		g_queue_clear_full(&world->servers[i].queue, g_free);
 	g_free(world->servers);
-	g_sequence_free(world->events);
+	replay_close(&world->clock);
 	g_array_unref(world->first_us);
 	g_rand_free(world->random);
 }
 
-static int by_value(const void *a, const void *b)
-{
-	int64_t left = *(const int64_t *)a;
-	int64_t right = *(const int64_t *)b;
-
-	return (left > right) - (left < right);
-}
-
-static double percentile_ms(const world_t *world, uint32_t percent)
-{
-	size_t index = (size_t)world->first_us->len * percent / 100;
-
-	return (double)g_array_index(world->first_us, int64_t, index) / SKH_US_PER_MS;
-}
-
 static void run(policy_t policy, uint32_t n_entries, double load, uint32_t stragglers)
 {
+	replay_event_t event;
 	world_t world;
 
 	open_world(&world, policy, n_entries, load, stragglers);
 	schedule(&world, 0, EVENT_ARRIVE, NULL);
 	schedule(&world, 0, EVENT_SNAPSHOT, NULL);
-	for (;;) {
-		GSequenceIter *first = g_sequence_get_begin_iter(world.events);
-		event_t event = *(event_t *)g_sequence_get(first);
-
-		if (event.at_us > END_US)
-			break;
-		g_sequence_remove(first);
-		world.now_us = event.at_us;
+	while (replay_next(&world.clock, END_US, &event))
 		handle(&world, &event);
-	}
-	qsort(world.first_us->data, world.first_us->len, sizeof(int64_t), by_value);
 	printf("| %4u | %-20s | %7.0f | %7.0f | %7.0f | %4.1f%% | %.3f |\n", n_entries,
-	       policy_names[policy], percentile_ms(&world, 50), percentile_ms(&world, 95),
-	       percentile_ms(&world, 99), 100.0 * (double)world.hits / (double)world.requests,
+	       policy_names[policy], replay_percentile_ms(world.first_us, 50),
+	       replay_percentile_ms(world.first_us, 95), replay_percentile_ms(world.first_us, 99),
+	       100.0 * (double)world.hits / (double)world.requests,
 	       (double)world.refusals / (double)world.requests);
 	(void)fflush(stdout);
 	close_world(&world);
--- a/src/serve.c
+++ b/src/serve.c
@@ -111,8 +111,10 @@
 
 static void count_placement(const serving_t *serving)
 {
-	if (serving->relay.placements > 0)
+	if (serving->lost)
 		skh_metrics_add(SKH_COUNT_RETRIES, 1);
+	else if (serving->relay.placements > 0)
+		skh_metrics_add(SKH_COUNT_PROBES, 1);
 	if (serving->begun)
 		skh_metrics_add(SKH_COUNT_RESUMES, 1);
 }
