Never refuse a late copy of what may have run

Cause: a gate forgot an attempt once its last moment to start had passed. A second copy of the same message that came later still was refused as stale, which an entry takes for "not run"; if the end of the first run was late, too, non-idempotent work was sent again and ran twice.

Refusing nothing that comes late: a lone late message is then unknown for ever.

Change: a slot is remembered for a minute longer, so within it an unknown copy truly never ran; of a later one nothing is said and the entry's question is answered "unknown".

--- a/src/gate.c
+++ b/src/gate.c
@@ -234,12 +234,19 @@
 	return SKH_VERDICT_REFUSE;
 }
 
+/* An earlier copy may have run and been forgotten. */
+static bool is_past_memory(const skh_gate_t *gate, const Skh__Start *start, int64_t now_us)
+{
+	return start->incarnation == gate->incarnation &&
+	       now_us - SKH_GATE_MEMORY_US >= start->start_before_us;
+}
+
 skh_verdict_t skh_gate_start(skh_gate_t *gate, const Skh__Start *start, int64_t now_us,
 			     skh_error_t *err)
 {
 	slot_t *slot;
 
-	if (find(gate, start->attempt))
+	if (find(gate, start->attempt) || is_past_memory(gate, start, now_us))
 		return SKH_VERDICT_DUPLICATE;
 	if (refuse_reason(gate, start, now_us, err)) {
 		if (err->kind != SKH_STALE)
@@ -380,7 +387,7 @@
 	while (!g_queue_is_empty(&gate->settled)) {
 		slot_t *oldest = g_queue_peek_head(&gate->settled);
 
-		if (oldest->start_before_us > now_us)
+		if (oldest->start_before_us > now_us - SKH_GATE_MEMORY_US)
 			return;
 		g_queue_pop_head(&gate->settled);
 		g_hash_table_remove(gate->slots, &oldest->attempt);
--- a/src/gate.h
+++ b/src/gate.h
@@ -9,8 +9,10 @@
  * request arrives again or late, and an attempt is started at most once.
  *
  * Memory is bounded without trust in clocks: each attempt names the last
- * moment, on this sidecar's own clock, at which it may start. Once that has
- * passed the attempt is refused anyway and needs no entry here.
+ * moment, on this sidecar's own clock, at which it may start. What became of it
+ * is remembered for SKH_GATE_MEMORY_US longer. Until then a late copy that is
+ * not known here never ran and is refused; of a later one nothing is known, and
+ * nothing is said.
  */
 
 #include "error.h"
@@ -20,13 +22,15 @@
 extern "C" {
 #endif
 
+#define SKH_GATE_MEMORY_US ((int64_t)60 * 1000000)
+
 typedef struct skh_gate skh_gate_t;
 
 typedef enum skh_verdict {
 	SKH_VERDICT_START,     /* hand it to the backend server now */
 	SKH_VERDICT_QUEUE,     /* kept; skh_gate_next() brings it up */
 	SKH_VERDICT_REFUSE,    /* tell the entry why; it will not run */
-	SKH_VERDICT_DUPLICATE, /* already decided; say nothing */
+	SKH_VERDICT_DUPLICATE, /* decided before, or too late to tell; say nothing */
 	SKH_VERDICT_STARTED    /* too late to take back: it was started */
 } skh_verdict_t;
 
