Take each script's verdict from a file, not from a process number

Cause: one run ended with "wait: pid 21209 is not a child of this shell" and counted script admin as failed. Its log was empty, which is what a passed script leaves. Numbers of processes go up to 32,768 here; the scripts start thousands, so the number of an ended script was given to another child of the shell, and bash forgot the status.

Ruled out: a failure of the script; the other 140 checks of that run passed, and the same script passed in the two runs before.

Change: each script's run writes its status into a file. Before: a verdict that depended on how fast numbers are used up. After: it does not.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -43,22 +43,28 @@
 	grep -E -B 12 '^\[  FAILED  \].*ms\)$|ERROR: |runtime error' "$BUILD/unit.log" | head -n 80
 }
 
+# Each run leaves its status in a file: in a long run the number of a process
+# that has ended is given to another, and then bash no longer knows the status.
 scripts() {
 	local file name index=0
-	local -A jobs
 	for file in test/scripts/*.txt; do
 		name=$(basename "$file" .txt)
-		PORT_BASE=$((22000 + 200 * index)) test/run_script.sh "$file" >"$BUILD/script-$name.log" 2>&1 &
-		jobs[$name]=$!
+		rm -f "$BUILD/script-$name.status"
+		{
+			PORT_BASE=$((22000 + 200 * index)) test/run_script.sh "$file" \
+				>"$BUILD/script-$name.log" 2>&1
+			echo $? >"$BUILD/script-$name.status"
+		} &
 		index=$((index + 1))
 		# A few whole systems at once are enough for this machine.
 		while [ "$(jobs -rp | wc -l)" -ge 4 ]; do sleep 0.05; done
 	done
-	for name in "${!jobs[@]}"; do
-		wait "${jobs[$name]}"
-		status=$?
-		[ $status = 0 ] || tail -n 60 "$BUILD/script-$name.log"
-		count "script $name" $status
+	wait
+	for file in test/scripts/*.txt; do
+		name=$(basename "$file" .txt)
+		status=$(cat "$BUILD/script-$name.status" 2>/dev/null || echo 1)
+		[ "$status" = 0 ] || tail -n 60 "$BUILD/script-$name.log"
+		count "script $name" "$status"
 	done
 }
 
