--- a/scripts/world.sh
+++ b/scripts/world.sh
@@ -280,3 +280,22 @@
 	shift 2
 	curl -s -H "Authorization: Bearer clerk-key" "http://127.0.0.1:$port$path" "$@"
 }
+
+# A stream of the assistant; its prompt makes it a request of its own.
+stream() { # entry n, tokens, prompt
+	ask "$1" /v1/completions -N -H 'X-Deadline-Ms: 60000' \
+		-d "{\"model\":\"spares-7b\",\"stream\":true,\"max_tokens\":$2,\"prompt\":\"$3\"}"
+}
+
+# Whether a file holds a stream with every token once, in order, and its end mark.
+whole() { # file, tokens
+	local count
+	count=$(grep -o 'w[0-9a-f]*-[0-9]*' "$1" | sed 's/.*-//' |
+		awk 'NR - 1 != $1 {bad = 1} END {print bad ? -1 : NR}')
+	if [ "$count" = "$2" ] && grep -q '^data: \[DONE\]' "$1"; then
+		echo whole
+	else
+		echo "not whole:"
+		tail -n 3 "$1"
+	fi
+}
