--- /dev/null
+++ b/src/backends.c
@@ -0,0 +1,303 @@
+#include "backends.h"
+
+#include "clock.h"
+#include "log.h"
+
+#include <string.h>
+
+#define PART "backends"
+/* How fast what is known of a server follows its newest answers. */
+#define MEAN_GAIN    0.2
+#define FAILING_GAIN 0.15
+/* A server that can't be reached is left alone for this long, doubled each time. */
+#define AVOID_US     (200 * SKH_US_PER_MS)
+#define AVOID_MOST   5 /* doublings */
+/* A server that turned a request away has room again after about this. */
+#define FULL_US	     (60 * SKH_US_PER_MS)
+#define RATE_SLOT_US (500 * SKH_US_PER_MS)
+/* Beyond its slots a plain server may be given this many, as answers take a moment to arrive. */
+#define OVERCOMMIT_PLAIN 2
+#define OVERCOMMIT_RANK	 1
+#define FIRST_MS_RANK	 150
+#define FIRST_MS_PLAIN	 80
+
+struct skh_backends {
+	uv_loop_t *loop;
+	const skh_pool_options_t *options;
+	GHashTable *targets; /* id -> skh_target_t */
+	GHashTable *fronts;  /* service -> skh_front_t */
+};
+
+static void free_front(gpointer data)
+{
+	skh_front_t *front = data;
+
+	(void)g_ptr_array_free(front->targets, TRUE);
+	skh_waitline_free(front->line);
+	g_free(front->service);
+	g_free(front);
+}
+
+static void unlist(gpointer data)
+{
+	skh_target_t *target = data;
+
+	target->listed = false;
+	(void)g_ptr_array_remove(target->front->targets, target);
+	skh_target_unref(target);
+}
+
+skh_backends_t *skh_backends_new(uv_loop_t *loop, const skh_pool_options_t *options)
+{
+	skh_backends_t *backends = g_new0(skh_backends_t, 1);
+
+	backends->loop = loop;
+	backends->options = options;
+	backends->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
+	backends->fronts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_front);
+	return backends;
+}
+
+void skh_backends_free(skh_backends_t *backends)
+{
+	g_hash_table_unref(backends->targets);
+	g_hash_table_unref(backends->fronts);
+	g_free(backends);
+}
+
+skh_front_t *skh_backends_front(skh_backends_t *backends, const char *name)
+{
+	skh_front_t *front = g_hash_table_lookup(backends->fronts, name);
+
+	if (front)
+		return front;
+	front = g_new0(skh_front_t, 1);
+	front->service = g_strdup(name);
+	front->targets = g_ptr_array_new();
+	front->line = skh_waitline_new();
+	front->first_ms = FIRST_MS_PLAIN;
+	g_hash_table_insert(backends->fronts, front->service, front);
+	return front;
+}
+
+skh_target_t *skh_backends_target(skh_backends_t *backends, const char *id)
+{
+	return g_hash_table_lookup(backends->targets, id);
+}
+
+void skh_backends_each_front(skh_backends_t *backends, skh_front_fn fn, void *context)
+{
+	GHashTableIter iter;
+	gpointer front;
+
+	g_hash_table_iter_init(&iter, backends->fronts);
+	while (g_hash_table_iter_next(&iter, NULL, &front))
+		fn(front, context);
+}
+
+void skh_backends_each_target(skh_backends_t *backends, skh_target_fn fn, void *context)
+{
+	GHashTableIter iter;
+	gpointer target;
+
+	g_hash_table_iter_init(&iter, backends->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &target))
+		fn(target, context);
+}
+
+static bool is_same_instance(const skh_server_t *a, const skh_server_t *b)
+{
+	return strcmp(a->host, b->host) == 0 && a->port == b->port &&
+	       a->born_ms == b->born_ms && strcmp(a->service, b->service) == 0;
+}
+
+static void add_target(skh_backends_t *backends, const skh_server_t *server)
+{
+	skh_target_t *target = g_new0(skh_target_t, 1);
+
+	target->server = skh_server_copy(server);
+	target->front = skh_backends_front(backends, server->service);
+	target->pool = skh_pool_new(backends->loop, server->host, server->port, backends->options);
+	target->references = 1;
+	target->listed = true;
+	g_ptr_array_add(target->front->targets, target);
+	g_hash_table_insert(backends->targets, target->server->id, target);
+	skh_log(SKH_LOG_INFO, PART, "Server listed.", "server=%s service=%s address=%s:%u",
+		server->id, server->service, server->host, server->port);
+}
+
+static void follow_server(skh_backends_t *backends, const skh_server_t *server)
+{
+	skh_target_t *target = g_hash_table_lookup(backends->targets, server->id);
+
+	if (target && !is_same_instance(target->server, server)) {
+		skh_log(SKH_LOG_INFO, PART, "Server started anew.", "server=%s", server->id);
+		(void)g_hash_table_remove(backends->targets, server->id);
+		target = NULL;
+	}
+	if (!target) {
+		add_target(backends, server);
+		return;
+	}
+	if (server->leaving && !target->server->leaving)
+		skh_log(SKH_LOG_INFO, PART, "Server is leaving.", "server=%s", server->id);
+	target->server->leaving = server->leaving;
+	target->server->slots = server->slots;
+}
+
+static gboolean is_gone(gpointer id, gpointer value, gpointer context)
+{
+	(void)value;
+	if (skh_roster_find(context, id))
+		return FALSE;
+	skh_log(SKH_LOG_INFO, PART, "Server is gone.", "server=%s", (const char *)id);
+	return TRUE;
+}
+
+void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
+		       const skh_routing_t *routing)
+{
+	for (guint i = 0; roster && i < roster->servers->len; i++)
+		follow_server(backends, g_ptr_array_index(roster->servers, i));
+	if (roster)
+		(void)g_hash_table_foreach_remove(backends->targets, is_gone, (gpointer)roster);
+	for (guint i = 0; routing && i < routing->services->len; i++) {
+		const skh_service_info_t *service = skh_routing_service_at(routing, i);
+		skh_front_t *front = skh_backends_front(backends, service->name);
+
+		front->lock_step = service->has_engine && service->engine.sets > 0;
+		front->max_connections = service->max_connections;
+		front->first_ms = service->has_engine ? FIRST_MS_RANK : FIRST_MS_PLAIN;
+	}
+}
+
+static bool was_tried(const GPtrArray *tried, const skh_target_t *target)
+{
+	return tried && g_ptr_array_find((GPtrArray *)tried, target, NULL);
+}
+
+skh_target_t *skh_front_pick(skh_front_t *front, const GPtrArray *tried, int64_t now_us)
+{
+	g_autofree skh_candidate_t *list = g_new0(skh_candidate_t, front->targets->len + 1);
+	skh_pick_view_t view = { .list = list,
+				 .n = front->targets->len,
+				 .lock_step = front->lock_step,
+				 .overcommit = front->lock_step ? OVERCOMMIT_RANK
+								: OVERCOMMIT_PLAIN,
+				 .draw = skh_random_u64() >> 1,
+				 .now_us = now_us };
+	int32_t chosen;
+
+	for (guint i = 0; i < front->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(front->targets, i);
+
+		list[i] = (skh_candidate_t){
+			.slots = target->server->slots,
+			.running = target->own_running + target->peers_running,
+			.work = target->own_work,
+			.mean_ms = target->mean_ms,
+			.failing = target->failing,
+			.avoid_till_us = target->avoid_till_us,
+			.full_till_us = target->full_till_us,
+			.excluded = target->server->leaving || was_tried(tried, target),
+		};
+	}
+	chosen = skh_pick_server(&view);
+	return chosen == SKH_PICK_NONE ? NULL : g_ptr_array_index(front->targets, (guint)chosen);
+}
+
+bool skh_front_has_servers(const skh_front_t *front)
+{
+	for (guint i = 0; i < front->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(front->targets, i);
+
+		if (!target->server->leaving)
+			return true;
+	}
+	return false;
+}
+
+static void advance_rate(skh_front_t *front, int64_t now_us)
+{
+	int64_t slot = now_us / RATE_SLOT_US;
+
+	if (slot - front->done_slot > SKH_FRONT_RATE_SLOTS)
+		front->done_slot = slot - SKH_FRONT_RATE_SLOTS;
+	while (front->done_slot < slot) {
+		front->done_slot++;
+		front->done[front->done_slot % SKH_FRONT_RATE_SLOTS] = 0.0;
+	}
+}
+
+double skh_front_rate(const skh_front_t *front, int64_t now_us)
+{
+	int64_t slot = now_us / RATE_SLOT_US;
+	double done = 0.0;
+
+	/* The slot that has just begun says little yet. */
+	for (int64_t i = 1; i < SKH_FRONT_RATE_SLOTS; i++) {
+		int64_t at = slot - i;
+
+		if (at <= front->done_slot && at > front->done_slot - SKH_FRONT_RATE_SLOTS &&
+		    at >= 0)
+			done += front->done[at % SKH_FRONT_RATE_SLOTS];
+	}
+	return done * (double)SKH_US_PER_S / (double)(RATE_SLOT_US * (SKH_FRONT_RATE_SLOTS - 1));
+}
+
+void skh_target_begin(skh_target_t *target, double work)
+{
+	target->references++;
+	target->own_running++;
+	target->own_work += work;
+}
+
+static void note_failure(skh_target_t *target, skh_outcome_t outcome, int64_t now_us)
+{
+	uint32_t doublings = MIN(target->failures, AVOID_MOST);
+
+	target->failing += FAILING_GAIN * (1.0 - target->failing);
+	target->failures++;
+	/* A server that fails part of its requests is used less; a dead one not at all. */
+	if (outcome == SKH_OUTCOME_UNREACHABLE || target->failures > 2)
+		target->avoid_till_us = now_us + (AVOID_US << doublings);
+}
+
+static void note_success(skh_target_t *target, int64_t took_us, int64_t now_us)
+{
+	double took_ms = (double)took_us / (double)SKH_US_PER_MS;
+
+	target->failures = 0;
+	target->avoid_till_us = 0;
+	target->failing -= FAILING_GAIN * target->failing;
+	if (took_us > 0)
+		target->mean_ms = target->mean_ms > 0.0
+					  ? target->mean_ms + MEAN_GAIN * (took_ms - target->mean_ms)
+					  : took_ms;
+	advance_rate(target->front, now_us);
+	target->front->done[target->front->done_slot % SKH_FRONT_RATE_SLOTS] += 1.0;
+}
+
+void skh_target_end(skh_target_t *target, double work, skh_outcome_t outcome, int64_t took_us,
+		    int64_t now_us)
+{
+	target->own_running--;
+	target->own_work -= work;
+	if (outcome == SKH_OUTCOME_GOOD)
+		note_success(target, took_us, now_us);
+	else if (outcome == SKH_OUTCOME_FULL)
+		target->full_till_us =
+			now_us + FULL_US + (int64_t)(skh_random_u64() % (uint64_t)FULL_US);
+	else if (outcome != SKH_OUTCOME_WITHDRAWN)
+		note_failure(target, outcome, now_us);
+	skh_target_unref(target);
+}
+
+void skh_target_unref(skh_target_t *target)
+{
+	if (--target->references > 0)
+		return;
+	skh_pool_free(target->pool);
+	skh_server_free(target->server);
+	g_free(target);
+}
--- a/src/board.c
+++ b/src/board.c
@@ -95,6 +95,16 @@
 	skh_members_clear(payload);
 }
 
+static void destroy_routing(void *payload)
+{
+	skh_routing_clear(payload);
+}
+
+static void destroy_roster(void *payload)
+{
+	skh_roster_clear(payload);
+}
+
 static void destroy_nothing(void *payload)
 {
 	(void)payload;
@@ -118,6 +128,34 @@
 	publish(board, SKH_SECTION_MEMBERS, header);
 }
 
+void skh_board_publish_routing(skh_board_t *board, skh_routing_t *routing)
+{
+	header_t *header = new_section(sizeof(*routing), destroy_routing);
+
+	*(skh_routing_t *)payload_of(header) = *routing;
+	g_free(routing);
+	publish(board, SKH_SECTION_ROUTING, header);
+}
+
+void skh_board_publish_roster(skh_board_t *board, skh_roster_t *roster)
+{
+	header_t *header = new_section(sizeof(*roster), destroy_roster);
+
+	*(skh_roster_t *)payload_of(header) = *roster;
+	g_free(roster);
+	publish(board, SKH_SECTION_ROSTER, header);
+}
+
+const skh_routing_t *skh_board_routing(skh_board_t *board)
+{
+	return take(board, SKH_SECTION_ROUTING);
+}
+
+const skh_roster_t *skh_board_roster(skh_board_t *board)
+{
+	return take(board, SKH_SECTION_ROSTER);
+}
+
 void skh_board_publish_self(skh_board_t *board, skh_self_t self)
 {
 	header_t *header = new_section(sizeof(self), destroy_nothing);
--- a/src/board.h
+++ b/src/board.h
@@ -11,6 +11,8 @@
 
 #include "manifest.h"
 #include "members.h"
+#include "roster.h"
+#include "routing.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -20,6 +22,8 @@
 	SKH_SECTION_CONFIG,
 	SKH_SECTION_MEMBERS,
 	SKH_SECTION_SELF,
+	SKH_SECTION_ROUTING,
+	SKH_SECTION_ROSTER,
 	SKH_SECTION_COUNT
 } skh_section_id_t;
 
@@ -54,6 +58,9 @@
 /* Each publish takes ownership of what it is given. */
 void skh_board_publish_config(skh_board_t *board, skh_config_t *config);
 void skh_board_publish_members(skh_board_t *board, skh_members_t *members);
+/* The routing table and the roster are given up by the caller and no longer changed. */
+void skh_board_publish_routing(skh_board_t *board, skh_routing_t *routing);
+void skh_board_publish_roster(skh_board_t *board, skh_roster_t *roster);
 void skh_board_publish_self(skh_board_t *board, skh_self_t self);
 
 /**
@@ -62,6 +69,10 @@
  */
 const skh_config_t *skh_board_config(skh_board_t *board);
 const skh_members_t *skh_board_members(skh_board_t *board);
+/** skh_board_routing() - the routing table in force, or NULL before the first */
+const skh_routing_t *skh_board_routing(skh_board_t *board);
+/** skh_board_roster() - the backend servers known, or NULL before the first list */
+const skh_roster_t *skh_board_roster(skh_board_t *board);
 skh_self_t skh_board_self(skh_board_t *board);
 
 /** skh_board_release() - give back a section; NULL is allowed */
--- a/src/clock.c
+++ b/src/clock.c
@@ -15,6 +15,14 @@
 	return (int64_t)now.tv_sec * SKH_US_PER_S + now.tv_nsec / NS_PER_US;
 }
 
+int64_t skh_clock_boot_us(void)
+{
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * SKH_US_PER_S + now.tv_nsec / NS_PER_US;
+}
+
 int64_t skh_clock_unix_ms(void)
 {
 	struct timespec now;
--- a/src/clock.h
+++ b/src/clock.h
@@ -21,6 +21,13 @@
 /** skh_clock_now_us() - monotonic clock of this instance, in microseconds */
 int64_t skh_clock_now_us(void);
 
+/**
+ * skh_clock_boot_us() - clock that also counts while the instance is suspended
+ *
+ * What was learned before a suspension is older afterwards by its whole length.
+ */
+int64_t skh_clock_boot_us(void);
+
 /** skh_clock_unix_ms() - wall clock, milliseconds since 1970 (UTC) */
 int64_t skh_clock_unix_ms(void);
 
--- a/src/cmd.c
+++ b/src/cmd.c
@@ -1,6 +1,7 @@
 #include "cmd.h"
 
 #include "entry.h"
+#include "gateway.h"
 #include "sidecar.h"
 
 #include <stdio.h>
@@ -86,6 +87,13 @@
 			"Run the process beside a backend server until SIGTERM.", skh_sidecar_main);
 }
 
+int skh_cmd_gateway(int argc, char **argv)
+{
+	return run_role(argc, argv, SKH_ROLE_GATEWAY,
+			"Run an entry that reaches backend servers directly until SIGTERM.",
+			skh_gateway_main);
+}
+
 int skh_cmd_version(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
--- /dev/null
+++ b/src/feed.h
@@ -0,0 +1,52 @@
+#ifndef SKH_FEED_H
+#define SKH_FEED_H
+
+/**
+ * DOC: Feed from the store
+ *
+ * One thread that follows the operators' configuration, the list of backend
+ * servers and the other gateways in the store, and puts them on the
+ * blackboard. One paced long poll serves all of it: calls are priced, and the
+ * list changes several times a second.
+ */
+
+#include "board.h"
+#include "dialect.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** struct skh_feed_options - texts are borrowed for the feed's life */
+typedef struct skh_feed_options {
+	skh_store_t *store; /* of the feed's own */
+	const skh_dialect_t *dialect;
+	skh_board_t *board;
+	int64_t pace_us;	  /* between two polls */
+	int64_t wait_ms;	  /* of a poll without news */
+	const char *peers_prefix; /* where gateways register; ends with a slash */
+	const char *own_id;	  /* NULL to register nothing */
+	const char *own_address;  /* where other gateways reach this one */
+	/* Something on the board has changed; on the feed's thread. */
+	void (*notify)(void *context);
+	void *context;
+} skh_feed_options_t;
+
+typedef struct skh_feed skh_feed_t;
+
+skh_feed_t *skh_feed_start(const skh_feed_options_t *options);
+void skh_feed_stop(skh_feed_t *feed);
+
+/**
+ * skh_feed_fresh_us() - the store had nothing newer than the board at this time
+ * Return: boot clock; 0 before the first answer.
+ */
+int64_t skh_feed_fresh_us(const skh_feed_t *feed);
+
+/** skh_feed_peers() - addresses of the other gateways; free with g_ptr_array_unref() */
+GPtrArray *skh_feed_peers(skh_feed_t *feed);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/log.c
+++ b/src/log.c
@@ -6,9 +6,13 @@
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <fcntl.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LAST_FIELD "reason"
+/* Lines a second; what is beyond is counted and left out. */
+#define MOST_LINES 400
 
 typedef struct level_row {
 	GLogLevelFlags flag;
@@ -25,6 +29,37 @@
 
 static skh_log_level_t lowest_level = SKH_LOG_INFO;
 static bool write_json;
+static bool to_stdout;
+
+/* Lines of the second under way; a line more or less does not matter between threads. */
+static int64_t second;
+static uint32_t lines;
+static uint64_t dropped;
+
+static bool may_write(void)
+{
+	int64_t now_s = skh_clock_boot_us() / SKH_US_PER_S;
+
+	if (now_s != second) {
+		second = now_s;
+		lines = 0;
+	}
+	if (++lines <= MOST_LINES)
+		return true;
+	dropped++;
+	return false;
+}
+
+/* One write for each line, so that lines of several threads do not mix; it never waits. */
+static void put_line(const char *text, size_t len)
+{
+	if (!to_stdout) {
+		(void)fwrite(text, 1, len, stderr);
+		return;
+	}
+	if (write(STDOUT_FILENO, text, len) != (ssize_t)len)
+		dropped++;
+}
 
 static const char *level_name(GLogLevelFlags flag)
 {
@@ -66,9 +101,14 @@
 	json_object_set_new(line, "part", json_string(part));
 	json_object_set_new(line, "message", json_string(message));
 	add_json_fields(line, fields);
+	if (dropped > 0)
+		json_object_set_new(line, "lines_dropped", json_integer((json_int_t)dropped));
 	text = json_dumps(line, JSON_COMPACT);
-	if (text)
-		(void)fprintf(stderr, "%s\n", text);
+	if (text) {
+		g_autofree char *whole = g_strconcat(text, "\n", NULL);
+
+		put_line(whole, strlen(whole));
+	}
 	free(text);
 	json_decref(line);
 }
@@ -91,9 +131,12 @@
 	}
 	if (write_json)
 		print_json(level_name(flag), part, message, pairs);
-	else
-		(void)fprintf(stderr, "%s: %s: %s%s%s\n", level_name(flag), part, message,
-			      *pairs ? " " : "", pairs);
+	else {
+		g_autofree char *whole = g_strdup_printf("%s: %s: %s%s%s\n", level_name(flag),
+							 part, message, *pairs ? " " : "", pairs);
+
+		put_line(whole, strlen(whole));
+	}
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -104,12 +147,21 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+void skh_log_to_stdout(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	to_stdout = true;
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 void skh_log(skh_log_level_t level, const char *part, const char *sentence, const char *fields, ...)
 {
 	va_list args;
 	char *pairs;
 
-	if (level < lowest_level)
+	if (level < lowest_level || (to_stdout && !may_write()))
 		return;
 	va_start(args, fields);
 	pairs = g_strdup_vprintf(fields, args);
--- a/src/log.h
+++ b/src/log.h
@@ -26,8 +26,11 @@
 /** skh_log_setup() - choose the lowest level written and JSON lines or text */
 void skh_log_setup(skh_log_level_t lowest, bool json);
 
+/** skh_log_to_stdout() - lines go to standard output; those it can't take at once are dropped */
+void skh_log_to_stdout(void);
+
 /**
- * skh_log() - write one line to standard error
+ * skh_log() - write one line
  * @level: how urgent it is
  * @part: fixed prefix of the part that speaks, such as "entry"
  * @sentence: constant short sentence
--- /dev/null
+++ b/src/message.c
@@ -0,0 +1,225 @@
+#include "message.h"
+
+#include <string.h>
+
+static void clear_headers(GArray *headers)
+{
+	for (guint i = 0; i < headers->len; i++) {
+		skh_header_t *header = &g_array_index(headers, skh_header_t, i);
+
+		g_free(header->name);
+		g_free(header->value);
+	}
+	g_array_set_size(headers, 0);
+}
+
+static void end_field(skh_message_t *message)
+{
+	skh_header_t header;
+
+	if (message->name->len == 0)
+		return;
+	header.name = g_strdup(message->name->str);
+	header.value = g_strchomp(g_strdup(message->value->str));
+	g_array_append_val(message->headers, header);
+	g_string_truncate(message->name, 0);
+	g_string_truncate(message->value, 0);
+	message->in_value = false;
+}
+
+/* Nonzero stops the parser. */
+static int add_header_bytes(skh_message_t *message, size_t len)
+{
+	message->header_bytes += len;
+	if (message->max_header_bytes == 0 || message->header_bytes <= message->max_header_bytes)
+		return 0;
+	message->fault = SKH_HEADERS_TOO_LARGE;
+	return 1;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	skh_message_t *message = parser->data;
+
+	g_string_append_len(message->target, at, (gssize)len);
+	return add_header_bytes(message, len);
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	skh_message_t *message = parser->data;
+
+	if (message->in_value)
+		end_field(message);
+	g_string_append_len(message->name, at, (gssize)len);
+	return add_header_bytes(message, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	skh_message_t *message = parser->data;
+
+	message->in_value = true;
+	g_string_append_len(message->value, at, (gssize)len);
+	return add_header_bytes(message, len);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	skh_message_t *message = parser->data;
+
+	end_field(message);
+	message->head_done = true;
+	if (message->max_body_bytes > 0 && !(parser->flags & F_CHUNKED) &&
+	    parser->content_length != UINT64_MAX &&
+	    parser->content_length > message->max_body_bytes) {
+		message->fault = SKH_TOO_LARGE;
+		return -1;
+	}
+	if (message->ops->on_head && !message->ops->on_head(message->context, message)) {
+		if (message->fault == SKH_OK)
+			message->fault = SKH_BAD_REQUEST;
+		return -1;
+	}
+	return message->skip_body ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	skh_message_t *message = parser->data;
+
+	if (message->ops->on_body) {
+		message->ops->on_body(message->context, skh_chunk_make(at, len));
+		return 0;
+	}
+	if (message->max_body_bytes > 0 && message->body.len + len > message->max_body_bytes) {
+		message->fault = SKH_TOO_LARGE;
+		return 1;
+	}
+	skh_buffer_append(&message->body, skh_chunk_make(at, len));
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	skh_message_t *message = parser->data;
+
+	end_field(message); /* a trailer of a chunked body */
+	message->done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void skh_message_reset(skh_message_t *message, enum http_parser_type type,
+		       const skh_message_ops_t *ops, void *context)
+{
+	if (!message->headers) {
+		message->headers = g_array_new(FALSE, FALSE, sizeof(skh_header_t));
+		message->target = g_string_new(NULL);
+		message->name = g_string_new(NULL);
+		message->value = g_string_new(NULL);
+	}
+	clear_headers(message->headers);
+	g_string_truncate(message->target, 0);
+	g_string_truncate(message->name, 0);
+	g_string_truncate(message->value, 0);
+	skh_buffer_free(&message->body);
+	http_parser_init(&message->parser, type);
+	message->parser.data = message;
+	message->ops = ops;
+	message->context = context;
+	message->header_bytes = 0;
+	message->in_value = false;
+	message->skip_body = false;
+	message->head_done = false;
+	message->done = false;
+	message->fault = SKH_OK;
+}
+
+void skh_message_free(skh_message_t *message)
+{
+	if (!message->headers)
+		return;
+	clear_headers(message->headers);
+	(void)g_array_free(message->headers, TRUE);
+	(void)g_string_free(message->target, TRUE);
+	(void)g_string_free(message->name, TRUE);
+	(void)g_string_free(message->value, TRUE);
+	skh_buffer_free(&message->body);
+	*message = (skh_message_t){ 0 };
+}
+
+bool skh_message_feed(skh_message_t *message, skh_chunk_t bytes, size_t *used, skh_error_t *err)
+{
+	enum http_errno code;
+
+	*used = 0;
+	if (message->done)
+		return true;
+	*used = http_parser_execute(&message->parser, &parser_settings, (const char *)bytes.data,
+				    bytes.len);
+	code = HTTP_PARSER_ERRNO(&message->parser);
+	if (message->done && (code == HPE_PAUSED || code == HPE_OK)) {
+		if (message->ops->on_end)
+			message->ops->on_end(message->context, message);
+		return true;
+	}
+	if (code != HPE_OK)
+		return skh_error_set(err,
+				     message->fault == SKH_OK ? SKH_BAD_REQUEST : message->fault,
+				     "%s", http_errno_description(code));
+	if (message->parser.upgrade)
+		return skh_error_set(err, SKH_BAD_REQUEST, "upgrades are not offered");
+	return true;
+}
+
+bool skh_message_eof(skh_message_t *message)
+{
+	if (message->done || !message->head_done)
+		return message->done;
+	(void)http_parser_execute(&message->parser, &parser_settings, NULL, 0);
+	if (message->done && message->ops->on_end)
+		message->ops->on_end(message->context, message);
+	return message->done;
+}
+
+const char *skh_message_header(const skh_message_t *message, const char *name)
+{
+	for (guint i = 0; i < message->headers->len; i++) {
+		const skh_header_t *header = &g_array_index(message->headers, skh_header_t, i);
+
+		if (g_ascii_strcasecmp(header->name, name) == 0)
+			return header->value;
+	}
+	return NULL;
+}
+
+bool skh_message_keeps_alive(const skh_message_t *message)
+{
+	return message->done && http_should_keep_alive(&message->parser) != 0;
+}
+
+bool skh_header_is_hop(const char *name)
+{
+	static const char *const hops[] = { "connection",	   "keep-alive",
+					    "proxy-authenticate",  "proxy-authorization",
+					    "proxy-connection",	   "te",
+					    "trailer",		   "transfer-encoding",
+					    "upgrade",		   "content-length",
+					    "expect" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hops); i++) {
+		if (g_ascii_strcasecmp(name, hops[i]) == 0)
+			return true;
+	}
+	return false;
+}
--- a/src/process.c
+++ b/src/process.c
@@ -19,6 +19,8 @@
 	struct sigaction action = { .sa_handler = on_signal };
 
 	skh_log_setup((skh_log_level_t)settings->log_level, settings->log_format == 1);
+	if (settings->log_output == 1)
+		skh_log_to_stdout();
 	(void)sigaction(SIGTERM, &action, NULL);
 	(void)sigaction(SIGINT, &action, NULL);
 	(void)signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/src/routing.c
@@ -0,0 +1,153 @@
+#include "routing.h"
+
+#include <string.h>
+
+static void free_owner(gpointer data)
+{
+	skh_key_owner_t *owner = data;
+
+	g_free(owner->customer);
+	g_free(owner);
+}
+
+static void free_list(gpointer data)
+{
+	(void)g_ptr_array_free(data, TRUE);
+}
+
+skh_routing_t *skh_routing_new(void)
+{
+	skh_routing_t *routing = g_new0(skh_routing_t, 1);
+
+	routing->services = g_array_new(FALSE, TRUE, sizeof(skh_service_info_t));
+	routing->routes = g_array_new(FALSE, TRUE, sizeof(skh_route_t));
+	routing->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_owner);
+	routing->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+	return routing;
+}
+
+void skh_routing_clear(skh_routing_t *routing)
+{
+	for (guint i = 0; i < routing->services->len; i++) {
+		skh_service_info_t *service =
+			&g_array_index(routing->services, skh_service_info_t, i);
+
+		g_free(service->name);
+		g_free(service->health_path);
+	}
+	for (guint i = 0; i < routing->routes->len; i++) {
+		skh_route_t *route = &g_array_index(routing->routes, skh_route_t, i);
+
+		g_free(route->name);
+		g_free(route->host);
+		g_free(route->prefix);
+	}
+	(void)g_array_free(routing->services, TRUE);
+	(void)g_array_free(routing->routes, TRUE);
+	if (routing->keys)
+		g_hash_table_unref(routing->keys);
+	g_hash_table_unref(routing->hosts);
+}
+
+void skh_routing_free(skh_routing_t *routing)
+{
+	if (!routing)
+		return;
+	skh_routing_clear(routing);
+	g_free(routing);
+}
+
+static gint by_prefix_length(gconstpointer left, gconstpointer right)
+{
+	const skh_route_t *const *a = left;
+	const skh_route_t *const *b = right;
+
+	return (gint)strlen((*b)->prefix) - (gint)strlen((*a)->prefix);
+}
+
+void skh_routing_seal(skh_routing_t *routing)
+{
+	GHashTableIter iter;
+	gpointer list;
+
+	for (guint i = 0; i < routing->routes->len; i++) {
+		skh_route_t *route = &g_array_index(routing->routes, skh_route_t, i);
+		g_autofree char *host = g_ascii_strdown(route->host, -1);
+
+		list = g_hash_table_lookup(routing->hosts, host);
+		if (!list) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(routing->hosts, g_steal_pointer(&host), list);
+		}
+		g_ptr_array_add(list, route);
+	}
+	g_hash_table_iter_init(&iter, routing->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		g_ptr_array_sort(list, by_prefix_length);
+}
+
+int32_t skh_routing_service(const skh_routing_t *routing, const char *name)
+{
+	for (guint i = 0; i < routing->services->len; i++) {
+		if (strcmp(skh_routing_service_at(routing, i)->name, name) == 0)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+const skh_service_info_t *skh_routing_service_at(const skh_routing_t *routing, uint32_t index)
+{
+	return &g_array_index(routing->services, skh_service_info_t, index);
+}
+
+static bool path_begins_with(const char *target, const char *prefix)
+{
+	size_t path_len = strcspn(target, "?#");
+	size_t len = strlen(prefix);
+
+	return path_len >= len && strncmp(target, prefix, len) == 0;
+}
+
+const skh_route_t *skh_routing_find(const skh_routing_t *routing, const char *host,
+				    const char *target)
+{
+	g_autofree char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	const GPtrArray *list = g_hash_table_lookup(routing->hosts, name);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const skh_route_t *route = g_ptr_array_index(list, i);
+
+		if (path_begins_with(target, route->prefix))
+			return route;
+	}
+	return NULL;
+}
+
+uint32_t skh_routing_split(const skh_route_t *route, double draw)
+{
+	uint32_t total = 0;
+	double left;
+
+	for (uint32_t i = 0; i < route->n_splits; i++)
+		total += route->splits[i].weight;
+	left = draw * (double)total;
+	for (uint32_t i = 0; i < route->n_splits; i++) {
+		if (left < (double)route->splits[i].weight)
+			return route->splits[i].service;
+		left -= (double)route->splits[i].weight;
+	}
+	return route->splits[0].service;
+}
+
+const skh_key_owner_t *skh_routing_owner(const skh_routing_t *routing, const char *scheme,
+					 const char *authorization)
+{
+	size_t len = strlen(scheme);
+
+	if (!authorization || g_ascii_strncasecmp(authorization, scheme, len) != 0 ||
+	    authorization[len] != ' ')
+		return NULL;
+	while (authorization[len] == ' ')
+		len++;
+	return g_hash_table_lookup(routing->keys, authorization + len);
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -20,6 +20,7 @@
 
 static const char *const kind_choices[] = { "engine", "plain", NULL };
 static const char *const level_choices[] = { "debug", "info", "warning", "error", NULL };
+static const char *const output_choices[] = { "stderr", "stdout", NULL };
 static const char *const format_choices[] = { "text", "json", NULL };
 
 static const skh_field_t instance_fields[] = {
@@ -60,16 +61,37 @@
 	INTEGER("capacity", backend_capacity, 1, 65536),
 	INTEGER("queue", backend_queue, 1, 65536),
 };
+static const skh_field_t gateway_fields[] = {
+	TEXT("dialect", dialect, true),
+	TEXT("gossip_listen", gossip_listen, true),
+	TEXT("peers_prefix", peers_prefix, false),
+	INTEGER("poll_pace_ms", poll_pace_ms, 10, 60000),
+	INTEGER("poll_wait_ms", poll_wait_ms, 10, 30000),
+	INTEGER("key_trust_ms", key_trust_ms, 100, 86400000),
+	INTEGER("retry_percent", retry_percent, 0, 1000),
+	INTEGER("retry_least", retry_least, 0, 1000000),
+	INTEGER("retry_window_ms", retry_window_ms, 1000, 600000),
+};
+static const skh_field_t balancer_fields[] = {
+	TEXT("dialect", dialect, true),
+	TEXT("listen", gossip_listen, true),
+	TEXT("engine", engine_address, true),
+	TEXT("service", backend_service, true),
+	INTEGER("skew_weight", skew_weight, 0, 1000),
+	INTEGER("cost_weight", cost_weight, 0, 1000),
+};
 static const skh_field_t stop_fields[] = {
 	INTEGER("drain_ms", drain_ms, 0, 3600000),
 };
 static const skh_field_t log_fields[] = {
 	CHOICE("level", log_level, false, level_choices),
 	CHOICE("format", log_format, false, format_choices),
+	CHOICE("output", log_output, false, output_choices),
 };
 
 #define ROLE_BIT(role) (1U << (uint32_t)(role))
-#define BOTH_ROLES     (ROLE_BIT(SKH_ROLE_ENTRY) | ROLE_BIT(SKH_ROLE_SIDECAR))
+#define LINKED_ROLES   (ROLE_BIT(SKH_ROLE_ENTRY) | ROLE_BIT(SKH_ROLE_SIDECAR))
+#define ALL_ROLES      (LINKED_ROLES | ROLE_BIT(SKH_ROLE_GATEWAY) | ROLE_BIT(SKH_ROLE_BALANCER))
 
 typedef struct section {
 	const char *name;
@@ -80,16 +102,21 @@
 } section_t;
 
 static const section_t sections[] = {
-	{ "instance", instance_fields, G_N_ELEMENTS(instance_fields), BOTH_ROLES, false },
-	{ "http", http_fields, G_N_ELEMENTS(http_fields), ROLE_BIT(SKH_ROLE_ENTRY), false },
-	{ "admin", admin_fields, G_N_ELEMENTS(admin_fields), BOTH_ROLES, false },
+	{ "instance", instance_fields, G_N_ELEMENTS(instance_fields), ALL_ROLES, false },
+	{ "http", http_fields, G_N_ELEMENTS(http_fields),
+	  ROLE_BIT(SKH_ROLE_ENTRY) | ROLE_BIT(SKH_ROLE_GATEWAY), false },
+	{ "admin", admin_fields, G_N_ELEMENTS(admin_fields), ALL_ROLES, false },
+	{ "gateway", gateway_fields, G_N_ELEMENTS(gateway_fields), ROLE_BIT(SKH_ROLE_GATEWAY),
+	  false },
+	{ "balancer", balancer_fields, G_N_ELEMENTS(balancer_fields), ROLE_BIT(SKH_ROLE_BALANCER),
+	  false },
 	{ "link", link_fields, G_N_ELEMENTS(link_fields), ROLE_BIT(SKH_ROLE_SIDECAR), false },
-	{ "security", security_fields, G_N_ELEMENTS(security_fields), BOTH_ROLES, true },
-	{ "store", store_fields, G_N_ELEMENTS(store_fields), BOTH_ROLES, false },
+	{ "security", security_fields, G_N_ELEMENTS(security_fields), LINKED_ROLES, true },
+	{ "store", store_fields, G_N_ELEMENTS(store_fields), ALL_ROLES, false },
 	{ "backend", backend_fields, G_N_ELEMENTS(backend_fields), ROLE_BIT(SKH_ROLE_SIDECAR),
 	  false },
-	{ "stop", stop_fields, G_N_ELEMENTS(stop_fields), BOTH_ROLES, false },
-	{ "log", log_fields, G_N_ELEMENTS(log_fields), BOTH_ROLES, false },
+	{ "stop", stop_fields, G_N_ELEMENTS(stop_fields), ALL_ROLES, false },
+	{ "log", log_fields, G_N_ELEMENTS(log_fields), ALL_ROLES, false },
 };
 
 static void set_defaults(skh_settings_t *settings)
@@ -104,6 +131,15 @@
 	settings->backend_group = "";
 	settings->backend_capacity = 64;
 	settings->backend_queue = 64;
+	settings->peers_prefix = "skylarkhead/gateways/";
+	settings->poll_pace_ms = 400;
+	settings->poll_wait_ms = 1000;
+	settings->key_trust_ms = 4000;
+	settings->retry_percent = 20;
+	settings->retry_least = 40;
+	settings->retry_window_ms = 10000;
+	settings->skew_weight = 1;
+	settings->cost_weight = 1;
 	settings->drain_ms = 120000;
 	settings->log_level = 1;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,7 +18,9 @@
 
 typedef enum skh_role {
 	SKH_ROLE_ENTRY,
-	SKH_ROLE_SIDECAR
+	SKH_ROLE_SIDECAR,
+	SKH_ROLE_GATEWAY,
+	SKH_ROLE_BALANCER
 } skh_role_t;
 
 typedef enum skh_backend_kind {
@@ -57,11 +59,26 @@
 	int64_t backend_rank;
 	int64_t backend_capacity;
 	int64_t backend_queue;
+	/* [gateway]: an entry that reaches backend servers directly */
+	const char *dialect; /* how callers, servers and the store are spoken to */
+	const char *gossip_listen;
+	const char *peers_prefix;
+	int64_t poll_pace_ms;
+	int64_t poll_wait_ms;
+	int64_t key_trust_ms; /* keys hold this long after the store was last heard */
+	int64_t retry_percent; /* repeats for 100 requests, of all gateways together */
+	int64_t retry_least;   /* repeats that are always allowed in a window */
+	int64_t retry_window_ms;
+	/* [balancer]: beside a rank whose group's experts it helps to place */
+	const char *engine_address;
+	int64_t skew_weight; /* what step time is worth against orders and copies */
+	int64_t cost_weight;
 	/* [stop] */
 	int64_t drain_ms;
 	/* [log] */
 	int32_t log_level;
 	int32_t log_format;
+	int32_t log_output;
 	skh_role_t role;
 	skh_node_t *tree;
 } skh_settings_t;
--- a/src/skylarkhead.h
+++ b/src/skylarkhead.h
@@ -38,6 +38,8 @@
 int skh_cmd_entry(int argc, char **argv);
 /** skh_cmd_sidecar() - run the process beside a backend server */
 int skh_cmd_sidecar(int argc, char **argv);
+/** skh_cmd_gateway() - run an entry that reaches backend servers directly */
+int skh_cmd_gateway(int argc, char **argv);
 /** skh_cmd_check() - print every fault of settings or of a manifest */
 int skh_cmd_check(int argc, char **argv);
 /** skh_cmd_apply() - put a manifest in force and wait until it is */
--- a/src/store.c
+++ b/src/store.c
@@ -25,6 +25,16 @@
 	return NULL;
 }
 
+void skh_changes_clear(skh_changes_t *changes)
+{
+	for (size_t i = 0; i < changes->count; i++) {
+		g_free(changes->list[i].key);
+		g_free(changes->list[i].value);
+	}
+	g_free(changes->list);
+	*changes = (skh_changes_t){ 0 };
+}
+
 uint64_t skh_store_calls(void)
 {
 	return atomic_load(&calls);
--- a/src/store.h
+++ b/src/store.h
@@ -88,6 +88,22 @@
 typedef bool (*skh_watch_fn)(void *context, const char *key, const char *value,
 			     int64_t mod_revision);
 
+/** struct skh_change - one change of a key; @value is NULL for a deletion */
+typedef struct skh_change {
+	char *key;
+	char *value;
+	int64_t mod_revision;
+} skh_change_t;
+
+/** struct skh_changes - in order of their revisions; free with skh_changes_clear() */
+typedef struct skh_changes {
+	skh_change_t *list;
+	size_t count;
+	int64_t store_revision; /* to go on from */
+} skh_changes_t;
+
+void skh_changes_clear(skh_changes_t *changes);
+
 /** struct skh_store_ops - what a protocol implements */
 typedef struct skh_store_ops {
 	bool (*range)(skh_store_t *store, const char *key, bool prefix, skh_pairs_t *pairs,
@@ -100,6 +116,13 @@
 	bool (*watch)(skh_store_t *store, const char *prefix, int64_t from_revision,
 		      skh_watch_fn fn, void *context, const bool *stop, skh_error_t *err);
 	void (*close)(skh_store_t *store);
+	/*
+	 * Changes under @prefix after @after_revision, waiting up to @wait_ms for
+	 * the first; SKH_STORE_COMPACTED when that history is gone. NULL where
+	 * the protocol has only streams.
+	 */
+	bool (*changes)(skh_store_t *store, const char *prefix, int64_t after_revision,
+			int64_t wait_ms, skh_changes_t *changes, skh_error_t *err);
 } skh_store_ops_t;
 
 /** struct skh_store - first member of every implementation */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &skh__order_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   skh__load_report__init
+                     (Skh__LoadReport         *message)
+{
+  static const Skh__LoadReport init_value = SKH__LOAD_REPORT__INIT;
+  *message = init_value;
+}
+size_t skh__load_report__get_packed_size
+                     (const Skh__LoadReport *message)
+{
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__load_report__pack
+                     (const Skh__LoadReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__load_report__pack_to_buffer
+                     (const Skh__LoadReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__LoadReport *
+       skh__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__LoadReport *)
+     protobuf_c_message_unpack (&skh__load_report__descriptor,
+                                allocator, len, data);
+}
+void   skh__load_report__free_unpacked
+                     (Skh__LoadReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] =
 {
   {
@@ -1998,3 +2043,106 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[6] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_servers),
+    offsetof(Skh__LoadReport, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "culprits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_culprits),
+    offsetof(Skh__LoadReport, culprits),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_crashes),
+    offsetof(Skh__LoadReport, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned skh__load_report__field_indices_by_name[] = {
+  5,   /* field[5] = crashes */
+  4,   /* field[4] = culprits */
+  1,   /* field[1] = number */
+  3,   /* field[3] = running */
+  0,   /* field[0] = sender */
+  2,   /* field[2] = servers */
+};
+static const ProtobufCIntRange skh__load_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor skh__load_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.LoadReport",
+  "LoadReport",
+  "Skh__LoadReport",
+  "skh",
+  sizeof(Skh__LoadReport),
+  6,
+  skh__load_report__field_descriptors,
+  skh__load_report__field_indices_by_name,
+  1,  skh__load_report__number_ranges,
+  (ProtobufCMessageInit) skh__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Skh__Refuse Skh__Refuse;
 typedef struct Skh__Order Skh__Order;
 typedef struct Skh__OrderReply Skh__OrderReply;
+typedef struct Skh__LoadReport Skh__LoadReport;
 
 
 /* --- enums --- */
@@ -351,6 +352,42 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Gateway -> gateway, over UDP: what it has at the servers now. The newest counts.
+ */
+struct  Skh__LoadReport
+{
+  ProtobufCMessage base;
+  /*
+   * new with each start
+   */
+  uint64_t sender;
+  uint64_t number;
+  /*
+   * hash of the id
+   */
+  size_t n_servers;
+  uint32_t *servers;
+  /*
+   * for each of them, at most 255
+   */
+  ProtobufCBinaryData running;
+  /*
+   * requests that crash their servers
+   */
+  size_t n_culprits;
+  uint64_t *culprits;
+  /*
+   * for each of them
+   */
+  size_t n_crashes;
+  uint64_t *crashes;
+};
+#define SKH__LOAD_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&skh__load_report__descriptor) \
+    , 0, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL }
+
+
 /* Skh__Frame methods */
 void   skh__frame__init
                      (Skh__Frame         *message);
@@ -598,6 +635,25 @@
 void   skh__order_reply__free_unpacked
                      (Skh__OrderReply *message,
                       ProtobufCAllocator *allocator);
+/* Skh__LoadReport methods */
+void   skh__load_report__init
+                     (Skh__LoadReport         *message);
+size_t skh__load_report__get_packed_size
+                     (const Skh__LoadReport   *message);
+size_t skh__load_report__pack
+                     (const Skh__LoadReport   *message,
+                      uint8_t             *out);
+size_t skh__load_report__pack_to_buffer
+                     (const Skh__LoadReport   *message,
+                      ProtobufCBuffer     *buffer);
+Skh__LoadReport *
+       skh__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   skh__load_report__free_unpacked
+                     (Skh__LoadReport *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Skh__Frame_Closure)
@@ -639,6 +695,9 @@
 typedef void (*Skh__OrderReply_Closure)
                  (const Skh__OrderReply *message,
                   void *closure_data);
+typedef void (*Skh__LoadReport_Closure)
+                 (const Skh__LoadReport *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -658,6 +717,7 @@
 extern const ProtobufCMessageDescriptor skh__refuse__descriptor;
 extern const ProtobufCMessageDescriptor skh__order__descriptor;
 extern const ProtobufCMessageDescriptor skh__order_reply__descriptor;
+extern const ProtobufCMessageDescriptor skh__load_report__descriptor;
 
 PROTOBUF_C__END_DECLS
 
