--- a/src/cmd.c
+++ b/src/cmd.c
@@ -1,6 +1,7 @@
 #include "cmd.h"
 
 #include "entry.h"
+#include "balancer.h"
 #include "gateway.h"
 #include "sidecar.h"
 
@@ -94,6 +95,13 @@
 			skh_gateway_main);
 }
 
+int skh_cmd_balancer(int argc, char **argv)
+{
+	return run_role(argc, argv, SKH_ROLE_BALANCER,
+			"Run the balancer of experts beside a model server until SIGTERM.",
+			skh_balancer_main);
+}
+
 int skh_cmd_version(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
--- /dev/null
+++ b/src/coordinator.c
@@ -0,0 +1,480 @@
+#include "coordinator.h"
+
+#include "clock.h"
+#include "log.h"
+#include "mapchange.h"
+#include "mapplan.h"
+#include "metrics.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define PART "group"
+/* Counts are judged this often; less says little, more comes too late. */
+#define DECIDE_US (500 * SKH_US_PER_MS)
+/* A rank that was not heard of for longer is asked over the network. */
+#define SILENT_US (900 * SKH_US_PER_MS)
+#define ASK_US	  (300 * SKH_US_PER_MS)
+/* Counts of ranks that were silent for longer do not count. */
+#define STALE_US  (2500 * SKH_US_PER_MS)
+#define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
+/* Tokens that the ranks of a group must have chosen experts for, by set. */
+#define LEAST_TOKENS 400.0
+/* A change is not begun for less skew than this. */
+#define LEAST_GAIN 0.03
+/* Copies make passes longer: so much of a set's skew is one of them worth. */
+#define LOAD_COST 0.006
+/* New experts at one rank; each takes the rank about a tenth of a second. */
+#define MOST_NEW  4
+/* A hold that nobody seems to want is looked into after this. */
+#define HELD_US	  (400 * SKH_US_PER_MS)
+/* Room for the changes of one lease, so that each has a higher fence than those before. */
+#define FENCE_STEP 4096
+
+typedef struct rank_state {
+	skh_engine_client_t *client; /* NULL before its address is known */
+	bool reported;
+	int64_t heard_us;
+	uint64_t sender;
+	uint64_t number;
+	skh_engine_report_t report;
+	bool map_known;
+	bool asking;
+	int64_t ask_us;
+	int64_t held_since_us;
+} rank_state_t;
+
+struct skh_coordinator {
+	skh_coordinator_options_t options;
+	skh_engine_shape_t shape;
+	uint32_t n_ranks;
+	uint32_t own;
+	bool has_own;
+	rank_state_t ranks[SKH_MAPCHANGE_MAX_RANKS];
+	uint32_t *map;	/* in use, [sets][ranks][placements] */
+	uint32_t *next; /* that the change under way brings */
+	double *counts; /* of the interval, [sets][experts] */
+	skh_forecast_t **forecasts; /* one a set */
+	skh_mapchange_t change;
+	bool changing;
+	int64_t change_number; /* within this lease */
+	int64_t fence;	       /* of the lease */
+	int64_t decide_us;
+	int64_t last_version;
+	bool outdated;
+	bool repair; /* the last change failed: its leavings must go */
+	skh_mapplan_result_t plan;
+	int64_t change_since_us;
+};
+
+skh_coordinator_t *skh_coordinator_new(const skh_coordinator_options_t *options,
+				       const skh_engine_shape_t *shape)
+{
+	skh_coordinator_t *coordinator = g_new0(skh_coordinator_t, 1);
+
+	coordinator->options = *options;
+	coordinator->shape = *shape;
+	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
+	coordinator->forecasts = g_new0(skh_forecast_t *, shape->sets);
+	for (uint32_t set = 0; set < shape->sets; set++)
+		coordinator->forecasts[set] = skh_forecast_new(shape->experts);
+	return coordinator;
+}
+
+void skh_coordinator_free(skh_coordinator_t *coordinator)
+{
+	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++) {
+		if (coordinator->ranks[rank].client)
+			skh_engine_client_free(coordinator->ranks[rank].client);
+	}
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
+		skh_forecast_free(coordinator->forecasts[set]);
+	g_free(coordinator->forecasts);
+	g_free(coordinator->counts);
+	g_free(coordinator->map);
+	g_free(coordinator->next);
+	g_free(coordinator);
+}
+
+/* --- Reports --- */
+
+static size_t map_size(const skh_coordinator_t *coordinator)
+{
+	return (size_t)coordinator->shape.sets * coordinator->n_ranks *
+	       coordinator->shape.placements;
+}
+
+static void set_size(skh_coordinator_t *coordinator, uint32_t n_ranks)
+{
+	if (n_ranks == coordinator->n_ranks)
+		return;
+	coordinator->n_ranks = n_ranks;
+	g_free(coordinator->map);
+	g_free(coordinator->next);
+	coordinator->map = g_new0(uint32_t, map_size(coordinator) + 1);
+	coordinator->next = g_new0(uint32_t, map_size(coordinator) + 1);
+	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++)
+		coordinator->ranks[rank].map_known = false;
+}
+
+static void set_address(skh_coordinator_t *coordinator, rank_state_t *state, const char *address)
+{
+	if (state->client && strcmp(skh_engine_client_address(state->client), address) == 0)
+		return;
+	if (state->client)
+		skh_engine_client_free(state->client);
+	state->asking = false;
+	state->client = skh_engine_client_new(coordinator->options.loop, address,
+					      coordinator->options.pool_options);
+}
+
+static void take_state(skh_coordinator_t *coordinator, uint32_t rank,
+		       const skh_engine_report_t *report, int64_t now_us)
+{
+	rank_state_t *state = &coordinator->ranks[rank];
+
+	if (state->reported &&
+	    (state->report.epoch != report->epoch ||
+	     state->report.map_version != report->map_version))
+		state->map_known = false;
+	if (report->held == 0)
+		state->held_since_us = 0;
+	else if (state->held_since_us == 0)
+		state->held_since_us = now_us;
+	state->reported = true;
+	state->report = *report;
+	if (coordinator->changing)
+		skh_mapchange_report(&coordinator->change, rank, report, now_us);
+}
+
+static void take_counts(skh_coordinator_t *coordinator, const Skh__RankReport *message)
+{
+	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
+
+	for (size_t i = 0; i < MIN(n, message->n_counts); i++)
+		coordinator->counts[i] += message->counts[i];
+}
+
+static void take_map(skh_coordinator_t *coordinator, uint32_t rank, const Skh__RankReport *message)
+{
+	uint32_t places = coordinator->shape.placements;
+
+	if (!message->map_known || message->n_map != (size_t)coordinator->shape.sets * places)
+		return;
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
+		memcpy(coordinator->map + ((size_t)set * coordinator->n_ranks + rank) * places,
+		       message->map + (size_t)set * places, places * sizeof(uint32_t));
+	coordinator->ranks[rank].map_known = true;
+}
+
+void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
+			    bool own, int64_t now_us)
+{
+	const skh_engine_report_t report = {
+		.in_group = true,
+		.group_open = message->open,
+		.group_size = message->size,
+		.rank = message->rank,
+		.epoch = message->epoch,
+		.pass = message->pass,
+		.map_version = message->map_version,
+		.prepared = message->prepared,
+		.armed = message->armed,
+		.held = message->held,
+	};
+	rank_state_t *state;
+
+	if (message->size == 0 || message->size > SKH_MAPCHANGE_MAX_RANKS ||
+	    message->rank >= message->size)
+		return;
+	state = &coordinator->ranks[message->rank];
+	/* Datagrams may overtake each other. */
+	if (message->sender == state->sender && message->number <= state->number)
+		return;
+	state->sender = message->sender;
+	state->number = message->number;
+	set_size(coordinator, message->size);
+	set_address(coordinator, state, message->engine);
+	if (own) {
+		coordinator->own = message->rank;
+		coordinator->has_own = true;
+	}
+	state->heard_us = now_us;
+	take_state(coordinator, message->rank, &report, now_us);
+	take_counts(coordinator, message);
+	take_map(coordinator, message->rank, message);
+}
+
+static void on_report(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	skh_coordinator_t *coordinator = context;
+	skh_engine_report_t report;
+	skh_error_t err;
+
+	coordinator->ranks[tag].asking = false;
+	if (status != 200)
+		return;
+	if (!coordinator->options.dialect->read_report(body, &report, &err)) {
+		skh_log(SKH_LOG_WARNING, PART, "Report not read.", "rank=%u reason=%s", tag,
+			err.text);
+		return;
+	}
+	if (report.rank == tag)
+		take_state(coordinator, tag, &report, skh_clock_boot_us());
+}
+
+/* A rank whose process is silent is asked itself; what it says is a moment old. */
+static void ask_silent(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		rank_state_t *state = &coordinator->ranks[rank];
+
+		if (!state->client || state->asking || now_us - state->heard_us < SILENT_US ||
+		    now_us < state->ask_us)
+			continue;
+		state->asking = true;
+		state->ask_us = now_us + ASK_US;
+		skh_engine_client_get(state->client, coordinator->options.dialect->report_path,
+				      ORDER_TIMEOUT_US * 2, rank, on_report, coordinator);
+	}
+}
+
+/* --- Orders --- */
+
+static const char *op_name(skh_engine_op_t op)
+{
+	static const char *const names[] = {
+		[SKH_ENGINE_PREPARE] = "prepare", [SKH_ENGINE_ARM] = "arm",
+		[SKH_ENGINE_DISARM] = "disarm",	  [SKH_ENGINE_HOLD] = "hold",
+		[SKH_ENGINE_GO] = "go",
+	};
+
+	return names[op];
+}
+
+static skh_order_answer_t answer_of(int32_t status)
+{
+	switch (status) {
+	case 200:
+	case 202:
+		return SKH_ORDER_ACCEPTED;
+	case 412:
+		return SKH_ORDER_OUTDATED;
+	case 0:
+	case 502:
+	case 503:
+	case 504:
+		return SKH_ORDER_NO_ANSWER;
+	default:
+		return SKH_ORDER_CONFLICT;
+	}
+}
+
+static void send_orders(skh_coordinator_t *coordinator, int64_t now_us);
+
+static void on_order_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	skh_coordinator_t *coordinator = context;
+	int64_t now_us = skh_clock_boot_us();
+	skh_order_answer_t answer = answer_of(status);
+
+	if (answer != SKH_ORDER_ACCEPTED)
+		skh_log(SKH_LOG_INFO, PART, "Order not done.",
+			"rank=%u op=%s status=%d version=%" PRId64 " body=%.*s", tag,
+			op_name(coordinator->change.ranks[tag].op), status,
+			coordinator->change.version, (int)MIN(body.len, 80), (const char *)body.data);
+	if (!coordinator->changing)
+		return;
+	skh_mapchange_answer(&coordinator->change, tag, answer, now_us);
+	coordinator->outdated = coordinator->outdated || answer == SKH_ORDER_OUTDATED;
+	send_orders(coordinator, now_us);
+}
+
+static void send_order(skh_coordinator_t *coordinator, uint32_t rank, skh_engine_order_t *order)
+{
+	char *body;
+
+	order->map = coordinator->next;
+	order->sets = coordinator->shape.sets;
+	order->ranks = coordinator->n_ranks;
+	order->places = coordinator->shape.placements;
+	body = coordinator->options.dialect->write_order(order);
+	skh_log(SKH_LOG_DEBUG, PART, "Order sent.",
+		"rank=%u op=%s version=%" PRId64 " pass=%" PRId64, rank, op_name(order->op),
+		order->version, order->pass);
+	skh_metrics_add(SKH_COUNT_ORDERS, 1);
+	skh_engine_client_post(coordinator->ranks[rank].client,
+			       coordinator->options.dialect->order_path, body, ORDER_TIMEOUT_US,
+			       rank, on_order_answer, coordinator);
+	free(body);
+}
+
+static void send_orders(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	skh_engine_order_t order;
+
+	for (uint32_t rank = 0; coordinator->changing && rank < coordinator->n_ranks; rank++) {
+		if (coordinator->ranks[rank].client &&
+		    skh_mapchange_next(&coordinator->change, rank, now_us, &order))
+			send_order(coordinator, rank, &order);
+	}
+}
+
+/* --- Decisions --- */
+
+static bool is_group_known(const skh_coordinator_t *coordinator, int64_t now_us)
+{
+	const rank_state_t *own = &coordinator->ranks[coordinator->own];
+
+	if (!coordinator->has_own || coordinator->n_ranks == 0 || !own->report.group_open)
+		return false;
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		const rank_state_t *state = &coordinator->ranks[rank];
+
+		if (!state->reported || !state->client || !state->map_known ||
+		    state->report.epoch != own->report.epoch ||
+		    state->report.map_version != own->report.map_version ||
+		    now_us - state->heard_us > STALE_US)
+			return false;
+	}
+	return true;
+}
+
+static bool has_leavings(const skh_coordinator_t *coordinator, int64_t now_us)
+{
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		const rank_state_t *state = &coordinator->ranks[rank];
+
+		if (state->held_since_us != 0 && now_us - state->held_since_us > HELD_US)
+			return true;
+	}
+	return coordinator->repair;
+}
+
+static bool has_counts(const skh_coordinator_t *coordinator)
+{
+	double tokens = 0.0;
+
+	for (uint32_t i = 0; i < coordinator->shape.experts; i++)
+		tokens += coordinator->counts[i];
+	return tokens >= LEAST_TOKENS;
+}
+
+/* Takes the counts of the interval into the forecasts; writes the expected shares. */
+static void foretell(skh_coordinator_t *coordinator, double *shares)
+{
+	uint32_t experts = coordinator->shape.experts;
+
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
+		skh_forecast_t *forecast = coordinator->forecasts[set];
+
+		skh_forecast_observe(forecast, coordinator->counts + (size_t)set * experts);
+		memcpy(shares + (size_t)set * experts, skh_forecast_shares(forecast),
+		       experts * sizeof(double));
+	}
+	memset(coordinator->counts, 0,
+	       sizeof(double) * coordinator->shape.sets * coordinator->shape.experts);
+}
+
+static void begin_change(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	const rank_state_t *own = &coordinator->ranks[coordinator->own];
+	int64_t fence = coordinator->fence * FENCE_STEP + ++coordinator->change_number;
+
+	/* Fences only grow, from holder to holder, and so do versions named after them. */
+	skh_mapchange_init(&coordinator->change, coordinator->n_ranks, coordinator->own,
+			   own->report.epoch, fence, fence, now_us);
+	coordinator->changing = true;
+	coordinator->change_since_us = now_us;
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		if (coordinator->ranks[rank].reported)
+			skh_mapchange_report(&coordinator->change, rank,
+					     &coordinator->ranks[rank].report, now_us);
+	}
+	skh_log(SKH_LOG_INFO, PART, "Map change begins.",
+		"version=%" PRId64 " epoch=%" PRId64 " skew_before=%.3f skew_after=%.3f new=%u"
+		" most_new=%u repair=%d",
+		fence, own->report.epoch, coordinator->plan.skew_before,
+		coordinator->plan.skew_after, coordinator->plan.n_new, coordinator->plan.most_new,
+		coordinator->repair);
+	send_orders(coordinator, now_us);
+}
+
+static void decide(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	const skh_mapplan_weights_t weights = {
+		.skew_weight = coordinator->options.skew_weight,
+		.cost_weight = coordinator->options.cost_weight,
+		.load_cost = LOAD_COST,
+		.most_new = MOST_NEW,
+	};
+	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
+	g_autofree double *shares = g_new0(double, n + 1);
+	bool repair = has_leavings(coordinator, now_us);
+	bool judged = has_counts(coordinator);
+
+	if (judged)
+		foretell(coordinator, shares);
+	memcpy(coordinator->next, coordinator->map, map_size(coordinator) * sizeof(uint32_t));
+	coordinator->plan = (skh_mapplan_result_t){ 0 };
+	if (judged)
+		skh_mapplan_make(&coordinator->shape, coordinator->n_ranks, &weights, shares,
+				 coordinator->next, &coordinator->plan);
+	if (!skh_mapplan_is_valid(&coordinator->shape, coordinator->n_ranks, coordinator->next)) {
+		skh_log(SKH_LOG_ERROR, PART, "Plan is no map.", "judged=%d", judged);
+		return;
+	}
+	if (!repair && (coordinator->plan.n_new == 0 ||
+			coordinator->plan.skew_before - coordinator->plan.skew_after < LEAST_GAIN))
+		return;
+	begin_change(coordinator, now_us);
+}
+
+static void end_change(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	const skh_mapchange_t *change = &coordinator->change;
+	bool done = change->phase == SKH_CHANGE_DONE;
+
+	if (!done && change->phase != SKH_CHANGE_FAILED)
+		return;
+	coordinator->changing = false;
+	coordinator->repair = !done;
+	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
+		"version=%" PRId64 " took_ms=%" PRId64 " reason=%s", change->version,
+		(now_us - coordinator->change_since_us) / SKH_US_PER_MS, done ? "-" : change->why);
+	skh_metrics_add(done ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
+}
+
+/* Another holder's change must not be taken for one's own. */
+static void follow_lease(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
+{
+	if (fence == coordinator->fence)
+		return;
+	if (coordinator->changing)
+		skh_log(SKH_LOG_INFO, PART, "Map change left.", "version=%" PRId64,
+			coordinator->change.version);
+	coordinator->fence = fence;
+	coordinator->change_number = 0;
+	coordinator->changing = false;
+	coordinator->outdated = false;
+	/* What the holder before may have left is cleared away first. */
+	coordinator->repair = fence != 0;
+	coordinator->decide_us = now_us + DECIDE_US;
+}
+
+bool skh_coordinator_tick(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
+{
+	follow_lease(coordinator, fence, now_us);
+	if (fence == 0)
+		return true;
+	ask_silent(coordinator, now_us);
+	if (coordinator->changing) {
+		skh_mapchange_tick(&coordinator->change, now_us);
+		send_orders(coordinator, now_us);
+		end_change(coordinator, now_us);
+	} else if (now_us >= coordinator->decide_us && is_group_known(coordinator, now_us)) {
+		coordinator->decide_us = now_us + DECIDE_US;
+		decide(coordinator, now_us);
+	}
+	return !coordinator->outdated;
+}
--- /dev/null
+++ b/src/coordinator.h
@@ -0,0 +1,49 @@
+#ifndef SKH_COORDINATOR_H
+#define SKH_COORDINATOR_H
+
+/**
+ * DOC: Coordinator of a group
+ *
+ * Gathers what the ranks report, decides when another expert map pays
+ * (mapplan.h) and brings the group to it (mapchange.h), while this process holds
+ * the lease. Runs on the event loop's thread.
+ */
+
+#include "dialect.h"
+#include "enginecall.h"
+#include "wire.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** struct skh_coordinator_options - what it is made from */
+typedef struct skh_coordinator_options {
+	uv_loop_t *loop;
+	const skh_dialect_t *dialect;
+	const skh_pool_options_t *pool_options;
+	double skew_weight;
+	double cost_weight;
+} skh_coordinator_options_t;
+
+typedef struct skh_coordinator skh_coordinator_t;
+
+skh_coordinator_t *skh_coordinator_new(const skh_coordinator_options_t *options,
+				       const skh_engine_shape_t *shape);
+void skh_coordinator_free(skh_coordinator_t *coordinator);
+
+/** skh_coordinator_report() - a rank's report; @own when it is the rank beside this process */
+void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *report,
+			    bool own, int64_t now_us);
+
+/**
+ * skh_coordinator_tick() - decide and order
+ * @fence: of the lease; 0 while it is not held
+ * Return: false when a later holder has spoken.
+ */
+bool skh_coordinator_tick(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -70,7 +70,6 @@
 	int64_t pass;
 	int64_t epoch;
 	int64_t fence;
-	int64_t expected; /* orders accepted so far; a late copy no longer fits */
 	const uint32_t *map; /* expert + 1, [sets][ranks][places]; 0 for an empty place */
 	uint32_t sets;
 	uint32_t ranks;
--- /dev/null
+++ b/src/election.c
@@ -0,0 +1,282 @@
+#include "election.h"
+
+#include "clock.h"
+#include "log.h"
+#include "metrics.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <string.h>
+
+#define PART "election"
+/* A coordinator that died is missed for as long as its lease. */
+#define LEASE_S	     2
+#define RENEW_US     (700 * SKH_US_PER_MS)
+/* It stops acting this long before the lease can lapse at the store. */
+#define MARGIN_US    (300 * SKH_US_PER_MS)
+#define WATCH_MS     4000
+#define PAUSE_US     (250 * SKH_US_PER_MS)
+#define START_US     (600 * SKH_US_PER_MS)
+#define SLICE_US     (50 * SKH_US_PER_MS)
+
+struct skh_election {
+	skh_election_options_t options;
+	char *key;
+	char *value; /* address and a number of this process */
+	pthread_t thread;
+	bool stop;
+	GMutex lock;
+	skh_election_view_t view; /* under the lock */
+	/* Of the thread alone: */
+	int64_t lease;
+	int64_t revision; /* of the store, as last read */
+};
+
+static bool is_stopped(const skh_election_t *election)
+{
+	return __atomic_load_n(&election->stop, __ATOMIC_ACQUIRE);
+}
+
+static void pause_thread(const skh_election_t *election, int64_t pause_us)
+{
+	pause_us = pause_us * 3 / 4 + (int64_t)(skh_random_u64() % (uint64_t)pause_us) / 2;
+	while (pause_us > 0 && !is_stopped(election)) {
+		g_usleep((gulong)MIN(pause_us, SLICE_US));
+		pause_us -= SLICE_US;
+	}
+}
+
+static void fail(const char *what, const skh_error_t *err)
+{
+	skh_metrics_add(SKH_COUNT_STORE_FAILED, 1);
+	skh_log(SKH_LOG_WARNING, PART, what, "reason=%s", err->text);
+}
+
+static void set_coordinator(skh_election_t *election, const char *value)
+{
+	size_t len = value ? strcspn(value, " ") : 0;
+	char address[sizeof(election->view.coordinator)] = "";
+
+	if (len < sizeof(address) && value)
+		memcpy(address, value, len);
+	g_mutex_lock(&election->lock);
+	if (strcmp(election->view.coordinator, address) != 0)
+		skh_log(SKH_LOG_INFO, PART, "Coordinator known.", "address=%s revision=%" PRId64,
+			*address ? address : "-", election->revision);
+	(void)g_strlcpy(election->view.coordinator, address, sizeof(address));
+	g_mutex_unlock(&election->lock);
+}
+
+static void set_hold(skh_election_t *election, int64_t fence, int64_t till_us)
+{
+	g_mutex_lock(&election->lock);
+	if (election->view.holds != (fence != 0))
+		skh_log(SKH_LOG_INFO, PART, fence ? "Lease taken." : "Lease lost.",
+			"fence=%" PRId64, fence ? fence : election->view.fence);
+	election->view.holds = fence != 0;
+	election->view.fence = fence;
+	election->view.holds_till_us = till_us;
+	g_mutex_unlock(&election->lock);
+}
+
+static bool read_shape(skh_election_t *election)
+{
+	skh_store_t *store = election->options.store;
+	const skh_dialect_t *dialect = election->options.dialect;
+	skh_pairs_t pairs;
+	skh_error_t err;
+	skh_routing_t *routing = NULL;
+	int32_t index = -1;
+
+	if (!store->ops->range(store, dialect->config_key, false, &pairs, &err)) {
+		fail("Configuration not read.", &err);
+		return false;
+	}
+	if (pairs.count > 0)
+		routing = dialect->read_config(skh_chunk_from_string(pairs.list[0].value), &err);
+	skh_pairs_clear(&pairs);
+	if (routing)
+		index = skh_routing_service(routing, election->options.service);
+	if (index >= 0) {
+		g_mutex_lock(&election->lock);
+		election->view.shape = skh_routing_service_at(routing, (uint32_t)index)->engine;
+		election->view.has_shape = true;
+		g_mutex_unlock(&election->lock);
+	}
+	skh_routing_free(routing);
+	return index >= 0;
+}
+
+/* Reads who holds the lease; *@taken tells whether anybody does. */
+static bool read_holder(skh_election_t *election, bool *taken, skh_error_t *err)
+{
+	skh_store_t *store = election->options.store;
+	skh_pairs_t pairs;
+
+	if (!store->ops->range(store, election->key, false, &pairs, err))
+		return false;
+	election->revision = pairs.store_revision;
+	*taken = pairs.count > 0;
+	set_coordinator(election, *taken ? pairs.list[0].value : NULL);
+	/* An answer that was lost is settled here: the value is this process's alone. */
+	if (*taken && strcmp(pairs.list[0].value, election->value) == 0 && election->lease != 0)
+		set_hold(election, pairs.list[0].create_revision, skh_clock_boot_us() + 1);
+	skh_pairs_clear(&pairs);
+	return true;
+}
+
+static bool take_lease(skh_election_t *election, skh_error_t *err)
+{
+	skh_store_t *store = election->options.store;
+	const skh_compare_t compare = { election->key, 0 };
+	skh_op_t put = { SKH_OP_PUT, election->key, election->value, 0 };
+	const skh_txn_t txn = { .compares = &compare, .n_compares = 1, .ops = &put, .n_ops = 1 };
+	skh_txn_result_t result;
+	int64_t asked_us = skh_clock_boot_us();
+
+	if (!store->ops->lease_grant(store, LEASE_S, &election->lease, err))
+		return false;
+	put.lease = election->lease;
+	if (!store->ops->txn(store, &txn, &result, err))
+		return false;
+	if (result.succeeded) {
+		set_hold(election, result.pairs.store_revision,
+			 asked_us + LEASE_S * SKH_US_PER_S - MARGIN_US);
+		set_coordinator(election, election->value);
+	}
+	skh_pairs_clear(&result.pairs);
+	return true;
+}
+
+/* Waits for the holder to change; with a margin, so that a lapse is seen soon. */
+static bool watch_holder(skh_election_t *election, bool *taken, skh_error_t *err)
+{
+	skh_store_t *store = election->options.store;
+	skh_changes_t changes;
+
+	if (!store->ops->changes(store, election->key, election->revision, WATCH_MS, &changes,
+				 err)) {
+		if (err->kind == SKH_STORE_COMPACTED)
+			return read_holder(election, taken, err);
+		return false;
+	}
+	election->revision = MAX(election->revision, changes.store_revision);
+	for (size_t i = 0; i < changes.count; i++) {
+		*taken = changes.list[i].value != NULL;
+		set_coordinator(election, changes.list[i].value);
+	}
+	skh_changes_clear(&changes);
+	return true;
+}
+
+static void follow(skh_election_t *election, bool *known, bool *taken)
+{
+	skh_error_t err;
+	bool done = *known ? true : read_holder(election, taken, &err);
+
+	*known = done;
+	if (done && *taken)
+		done = watch_holder(election, taken, &err);
+	if (done && !*taken) {
+		/* All ranks see the lapse at once: they try one after the other. */
+		pause_thread(election, PAUSE_US);
+		done = read_holder(election, taken, &err) &&
+		       (*taken || take_lease(election, &err));
+		*known = false;
+	}
+	if (!done) {
+		fail("Lease not followed.", &err);
+		*known = false;
+		pause_thread(election, PAUSE_US);
+	}
+}
+
+static void renew(skh_election_t *election)
+{
+	skh_store_t *store = election->options.store;
+	int64_t asked_us = skh_clock_boot_us();
+	int64_t ttl_s = 0;
+	skh_error_t err;
+
+	if (!store->ops->lease_keep(store, election->lease, &ttl_s, &err)) {
+		fail("Lease not renewed.", &err);
+		pause_thread(election, PAUSE_US);
+		return;
+	}
+	if (ttl_s <= 0) {
+		set_hold(election, 0, 0);
+		return;
+	}
+	g_mutex_lock(&election->lock);
+	election->view.holds_till_us = asked_us + ttl_s * SKH_US_PER_S - MARGIN_US;
+	g_mutex_unlock(&election->lock);
+	pause_thread(election, RENEW_US);
+}
+
+static void *run(void *argument)
+{
+	skh_election_t *election = argument;
+	bool known = false;
+	bool taken = false;
+
+	while (!is_stopped(election) && !read_shape(election))
+		pause_thread(election, START_US);
+	while (!is_stopped(election)) {
+		skh_election_view_t view;
+
+		skh_election_look(election, &view);
+		if (view.holds && skh_clock_boot_us() > view.holds_till_us + LEASE_S * SKH_US_PER_S)
+			set_hold(election, 0, 0);
+		else if (view.holds)
+			renew(election);
+		else
+			follow(election, &known, &taken);
+	}
+	return NULL;
+}
+
+skh_election_t *skh_election_start(const skh_election_options_t *options)
+{
+	skh_election_t *election = g_new0(skh_election_t, 1);
+
+	election->options = *options;
+	election->key = g_strconcat(options->prefix, "coordinator", NULL);
+	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
+	g_mutex_init(&election->lock);
+	(void)pthread_create(&election->thread, NULL, run, election);
+	return election;
+}
+
+void skh_election_stop(skh_election_t *election)
+{
+	skh_store_t *store = election->options.store;
+	const skh_op_t remove = { SKH_OP_DELETE, election->key, NULL, 0 };
+	const skh_txn_t txn = { .ops = &remove, .n_ops = 1 };
+	skh_txn_result_t result;
+	skh_error_t err;
+
+	__atomic_store_n(&election->stop, true, __ATOMIC_RELEASE);
+	(void)pthread_join(election->thread, NULL);
+	if (election->view.holds && skh_clock_boot_us() < election->view.holds_till_us) {
+		if (store->ops->txn(store, &txn, &result, &err))
+			skh_pairs_clear(&result.pairs);
+		else
+			fail("Lease not given up; it lapses.", &err);
+	}
+	g_mutex_clear(&election->lock);
+	g_free(election->key);
+	g_free(election->value);
+	g_free(election);
+}
+
+void skh_election_look(skh_election_t *election, skh_election_view_t *view)
+{
+	g_mutex_lock(&election->lock);
+	*view = election->view;
+	g_mutex_unlock(&election->lock);
+}
+
+void skh_election_resign(skh_election_t *election)
+{
+	set_hold(election, 0, 0);
+}
--- /dev/null
+++ b/src/election.h
@@ -0,0 +1,52 @@
+#ifndef SKH_ELECTION_H
+#define SKH_ELECTION_H
+
+/**
+ * DOC: Election of a group's coordinator
+ *
+ * A thread that takes, renews and watches a lease in the store. The store's
+ * revision at which the lease was taken is the fence of everything that its
+ * holder orders, so a later holder's is higher. A paused holder may act after
+ * its lease has lapsed; the fence makes that harmless.
+ */
+
+#include "dialect.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** struct skh_election_options - texts are borrowed for the election's life */
+typedef struct skh_election_options {
+	skh_store_t *store; /* of the election's own */
+	const skh_dialect_t *dialect;
+	const char *prefix;  /* of the group's keys; ends with a slash */
+	const char *address; /* where the holder hears the others */
+	const char *service; /* whose engines are coordinated */
+} skh_election_options_t;
+
+/** struct skh_election_view - what is known of the lease */
+typedef struct skh_election_view {
+	bool holds;
+	int64_t fence;	       /* of this process's lease */
+	int64_t holds_till_us; /* boot clock; it acts only before */
+	char coordinator[64];  /* address, "" when not known */
+	bool has_shape;
+	skh_engine_shape_t shape; /* by the configuration */
+} skh_election_view_t;
+
+typedef struct skh_election skh_election_t;
+
+skh_election_t *skh_election_start(const skh_election_options_t *options);
+
+/** skh_election_stop() - gives the lease up, so that another takes over at once */
+void skh_election_stop(skh_election_t *election);
+void skh_election_look(skh_election_t *election, skh_election_view_t *view);
+
+/** skh_election_resign() - a later holder exists: forget the lease */
+void skh_election_resign(skh_election_t *election);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,7 @@
 	{ "entry", skh_cmd_entry, "run an entry instance, which callers reach" },
 	{ "sidecar", skh_cmd_sidecar, "run the process beside a backend server" },
 	{ "gateway", skh_cmd_gateway, "run an entry that reaches backend servers directly" },
+	{ "balancer", skh_cmd_balancer, "run the balancer of experts beside a model server" },
 	{ "check", skh_cmd_check, "print every fault of settings or of a manifest" },
 	{ "apply", skh_cmd_apply, "put a manifest in force and wait until it is" },
 	{ "status", skh_cmd_status, "print what instances say of themselves" },
--- /dev/null
+++ b/src/mapchange.c
@@ -0,0 +1,321 @@
+#include "mapchange.h"
+
+#include "clock.h"
+
+/* Passes between the one seen last and the one at which the map changes. */
+#define LEAD_PASSES 10
+/* A hold whose pass is nearer than this is not tried again: its pass may have begun. */
+#define LEAST_LEAD 3
+/* After an order without an answer; it is sent again, which is harmless. */
+#define AGAIN_US (20 * SKH_US_PER_MS)
+/* After a refusal: until a newer report tells why. */
+#define REFUSED_US (250 * SKH_US_PER_MS)
+/* A phase in which no rank is armed ends after this. */
+#define PHASE_US (9 * SKH_US_PER_S)
+/* The group may stand still meanwhile. */
+#define ARM_US (2500 * SKH_US_PER_MS)
+/* Without a hold the map can't have changed: begin anew. */
+#define SETTLE_US (4 * SKH_US_PER_S)
+
+void skh_mapchange_init(skh_mapchange_t *change, uint32_t n_ranks, uint32_t own, int64_t epoch,
+			int64_t version, int64_t fence, int64_t now_us)
+{
+	*change = (skh_mapchange_t){
+		.phase = SKH_CHANGE_PREPARE,
+		.n_ranks = n_ranks,
+		.own = own,
+		.epoch = epoch,
+		.version = version,
+		.fence = fence,
+		.phase_since_us = now_us,
+	};
+}
+
+static void enter(skh_mapchange_t *change, skh_mapchange_phase_t phase, int64_t now_us)
+{
+	change->phase = phase;
+	change->phase_since_us = now_us;
+	for (uint32_t i = 0; i < change->n_ranks; i++)
+		change->ranks[i].not_before_us = 0;
+}
+
+static void fail(skh_mapchange_t *change, const char *why, int64_t now_us)
+{
+	change->why = why;
+	enter(change, SKH_CHANGE_FAILED, now_us);
+}
+
+static bool is_over(const skh_mapchange_t *change)
+{
+	return change->phase == SKH_CHANGE_DONE || change->phase == SKH_CHANGE_FAILED;
+}
+
+typedef bool (*rank_fn)(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank);
+
+static bool all_ranks(const skh_mapchange_t *change, rank_fn holds)
+{
+	for (uint32_t i = 0; i < change->n_ranks; i++) {
+		if (!holds(change, &change->ranks[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool has_accepted(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return rank->prepared;
+}
+
+static bool has_copies(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	return rank->report.prepared == change->version;
+}
+
+static bool is_armed(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return rank->armed;
+}
+
+static bool is_not_held(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return rank->report.held == 0;
+}
+
+static bool uses_map(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	return rank->report.map_version == change->version;
+}
+
+static void begin_hold(skh_mapchange_t *change, int64_t now_us)
+{
+	change->pass = change->ranks[change->own].report.pass + LEAD_PASSES;
+	enter(change, SKH_CHANGE_HOLD, now_us);
+}
+
+/* Goes on to the next phase as far as what is known allows. */
+static void advance(skh_mapchange_t *change, int64_t now_us)
+{
+	if (change->phase == SKH_CHANGE_PREPARE && all_ranks(change, has_accepted))
+		enter(change, SKH_CHANGE_RELEASE, now_us);
+	if (change->phase == SKH_CHANGE_RELEASE && all_ranks(change, is_not_held))
+		enter(change, SKH_CHANGE_COPY, now_us);
+	if (change->phase == SKH_CHANGE_COPY && all_ranks(change, has_copies))
+		begin_hold(change, now_us);
+	if (change->phase == SKH_CHANGE_ARM && all_ranks(change, is_armed))
+		enter(change, SKH_CHANGE_GO, now_us);
+	if (change->phase == SKH_CHANGE_SETTLE && all_ranks(change, uses_map))
+		enter(change, SKH_CHANGE_DONE, now_us);
+}
+
+/* What this process's own rank reports of the hold is fresh. */
+static void note_own_report(skh_mapchange_t *change, const skh_engine_report_t *report,
+			    int64_t now_us)
+{
+	if (change->phase == SKH_CHANGE_HOLD && report->held != 0) {
+		change->pass = report->held;
+		change->held_since_us = now_us;
+		enter(change, SKH_CHANGE_ARM, now_us);
+	} else if (change->phase == SKH_CHANGE_GO && report->held == 0 &&
+		   now_us - change->phase_since_us > REFUSED_US) {
+		enter(change, SKH_CHANGE_SETTLE, now_us);
+	}
+}
+
+void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank,
+			  const skh_engine_report_t *report, int64_t now_us)
+{
+	skh_mapchange_rank_t *state = &change->ranks[rank];
+
+	if (is_over(change) || rank >= change->n_ranks)
+		return;
+	if (report->epoch != change->epoch) {
+		fail(change, "the group has formed anew", now_us);
+		return;
+	}
+	state->report = *report;
+	state->reported = true;
+	state->reported_us = now_us;
+	if (report->armed == change->version)
+		state->armed = true;
+	if (report->prepared == change->version)
+		state->prepared = true;
+	if (rank == change->own)
+		note_own_report(change, report, now_us);
+	advance(change, now_us);
+}
+
+/* The rank that holds the group, or the number of ranks when none is known to. */
+static uint32_t holder_of(const skh_mapchange_t *change)
+{
+	for (uint32_t i = 0; i < change->n_ranks; i++) {
+		if (change->ranks[i].report.held != 0)
+			return i;
+	}
+	return change->n_ranks;
+}
+
+static bool has_answered(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return rank->answered;
+}
+
+static bool has_reported(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return rank->reported;
+}
+
+/* What an earlier coordinator left armed is disarmed, the holder's rank before all others. */
+static bool next_prepare(const skh_mapchange_t *change, uint32_t rank, skh_engine_order_t *order)
+{
+	const skh_mapchange_rank_t *state = &change->ranks[rank];
+	uint32_t holder = holder_of(change);
+
+	if (state->prepared || !all_ranks(change, has_reported))
+		return false;
+	order->op = SKH_ENGINE_PREPARE;
+	if (state->report.armed == 0 || !state->answered)
+		return true;
+	if (!all_ranks(change, has_answered) ||
+	    (holder < change->n_ranks && holder != rank && !change->ranks[holder].prepared))
+		return false;
+	order->op = SKH_ENGINE_DISARM;
+	order->version = state->report.armed;
+	return true;
+}
+
+static bool choose_order(const skh_mapchange_t *change, uint32_t rank, skh_engine_order_t *order)
+{
+	const skh_mapchange_rank_t *state = &change->ranks[rank];
+
+	switch (change->phase) {
+	case SKH_CHANGE_PREPARE:
+		return next_prepare(change, rank, order);
+	case SKH_CHANGE_RELEASE:
+		order->op = SKH_ENGINE_GO;
+		order->pass = state->report.held;
+		return state->report.held != 0;
+	case SKH_CHANGE_HOLD:
+		order->op = SKH_ENGINE_HOLD;
+		return rank == change->own;
+	case SKH_CHANGE_ARM:
+		order->op = SKH_ENGINE_ARM;
+		return !state->armed;
+	case SKH_CHANGE_GO:
+		order->op = SKH_ENGINE_GO;
+		return rank == change->own;
+	case SKH_CHANGE_SETTLE:
+		/* A hold that was given up and carried out late: all ranks are armed by now. */
+		order->op = SKH_ENGINE_GO;
+		order->pass = state->report.held;
+		return rank == change->own && state->report.held != 0;
+	default:
+		return false;
+	}
+}
+
+bool skh_mapchange_next(skh_mapchange_t *change, uint32_t rank, int64_t now_us,
+			skh_engine_order_t *order)
+{
+	skh_mapchange_rank_t *state = &change->ranks[rank];
+
+	*order = (skh_engine_order_t){
+		.version = change->version,
+		.pass = change->pass,
+		.epoch = change->epoch,
+		.fence = change->fence,
+	};
+	if (state->ordered || now_us < state->not_before_us || !choose_order(change, rank, order))
+		return false;
+	state->ordered = true;
+	state->op = order->op;
+	state->ordered_us = now_us;
+	return true;
+}
+
+static void on_accepted(skh_mapchange_t *change, skh_mapchange_rank_t *state, skh_engine_op_t op,
+			int64_t now_us)
+{
+	switch (op) {
+	case SKH_ENGINE_PREPARE:
+		state->prepared = true;
+		break;
+	case SKH_ENGINE_DISARM:
+		state->report.armed = 0;
+		break;
+	case SKH_ENGINE_HOLD:
+		if (change->phase == SKH_CHANGE_HOLD) {
+			change->held_since_us = now_us;
+			enter(change, SKH_CHANGE_ARM, now_us);
+		}
+		break;
+	case SKH_ENGINE_ARM:
+		state->armed = true;
+		break;
+	case SKH_ENGINE_GO:
+		state->report.held = 0;
+		if (change->phase == SKH_CHANGE_GO)
+			enter(change, SKH_CHANGE_SETTLE, now_us);
+		break;
+	}
+}
+
+static void on_conflict(skh_mapchange_t *change, skh_mapchange_rank_t *state, int64_t now_us)
+{
+	state->not_before_us = now_us + REFUSED_US;
+	if (change->phase == SKH_CHANGE_HOLD) {
+		/* Its pass has begun, or the rank holds already: the report tells. */
+		change->pass = state->report.pass + 2 * LEAD_PASSES;
+		state->not_before_us = now_us + AGAIN_US;
+	}
+}
+
+void skh_mapchange_answer(skh_mapchange_t *change, uint32_t rank, skh_order_answer_t answer,
+			  int64_t now_us)
+{
+	skh_mapchange_rank_t *state = &change->ranks[rank];
+	skh_engine_op_t op = state->op;
+
+	state->ordered = false;
+	if (is_over(change))
+		return;
+	state->answered = state->answered || answer != SKH_ORDER_NO_ANSWER;
+	switch (answer) {
+	case SKH_ORDER_ACCEPTED:
+		on_accepted(change, state, op, now_us);
+		break;
+	case SKH_ORDER_CONFLICT:
+		on_conflict(change, state, now_us);
+		break;
+	case SKH_ORDER_OUTDATED:
+		fail(change, "a later coordinator exists", now_us);
+		return;
+	case SKH_ORDER_NO_ANSWER:
+		state->not_before_us = now_us + AGAIN_US;
+		break;
+	}
+	advance(change, now_us);
+}
+
+void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us)
+{
+	int64_t spent_us = now_us - change->phase_since_us;
+	const skh_engine_report_t *own = &change->ranks[change->own].report;
+
+	if (change->phase == SKH_CHANGE_HOLD && own->pass + LEAST_LEAD >= change->pass &&
+	    !change->ranks[change->own].ordered)
+		change->pass = own->pass + LEAD_PASSES;
+	if ((change->phase == SKH_CHANGE_PREPARE || change->phase == SKH_CHANGE_COPY ||
+	     change->phase == SKH_CHANGE_HOLD) &&
+	    spent_us > PHASE_US)
+		fail(change, "a rank did not follow in time", now_us);
+	/* The next change disarms and releases. */
+	if (change->phase == SKH_CHANGE_ARM && spent_us > ARM_US)
+		fail(change, "a rank was not armed in time", now_us);
+	if (change->phase == SKH_CHANGE_SETTLE && spent_us > SETTLE_US)
+		fail(change, "the map did not change", now_us);
+}
--- /dev/null
+++ b/src/mapplan.c
@@ -0,0 +1,240 @@
+#include "mapplan.h"
+
+#include "balance.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* One set as the balancer sees it. */
+typedef struct set_view {
+	const skh_engine_shape_t *shape;
+	uint32_t ranks;
+	uint32_t padding; /* experts without work that fill empty places */
+	uint32_t *placement;
+	double *shares;
+	double speed[SKH_BALANCE_MAX_RANKS];
+	uint32_t domain[SKH_BALANCE_MAX_RANKS];
+} set_view_t;
+
+/*
+ * Empty places hold experts without work, each of them on every rank that needs
+ * it, so that any of them may give its place up.
+ */
+static void fill_set(set_view_t *view, const double *shares, const uint32_t *map)
+{
+	uint32_t places = view->shape->placements;
+
+	for (uint32_t i = 0; i < view->shape->experts; i++)
+		view->shares[i] = shares[i];
+	for (uint32_t i = 0; i < view->padding; i++)
+		view->shares[view->shape->experts + i] = 0.0;
+	for (uint32_t rank = 0; rank < view->ranks; rank++) {
+		uint32_t pad = view->shape->experts;
+
+		view->speed[rank] = 1.0;
+		view->domain[rank] = rank;
+		for (uint32_t i = 0; i < places; i++) {
+			uint32_t at = rank * places + i;
+
+			view->placement[at] = map[at] > 0 ? map[at] - 1 : pad++;
+		}
+	}
+}
+
+static uint32_t most_empty(const skh_engine_shape_t *shape, uint32_t ranks, const uint32_t *map)
+{
+	uint32_t most = 0;
+
+	for (uint32_t rank = 0; rank < ranks; rank++) {
+		uint32_t empty = 0;
+
+		for (uint32_t i = 0; i < shape->placements; i++)
+			empty += map[rank * shape->placements + i] == 0;
+		most = MAX(most, empty);
+	}
+	return most;
+}
+
+static void open_set(set_view_t *view, const skh_engine_shape_t *shape, uint32_t ranks,
+		     const double *shares, const uint32_t *map)
+{
+	view->shape = shape;
+	view->ranks = ranks;
+	view->padding = most_empty(shape, ranks, map);
+	view->placement = g_new(uint32_t, ranks * shape->placements);
+	view->shares = g_new(double, shape->experts + view->padding);
+	fill_set(view, shares, map);
+}
+
+static void close_set(set_view_t *view)
+{
+	g_free(view->placement);
+	g_free(view->shares);
+}
+
+static skh_balance_view_t balance_view(const set_view_t *view, const skh_mapplan_weights_t *weights,
+				       uint32_t most_loads)
+{
+	return (skh_balance_view_t){
+		.n_ranks = view->ranks,
+		.n_slots = view->shape->placements,
+		.n_experts = view->shape->experts + view->padding,
+		.placement = view->placement,
+		.forecast = view->shares,
+		.speed = view->speed,
+		.domain = view->domain,
+		.skew_weight = weights ? weights->skew_weight : 1.0,
+		.cost_weight = weights ? weights->cost_weight : 0.0,
+		.load_cost = weights ? weights->load_cost : 0.0,
+		.max_loads = most_loads,
+	};
+}
+
+static bool holds(const uint32_t *row, uint32_t places, uint32_t expert)
+{
+	for (uint32_t i = 0; i < places; i++) {
+		if (row[i] == expert + 1)
+			return true;
+	}
+	return false;
+}
+
+static uint32_t count_new(const uint32_t *before, const uint32_t *row, uint32_t places)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < places; i++)
+		n += row[i] > 0 && !holds(before, places, row[i] - 1);
+	return n;
+}
+
+/* Whether the rank may take one more new expert in this set. */
+static bool has_room(const skh_engine_shape_t *shape, const skh_mapplan_weights_t *weights,
+		     const uint32_t *before, const uint32_t *row, uint32_t new_so_far)
+{
+	uint32_t in_set = count_new(before, row, shape->placements);
+
+	return in_set < shape->spare && new_so_far + in_set < weights->most_new;
+}
+
+/* Loads up to the first that a rank has no room for; any such beginning is a whole map. */
+static void apply_moves(const skh_engine_shape_t *shape, uint32_t ranks,
+			const skh_mapplan_weights_t *weights, const skh_balance_plan_t *plan,
+			const uint32_t *before, const uint32_t *new_so_far, uint32_t *map)
+{
+	uint32_t places = shape->placements;
+
+	(void)ranks;
+	for (uint32_t i = 0; i < plan->n_moves; i++) {
+		const skh_move_t *move = &plan->moves[i];
+		uint32_t *row = map + move->rank * places;
+		const uint32_t *row_before = before + move->rank * places;
+
+		if (move->expert >= shape->experts) {
+			row[move->slot] = 0;
+			continue;
+		}
+		if (!holds(row_before, places, move->expert) &&
+		    !has_room(shape, weights, row_before, row, new_so_far[move->rank]))
+			return;
+		row[move->slot] = move->expert + 1;
+	}
+}
+
+static double set_skew(const skh_engine_shape_t *shape, uint32_t ranks, const double *shares,
+		       const uint32_t *map)
+{
+	set_view_t view;
+	skh_balance_view_t balance;
+	double skew;
+
+	open_set(&view, shape, ranks, shares, map);
+	balance = balance_view(&view, NULL, 0);
+	skew = skh_balance_skew(&balance, view.placement, view.shares);
+	close_set(&view);
+	return skew;
+}
+
+static void plan_set(const skh_engine_shape_t *shape, uint32_t ranks,
+		     const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
+		     uint32_t *new_so_far)
+{
+	size_t places = (size_t)ranks * shape->placements;
+	g_autofree uint32_t *before = g_memdup2(map, places * sizeof(*map));
+	g_autofree skh_balance_plan_t *plan = g_new0(skh_balance_plan_t, 1);
+	set_view_t view;
+	skh_balance_view_t balance;
+
+	open_set(&view, shape, ranks, shares, map);
+	balance = balance_view(&view, weights, ranks * shape->spare);
+	if (skh_balance_decide(&balance, plan))
+		apply_moves(shape, ranks, weights, plan, before, new_so_far, map);
+	close_set(&view);
+	for (uint32_t rank = 0; rank < ranks; rank++)
+		new_so_far[rank] += count_new(before + rank * shape->placements,
+					      map + rank * shape->placements, shape->placements);
+}
+
+double skh_mapplan_skew(const skh_engine_shape_t *shape, uint32_t ranks, const double *shares,
+			const uint32_t *map)
+{
+	double sum = 0.0;
+
+	for (uint32_t set = 0; set < shape->sets; set++)
+		sum += set_skew(shape, ranks, shares + (size_t)set * shape->experts,
+				map + (size_t)set * ranks * shape->placements);
+	return sum / (double)shape->sets;
+}
+
+void skh_mapplan_make(const skh_engine_shape_t *shape, uint32_t ranks,
+		      const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
+		      skh_mapplan_result_t *result)
+{
+	uint32_t new_so_far[SKH_BALANCE_MAX_RANKS] = { 0 };
+
+	*result = (skh_mapplan_result_t){ .skew_before =
+						  skh_mapplan_skew(shape, ranks, shares, map) };
+	for (uint32_t set = 0; set < shape->sets; set++)
+		plan_set(shape, ranks, weights, shares + (size_t)set * shape->experts,
+			 map + (size_t)set * ranks * shape->placements, new_so_far);
+	for (uint32_t rank = 0; rank < ranks; rank++) {
+		result->n_new += new_so_far[rank];
+		result->most_new = MAX(result->most_new, new_so_far[rank]);
+	}
+	result->skew_after = skh_mapplan_skew(shape, ranks, shares, map);
+}
+
+static bool is_row_valid(const skh_engine_shape_t *shape, const uint32_t *row, uint64_t *seen)
+{
+	for (uint32_t i = 0; i < shape->placements; i++) {
+		if (row[i] > shape->experts)
+			return false;
+		for (uint32_t j = 0; row[i] > 0 && j < i; j++) {
+			if (row[j] == row[i])
+				return false;
+		}
+		if (row[i] > 0)
+			seen[row[i] - 1]++;
+	}
+	return true;
+}
+
+bool skh_mapplan_is_valid(const skh_engine_shape_t *shape, uint32_t ranks, const uint32_t *map)
+{
+	g_autofree uint64_t *seen = g_new(uint64_t, shape->experts);
+
+	for (uint32_t set = 0; set < shape->sets; set++) {
+		memset(seen, 0, sizeof(*seen) * shape->experts);
+		for (uint32_t rank = 0; rank < ranks; rank++) {
+			if (!is_row_valid(shape,
+					  map + ((size_t)set * ranks + rank) * shape->placements,
+					  seen))
+				return false;
+		}
+		for (uint32_t i = 0; i < shape->experts; i++) {
+			if (seen[i] == 0)
+				return false;
+		}
+	}
+	return true;
+}
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -45,6 +45,9 @@
 					 "Requests whose key is claimed by an unfinished run" },
 	[SKH_COUNT_ACCUSED] = { "accused", "Crashes held against a request" },
 	[SKH_COUNT_QUARANTINED] = { "quarantined", "Requests refused for crashing servers" },
+	[SKH_COUNT_ORDERS] = { "engine_orders", "Orders sent to engines" },
+	[SKH_COUNT_MAP_CHANGES] = { "map_changes", "Expert maps put in use" },
+	[SKH_COUNT_MAP_FAILURES] = { "map_failures", "Changes of expert maps that failed" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/skylarkhead.h
+++ b/src/skylarkhead.h
@@ -40,6 +40,8 @@
 int skh_cmd_sidecar(int argc, char **argv);
 /** skh_cmd_gateway() - run an entry that reaches backend servers directly */
 int skh_cmd_gateway(int argc, char **argv);
+/** skh_cmd_balancer() - run the balancer of experts beside a model server */
+int skh_cmd_balancer(int argc, char **argv);
 /** skh_cmd_check() - print every fault of settings or of a manifest */
 int skh_cmd_check(int argc, char **argv);
 /** skh_cmd_apply() - put a manifest in force and wait until it is */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -205,6 +205,8 @@
 {
 	const char *id = skh_message_header(answer, upstream->pool->options->attempt_header);
 
+	if (!upstream->attempt_id)
+		return true;
 	/* A server that turned a request away may not have read its id. */
 	if (!id)
 		return answer->parser.status_code >= 400;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &skh__load_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   skh__rank_report__init
+                     (Skh__RankReport         *message)
+{
+  static const Skh__RankReport init_value = SKH__RANK_REPORT__INIT;
+  *message = init_value;
+}
+size_t skh__rank_report__get_packed_size
+                     (const Skh__RankReport *message)
+{
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__rank_report__pack
+                     (const Skh__RankReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__rank_report__pack_to_buffer
+                     (const Skh__RankReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__RankReport *
+       skh__rank_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__RankReport *)
+     protobuf_c_message_unpack (&skh__rank_report__descriptor,
+                                allocator, len, data);
+}
+void   skh__rank_report__free_unpacked
+                     (Skh__RankReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] =
 {
   {
@@ -2146,3 +2191,236 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[16] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, map_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prepared",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, prepared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "armed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, armed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankReport, n_counts),
+    offsetof(Skh__RankReport, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankReport, n_map),
+    offsetof(Skh__RankReport, map),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_known",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, map_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned skh__rank_report__field_indices_by_name[] = {
+  9,   /* field[9] = armed */
+  13,   /* field[13] = counts */
+  1,   /* field[1] = engine */
+  5,   /* field[5] = epoch */
+  10,   /* field[10] = held */
+  14,   /* field[14] = map */
+  15,   /* field[15] = map_known */
+  7,   /* field[7] = map_version */
+  11,   /* field[11] = number */
+  4,   /* field[4] = open */
+  6,   /* field[6] = pass */
+  8,   /* field[8] = prepared */
+  2,   /* field[2] = rank */
+  12,   /* field[12] = sender */
+  0,   /* field[0] = service */
+  3,   /* field[3] = size */
+};
+static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor skh__rank_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.RankReport",
+  "RankReport",
+  "Skh__RankReport",
+  "skh",
+  sizeof(Skh__RankReport),
+  16,
+  skh__rank_report__field_descriptors,
+  skh__rank_report__field_indices_by_name,
+  1,  skh__rank_report__number_ranges,
+  (ProtobufCMessageInit) skh__rank_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Skh__Order Skh__Order;
 typedef struct Skh__OrderReply Skh__OrderReply;
 typedef struct Skh__LoadReport Skh__LoadReport;
+typedef struct Skh__RankReport Skh__RankReport;
 
 
 /* --- enums --- */
@@ -388,6 +389,51 @@
     , 0, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL }
 
 
+/*
+ * Rank's process -> coordinator of its group, over UDP: the newest counts.
+ */
+struct  Skh__RankReport
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * address of the rank's engine
+   */
+  char *engine;
+  uint32_t rank;
+  /*
+   * ranks of the group
+   */
+  uint32_t size;
+  protobuf_c_boolean open;
+  int64_t epoch;
+  int64_t pass;
+  int64_t map_version;
+  int64_t prepared;
+  int64_t armed;
+  int64_t held;
+  uint64_t number;
+  /*
+   * new with each start
+   */
+  uint64_t sender;
+  /*
+   * of each expert since the report before
+   */
+  size_t n_counts;
+  uint32_t *counts;
+  /*
+   * expert + 1 in each place, by set
+   */
+  size_t n_map;
+  uint32_t *map;
+  protobuf_c_boolean map_known;
+};
+#define SKH__RANK_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&skh__rank_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+
+
 /* Skh__Frame methods */
 void   skh__frame__init
                      (Skh__Frame         *message);
@@ -654,6 +700,25 @@
 void   skh__load_report__free_unpacked
                      (Skh__LoadReport *message,
                       ProtobufCAllocator *allocator);
+/* Skh__RankReport methods */
+void   skh__rank_report__init
+                     (Skh__RankReport         *message);
+size_t skh__rank_report__get_packed_size
+                     (const Skh__RankReport   *message);
+size_t skh__rank_report__pack
+                     (const Skh__RankReport   *message,
+                      uint8_t             *out);
+size_t skh__rank_report__pack_to_buffer
+                     (const Skh__RankReport   *message,
+                      ProtobufCBuffer     *buffer);
+Skh__RankReport *
+       skh__rank_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   skh__rank_report__free_unpacked
+                     (Skh__RankReport *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Skh__Frame_Closure)
@@ -698,6 +763,9 @@
 typedef void (*Skh__LoadReport_Closure)
                  (const Skh__LoadReport *message,
                   void *closure_data);
+typedef void (*Skh__RankReport_Closure)
+                 (const Skh__RankReport *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -718,6 +786,7 @@
 extern const ProtobufCMessageDescriptor skh__order__descriptor;
 extern const ProtobufCMessageDescriptor skh__order_reply__descriptor;
 extern const ProtobufCMessageDescriptor skh__load_report__descriptor;
+extern const ProtobufCMessageDescriptor skh__rank_report__descriptor;
 
 PROTOBUF_C__END_DECLS
 
