Change expert maps within half a second of a shift

Cause: counts were averaged over the change under way (1.5 s), the switch waited 10 passes, and reports were limited to one each 0.5 s by their size. Ruled out: the time of copies (0.1 s for each expert, 4 at the most).

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -14,12 +14,14 @@
 #include <string.h>
 
 #define PART "balancer"
-#define TICK_MS 50
+#define TICK_MS 25
 /* The control budget of 2 KB a second, less what the store takes. */
 #define BYTES_PER_S	1500
 #define DATAGRAM_BYTES	42
 #define LEAST_PAUSE_US	(250 * SKH_US_PER_MS)
 #define MAX_DATAGRAM	16384
+/* Greatest count in a report; most of the others then fit in one byte. */
+#define MOST_COUNT	2000.0F
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define SILENCE_TIMEOUT_US (1 * SKH_US_PER_S)
 #define MAX_IDLE_US	(4 * SKH_US_PER_S)
@@ -71,6 +73,21 @@
 	return balancer->lease.holds && now_us < balancer->lease.holds_till_us;
 }
 
+/* Small numbers take few bytes, and only the proportions matter much. */
+static void scale_counts(const skh_rank_news_t *news, Skh__RankReport *message)
+{
+	uint32_t most = 1;
+
+	for (uint32_t i = 0; i < news->n_counts; i++)
+		most = MAX(most, news->counts[i]);
+	message->count_scale = MAX(1.0F, (float)most / MOST_COUNT);
+	message->n_counts = news->n_counts;
+	message->counts = g_new0(uint32_t, news->n_counts + 1);
+	for (uint32_t i = 0; i < news->n_counts; i++)
+		message->counts[i] =
+			(uint32_t)((float)news->counts[i] / message->count_scale + 0.5F);
+}
+
 static void fill_report(balancer_t *balancer, const skh_rank_news_t *news, bool with_counts,
 			Skh__RankReport *message)
 {
@@ -92,8 +109,8 @@
 	message->map_known = news->has_map;
 	message->n_map = news->has_map ? news->n_map : 0;
 	message->map = news->map;
-	message->n_counts = with_counts ? news->n_counts : 0;
-	message->counts = news->counts;
+	if (with_counts)
+		scale_counts(news, message);
 }
 
 static size_t send_report(balancer_t *balancer, const Skh__RankReport *message)
@@ -132,6 +149,7 @@
 		skh_coordinator_report(balancer->coordinator, &message, true, now_us);
 	else
 		sent = send_report(balancer, &message);
+	g_free(message.counts);
 	if (!with_counts)
 		return;
 	if (news->n_counts > 0)
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -11,7 +11,7 @@
 
 #define PART "group"
 /* Counts are judged this often; less says little, more comes too late. */
-#define DECIDE_US (500 * SKH_US_PER_MS)
+#define DECIDE_US (250 * SKH_US_PER_MS)
 /* A rank that was not heard of for longer is asked over the network. */
 #define SILENT_US (900 * SKH_US_PER_MS)
 #define ASK_US	  (300 * SKH_US_PER_MS)
@@ -54,6 +54,9 @@
 	uint32_t *map;	/* in use, [sets][ranks][placements] */
 	uint32_t *next; /* that the change under way brings */
 	double *counts; /* of the interval, [sets][experts] */
+	double *shares; /* expected, [sets][experts] */
+	bool fresh_counts; /* the shares have changed since the last decision */
+	int64_t observe_us;
 	skh_forecast_t **forecasts; /* one a set */
 	skh_mapchange_t change;
 	bool changing;
@@ -75,6 +78,7 @@
 	coordinator->options = *options;
 	coordinator->shape = *shape;
 	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
+	coordinator->shares = g_new0(double, (size_t)shape->sets * shape->experts);
 	coordinator->forecasts = g_new0(skh_forecast_t *, shape->sets);
 	for (uint32_t set = 0; set < shape->sets; set++)
 		coordinator->forecasts[set] = skh_forecast_new(shape->experts);
@@ -91,6 +95,7 @@
 		skh_forecast_free(coordinator->forecasts[set]);
 	g_free(coordinator->forecasts);
 	g_free(coordinator->counts);
+	g_free(coordinator->shares);
 	g_free(coordinator->map);
 	g_free(coordinator->next);
 	g_free(coordinator);
@@ -152,7 +157,7 @@
 	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
 
 	for (size_t i = 0; i < MIN(n, message->n_counts); i++)
-		coordinator->counts[i] += message->counts[i];
+		coordinator->counts[i] += (double)message->counts[i] * message->count_scale;
 }
 
 static void take_map(skh_coordinator_t *coordinator, uint32_t rank, const Skh__RankReport *message)
@@ -361,7 +366,7 @@
 }
 
 /* Takes the counts of the interval into the forecasts; writes the expected shares. */
-static void foretell(skh_coordinator_t *coordinator, double *shares)
+static void foretell(skh_coordinator_t *coordinator)
 {
 	uint32_t experts = coordinator->shape.experts;
 
@@ -369,7 +374,7 @@
 		skh_forecast_t *forecast = coordinator->forecasts[set];
 
 		skh_forecast_observe(forecast, coordinator->counts + (size_t)set * experts);
-		memcpy(shares + (size_t)set * experts, skh_forecast_shares(forecast),
+		memcpy(coordinator->shares + (size_t)set * experts, skh_forecast_shares(forecast),
 		       experts * sizeof(double));
 	}
 	memset(coordinator->counts, 0,
@@ -400,6 +405,16 @@
 	send_orders(coordinator, now_us);
 }
 
+/* Counts are taken into the forecasts in steady steps, also while a change is under way. */
+static void observe(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	if (now_us < coordinator->observe_us || !has_counts(coordinator))
+		return;
+	coordinator->observe_us = now_us + DECIDE_US;
+	coordinator->fresh_counts = true;
+	foretell(coordinator);
+}
+
 static void decide(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	const skh_mapplan_weights_t weights = {
@@ -408,18 +423,17 @@
 		.load_cost = LOAD_COST,
 		.most_new = MOST_NEW,
 	};
-	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
-	g_autofree double *shares = g_new0(double, n + 1);
 	bool repair = has_leavings(coordinator, now_us);
-	bool judged = has_counts(coordinator);
+	bool judged = coordinator->fresh_counts;
 
-	if (judged)
-		foretell(coordinator, shares);
+	if (!judged && !repair)
+		return;
+	coordinator->fresh_counts = false;
 	memcpy(coordinator->next, coordinator->map, map_size(coordinator) * sizeof(uint32_t));
 	coordinator->plan = (skh_mapplan_result_t){ 0 };
 	if (judged)
-		skh_mapplan_make(&coordinator->shape, coordinator->n_ranks, &weights, shares,
-				 coordinator->next, &coordinator->plan);
+		skh_mapplan_make(&coordinator->shape, coordinator->n_ranks, &weights,
+				 coordinator->shares, coordinator->next, &coordinator->plan);
 	if (!skh_mapplan_is_valid(&coordinator->shape, coordinator->n_ranks, coordinator->next)) {
 		skh_log(SKH_LOG_ERROR, PART, "Plan is no map.", "judged=%d", judged);
 		return;
@@ -438,7 +452,8 @@
 	if (!done && change->phase != SKH_CHANGE_FAILED)
 		return;
 	coordinator->changing = false;
-	coordinator->repair = !done;
+	/* A rank may be left armed or holding. */
+	coordinator->repair = !done && change->held_since_us != 0;
 	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
 		"version=%" PRId64 " took_ms=%" PRId64 " reason=%s", change->version,
 		(now_us - coordinator->change_since_us) / SKH_US_PER_MS, done ? "-" : change->why);
@@ -457,9 +472,8 @@
 	coordinator->change_number = 0;
 	coordinator->changing = false;
 	coordinator->outdated = false;
-	/* What the holder before may have left is cleared away first. */
-	coordinator->repair = fence != 0;
-	coordinator->decide_us = now_us + DECIDE_US;
+	coordinator->repair = false;
+	coordinator->decide_us = now_us + 2 * DECIDE_US;
 }
 
 bool skh_coordinator_tick(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
@@ -468,12 +482,12 @@
 	if (fence == 0)
 		return true;
 	ask_silent(coordinator, now_us);
+	observe(coordinator, now_us);
 	if (coordinator->changing) {
 		skh_mapchange_tick(&coordinator->change, now_us);
 		send_orders(coordinator, now_us);
 		end_change(coordinator, now_us);
 	} else if (now_us >= coordinator->decide_us && is_group_known(coordinator, now_us)) {
-		coordinator->decide_us = now_us + DECIDE_US;
 		decide(coordinator, now_us);
 	}
 	return !coordinator->outdated;
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -2,10 +2,12 @@
 
 #include "clock.h"
 
+#include <glib.h>
+
 /* Passes between the one seen last and the one at which the map changes. */
-#define LEAD_PASSES 10
+#define LEAD_PASSES 2
 /* A hold whose pass is nearer than this is not tried again: its pass may have begun. */
-#define LEAST_LEAD 3
+#define LEAST_LEAD 1
 /* After an order without an answer; it is sent again, which is harmless. */
 #define AGAIN_US (20 * SKH_US_PER_MS)
 /* After a refusal: until a newer report tells why. */
@@ -269,7 +271,7 @@
 	state->not_before_us = now_us + REFUSED_US;
 	if (change->phase == SKH_CHANGE_HOLD) {
 		/* Its pass has begun, or the rank holds already: the report tells. */
-		change->pass = state->report.pass + 2 * LEAD_PASSES;
+		change->pass = MAX(change->pass, state->report.pass) + LEAD_PASSES;
 		state->not_before_us = now_us + AGAIN_US;
 	}
 }
@@ -316,6 +318,9 @@
 	/* The next change disarms and releases. */
 	if (change->phase == SKH_CHANGE_ARM && spent_us > ARM_US)
 		fail(change, "a rank was not armed in time", now_us);
-	if (change->phase == SKH_CHANGE_SETTLE && spent_us > SETTLE_US)
+	/* An idle group makes no passes: it changes with the first that comes. */
+	if (change->phase == SKH_CHANGE_SETTLE && own->pass < change->pass)
+		change->phase_since_us = now_us;
+	else if (change->phase == SKH_CHANGE_SETTLE && spent_us > SETTLE_US)
 		fail(change, "the map did not change", now_us);
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2191,7 +2191,7 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[17] =
 {
   {
     "service",
@@ -2385,9 +2385,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "count_scale",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, count_scale),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
   9,   /* field[9] = armed */
+  16,   /* field[16] = count_scale */
   13,   /* field[13] = counts */
   1,   /* field[1] = engine */
   5,   /* field[5] = epoch */
@@ -2407,7 +2420,7 @@
 static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor skh__rank_report__descriptor =
 {
@@ -2417,7 +2430,7 @@
   "Skh__RankReport",
   "skh",
   sizeof(Skh__RankReport),
-  16,
+  17,
   skh__rank_report__field_descriptors,
   skh__rank_report__field_indices_by_name,
   1,  skh__rank_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -418,7 +418,7 @@
    */
   uint64_t sender;
   /*
-   * of each expert since the report before
+   * of each expert since the report before, scaled
    */
   size_t n_counts;
   uint32_t *counts;
@@ -428,10 +428,14 @@
   size_t n_map;
   uint32_t *map;
   protobuf_c_boolean map_known;
+  /*
+   * tokens for each unit of counts
+   */
+  float count_scale;
 };
 #define SKH__RANK_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__rank_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Skh__Frame methods */
