--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -21,20 +21,21 @@
 /* Tokens that the ranks of a group must have chosen experts for, by set. */
 #define LEAST_TOKENS 400.0
 /* A change is not begun for less skew than this. */
-#define LEAST_GAIN 0.03
+#define LEAST_GAIN 0.08
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
 /* New experts at one rank; each takes the rank about a tenth of a second. */
 #define MOST_NEW  4
 /* A hold that nobody seems to want is looked into after this. */
-#define HELD_US	  (400 * SKH_US_PER_MS)
+#define HELD_US	  (250 * SKH_US_PER_MS)
 /* Room for the changes of one lease, so that each has a higher fence than those before. */
 #define FENCE_STEP 4096
 
 typedef struct rank_state {
 	skh_engine_client_t *client; /* NULL before its address is known */
 	bool reported;
-	int64_t heard_us;
+	int64_t heard_us; /* of its process */
+	int64_t told_us;  /* of its state, by its process or itself */
 	uint64_t sender;
 	uint64_t number;
 	skh_engine_report_t report;
@@ -147,6 +148,7 @@
 	else if (state->held_since_us == 0)
 		state->held_since_us = now_us;
 	state->reported = true;
+	state->told_us = now_us;
 	state->report = *report;
 	if (coordinator->changing)
 		skh_mapchange_report(&coordinator->change, rank, report, now_us);
@@ -160,18 +162,25 @@
 		coordinator->counts[i] += (double)message->counts[i] * message->count_scale;
 }
 
-static void take_map(skh_coordinator_t *coordinator, uint32_t rank, const Skh__RankReport *message)
+/* @map is the rank's own, [sets][placements]. */
+static void place_map(skh_coordinator_t *coordinator, uint32_t rank, const uint32_t *map)
 {
 	uint32_t places = coordinator->shape.placements;
 
-	if (!message->map_known || message->n_map != (size_t)coordinator->shape.sets * places)
-		return;
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
 		memcpy(coordinator->map + ((size_t)set * coordinator->n_ranks + rank) * places,
-		       message->map + (size_t)set * places, places * sizeof(uint32_t));
+		       map + (size_t)set * places, places * sizeof(uint32_t));
 	coordinator->ranks[rank].map_known = true;
 }
 
+static void take_map(skh_coordinator_t *coordinator, uint32_t rank, const Skh__RankReport *message)
+{
+	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.placements;
+
+	if (message->map_known && message->n_map == n)
+		place_map(coordinator, rank, message->map);
+}
+
 void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 			    bool own, int64_t now_us)
 {
@@ -210,6 +219,34 @@
 	take_map(coordinator, message->rank, message);
 }
 
+static void on_lists(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	skh_coordinator_t *coordinator = context;
+	uint32_t places = coordinator->shape.placements;
+	uint32_t sets = coordinator->shape.sets;
+	g_autofree uint32_t *map = g_new0(uint32_t, (size_t)sets * places + 1);
+	skh_error_t err;
+
+	coordinator->ranks[tag].asking = false;
+	if (status != 200)
+		return;
+	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &err)) {
+		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "rank=%u reason=%s", tag,
+			err.text);
+		return;
+	}
+	place_map(coordinator, tag, map);
+}
+
+static void ask_lists(skh_coordinator_t *coordinator, uint32_t rank)
+{
+	rank_state_t *state = &coordinator->ranks[rank];
+
+	state->asking = true;
+	skh_engine_client_get(state->client, coordinator->options.dialect->lists_path,
+			      ORDER_TIMEOUT_US * 2, rank, on_lists, coordinator);
+}
+
 static void on_report(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_coordinator_t *coordinator = context;
@@ -224,8 +261,11 @@
 			err.text);
 		return;
 	}
-	if (report.rank == tag)
-		take_state(coordinator, tag, &report, skh_clock_boot_us());
+	if (report.rank != tag)
+		return;
+	take_state(coordinator, tag, &report, skh_clock_boot_us());
+	if (!coordinator->ranks[tag].map_known)
+		ask_lists(coordinator, tag);
 }
 
 /* A rank whose process is silent is asked itself; what it says is a moment old. */
@@ -339,7 +379,7 @@
 		if (!state->reported || !state->client || !state->map_known ||
 		    state->report.epoch != own->report.epoch ||
 		    state->report.map_version != own->report.map_version ||
-		    now_us - state->heard_us > STALE_US)
+		    now_us - state->told_us > STALE_US)
 			return false;
 	}
 	return true;
--- a/src/election.c
+++ b/src/election.c
@@ -10,12 +10,12 @@
 
 #define PART "election"
 /* A coordinator that died is missed for as long as its lease. */
-#define LEASE_S	     2
-#define RENEW_US     (700 * SKH_US_PER_MS)
+#define LEASE_S	     1
+#define RENEW_US     (280 * SKH_US_PER_MS)
 /* It stops acting this long before the lease can lapse at the store. */
-#define MARGIN_US    (300 * SKH_US_PER_MS)
+#define MARGIN_US    (200 * SKH_US_PER_MS)
 #define WATCH_MS     4000
-#define PAUSE_US     (250 * SKH_US_PER_MS)
+#define PAUSE_US     (120 * SKH_US_PER_MS)
 #define START_US     (600 * SKH_US_PER_MS)
 #define SLICE_US     (50 * SKH_US_PER_MS)
 
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -272,7 +272,7 @@
 	if (change->phase == SKH_CHANGE_HOLD) {
 		/* Its pass has begun, or the rank holds already: the report tells. */
 		change->pass = MAX(change->pass, state->report.pass) + LEAD_PASSES;
-		state->not_before_us = now_us + AGAIN_US;
+		state->not_before_us = now_us;
 	}
 }
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -285,6 +285,23 @@
 	}
 }
 
+/*
+ * libuv reports an end for a hang-up without asking for the reason. An answer
+ * without a length that is cut by a reset must not be taken for whole.
+ */
+static bool ended_cleanly(const skh_upstream_t *upstream)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&upstream->tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 || error != 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buffer)
 {
 	skh_upstream_t *upstream = stream->data;
@@ -299,7 +316,8 @@
 		take_bytes(upstream, skh_chunk_make(buffer->base, (size_t)n));
 		return;
 	}
-	if (n == UV_EOF && !upstream->skipping && skh_message_eof(&upstream->answer)) {
+	if (n == UV_EOF && !upstream->skipping && ended_cleanly(upstream) &&
+	    skh_message_eof(&upstream->answer)) {
 		upstream->dirty = true;
 		(void)end_answer(upstream);
 		close_upstream(upstream);
