--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -11,23 +11,34 @@
 
 #define PART "group"
 /* Counts are judged this often; less says little, more comes too late. */
-#define DECIDE_US (250 * SKH_US_PER_MS)
+#define OBSERVE_US (100 * SKH_US_PER_MS)
 /* A rank that was not heard of for longer is asked over the network. */
 #define SILENT_US (900 * SKH_US_PER_MS)
 #define ASK_US	  (300 * SKH_US_PER_MS)
 /* Counts of ranks that were silent for longer do not count. */
 #define STALE_US  (2500 * SKH_US_PER_MS)
 #define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
+/* At so short steps a trend is noise; shifts are seen by their distance. */
+#define LEVEL_GAIN 0.4
+#define TREND_GAIN 0.0
 /* Tokens that the ranks of a group must have chosen experts for, by set. */
-#define LEAST_TOKENS 400.0
+#define LEAST_TOKENS 3000.0
+/*
+ * Shares that differ by more from what was expected, in all sets together, mean
+ * that other experts are in demand: what was counted before says nothing now.
+ */
+#define SHIFT_DISTANCE 0.6
 /* A change is not begun for less skew than this. */
-#define LEAST_GAIN 0.08
+#define LEAST_GAIN 0.3
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
 /* New experts at one rank; each takes the rank about a tenth of a second. */
 #define MOST_NEW  4
 /* A hold that nobody seems to want is looked into after this. */
 #define HELD_US	  (250 * SKH_US_PER_MS)
+/* A new holder hears all ranks before it decides. */
+#define TAKEOVER_US (400 * SKH_US_PER_MS)
+#define COMPLAIN_US (500 * SKH_US_PER_MS)
 /* Room for the changes of one lease, so that each has a higher fence than those before. */
 #define FENCE_STEP 4096
 
@@ -64,7 +75,7 @@
 	int64_t change_number; /* within this lease */
 	int64_t fence;	       /* of the lease */
 	int64_t decide_us;
-	int64_t last_version;
+	int64_t complained_us;
 	bool outdated;
 	bool repair; /* the last change failed: its leavings must go */
 	skh_mapplan_result_t plan;
@@ -81,8 +92,10 @@
 	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
 	coordinator->shares = g_new0(double, (size_t)shape->sets * shape->experts);
 	coordinator->forecasts = g_new0(skh_forecast_t *, shape->sets);
-	for (uint32_t set = 0; set < shape->sets; set++)
+	for (uint32_t set = 0; set < shape->sets; set++) {
 		coordinator->forecasts[set] = skh_forecast_new(shape->experts);
+		skh_forecast_set_gains(coordinator->forecasts[set], LEVEL_GAIN, TREND_GAIN);
+	}
 	return coordinator;
 }
 
@@ -134,15 +147,31 @@
 					      coordinator->options.pool_options);
 }
 
+/* The map that this coordinator has brought is known without asking. */
+static void follow_map(skh_coordinator_t *coordinator, uint32_t rank,
+		       const skh_engine_report_t *report)
+{
+	uint32_t places = coordinator->shape.placements;
+
+	coordinator->ranks[rank].map_known = report->epoch == coordinator->change.epoch &&
+					     report->map_version == coordinator->change.version;
+	if (!coordinator->ranks[rank].map_known)
+		return;
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
+		size_t at = ((size_t)set * coordinator->n_ranks + rank) * places;
+
+		memcpy(coordinator->map + at, coordinator->next + at, places * sizeof(uint32_t));
+	}
+}
+
 static void take_state(skh_coordinator_t *coordinator, uint32_t rank,
 		       const skh_engine_report_t *report, int64_t now_us)
 {
 	rank_state_t *state = &coordinator->ranks[rank];
 
-	if (state->reported &&
-	    (state->report.epoch != report->epoch ||
-	     state->report.map_version != report->map_version))
-		state->map_known = false;
+	if (state->reported && (state->report.epoch != report->epoch ||
+				state->report.map_version != report->map_version))
+		follow_map(coordinator, rank, report);
 	if (report->held == 0)
 		state->held_since_us = 0;
 	else if (state->held_since_us == 0)
@@ -225,17 +254,19 @@
 	uint32_t places = coordinator->shape.placements;
 	uint32_t sets = coordinator->shape.sets;
 	g_autofree uint32_t *map = g_new0(uint32_t, (size_t)sets * places + 1);
+	int64_t version;
 	skh_error_t err;
 
 	coordinator->ranks[tag].asking = false;
 	if (status != 200)
 		return;
-	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &err)) {
+	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &version, &err)) {
 		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "rank=%u reason=%s", tag,
 			err.text);
 		return;
 	}
-	place_map(coordinator, tag, map);
+	if (version == coordinator->ranks[tag].report.map_version)
+		place_map(coordinator, tag, map);
 }
 
 static void ask_lists(skh_coordinator_t *coordinator, uint32_t rank)
@@ -367,20 +398,39 @@
 
 /* --- Decisions --- */
 
-static bool is_group_known(const skh_coordinator_t *coordinator, int64_t now_us)
+static const char *why_unknown(const skh_coordinator_t *coordinator, const rank_state_t *state,
+			       int64_t now_us)
 {
 	const rank_state_t *own = &coordinator->ranks[coordinator->own];
 
-	if (!coordinator->has_own || coordinator->n_ranks == 0 || !own->report.group_open)
+	if (!state->reported || !state->client)
+		return "never_heard";
+	if (now_us - state->told_us > STALE_US)
+		return "silent";
+	if (state->report.epoch != own->report.epoch)
+		return "epoch";
+	if (state->report.map_version != own->report.map_version)
+		return "map_version";
+	return state->map_known ? NULL : "map";
+}
+
+/* Everything that a decision needs is known of all ranks, and fits together. */
+static bool is_group_known(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	if (!coordinator->has_own || coordinator->n_ranks == 0 ||
+	    !coordinator->ranks[coordinator->own].report.group_open)
 		return false;
 	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
-		const rank_state_t *state = &coordinator->ranks[rank];
+		const char *why = why_unknown(coordinator, &coordinator->ranks[rank], now_us);
 
-		if (!state->reported || !state->client || !state->map_known ||
-		    state->report.epoch != own->report.epoch ||
-		    state->report.map_version != own->report.map_version ||
-		    now_us - state->told_us > STALE_US)
-			return false;
+		if (!why)
+			continue;
+		if (now_us - coordinator->complained_us > COMPLAIN_US) {
+			coordinator->complained_us = now_us;
+			skh_log(SKH_LOG_INFO, PART, "Group is not known.", "rank=%u lacks=%s",
+				rank, why);
+		}
+		return false;
 	}
 	return true;
 }
@@ -405,14 +455,28 @@
 	return tokens >= LEAST_TOKENS;
 }
 
+static bool has_shifted(const skh_coordinator_t *coordinator)
+{
+	uint32_t experts = coordinator->shape.experts;
+	double distance = 0.0;
+
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
+		distance += skh_forecast_distance(coordinator->forecasts[set],
+						  coordinator->counts + (size_t)set * experts);
+	return distance > SHIFT_DISTANCE * (double)coordinator->shape.sets;
+}
+
 /* Takes the counts of the interval into the forecasts; writes the expected shares. */
 static void foretell(skh_coordinator_t *coordinator)
 {
 	uint32_t experts = coordinator->shape.experts;
+	bool shifted = has_shifted(coordinator);
 
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
 		skh_forecast_t *forecast = coordinator->forecasts[set];
 
+		if (shifted)
+			skh_forecast_restart(forecast);
 		skh_forecast_observe(forecast, coordinator->counts + (size_t)set * experts);
 		memcpy(coordinator->shares + (size_t)set * experts, skh_forecast_shares(forecast),
 		       experts * sizeof(double));
@@ -450,7 +514,7 @@
 {
 	if (now_us < coordinator->observe_us || !has_counts(coordinator))
 		return;
-	coordinator->observe_us = now_us + DECIDE_US;
+	coordinator->observe_us = now_us + OBSERVE_US;
 	coordinator->fresh_counts = true;
 	foretell(coordinator);
 }
@@ -513,7 +577,7 @@
 	coordinator->changing = false;
 	coordinator->outdated = false;
 	coordinator->repair = false;
-	coordinator->decide_us = now_us + 2 * DECIDE_US;
+	coordinator->decide_us = now_us + TAKEOVER_US;
 }
 
 bool skh_coordinator_tick(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -102,9 +102,9 @@
 	skh_server_t *(*read_server)(const char *id, skh_chunk_t text, skh_error_t *err);
 	bool (*read_report)(skh_chunk_t text, skh_engine_report_t *report, skh_error_t *err);
 	bool (*read_counts)(skh_chunk_t text, skh_engine_counts_t *counts, skh_error_t *err);
-	/* The map in use: expert + 1 of this rank, [sets][places]; false when it can't be read. */
+	/* The map in use and its version: expert + 1 of this rank, [sets][places]. */
 	bool (*read_lists)(skh_chunk_t text, uint32_t sets, uint32_t places, uint32_t *map,
-			   skh_error_t *err);
+			   int64_t *version, skh_error_t *err);
 	/* JSON to be freed with free(). */
 	char *(*write_order)(const skh_engine_order_t *order);
 } skh_dialect_t;
--- a/src/forecast.c
+++ b/src/forecast.c
@@ -14,6 +14,8 @@
 struct skh_forecast {
 	uint32_t n_experts;
 	uint32_t n_seen;
+	double level_gain;
+	double trend_gain;
 	bool *seen;    /* reported at least once */
 	double *level; /* logarithm of the share */
 	double *trend; /* its change an interval */
@@ -29,11 +31,26 @@
 	forecast->level = g_new(double, n_experts);
 	forecast->trend = g_new0(double, n_experts);
 	forecast->shares = g_new(double, n_experts);
-	for (uint32_t i = 0; i < n_experts; i++) {
-		forecast->shares[i] = 1.0 / (double)n_experts;
+	skh_forecast_set_gains(forecast, LEVEL_GAIN, TREND_GAIN);
+	skh_forecast_restart(forecast);
+	return forecast;
+}
+
+void skh_forecast_set_gains(skh_forecast_t *forecast, double level, double trend)
+{
+	forecast->level_gain = level;
+	forecast->trend_gain = trend;
+}
+
+void skh_forecast_restart(skh_forecast_t *forecast)
+{
+	forecast->n_seen = 0;
+	for (uint32_t i = 0; i < forecast->n_experts; i++) {
+		forecast->seen[i] = false;
+		forecast->trend[i] = 0.0;
+		forecast->shares[i] = 1.0 / (double)forecast->n_experts;
 		forecast->level[i] = log(forecast->shares[i]);
 	}
-	return forecast;
 }
 
 void skh_forecast_free(skh_forecast_t *forecast)
@@ -72,9 +89,9 @@
 		forecast->level[i] = seen;
 		return;
 	}
-	forecast->level[i] = expected + LEVEL_GAIN * step;
+	forecast->level[i] = expected + forecast->level_gain * step;
 	if (fabs(step) < BURST_STEP)
-		forecast->trend[i] += TREND_GAIN * step;
+		forecast->trend[i] += forecast->trend_gain * step;
 }
 
 static void foretell(skh_forecast_t *forecast)
@@ -104,6 +121,18 @@
 	foretell(forecast);
 }
 
+double skh_forecast_distance(const skh_forecast_t *forecast, const double *counts)
+{
+	double total = total_of(forecast, counts);
+	double distance = 0.0;
+
+	for (uint32_t i = 0; i < forecast->n_experts && total > 0.0; i++) {
+		if (counts[i] >= 0.0)
+			distance += fabs(counts[i] / total - forecast->shares[i]);
+	}
+	return distance;
+}
+
 bool skh_forecast_is_ready(const skh_forecast_t *forecast)
 {
 	return forecast->n_seen == forecast->n_experts;
--- a/src/forecast.h
+++ b/src/forecast.h
@@ -28,6 +28,15 @@
  */
 void skh_forecast_observe(skh_forecast_t *forecast, const double *counts);
 
+/** skh_forecast_distance() - sum of the differences between @counts' shares and the expected */
+double skh_forecast_distance(const skh_forecast_t *forecast, const double *counts);
+
+/** skh_forecast_restart() - forget all: what was popular no longer tells what will be */
+void skh_forecast_restart(skh_forecast_t *forecast);
+
+/** skh_forecast_set_gains() - of the level and of the trend, for intervals of another length */
+void skh_forecast_set_gains(skh_forecast_t *forecast, double level, double trend);
+
 /** skh_forecast_is_ready() - whether every expert has been reported at least once */
 bool skh_forecast_is_ready(const skh_forecast_t *forecast);
 
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -5,9 +5,9 @@
 #include <glib.h>
 
 /* Passes between the one seen last and the one at which the map changes. */
-#define LEAD_PASSES 2
+#define LEAD_PASSES 1
 /* A hold whose pass is nearer than this is not tried again: its pass may have begun. */
-#define LEAST_LEAD 1
+#define LEAST_LEAD 0
 /* After an order without an answer; it is sent again, which is harmless. */
 #define AGAIN_US (20 * SKH_US_PER_MS)
 /* After a refusal: until a newer report tells why. */
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -8,7 +8,7 @@
 #define PART "rank"
 /* The engine's own machine asks for nothing. */
 #define REPORT_US  (50 * SKH_US_PER_MS)
-#define COUNTS_US  (200 * SKH_US_PER_MS)
+#define COUNTS_US  (100 * SKH_US_PER_MS)
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
 
 typedef enum ask {
@@ -128,15 +128,19 @@
 
 static void take_lists(skh_rankwatch_t *watch, skh_chunk_t body)
 {
+	int64_t version;
 	skh_error_t err;
 
 	if (!watch->dialect->read_lists(body, watch->shape.sets, watch->shape.placements,
-					watch->news.map, &err)) {
+					watch->news.map, &version, &err)) {
 		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "reason=%s", err.text);
 		return;
 	}
+	/* The map may have changed between the report and now. */
+	if (version != watch->news.report.map_version)
+		return;
 	watch->news.has_map = true;
-	watch->news.map_version = watch->news.report.map_version;
+	watch->news.map_version = version;
 	watch->news.map_epoch = watch->news.report.epoch;
 	watch->fn(watch->context);
 }
