Relieve the fullest ranks first: the balancer keeps to each rank's limit of loads

Cause: the plan was cut at the first load that a rank had no room for, so few new experts at a rank meant a poor plan, and many meant a slow one.

--- a/src/balance.c
+++ b/src/balance.c
@@ -23,6 +23,7 @@
 /* For each number of loads, less one: the change that lowers the norm most. */
 typedef struct choice {
 	change_t best[MAX_CHANGE];
+	const uint32_t *left; /* loads that each rank may still get */
 } choice_t;
 
 double skh_balance_skew(const skh_balance_view_t *view, const uint32_t *placement,
@@ -34,11 +35,24 @@
 	return skh_layout_skew_of(view, hosts, shares);
 }
 
+static bool has_room(const change_t *change, const uint32_t *left)
+{
+	for (uint32_t i = 0; i < change->n; i++) {
+		uint32_t loads = 0;
+
+		for (uint32_t j = 0; j < change->n; j++)
+			loads += change->rank[j] == change->rank[i];
+		if (loads > left[change->rank[i]])
+			return false;
+	}
+	return true;
+}
+
 static void choose_better(const change_t *change, choice_t *choice)
 {
 	change_t *best = &choice->best[change->n - 1];
 
-	if (change->norm < best->norm)
+	if (change->norm < best->norm && has_room(change, choice->left))
 		*best = *change;
 }
 
@@ -359,8 +373,9 @@
 {
 	uint32_t *cell = &state->placement[rank * state->view->n_slots + slot];
 
-	if (room_in(state, plan) == 0)
+	if (room_in(state, plan) == 0 || state->left[rank] == 0)
 		return false;
+	state->left[rank]--;
 	plan->moves[plan->n_moves++] = (skh_move_t){ rank, slot, expert, 0 };
 	state->hosts[*cell] &= ~(1ULL << rank);
 	state->hosts[expert] |= 1ULL << rank;
@@ -380,7 +395,8 @@
 		double cost = state->load[spare.rank] +
 			      view->forecast[held] * state->per_speed[spare.rank];
 
-		if (skh_layout_holds(state, spare.rank, expert) || cost >= least)
+		if (skh_layout_holds(state, spare.rank, expert) || cost >= least ||
+		    state->left[spare.rank] == 0)
 			continue;
 		least = cost;
 		*rank = spare.rank;
@@ -425,7 +441,7 @@
 static void descend(skh_layout_t *state, skh_balance_plan_t *plan)
 {
 	for (;;) {
-		choice_t choice = { 0 };
+		choice_t choice = { .left = state->left };
 		const change_t *best;
 		uint32_t full = fullest(state);
 
@@ -454,7 +470,7 @@
 /* One more replica of @expert where it does least harm, though that be a new fullest rank. */
 static bool find_kick(const skh_layout_t *state, uint32_t expert, change_t *kick)
 {
-	choice_t choice = { .best = { { .norm = INFINITY } } };
+	choice_t choice = { .best = { { .norm = INFINITY } }, .left = state->left };
 
 	for (uint32_t i = 0; i < state->n_spare; i++)
 		consider_replace(state, state->spare[i].rank, state->spare[i].slot, expert,
--- a/src/balance.h
+++ b/src/balance.h
@@ -36,6 +36,7 @@
  * @cost_weight: of moves in the objective
  * @load_cost: step time that one load costs, as a part of a mean step
  * @max_loads: the weight store's rate over one interval
+ * @rank_loads: most loads of each rank, [@n_ranks]; NULL for no limit
  */
 typedef struct skh_balance_view {
 	uint32_t n_ranks;
@@ -49,6 +50,7 @@
 	double cost_weight;
 	double load_cost;
 	uint32_t max_loads;
+	const uint32_t *rank_loads;
 } skh_balance_view_t;
 
 /** struct skh_move - load @expert into a slot during @stage, counted from 0 */
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -34,6 +34,9 @@
 #define LOAD_COST 0.006
 /* New experts at one rank; each takes the rank about a tenth of a second. */
 #define MOST_NEW  4
+/* While the skew is greater, a quick relief comes before the best map. */
+#define RELIEF_SKEW 1.8
+#define RELIEF_NEW  2
 /* A hold that nobody seems to want is looked into after this. */
 #define HELD_US	  (250 * SKH_US_PER_MS)
 /* A new holder hears all ranks before it decides. */
@@ -521,11 +524,13 @@
 
 static void decide(skh_coordinator_t *coordinator, int64_t now_us)
 {
+	double skew = skh_mapplan_skew(&coordinator->shape, coordinator->n_ranks,
+				       coordinator->shares, coordinator->map);
 	const skh_mapplan_weights_t weights = {
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
 		.load_cost = LOAD_COST,
-		.most_new = MOST_NEW,
+		.most_new = skew > RELIEF_SKEW ? RELIEF_NEW : MOST_NEW,
 	};
 	bool repair = has_leavings(coordinator, now_us);
 	bool judged = coordinator->fresh_counts;
--- a/src/layout.c
+++ b/src/layout.c
@@ -182,6 +182,7 @@
 	state->per_mean = 1.0 / mean_load(view, view->forecast);
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		state->n_live += skh_layout_is_live(view, rank);
+		state->left[rank] = view->rank_loads ? view->rank_loads[rank] : UINT32_MAX;
 		state->per_speed[rank] =
 			skh_layout_is_live(view, rank) ? 1.0 / view->speed[rank] : 0.0;
 	}
--- a/src/layout.h
+++ b/src/layout.h
@@ -41,6 +41,7 @@
 	double norm;			    /* sum of the terms of live ranks */
 	double per_mean;		    /* 1 / mean load */
 	uint32_t n_live;
+	uint32_t left[SKH_BALANCE_MAX_RANKS]; /* loads that each rank may still get */
 } skh_layout_t;
 
 /** struct skh_trial - loads that a change would bring, of the ranks that it touches */
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -73,7 +73,7 @@
 }
 
 static skh_balance_view_t balance_view(const set_view_t *view, const skh_mapplan_weights_t *weights,
-				       uint32_t most_loads)
+				       const uint32_t *rank_loads)
 {
 	return (skh_balance_view_t){
 		.n_ranks = view->ranks,
@@ -86,7 +86,8 @@
 		.skew_weight = weights ? weights->skew_weight : 1.0,
 		.cost_weight = weights ? weights->cost_weight : 0.0,
 		.load_cost = weights ? weights->load_cost : 0.0,
-		.max_loads = most_loads,
+		.max_loads = SKH_BALANCE_MAX_MOVES,
+		.rank_loads = rank_loads,
 	};
 }
 
@@ -149,7 +150,7 @@
 	double skew;
 
 	open_set(&view, shape, ranks, shares, map);
-	balance = balance_view(&view, NULL, 0);
+	balance = balance_view(&view, NULL, NULL);
 	skew = skh_balance_skew(&balance, view.placement, view.shares);
 	close_set(&view);
 	return skew;
@@ -164,9 +165,12 @@
 	g_autofree skh_balance_plan_t *plan = g_new0(skh_balance_plan_t, 1);
 	set_view_t view;
 	skh_balance_view_t balance;
+	uint32_t rank_loads[SKH_BALANCE_MAX_RANKS];
 
+	for (uint32_t rank = 0; rank < ranks; rank++)
+		rank_loads[rank] = MIN(shape->spare, weights->most_new - new_so_far[rank]);
 	open_set(&view, shape, ranks, shares, map);
-	balance = balance_view(&view, weights, ranks * shape->spare);
+	balance = balance_view(&view, weights, rank_loads);
 	if (skh_balance_decide(&balance, plan))
 		apply_moves(shape, ranks, weights, plan, before, new_so_far, map);
 	close_set(&view);
