Follow counts each 50 ms; stretch the interval in which a shift is seen

Cause: a shift was seen 0.3 to 0.4 s late, through three steps of 0.1 s. Ruled out: a slow mixture of old and new requests; at the first sight of a shift the experts of before have lost 85 to 98 in 100 already.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -18,7 +18,7 @@
 /* The control budget of 2 KB a second, less what the store takes. */
 #define BYTES_PER_S	1500
 #define DATAGRAM_BYTES	42
-#define LEAST_PAUSE_US	(100 * SKH_US_PER_MS)
+#define LEAST_PAUSE_US	(50 * SKH_US_PER_MS)
 #define MAX_DATAGRAM	16384
 /* Greatest count in a report; most of the others then fit in one byte. */
 #define MOST_COUNT	2000.0F
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -11,7 +11,7 @@
 
 #define PART "group"
 /* Counts are judged this often; less says little, more comes too late. */
-#define OBSERVE_US (100 * SKH_US_PER_MS)
+#define OBSERVE_US (70 * SKH_US_PER_MS)
 /* A rank that was not heard of for longer is asked over the network. */
 #define SILENT_US (900 * SKH_US_PER_MS)
 #define ASK_US	  (300 * SKH_US_PER_MS)
@@ -72,6 +72,8 @@
 	double *shares; /* expected, [sets][experts] */
 	bool fresh_counts; /* the shares have changed since the last decision */
 	int64_t observe_us;
+	double *before; /* shares before the shift that is under way */
+	bool shifting; /* seen in the interval before */
 	skh_forecast_t **forecasts; /* one a set */
 	skh_mapchange_t change;
 	bool changing;
@@ -93,6 +95,7 @@
 	coordinator->options = *options;
 	coordinator->shape = *shape;
 	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
+	coordinator->before = g_new0(double, (size_t)shape->sets * shape->experts);
 	coordinator->shares = g_new0(double, (size_t)shape->sets * shape->experts);
 	coordinator->forecasts = g_new0(skh_forecast_t *, shape->sets);
 	for (uint32_t set = 0; set < shape->sets; set++) {
@@ -113,6 +116,7 @@
 	g_free(coordinator->forecasts);
 	g_free(coordinator->counts);
 	g_free(coordinator->shares);
+	g_free(coordinator->before);
 	g_free(coordinator->map);
 	g_free(coordinator->next);
 	g_free(coordinator);
@@ -469,17 +473,65 @@
 	return distance > SHIFT_DISTANCE * (double)coordinator->shape.sets;
 }
 
+/* Counts of one set as shares. */
+static void share_out(const double *counts, uint32_t n, double *shares)
+{
+	double sum = 0.0;
+
+	for (uint32_t i = 0; i < n; i++)
+		sum += counts[i];
+	for (uint32_t i = 0; i < n; i++)
+		shares[i] = sum > 0.0 ? counts[i] / sum : 1.0 / (double)n;
+}
+
+/* During a shift the counts are a mixture: they are replaced by where it will end. */
+static double stretch_counts(skh_coordinator_t *coordinator)
+{
+	uint32_t experts = coordinator->shape.experts;
+	g_autofree double *now = g_new(double, experts);
+	double gone = 0.0;
+
+	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
+		double *counts = coordinator->counts + (size_t)set * experts;
+
+		share_out(counts, experts, now);
+		gone += skh_forecast_outcome(coordinator->before + (size_t)set * experts, now,
+					     experts, counts);
+		skh_forecast_restart(coordinator->forecasts[set]);
+	}
+	return gone / (double)coordinator->shape.sets;
+}
+
+/*
+ * The interval in which a shift is seen began before it: its counts are stretched
+ * to where the shift ends. The next interval lies behind it and stands alone.
+ */
+static void follow_shift(skh_coordinator_t *coordinator)
+{
+	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
+	double gone;
+
+	if (coordinator->shifting) {
+		coordinator->shifting = false;
+		for (uint32_t set = 0; set < coordinator->shape.sets; set++)
+			skh_forecast_restart(coordinator->forecasts[set]);
+	} else if (has_shifted(coordinator)) {
+		coordinator->shifting = true;
+		memcpy(coordinator->before, coordinator->shares, n * sizeof(double));
+		gone = stretch_counts(coordinator);
+		skh_log(SKH_LOG_INFO, PART, "Demand shifts.", "gone=%.2f", gone);
+	}
+}
+
 /* Takes the counts of the interval into the forecasts; writes the expected shares. */
 static void foretell(skh_coordinator_t *coordinator)
 {
 	uint32_t experts = coordinator->shape.experts;
-	bool shifted = has_shifted(coordinator);
 
+	follow_shift(coordinator);
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
 		skh_forecast_t *forecast = coordinator->forecasts[set];
 
-		if (shifted)
-			skh_forecast_restart(forecast);
 		skh_forecast_observe(forecast, coordinator->counts + (size_t)set * experts);
 		memcpy(coordinator->shares + (size_t)set * experts, skh_forecast_shares(forecast),
 		       experts * sizeof(double));
--- a/src/forecast.c
+++ b/src/forecast.c
@@ -8,6 +8,11 @@
 #define TREND_GAIN 0.1
 /* A step beyond this is taken for a burst: its level counts, its trend does not. */
 #define BURST_STEP 0.7
+/* Experts with such a share tell how far a shift has gone. */
+#define POPULAR_SHARE 0.04
+/* A shift that has gone less far is not stretched: that would be mostly noise. */
+#define LEAST_GONE 0.3
+#define LEAST_LEFT 0.3
 /* No expert is taken for unused: its next token may come any moment. */
 #define LEAST_SHARE 1e-6
 
@@ -133,6 +138,27 @@
 	return distance;
 }
 
+double skh_forecast_outcome(const double *before, const double *now, uint32_t n, double *outcome)
+{
+	double gone = 0.0;
+	double sum = 0.0;
+	double scale;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (before[i] > POPULAR_SHARE)
+			gone = fmax(gone, (before[i] - now[i]) / before[i]);
+	}
+	scale = gone < LEAST_GONE ? 1.0 : 1.0 / gone;
+	for (uint32_t i = 0; i < n; i++) {
+		/* Noise is stretched, too: nothing falls below a part of what it is now. */
+		outcome[i] = fmax(before[i] + (now[i] - before[i]) * scale, now[i] * LEAST_LEFT);
+		sum += outcome[i];
+	}
+	for (uint32_t i = 0; i < n; i++)
+		outcome[i] /= sum;
+	return fmin(gone, 1.0);
+}
+
 bool skh_forecast_is_ready(const skh_forecast_t *forecast)
 {
 	return forecast->n_seen == forecast->n_experts;
--- a/src/forecast.h
+++ b/src/forecast.h
@@ -34,6 +34,19 @@
 /** skh_forecast_restart() - forget all: what was popular no longer tells what will be */
 void skh_forecast_restart(skh_forecast_t *forecast);
 
+/**
+ * skh_forecast_outcome() - where a shift that is under way will end
+ *
+ * Requests that began before a shift still ask for what was popular then, so
+ * the counts are a mixture for a while. How far it has gone is told by how much
+ * the most popular experts of before have lost.
+ * @before: shares before the shift, [@n]
+ * @now: shares of the newest counts, [@n]
+ * @outcome: receives the expected shares after it, [@n]
+ * Return: how far the shift has gone, 0 to 1.
+ */
+double skh_forecast_outcome(const double *before, const double *now, uint32_t n, double *outcome);
+
 /** skh_forecast_set_gains() - of the level and of the trend, for intervals of another length */
 void skh_forecast_set_gains(skh_forecast_t *forecast, double level, double trend);
 
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -8,7 +8,7 @@
 #define PART "rank"
 /* The engine's own machine asks for nothing. */
 #define REPORT_US  (50 * SKH_US_PER_MS)
-#define COUNTS_US  (100 * SKH_US_PER_MS)
+#define COUNTS_US  (50 * SKH_US_PER_MS)
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
 
 typedef enum ask {
