--- a/src/balancer.c
+++ b/src/balancer.c
@@ -3,10 +3,12 @@
 #include "admin.h"
 #include "clock.h"
 #include "coordinator.h"
+#include "countpack.h"
 #include "election.h"
 #include "log.h"
 #include "metrics.h"
 #include "process.h"
+#include "rankrelay.h"
 #include "rankwatch.h"
 
 #include <inttypes.h>
@@ -19,9 +21,10 @@
 #define BYTES_PER_S	1500
 #define DATAGRAM_BYTES	42
 #define LEAST_PAUSE_US	(50 * SKH_US_PER_MS)
+/* The coordinator's own rank is a sample of all: it shows a shift first. */
+#define OWN_COUNTS_US	(50 * SKH_US_PER_MS)
+#define COUNTS_US	(200 * SKH_US_PER_MS)
 #define MAX_DATAGRAM	16384
-/* Greatest count in a report; most of the others then fit in one byte. */
-#define MOST_COUNT	2000.0F
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define SILENCE_TIMEOUT_US (1 * SKH_US_PER_S)
 #define MAX_IDLE_US	(4 * SKH_US_PER_S)
@@ -39,6 +42,7 @@
 	skh_election_t *election;
 	skh_engine_client_t *engine;
 	skh_rankwatch_t *watch;
+	skh_rankrelay_t *relay;
 	skh_coordinator_t *coordinator; /* NULL before the engines' shape is known */
 	skh_election_view_t lease;
 	uint64_t sender;
@@ -73,19 +77,13 @@
 	return balancer->lease.holds && now_us < balancer->lease.holds_till_us;
 }
 
-/* Small numbers take few bytes, and only the proportions matter much. */
-static void scale_counts(const skh_rank_news_t *news, Skh__RankReport *message)
+static void pack_counts(const skh_rank_news_t *news, Skh__RankReport *message)
 {
-	uint32_t most = 1;
-
-	for (uint32_t i = 0; i < news->n_counts; i++)
-		most = MAX(most, news->counts[i]);
-	message->count_scale = MAX(1.0F, (float)most / MOST_COUNT);
+	message->counts.len = skh_countpack_bytes(news->n_counts);
+	message->counts.data = g_malloc0(message->counts.len + 1);
 	message->n_counts = news->n_counts;
-	message->counts = g_new0(uint32_t, news->n_counts + 1);
-	for (uint32_t i = 0; i < news->n_counts; i++)
-		message->counts[i] =
-			(uint32_t)((float)news->counts[i] / message->count_scale + 0.5F);
+	message->greatest_count =
+		skh_countpack_write(news->counts, news->n_counts, message->counts.data);
 }
 
 static void fill_report(balancer_t *balancer, const skh_rank_news_t *news, bool with_counts,
@@ -106,11 +104,12 @@
 	message->held = report->held;
 	message->sender = balancer->sender;
 	message->number = ++balancer->number;
+	message->relay = (char *)balancer->settings->gossip_listen;
 	message->map_known = news->has_map;
 	message->n_map = news->has_map ? news->n_map : 0;
 	message->map = news->map;
 	if (with_counts)
-		scale_counts(news, message);
+		pack_counts(news, message);
 }
 
 static size_t send_report(balancer_t *balancer, const Skh__RankReport *message)
@@ -149,7 +148,7 @@
 		skh_coordinator_report(balancer->coordinator, &message, true, now_us);
 	else
 		sent = send_report(balancer, &message);
-	g_free(message.counts);
+	g_free(message.counts.data);
 	if (!with_counts)
 		return;
 	if (news->n_counts > 0)
@@ -242,6 +241,8 @@
 	}
 	skh_election_look(balancer->election, &balancer->lease);
 	follow_shape(balancer);
+	skh_rankwatch_set_pace(balancer->watch, holds_lease(balancer, now_us) ? OWN_COUNTS_US
+									      : COUNTS_US);
 	skh_rankwatch_tick(balancer->watch, now_us);
 	tell(balancer, now_us);
 	coordinate(balancer, now_us);
@@ -270,6 +271,8 @@
 	const skh_settings_t *settings = balancer->settings;
 	const skh_election_options_t options = {
 		.store = balancer->store,
+		.release_store = balancer->dialect->open_store(
+			skh_settings_endpoint(settings, 0), settings->store_timeout_ms),
 		.dialect = balancer->dialect,
 		.prefix = prefix,
 		.address = settings->gossip_listen,
@@ -298,6 +301,10 @@
 						 &balancer->pool_options);
 	balancer->watch = skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed,
 					    balancer);
+	balancer->relay = skh_rankrelay_start(&balancer->loop, settings->gossip_listen,
+					      balancer->engine, balancer->dialect, err);
+	if (!balancer->relay)
+		return false;
 	balancer->board = skh_board_new();
 	balancer->admin = skh_admin_start(settings->admin_listen, &admin_ops, balancer,
 					  balancer->board, NULL, err);
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -1,10 +1,13 @@
 #include "coordinator.h"
 
 #include "clock.h"
+#include "countpack.h"
+#include "fence.h"
 #include "log.h"
 #include "mapchange.h"
 #include "mapplan.h"
 #include "metrics.h"
+#include "rankrelay.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -18,6 +21,8 @@
 /* Counts of ranks that were silent for longer do not count. */
 #define STALE_US  (2500 * SKH_US_PER_MS)
 #define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
+/* Longer: the process waits for its engine's answer for the time above. */
+#define RELAY_TIMEOUT_US (300 * SKH_US_PER_MS)
 /* At so short steps a trend is noise; shifts are seen by their distance. */
 #define LEVEL_GAIN 0.4
 #define TREND_GAIN 0.0
@@ -32,21 +37,24 @@
 #define LEAST_GAIN 0.3
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
-/* New experts at one rank; each takes the rank about a tenth of a second. */
-#define MOST_NEW  4
-/* While the skew is greater, a quick relief comes before the best map. */
+/* Passes are longer while a rank copies; the best map may take so long ... */
+#define COPY_MS 400.0
+/* ... and while the skew is greater, a quick relief, which comes first, half of it. */
 #define RELIEF_SKEW 1.8
-#define RELIEF_NEW  2
+#define RELIEF_MS   200.0
+#define MOST_NEW    64.0
+/* Places in a map up to which the best one is searched for in a small share of a core. */
+#define SEARCH_PLACES 600
 /* A hold that nobody seems to want is looked into after this. */
 #define HELD_US	  (250 * SKH_US_PER_MS)
 /* A new holder hears all ranks before it decides. */
 #define TAKEOVER_US (400 * SKH_US_PER_MS)
 #define COMPLAIN_US (500 * SKH_US_PER_MS)
-/* Room for the changes of one lease, so that each has a higher fence than those before. */
-#define FENCE_STEP 4096
 
 typedef struct rank_state {
 	skh_engine_client_t *client; /* NULL before its address is known */
+	skh_engine_client_t *relay;  /* its process, which hands orders on */
+	bool direct; /* the process did not answer the last order */
 	bool reported;
 	int64_t heard_us; /* of its process */
 	int64_t told_us;  /* of its state, by its process or itself */
@@ -77,8 +85,8 @@
 	skh_forecast_t **forecasts; /* one a set */
 	skh_mapchange_t change;
 	bool changing;
-	int64_t change_number; /* within this lease */
-	int64_t fence;	       /* of the lease */
+	skh_fence_t fences;
+	int64_t fence; /* of the lease; 0 while it is not held */
 	int64_t decide_us;
 	int64_t complained_us;
 	bool outdated;
@@ -110,6 +118,8 @@
 	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++) {
 		if (coordinator->ranks[rank].client)
 			skh_engine_client_free(coordinator->ranks[rank].client);
+		if (coordinator->ranks[rank].relay)
+			skh_engine_client_free(coordinator->ranks[rank].relay);
 	}
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
 		skh_forecast_free(coordinator->forecasts[set]);
@@ -143,15 +153,15 @@
 		coordinator->ranks[rank].map_known = false;
 }
 
-static void set_address(skh_coordinator_t *coordinator, rank_state_t *state, const char *address)
+static void set_address(skh_coordinator_t *coordinator, skh_engine_client_t **client,
+			const char *address)
 {
-	if (state->client && strcmp(skh_engine_client_address(state->client), address) == 0)
+	if (*client && strcmp(skh_engine_client_address(*client), address) == 0)
 		return;
-	if (state->client)
-		skh_engine_client_free(state->client);
-	state->asking = false;
-	state->client = skh_engine_client_new(coordinator->options.loop, address,
-					      coordinator->options.pool_options);
+	if (*client)
+		skh_engine_client_free(*client);
+	*client = skh_engine_client_new(coordinator->options.loop, address,
+					coordinator->options.pool_options);
 }
 
 /* The map that this coordinator has brought is known without asking. */
@@ -194,8 +204,9 @@
 {
 	size_t n = (size_t)coordinator->shape.sets * coordinator->shape.experts;
 
-	for (size_t i = 0; i < MIN(n, message->n_counts); i++)
-		coordinator->counts[i] += (double)message->counts[i] * message->count_scale;
+	if (message->n_counts == n && message->counts.len == skh_countpack_bytes(n))
+		skh_countpack_add(message->counts.data, n, message->greatest_count,
+				  coordinator->counts);
 }
 
 /* @map is the rank's own, [sets][placements]. */
@@ -244,7 +255,8 @@
 	state->sender = message->sender;
 	state->number = message->number;
 	set_size(coordinator, message->size);
-	set_address(coordinator, state, message->engine);
+	set_address(coordinator, &state->client, message->engine);
+	set_address(coordinator, &state->relay, message->relay);
 	if (own) {
 		coordinator->own = message->rank;
 		coordinator->has_own = true;
@@ -358,14 +370,18 @@
 static void on_order_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_coordinator_t *coordinator = context;
+	rank_state_t *state = &coordinator->ranks[tag];
 	int64_t now_us = skh_clock_boot_us();
 	skh_order_answer_t answer = answer_of(status);
 
+	(void)body;
+	/* A process that is gone or frozen must not keep its engine from the order. */
+	state->direct = answer == SKH_ORDER_NO_ANSWER && !state->direct;
 	if (answer != SKH_ORDER_ACCEPTED)
 		skh_log(SKH_LOG_INFO, PART, "Order not done.",
-			"rank=%u op=%s status=%d version=%" PRId64 " body=%.*s", tag,
+			"rank=%u op=%s status=%d version=%" PRId64 " direct=%d", tag,
 			op_name(coordinator->change.ranks[tag].op), status,
-			coordinator->change.version, (int)MIN(body.len, 80), (const char *)body.data);
+			coordinator->change.version, state->direct);
 	if (!coordinator->changing)
 		return;
 	skh_mapchange_answer(&coordinator->change, tag, answer, now_us);
@@ -373,23 +389,47 @@
 	send_orders(coordinator, now_us);
 }
 
+static void send_direct(skh_coordinator_t *coordinator, uint32_t rank,
+			const skh_engine_order_t *order)
+{
+	char *body = coordinator->options.dialect->write_order(order);
+
+	skh_engine_client_post(coordinator->ranks[rank].client,
+			       coordinator->options.dialect->order_path,
+			       skh_chunk_from_string(body), ORDER_TIMEOUT_US, rank,
+			       on_order_answer, coordinator);
+	free(body);
+}
+
+/* The rank's process hands the order on: it is small on the way, and free there. */
+static void send_relayed(skh_coordinator_t *coordinator, uint32_t rank,
+			 const skh_engine_order_t *order)
+{
+	skh_buffer_t body = SKH_BUFFER_INIT;
+
+	skh_rankrelay_pack(order, &body);
+	skh_engine_client_post(coordinator->ranks[rank].relay, SKH_RANKRELAY_PATH,
+			       skh_buffer_chunk(&body), RELAY_TIMEOUT_US, rank, on_order_answer,
+			       coordinator);
+	skh_buffer_free(&body);
+}
+
 static void send_order(skh_coordinator_t *coordinator, uint32_t rank, skh_engine_order_t *order)
 {
-	char *body;
+	const rank_state_t *state = &coordinator->ranks[rank];
 
 	order->map = coordinator->next;
 	order->sets = coordinator->shape.sets;
 	order->ranks = coordinator->n_ranks;
 	order->places = coordinator->shape.placements;
-	body = coordinator->options.dialect->write_order(order);
 	skh_log(SKH_LOG_DEBUG, PART, "Order sent.",
 		"rank=%u op=%s version=%" PRId64 " pass=%" PRId64, rank, op_name(order->op),
 		order->version, order->pass);
 	skh_metrics_add(SKH_COUNT_ORDERS, 1);
-	skh_engine_client_post(coordinator->ranks[rank].client,
-			       coordinator->options.dialect->order_path, body, ORDER_TIMEOUT_US,
-			       rank, on_order_answer, coordinator);
-	free(body);
+	if (state->relay && !state->direct)
+		send_relayed(coordinator, rank, order);
+	else
+		send_direct(coordinator, rank, order);
 }
 
 static void send_orders(skh_coordinator_t *coordinator, int64_t now_us)
@@ -543,7 +583,7 @@
 static void begin_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	const rank_state_t *own = &coordinator->ranks[coordinator->own];
-	int64_t fence = coordinator->fence * FENCE_STEP + ++coordinator->change_number;
+	int64_t fence = skh_fence_next(&coordinator->fences, coordinator->fence);
 
 	/* Fences only grow, from holder to holder, and so do versions named after them. */
 	skh_mapchange_init(&coordinator->change, coordinator->n_ranks, coordinator->own,
@@ -574,15 +614,27 @@
 	foretell(coordinator);
 }
 
+/* Experts that a rank can copy in @time_ms; one at least. */
+static uint32_t copies_in(const skh_engine_shape_t *shape, double time_ms)
+{
+	double bits = shape->expert_mb * 8.0e6;
+	double copy_ms = shape->link_mbps > 0.0 ? bits / (shape->link_mbps * 1000.0) : 0.0;
+	double most = copy_ms > 0.0 ? (time_ms + copy_ms / 2.0) / copy_ms : MOST_NEW;
+
+	return (uint32_t)CLAMP(most, 1.0, MOST_NEW);
+}
+
 static void decide(skh_coordinator_t *coordinator, int64_t now_us)
 {
+	const skh_engine_shape_t *shape = &coordinator->shape;
 	double skew = skh_mapplan_skew(&coordinator->shape, coordinator->n_ranks,
 				       coordinator->shares, coordinator->map);
 	const skh_mapplan_weights_t weights = {
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
 		.load_cost = LOAD_COST,
-		.most_new = skew > RELIEF_SKEW ? RELIEF_NEW : MOST_NEW,
+		.most_new = copies_in(shape, skew > RELIEF_SKEW ? RELIEF_MS : COPY_MS),
+		.quick = skew > RELIEF_SKEW || map_size(coordinator) > SEARCH_PLACES,
 	};
 	bool repair = has_leavings(coordinator, now_us);
 	bool judged = coordinator->fresh_counts;
@@ -630,7 +682,6 @@
 		skh_log(SKH_LOG_INFO, PART, "Map change left.", "version=%" PRId64,
 			coordinator->change.version);
 	coordinator->fence = fence;
-	coordinator->change_number = 0;
 	coordinator->changing = false;
 	coordinator->outdated = false;
 	coordinator->repair = false;
--- a/src/election.c
+++ b/src/election.c
@@ -14,7 +14,7 @@
 #define RENEW_US     (280 * SKH_US_PER_MS)
 /* It stops acting this long before the lease can lapse at the store. */
 #define MARGIN_US    (200 * SKH_US_PER_MS)
-#define WATCH_MS     4000
+#define WATCH_MS     20000
 #define PAUSE_US     (120 * SKH_US_PER_MS)
 #define START_US     (600 * SKH_US_PER_MS)
 #define SLICE_US     (50 * SKH_US_PER_MS)
@@ -249,24 +249,24 @@
 
 void skh_election_stop(skh_election_t *election)
 {
-	skh_store_t *store = election->options.store;
+	skh_store_t *store = election->options.release_store;
 	const skh_op_t remove = { SKH_OP_DELETE, election->key, NULL, 0 };
-	const skh_txn_t txn = { .ops = &remove, .n_ops = 1 };
+	skh_election_view_t view;
+	skh_compare_t held = { election->key, 0 };
+	skh_txn_t txn = { .compares = &held, .n_compares = 1, .ops = &remove, .n_ops = 1 };
 	skh_txn_result_t result;
 	skh_error_t err;
 
 	__atomic_store_n(&election->stop, true, __ATOMIC_RELEASE);
-	(void)pthread_join(election->thread, NULL);
-	if (election->view.holds && skh_clock_boot_us() < election->view.holds_till_us) {
-		if (store->ops->txn(store, &txn, &result, &err))
-			skh_pairs_clear(&result.pairs);
-		else
-			fail("Lease not given up; it lapses.", &err);
-	}
-	g_mutex_clear(&election->lock);
-	g_free(election->key);
-	g_free(election->value);
-	g_free(election);
+	skh_election_look(election, &view);
+	if (!view.holds)
+		return;
+	/* Only this holder's key: its revision is the fence. */
+	held.mod_revision = view.fence;
+	if (store->ops->txn(store, &txn, &result, &err))
+		skh_pairs_clear(&result.pairs);
+	else
+		fail("Lease not given up; it lapses.", &err);
 }
 
 void skh_election_look(skh_election_t *election, skh_election_view_t *view)
--- a/src/election.h
+++ b/src/election.h
@@ -18,7 +18,8 @@
 
 /** struct skh_election_options - texts are borrowed for the election's life */
 typedef struct skh_election_options {
-	skh_store_t *store; /* of the election's own */
+	skh_store_t *store;	    /* of the election's own */
+	skh_store_t *release_store; /* another, as a watch may occupy the first */
 	const skh_dialect_t *dialect;
 	const char *prefix;  /* of the group's keys; ends with a slash */
 	const char *address; /* where the holder hears the others */
@@ -39,7 +40,12 @@
 
 skh_election_t *skh_election_start(const skh_election_options_t *options);
 
-/** skh_election_stop() - gives the lease up, so that another takes over at once */
+/**
+ * skh_election_stop() - gives the lease up, so that another takes over at once
+ *
+ * Does not wait for the thread, which may be in a long poll: only for the end of
+ * the process.
+ */
 void skh_election_stop(skh_election_t *election);
 void skh_election_look(skh_election_t *election, skh_election_view_t *view);
 
--- a/src/enginecall.c
+++ b/src/enginecall.c
@@ -149,7 +149,7 @@
 	begin_call(client, &bytes, timeout_us, call);
 }
 
-void skh_engine_client_post(skh_engine_client_t *client, const char *path, const char *body,
+void skh_engine_client_post(skh_engine_client_t *client, const char *path, skh_chunk_t body,
 			    int64_t timeout_us, uint32_t tag, skh_engine_answer_fn fn,
 			    void *context)
 {
@@ -161,7 +161,8 @@
 	call->context = context;
 	skh_buffer_printf(&bytes,
 			  "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
-			  "Content-Length: %zu\r\n\r\n%s",
-			  path, client->address, strlen(body), body);
+			  "Content-Length: %zu\r\n\r\n",
+			  path, client->address, body.len);
+	skh_buffer_append(&bytes, body);
 	begin_call(client, &bytes, timeout_us, call);
 }
--- a/src/enginecall.h
+++ b/src/enginecall.h
@@ -37,8 +37,8 @@
 void skh_engine_client_get(skh_engine_client_t *client, const char *path, int64_t timeout_us,
 			   uint32_t tag, skh_engine_answer_fn fn, void *context);
 
-/** skh_engine_client_post() - POST @body, JSON, to @path */
-void skh_engine_client_post(skh_engine_client_t *client, const char *path, const char *body,
+/** skh_engine_client_post() - POST @body to @path */
+void skh_engine_client_post(skh_engine_client_t *client, const char *path, skh_chunk_t body,
 			    int64_t timeout_us, uint32_t tag, skh_engine_answer_fn fn,
 			    void *context);
 
--- /dev/null
+++ b/src/fence.h
@@ -0,0 +1,38 @@
+#ifndef SKH_FENCE_H
+#define SKH_FENCE_H
+
+/**
+ * DOC: Fences of one holder's changes
+ *
+ * Pure. A lease gives its holder one number from the store; each change that the
+ * holder makes needs a fence higher than all before it, its own included, also
+ * when the lease seemed lost for a while and was not.
+ */
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Changes that one lease has room for; a change takes a quarter of a second at least. */
+#define SKH_FENCE_ROOM ((int64_t)1 << 20)
+
+/** struct skh_fence - zeroed before its first use */
+typedef struct skh_fence {
+	int64_t lease;
+	int64_t number;
+} skh_fence_t;
+
+/** skh_fence_next() - fence of a new change under @lease, the store's number */
+static inline int64_t skh_fence_next(skh_fence_t *fence, int64_t lease)
+{
+	if (lease != fence->lease)
+		*fence = (skh_fence_t){ lease, 0 };
+	return lease * SKH_FENCE_ROOM + ++fence->number;
+}
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -1,6 +1,7 @@
 #include "mapplan.h"
 
 #include "balance.h"
+#include "relief.h"
 
 #include <glib.h>
 #include <string.h>
@@ -83,9 +84,9 @@
 		.forecast = view->shares,
 		.speed = view->speed,
 		.domain = view->domain,
-		.skew_weight = weights ? weights->skew_weight : 1.0,
-		.cost_weight = weights ? weights->cost_weight : 0.0,
-		.load_cost = weights ? weights->load_cost : 0.0,
+		.skew_weight = weights->skew_weight,
+		.cost_weight = weights->cost_weight,
+		.load_cost = weights->load_cost,
 		.max_loads = SKH_BALANCE_MAX_MOVES,
 		.rank_loads = rank_loads,
 	};
@@ -142,23 +143,26 @@
 	}
 }
 
-static double set_skew(const skh_engine_shape_t *shape, uint32_t ranks, const double *shares,
-		       const uint32_t *map)
-{
-	set_view_t view;
-	skh_balance_view_t balance;
-	double skew;
+/* Skew below which a quick plan leaves a set alone, and what a load must bring. */
+#define RELIEF_TARGET	  1.08
+#define RELIEF_LEAST_GAIN 0.01
 
-	open_set(&view, shape, ranks, shares, map);
-	balance = balance_view(&view, NULL, NULL);
-	skew = skh_balance_skew(&balance, view.placement, view.shares);
-	close_set(&view);
-	return skew;
+static skh_relief_view_t relief_view(const skh_engine_shape_t *shape, uint32_t ranks,
+				     const double *shares)
+{
+	return (skh_relief_view_t){
+		.n_ranks = ranks,
+		.n_places = shape->placements,
+		.n_experts = shape->experts,
+		.shares = shares,
+		.target = RELIEF_TARGET,
+		.least_gain = RELIEF_LEAST_GAIN,
+	};
 }
 
-static void plan_set(const skh_engine_shape_t *shape, uint32_t ranks,
-		     const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
-		     uint32_t *new_so_far)
+static void search_set(const skh_engine_shape_t *shape, uint32_t ranks,
+		       const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
+		       const uint32_t *new_so_far)
 {
 	size_t places = (size_t)ranks * shape->placements;
 	g_autofree uint32_t *before = g_memdup2(map, places * sizeof(*map));
@@ -174,6 +178,23 @@
 	if (skh_balance_decide(&balance, plan))
 		apply_moves(shape, ranks, weights, plan, before, new_so_far, map);
 	close_set(&view);
+}
+
+static void plan_set(const skh_engine_shape_t *shape, uint32_t ranks,
+		     const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
+		     uint32_t *new_so_far)
+{
+	size_t places = (size_t)ranks * shape->placements;
+	g_autofree uint32_t *before = g_memdup2(map, places * sizeof(*map));
+	skh_relief_view_t view = relief_view(shape, ranks, shares);
+	uint32_t loads_left[SKH_BALANCE_MAX_RANKS];
+
+	for (uint32_t rank = 0; rank < ranks; rank++)
+		loads_left[rank] = MIN(shape->spare, weights->most_new - new_so_far[rank]);
+	if (weights->quick)
+		(void)skh_relief_make(&view, map, loads_left);
+	else
+		search_set(shape, ranks, weights, shares, map, new_so_far);
 	for (uint32_t rank = 0; rank < ranks; rank++)
 		new_so_far[rank] += count_new(before + rank * shape->placements,
 					      map + rank * shape->placements, shape->placements);
@@ -184,9 +205,12 @@
 {
 	double sum = 0.0;
 
-	for (uint32_t set = 0; set < shape->sets; set++)
-		sum += set_skew(shape, ranks, shares + (size_t)set * shape->experts,
-				map + (size_t)set * ranks * shape->placements);
+	for (uint32_t set = 0; set < shape->sets; set++) {
+		skh_relief_view_t view =
+			relief_view(shape, ranks, shares + (size_t)set * shape->experts);
+
+		sum += skh_relief_skew(&view, map + (size_t)set * ranks * shape->placements);
+	}
 	return sum / (double)shape->sets;
 }
 
--- a/src/mapplan.h
+++ b/src/mapplan.h
@@ -23,6 +23,7 @@
 	double cost_weight;
 	double load_cost;     /* of one new expert at a rank, in parts of a set's skew */
 	uint32_t most_new;    /* experts that are new to a rank in all sets */
+	bool quick;	      /* relieve the fullest ranks (relief.h) and search no further */
 } skh_mapplan_weights_t;
 
 /** struct skh_mapplan_result - what the plan brings */
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -8,7 +8,6 @@
 #define PART "rank"
 /* The engine's own machine asks for nothing. */
 #define REPORT_US  (50 * SKH_US_PER_MS)
-#define COUNTS_US  (50 * SKH_US_PER_MS)
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
 
 typedef enum ask {
@@ -31,6 +30,7 @@
 	int64_t seen_epoch;
 	bool asked[ASK_KINDS];
 	int64_t next_us[ASK_KINDS];
+	int64_t counts_us;
 	bool lost; /* the engine does not answer */
 };
 
@@ -178,12 +178,17 @@
 	skh_engine_client_get(watch->client, path, TIMEOUT_US, what, on_answer, watch);
 }
 
+void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us)
+{
+	watch->counts_us = counts_us;
+}
+
 void skh_rankwatch_tick(skh_rankwatch_t *watch, int64_t now_us)
 {
 	ask(watch, ASK_REPORT, watch->dialect->report_path, REPORT_US, now_us);
 	if (!watch->has_shape || !watch->news.has_report)
 		return;
-	ask(watch, ASK_COUNTS, watch->dialect->counts_path, COUNTS_US, now_us);
+	ask(watch, ASK_COUNTS, watch->dialect->counts_path, watch->counts_us, now_us);
 	if (!watch->news.has_map)
 		ask(watch, ASK_LISTS, watch->dialect->lists_path, REPORT_US, now_us);
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &skh__rank_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   skh__rank_order__init
+                     (Skh__RankOrder         *message)
+{
+  static const Skh__RankOrder init_value = SKH__RANK_ORDER__INIT;
+  *message = init_value;
+}
+size_t skh__rank_order__get_packed_size
+                     (const Skh__RankOrder *message)
+{
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__rank_order__pack
+                     (const Skh__RankOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__rank_order__pack_to_buffer
+                     (const Skh__RankOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__RankOrder *
+       skh__rank_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__RankOrder *)
+     protobuf_c_message_unpack (&skh__rank_order__descriptor,
+                                allocator, len, data);
+}
+void   skh__rank_order__free_unpacked
+                     (Skh__RankOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] =
 {
   {
@@ -2191,7 +2236,7 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[19] =
 {
   {
     "service",
@@ -2352,13 +2397,13 @@
   {
     "counts",
     14,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Skh__RankReport, n_counts),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
     offsetof(Skh__RankReport, counts),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -2386,33 +2431,59 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "count_scale",
+    "greatest_count",
     17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, greatest_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_counts",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Skh__RankReport, count_scale),
+    offsetof(Skh__RankReport, n_counts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, relay),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
   9,   /* field[9] = armed */
-  16,   /* field[16] = count_scale */
   13,   /* field[13] = counts */
   1,   /* field[1] = engine */
   5,   /* field[5] = epoch */
+  16,   /* field[16] = greatest_count */
   10,   /* field[10] = held */
   14,   /* field[14] = map */
   15,   /* field[15] = map_known */
   7,   /* field[7] = map_version */
+  17,   /* field[17] = n_counts */
   11,   /* field[11] = number */
   4,   /* field[4] = open */
   6,   /* field[6] = pass */
   8,   /* field[8] = prepared */
   2,   /* field[2] = rank */
+  18,   /* field[18] = relay */
   12,   /* field[12] = sender */
   0,   /* field[0] = service */
   3,   /* field[3] = size */
@@ -2420,7 +2491,7 @@
 static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor skh__rank_report__descriptor =
 {
@@ -2430,10 +2501,152 @@
   "Skh__RankReport",
   "skh",
   sizeof(Skh__RankReport),
-  17,
+  19,
   skh__rank_report__field_descriptors,
   skh__rank_report__field_indices_by_name,
   1,  skh__rank_report__number_ranges,
   (ProtobufCMessageInit) skh__rank_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[9] =
+{
+  {
+    "op",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, op),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sets",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, sets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranks",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, ranks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, places),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, map),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned skh__rank_order__field_indices_by_name[] = {
+  3,   /* field[3] = epoch */
+  4,   /* field[4] = fence */
+  8,   /* field[8] = map */
+  0,   /* field[0] = op */
+  2,   /* field[2] = pass */
+  7,   /* field[7] = places */
+  6,   /* field[6] = ranks */
+  5,   /* field[5] = sets */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor skh__rank_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.RankOrder",
+  "RankOrder",
+  "Skh__RankOrder",
+  "skh",
+  sizeof(Skh__RankOrder),
+  9,
+  skh__rank_order__field_descriptors,
+  skh__rank_order__field_indices_by_name,
+  1,  skh__rank_order__number_ranges,
+  (ProtobufCMessageInit) skh__rank_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Skh__OrderReply Skh__OrderReply;
 typedef struct Skh__LoadReport Skh__LoadReport;
 typedef struct Skh__RankReport Skh__RankReport;
+typedef struct Skh__RankOrder Skh__RankOrder;
 
 
 /* --- enums --- */
@@ -418,24 +419,53 @@
    */
   uint64_t sender;
   /*
-   * of each expert since the report before, scaled
+   * of each expert since the report before, src/countpack.h
    */
-  size_t n_counts;
-  uint32_t *counts;
+  ProtobufCBinaryData counts;
   /*
    * expert + 1 in each place, by set
    */
   size_t n_map;
   uint32_t *map;
   protobuf_c_boolean map_known;
+  uint32_t greatest_count;
+  uint32_t n_counts;
   /*
-   * tokens for each unit of counts
+   * address that takes RankOrders for the rank
    */
-  float count_scale;
+  char *relay;
 };
 #define SKH__RANK_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__rank_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Coordinator -> rank's process, over HTTP: an order for its engine. The answer's
+ * status is the engine's, or 504 when it gave none.
+ */
+struct  Skh__RankOrder
+{
+  ProtobufCMessage base;
+  /*
+   * skh_engine_op_t
+   */
+  uint32_t op;
+  int64_t version;
+  int64_t pass;
+  int64_t epoch;
+  int64_t fence;
+  uint32_t sets;
+  uint32_t ranks;
+  uint32_t places;
+  /*
+   * expert + 1 in each place, two bytes each, low byte first
+   */
+  ProtobufCBinaryData map;
+};
+#define SKH__RANK_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&skh__rank_order__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
 /* Skh__Frame methods */
@@ -723,6 +753,25 @@
 void   skh__rank_report__free_unpacked
                      (Skh__RankReport *message,
                       ProtobufCAllocator *allocator);
+/* Skh__RankOrder methods */
+void   skh__rank_order__init
+                     (Skh__RankOrder         *message);
+size_t skh__rank_order__get_packed_size
+                     (const Skh__RankOrder   *message);
+size_t skh__rank_order__pack
+                     (const Skh__RankOrder   *message,
+                      uint8_t             *out);
+size_t skh__rank_order__pack_to_buffer
+                     (const Skh__RankOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Skh__RankOrder *
+       skh__rank_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   skh__rank_order__free_unpacked
+                     (Skh__RankOrder *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Skh__Frame_Closure)
@@ -770,6 +819,9 @@
 typedef void (*Skh__RankReport_Closure)
                  (const Skh__RankReport *message,
                   void *closure_data);
+typedef void (*Skh__RankOrder_Closure)
+                 (const Skh__RankOrder *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -791,6 +843,7 @@
 extern const ProtobufCMessageDescriptor skh__order_reply__descriptor;
 extern const ProtobufCMessageDescriptor skh__load_report__descriptor;
 extern const ProtobufCMessageDescriptor skh__rank_report__descriptor;
+extern const ProtobufCMessageDescriptor skh__rank_order__descriptor;
 
 PROTOBUF_C__END_DECLS
 
