--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -55,6 +55,7 @@
 	skh_engine_client_t *client; /* NULL before its address is known */
 	skh_engine_client_t *relay;  /* its process, which hands orders on */
 	bool direct; /* the process did not answer the last order */
+	bool wants_whole; /* the process does not know the map in use */
 	bool reported;
 	int64_t heard_us; /* of its process */
 	int64_t told_us;  /* of its state, by its process or itself */
@@ -356,6 +357,7 @@
 	case 412:
 		return SKH_ORDER_OUTDATED;
 	case 0:
+	case SKH_RANKRELAY_NO_BASE:
 	case 502:
 	case 503:
 	case 504:
@@ -376,7 +378,8 @@
 
 	(void)body;
 	/* A process that is gone or frozen must not keep its engine from the order. */
-	state->direct = answer == SKH_ORDER_NO_ANSWER && !state->direct;
+	state->wants_whole = status == SKH_RANKRELAY_NO_BASE;
+	state->direct = answer == SKH_ORDER_NO_ANSWER && !state->wants_whole && !state->direct;
 	if (answer != SKH_ORDER_ACCEPTED)
 		skh_log(SKH_LOG_INFO, PART, "Order not done.",
 			"rank=%u op=%s status=%d version=%" PRId64 " direct=%d", tag,
@@ -406,8 +409,10 @@
 			 const skh_engine_order_t *order)
 {
 	skh_buffer_t body = SKH_BUFFER_INIT;
+	const skh_rank_map_t base = { coordinator->ranks[rank].report.map_version,
+				      map_size(coordinator), coordinator->map };
 
-	skh_rankrelay_pack(order, &body);
+	skh_rankrelay_pack(order, coordinator->ranks[rank].wants_whole ? NULL : &base, &body);
 	skh_engine_client_post(coordinator->ranks[rank].relay, SKH_RANKRELAY_PATH,
 			       skh_buffer_chunk(&body), RELAY_TIMEOUT_US, rank, on_order_answer,
 			       coordinator);
--- a/src/election.c
+++ b/src/election.c
@@ -17,6 +17,8 @@
 #define WATCH_MS     20000
 #define PAUSE_US     (120 * SKH_US_PER_MS)
 #define START_US     (600 * SKH_US_PER_MS)
+/* A renewal that takes longer is worth a line. */
+#define SLOW_US	     (150 * SKH_US_PER_MS)
 #define SLICE_US     (50 * SKH_US_PER_MS)
 
 struct skh_election {
@@ -207,6 +209,9 @@
 		set_hold(election, 0, 0);
 		return;
 	}
+	if (skh_clock_boot_us() - asked_us > SLOW_US)
+		skh_log(SKH_LOG_INFO, PART, "Lease renewed slowly.", "took_ms=%" PRId64,
+			(skh_clock_boot_us() - asked_us) / SKH_US_PER_MS);
 	g_mutex_lock(&election->lock);
 	election->view.holds_till_us = asked_us + ttl_s * SKH_US_PER_S - MARGIN_US;
 	g_mutex_unlock(&election->lock);
--- a/src/rankrelay.h
+++ b/src/rankrelay.h
@@ -26,11 +26,29 @@
 				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
 				     skh_error_t *err);
 
-/** skh_rankrelay_pack() - append @order as the relay takes it */
-void skh_rankrelay_pack(const skh_engine_order_t *order, skh_buffer_t *out);
+/* Status of an order whose map is told by its differences from one that is not known. */
+#define SKH_RANKRELAY_NO_BASE 428
 
-/** skh_rankrelay_unpack() - the order in @bytes; free its map with g_free(); false if none */
-bool skh_rankrelay_unpack(skh_chunk_t bytes, skh_engine_order_t *order, uint32_t **map);
+/** struct skh_rank_map - a whole map with the version that names it */
+typedef struct skh_rank_map {
+	int64_t version;
+	size_t places;
+	uint32_t *map; /* owned; NULL before the first */
+} skh_rank_map_t;
+
+/**
+ * skh_rankrelay_pack() - append @order as the relay takes it
+ * @base: a map that the relay knows, so that only differences are sent; or NULL
+ */
+void skh_rankrelay_pack(const skh_engine_order_t *order, const skh_rank_map_t *base,
+			skh_buffer_t *out);
+
+/**
+ * skh_rankrelay_unpack() - the order in @bytes
+ * @known: the last map; replaced by the order's, which @order then borrows
+ * Return: 200, or the status that refuses it.
+ */
+int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_rank_map_t *known, skh_engine_order_t *order);
 
 #ifdef __cplusplus
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2508,7 +2508,7 @@
   (ProtobufCMessageInit) skh__rank_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[9] =
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[13] =
 {
   {
     "op",
@@ -2618,11 +2618,63 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankOrder, n_changed),
+    offsetof(Skh__RankOrder, changed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "experts",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankOrder, n_experts),
+    offsetof(Skh__RankOrder, experts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_hash",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, map_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_order__field_indices_by_name[] = {
+  9,   /* field[9] = base_version */
+  10,   /* field[10] = changed */
   3,   /* field[3] = epoch */
+  11,   /* field[11] = experts */
   4,   /* field[4] = fence */
   8,   /* field[8] = map */
+  12,   /* field[12] = map_hash */
   0,   /* field[0] = op */
   2,   /* field[2] = pass */
   7,   /* field[7] = places */
@@ -2633,7 +2685,7 @@
 static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor skh__rank_order__descriptor =
 {
@@ -2643,7 +2695,7 @@
   "Skh__RankOrder",
   "skh",
   sizeof(Skh__RankOrder),
-  9,
+  13,
   skh__rank_order__field_descriptors,
   skh__rank_order__field_indices_by_name,
   1,  skh__rank_order__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -462,10 +462,29 @@
    * expert + 1 in each place, two bytes each, low byte first
    */
   ProtobufCBinaryData map;
+  /*
+   * Or what differs from a map that the process has handed on before; it answers
+   * 428 when it does not know that one.
+   */
+  int64_t base_version;
+  /*
+   * places, each as the distance to the one before
+   */
+  size_t n_changed;
+  uint32_t *changed;
+  /*
+   * expert + 1 there now
+   */
+  size_t n_experts;
+  uint32_t *experts;
+  /*
+   * of the whole map
+   */
+  uint64_t map_hash;
 };
 #define SKH__RANK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&skh__rank_order__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Skh__Frame methods */
