--- a/src/message.c
+++ b/src/message.c
@@ -64,12 +64,33 @@
 	return add_header_bytes(message, len);
 }
 
+/*
+ * The parser lets names with spaces through, as in "Content-Length : 5". Another
+ * reader may take such a field for what it looks like, and find another end.
+ */
+static bool has_valid_names(const skh_message_t *message)
+{
+	for (guint i = 0; i < message->headers->len; i++) {
+		const char *name = g_array_index(message->headers, skh_header_t, i).name;
+
+		for (; *name; name++) {
+			if (!g_ascii_isalnum(*name) && !strchr("!#$%&'*+-.^_`|~", *name))
+				return false;
+		}
+	}
+	return true;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	skh_message_t *message = parser->data;
 
 	end_field(message);
 	message->head_done = true;
+	if (!has_valid_names(message)) {
+		message->fault = SKH_BAD_REQUEST;
+		return -1;
+	}
 	if (message->max_body_bytes > 0 && !(parser->flags & F_CHUNKED) &&
 	    parser->content_length != UINT64_MAX &&
 	    parser->content_length > message->max_body_bytes) {
--- /dev/null
+++ b/test/gateway_core_test.cc
@@ -0,0 +1,558 @@
+// The gateway's decisions, each with the load or fault that it answers.
+#include "clock.h"
+#include "culprits.h"
+#include "events.h"
+#include "message.h"
+#include "pick.h"
+#include "retryshare.h"
+#include "roster.h"
+#include "routing.h"
+#include "verdict.h"
+#include "waitline.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t kMs = 1000;
+constexpr int64_t kS = 1000 * kMs;
+
+skh_chunk_t chunk(const std::string &text)
+{
+	return skh_chunk_make(text.data(), text.size());
+}
+
+std::string text_of(const skh_buffer_t &buffer)
+{
+	return std::string(reinterpret_cast<const char *>(buffer.data), buffer.len);
+}
+
+skh_verdict_view_t lost(skh_repeat_t repeat)
+{
+	skh_verdict_view_t view = {};
+
+	view.end = SKH_END_LOST;
+	view.repeat = repeat;
+	view.runs = 1;
+	view.sends = 1;
+	view.max_attempts = 2;
+	view.may_repeat = true;
+	view.until_us = kS;
+	return view;
+}
+
+skh_server_t *server(const char *id)
+{
+	skh_server_t *made = g_new0(skh_server_t, 1);
+
+	made->id = g_strdup(id);
+	made->service = g_strdup("s");
+	made->host = g_strdup("10.0.0.1");
+	made->failure_domain = g_strdup("a");
+	made->port = 80;
+	made->slots = 4;
+	return made;
+}
+
+bool lists(const skh_record_t *record, const char *id)
+{
+	skh_roster_t *roster = skh_record_roster(record, 1);
+	bool found = skh_roster_find(roster, id) != nullptr;
+
+	skh_roster_free(roster);
+	return found;
+}
+
+} // namespace
+
+// --- What follows a failed attempt ---
+
+TEST(Verdict, ARequestThatMayHaveRunIsNeverSentAgainNorCalledNotRun)
+{
+	skh_verdict_view_t view = lost(SKH_REPEAT_NEVER);
+
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	view.max_attempts = 9;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	// A later attempt that was not handed over does not undo an earlier run.
+	view = lost(SKH_REPEAT_FREELY);
+	view.end = SKH_END_UNREACHABLE;
+	view.sends = SKH_VERDICT_MAX_SENDS;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	view.runs = 0;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_REFUSE);
+}
+
+TEST(Verdict, AttemptsBudgetTimeAndSuspicionBoundRepetition)
+{
+	skh_verdict_view_t view = lost(SKH_REPEAT_FREELY);
+
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_AGAIN);
+	view.runs = 2;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	view = lost(SKH_REPEAT_FREELY);
+	view.may_repeat = false;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	view = lost(SKH_REPEAT_FREELY);
+	view.is_suspect = true;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+	view = lost(SKH_REPEAT_FREELY);
+	view.now_us = view.until_us - kMs;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_UNKNOWN);
+}
+
+TEST(Verdict, AStreamGoesOnElsewhereOrEndsWithoutAnEndMark)
+{
+	skh_verdict_view_t view = lost(SKH_REPEAT_FROM_EVENT);
+
+	view.end = SKH_END_CUT;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_AGAIN);
+	view.repeat = SKH_REPEAT_NEVER;
+	EXPECT_EQ(skh_verdict_of(&view), SKH_VERDICT_CUT);
+}
+
+// Against the naive rule: a run is repeated only where repeating is allowed.
+TEST(Verdict, DiffersFromTheNaiveOnlyTowardsCaution)
+{
+	std::mt19937 random(7);
+
+	for (int i = 0; i < 20000; i++) {
+		skh_verdict_view_t view = {};
+
+		view.end = static_cast<skh_attempt_end_t>(random() % 5);
+		view.repeat = static_cast<skh_repeat_t>(random() % 3);
+		view.runs = random() % 3;
+		if (view.end >= SKH_END_ERROR)
+			view.runs = std::max(view.runs, 1U);
+		view.sends = std::max(view.runs, 1U) + random() % 4;
+		view.max_attempts = 1 + random() % 3;
+		view.may_repeat = random() % 2;
+		view.is_suspect = random() % 2;
+		view.until_us = static_cast<int64_t>(random() % 2000) * kMs;
+		view.now_us = 500 * kMs;
+		skh_verdict_t verdict = skh_verdict_of(&view);
+		bool ran = view.runs > 0;
+
+		if (verdict == SKH_VERDICT_AGAIN && ran) {
+			EXPECT_NE(view.repeat, SKH_REPEAT_NEVER);
+			if (view.end != SKH_END_UNREACHABLE && view.end != SKH_END_NOT_RUN)
+				EXPECT_LT(view.runs, view.max_attempts);
+		}
+		if (verdict == SKH_VERDICT_REFUSE)
+			EXPECT_FALSE(ran);
+		if (verdict == SKH_VERDICT_PASS)
+			EXPECT_EQ(view.end, SKH_END_ERROR);
+	}
+}
+
+// --- Retry budget ---
+
+TEST(RetryShare, AllGatewaysTogetherStayWithinTheBudgetInAnyWindow)
+{
+	const skh_retryshare_bounds_t bounds = { 0.2, 90, 10 * kS, 4 };
+	std::vector<skh_retryshare_t> shares(4);
+	std::vector<int64_t> repeats;
+	std::vector<int64_t> requests;
+	std::mt19937 random(3);
+
+	// Every request is lost and every gateway repeats whatever it may.
+	for (int64_t now = 100 * kS; now < 160 * kS; now += 5 * kMs) {
+		for (auto &share : shares) {
+			if (random() % 20 == 0) {
+				skh_retryshare_request(&share, &bounds, now);
+				requests.push_back(now);
+			}
+			if (skh_retryshare_has_room(&share, &bounds, now)) {
+				skh_retryshare_repeat(&share, &bounds, now);
+				repeats.push_back(now);
+			}
+		}
+	}
+	for (int64_t begin = 100 * kS; begin < 150 * kS; begin += 100 * kMs) {
+		auto in_window = [begin](const std::vector<int64_t> &times) {
+			return std::count_if(times.begin(), times.end(), [begin](int64_t at) {
+				return at >= begin && at < begin + 10 * kS;
+			});
+		};
+
+		EXPECT_LE(in_window(repeats), 0.2 * in_window(requests) + 90);
+	}
+	EXPECT_GT(repeats.size(), 50U);
+}
+
+// --- Waiting ---
+
+// A burst of twice the capacity for 3 s, then calm: first come, first served makes
+// everyone late until the backlog is gone.
+static int in_time_after_burst(bool naive)
+{
+	skh_waitline_t *line = skh_waitline_new();
+	std::vector<skh_waiter_t> waiters(1000);
+	size_t next = 0;
+	int in_time = 0;
+
+	for (int64_t now = 0; now < 10 * kS; now += 10 * kMs) {
+		bool arrives = now < 3 * kS || now % (20 * kMs) == 0;
+
+		if (arrives && next < waiters.size()) {
+			skh_waiter_t &waiter = waiters[next++];
+
+			waiter = { 1, now, now + 400 * kMs, now + 1800 * kMs, -1 };
+			if (naive)
+				waiter.goal_us = now + 100 * kS; // order of arrival
+			skh_waitline_add(line, &waiter);
+		}
+		while (skh_waiter_t *hopeless = skh_waitline_hopeless(line, now))
+			skh_waitline_remove(line, hopeless);
+		if (now % (20 * kMs) != 0)
+			continue;
+		if (skh_waiter_t *first = skh_waitline_next(line, now)) {
+			skh_waitline_remove(line, first);
+			in_time += now <= first->since_us + 400 * kMs;
+		}
+	}
+	skh_waitline_free(line);
+	return in_time;
+}
+
+TEST(WaitLine, AfterABurstThoseWhoCanBeInTimeGoFirst)
+{
+	int ours = in_time_after_burst(false);
+	int naive = in_time_after_burst(true);
+
+	EXPECT_GT(ours, 2 * naive);
+	EXPECT_GT(ours, 400); // of 500 that can be served at all
+}
+
+TEST(WaitLine, AnUrgentClassGoesBeforeALessUrgentOne)
+{
+	skh_waitline_t *line = skh_waitline_new();
+	skh_waiter_t plain = { 2, 0, kS, 2 * kS, -1 };
+	skh_waiter_t urgent = { 1, 5, 2 * kS, 3 * kS, -1 };
+	skh_waiter_t newcomer = { 2, 6, 3 * kS, 4 * kS, -1 };
+
+	skh_waitline_add(line, &plain);
+	skh_waitline_add(line, &urgent);
+	EXPECT_EQ(skh_waitline_next(line, 10), &urgent);
+	EXPECT_EQ(skh_waitline_ahead(line, &newcomer, 10), 2U);
+	skh_waitline_remove(line, &urgent);
+	EXPECT_EQ(skh_waitline_next(line, 10), &plain);
+	EXPECT_EQ(skh_waitline_hopeless(line, 10), nullptr);
+	EXPECT_EQ(skh_waitline_hopeless(line, 2 * kS), &plain);
+	skh_waitline_free(line);
+}
+
+// --- Placing ---
+
+TEST(Pick, RanksOfALockStepGroupAreLevelled)
+{
+	std::vector<skh_candidate_t> list(12);
+	std::mt19937 random(5);
+
+	for (auto &candidate : list)
+		candidate.slots = 12;
+	for (int i = 0; i < 100; i++) {
+		skh_pick_view_t view = { list.data(), 12, true, 0, random(), kS };
+		int32_t chosen = skh_pick_server(&view);
+
+		ASSERT_GE(chosen, 0);
+		list[chosen].running++;
+	}
+	auto by_running = [](const skh_candidate_t &a, const skh_candidate_t &b) {
+		return a.running < b.running;
+	};
+	auto range = std::minmax_element(list.begin(), list.end(), by_running);
+
+	EXPECT_LE(range.second->running - range.first->running, 1U);
+}
+
+TEST(Pick, FullLeavingAndDeadServersGetNothing)
+{
+	std::vector<skh_candidate_t> list(3);
+	skh_pick_view_t view = { list.data(), 3, false, 0, 0, kS };
+
+	for (auto &candidate : list)
+		candidate.slots = 2;
+	list[0].running = 2;
+	list[1].excluded = true;
+	list[2].full_till_us = 2 * kS;
+	EXPECT_EQ(skh_pick_server(&view), SKH_PICK_NONE);
+	EXPECT_TRUE(skh_pick_has_any(&view));
+	list[2].full_till_us = 0;
+	list[2].avoid_till_us = 2 * kS;
+	// Nothing else is left: it is tried all the same.
+	list[0].excluded = true;
+	EXPECT_EQ(skh_pick_server(&view), 2);
+	list[0].excluded = false;
+	list[0].running = 0;
+	EXPECT_EQ(skh_pick_server(&view), 0);
+}
+
+TEST(Pick, AServerThatFailsHalfOfItsRequestsIsUsedLess)
+{
+	std::vector<skh_candidate_t> list(3);
+	skh_pick_view_t view = { list.data(), 3, false, 0, 0, kS };
+
+	for (auto &candidate : list) {
+		candidate.slots = 6;
+		candidate.mean_ms = 60;
+	}
+	list[0].failing = 0.5;
+	for (view.draw = 0; view.draw < 9; view.draw++)
+		EXPECT_NE(skh_pick_server(&view), 0);
+	list[1].running = 6;
+	list[2].running = 6;
+	EXPECT_EQ(skh_pick_server(&view), 0);
+}
+
+// --- Backend servers ---
+
+TEST(Record, AnEntryThatVanishesHasLeftUnlessTheStoreWasAway)
+{
+	skh_record_t *record = skh_record_new();
+
+	(void)skh_record_put(record, server("a"));
+	(void)skh_record_put(record, server("b"));
+	EXPECT_TRUE(skh_record_remove(record, "a", false, kS));
+	EXPECT_FALSE(lists(record, "a"));
+	EXPECT_FALSE(skh_record_remove(record, "b", true, kS));
+	EXPECT_TRUE(lists(record, "b"));
+	EXPECT_FALSE(skh_record_expire(record, kS + SKH_ROSTER_LAPSE_US - 1));
+	EXPECT_TRUE(skh_record_expire(record, kS + SKH_ROSTER_LAPSE_US));
+	EXPECT_FALSE(lists(record, "b"));
+	skh_record_free(record);
+}
+
+TEST(Record, ALeavingServerDoesNotLapseAndABackOneStays)
+{
+	skh_record_t *record = skh_record_new();
+	skh_server_t *leaving = server("a");
+
+	leaving->leaving = true;
+	(void)skh_record_put(record, leaving);
+	EXPECT_TRUE(skh_record_remove(record, "a", true, kS));
+	(void)skh_record_put(record, server("b"));
+	(void)skh_record_remove(record, "b", true, kS);
+	EXPECT_TRUE(skh_record_put(record, server("b")));
+	EXPECT_FALSE(skh_record_expire(record, 100 * kS));
+	EXPECT_TRUE(lists(record, "b"));
+	EXPECT_FALSE(skh_record_put(record, server("b"))) << "nothing new";
+	skh_record_free(record);
+}
+
+// --- Requests that crash servers ---
+
+TEST(Culprits, ALostConnectionAloneAccusesNobody)
+{
+	skh_culprits_t *culprits = skh_culprits_new();
+
+	for (int i = 0; i < 10; i++)
+		skh_culprits_note(culprits, 1, "a", kS + i * kS);
+	EXPECT_FALSE(skh_culprits_is_held(culprits, 1, 11 * kS));
+	skh_culprits_free(culprits);
+}
+
+TEST(Culprits, ThreeCrashesBarARequestAndAnAnswerClearsIt)
+{
+	skh_culprits_t *culprits = skh_culprits_new();
+	const char *servers[] = { "a", "b", "c" };
+
+	for (int i = 0; i < 3; i++) {
+		int64_t now = (10 + 10 * i) * kS;
+
+		EXPECT_FALSE(skh_culprits_is_barred(culprits, 1, now));
+		skh_culprits_note(culprits, 1, servers[i], now);
+		skh_culprits_note(culprits, 2, servers[i], now);
+		skh_culprits_crashed(culprits, servers[i], now + kS, nullptr, nullptr);
+		skh_culprits_clear(culprits, 2); // answered elsewhere
+	}
+	EXPECT_TRUE(skh_culprits_is_barred(culprits, 1, 40 * kS));
+	EXPECT_FALSE(skh_culprits_is_held(culprits, 2, 40 * kS));
+	EXPECT_FALSE(skh_culprits_is_barred(culprits, 1, 40 * kS + SKH_CULPRITS_HOLD_US));
+	skh_culprits_free(culprits);
+}
+
+TEST(Culprits, OneCrashToldTwiceCountsOnce)
+{
+	skh_culprits_t *culprits = skh_culprits_new();
+
+	for (int i = 0; i < 5; i++)
+		skh_culprits_hold(culprits, 1, 77, kS);
+	EXPECT_FALSE(skh_culprits_is_held(culprits, 1, kS));
+	skh_culprits_hold(culprits, 1, 78, kS);
+	EXPECT_TRUE(skh_culprits_is_held(culprits, 1, kS));
+	skh_culprits_free(culprits);
+}
+
+// --- Streams ---
+
+TEST(Events, OnlyWholeEventsPassAndASecondServerGoesOnAfterThem)
+{
+	skh_events_t events;
+	skh_buffer_t out = SKH_BUFFER_INIT;
+
+	skh_events_init(&events);
+	EXPECT_TRUE(skh_events_feed(&events, chunk("id: 1\ndata: a\n\nid: 2\nda"), &out));
+	EXPECT_EQ(text_of(out), "id: 1\ndata: a\n\n");
+	EXPECT_EQ(events.last_id, 1);
+	EXPECT_FALSE(skh_events_is_whole(&events));
+	skh_events_restart(&events);
+	EXPECT_TRUE(skh_events_feed(&events, chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), &out));
+	EXPECT_EQ(text_of(out), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	EXPECT_TRUE(skh_events_is_whole(&events));
+	// A gap must not pass.
+	EXPECT_FALSE(skh_events_feed(&events, chunk("id: 4\ndata: d\n\n"), &out));
+	skh_buffer_free(&out);
+	skh_events_clear(&events);
+}
+
+TEST(Events, AnyCutGivesTheSameEvents)
+{
+	const std::string stream = "id: 0\ndata: x\n\nid: 1\ndata: y\n\nid: 2\ndata: z\n\n";
+
+	for (size_t cut = 0; cut <= stream.size(); cut++) {
+		skh_events_t events;
+		skh_buffer_t out = SKH_BUFFER_INIT;
+
+		skh_events_init(&events);
+		EXPECT_TRUE(skh_events_feed(&events, chunk(stream.substr(0, cut)), &out));
+		EXPECT_TRUE(skh_events_feed(&events, chunk(stream.substr(cut)), &out));
+		EXPECT_EQ(text_of(out), stream);
+		skh_buffer_free(&out);
+		skh_events_clear(&events);
+	}
+}
+
+// --- HTTP ---
+
+namespace
+{
+
+bool read_request(const std::string &text, skh_message_t *message, skh_error_t *err)
+{
+	static const skh_message_ops_t ops = {};
+	size_t used = 0;
+
+	skh_message_reset(message, HTTP_REQUEST, &ops, nullptr);
+	return skh_message_feed(message, chunk(text), &used, err);
+}
+
+} // namespace
+
+TEST(Message, SmuggledRequestsAreRefused)
+{
+	const char *const bad[] = {
+		"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+		"POST / HTTP/1.1\r\nContent-Length: 5x\r\n\r\nhello",
+		"POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\nhello",
+		"GET / HTTP/1.1\r\nA b: c\r\n\r\n",
+		"\x01\x02\x03",
+	};
+
+	for (const char *text : bad) {
+		skh_message_t message = {};
+		skh_error_t err = {};
+
+		EXPECT_FALSE(read_request(text, &message, &err)) << text;
+		skh_message_free(&message);
+	}
+}
+
+TEST(Message, StopsAtTheEndOfOneMessage)
+{
+	const std::string two = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n";
+	static const skh_message_ops_t ops = {};
+	skh_message_t message = {};
+	skh_error_t err = {};
+	size_t used = 0;
+
+	skh_message_reset(&message, HTTP_REQUEST, &ops, nullptr);
+	ASSERT_TRUE(skh_message_feed(&message, chunk(two), &used, &err));
+	EXPECT_TRUE(message.done);
+	EXPECT_EQ(two.substr(used), "GET /b HTTP/1.1\r\n\r\n");
+	EXPECT_EQ(text_of(message.body), "hi");
+	skh_message_free(&message);
+}
+
+TEST(Message, LimitsOfHeadersAndBody)
+{
+	static const skh_message_ops_t ops = {};
+	skh_message_t message = {};
+	skh_error_t err = {};
+	size_t used = 0;
+
+	message.max_header_bytes = 64;
+	message.max_body_bytes = 4;
+	skh_message_reset(&message, HTTP_REQUEST, &ops, nullptr);
+	EXPECT_FALSE(skh_message_feed(
+		&message, chunk("GET / HTTP/1.1\r\nA: " + std::string(100, 'x') + "\r\n\r\n"),
+		&used, &err));
+	EXPECT_EQ(err.kind, SKH_HEADERS_TOO_LARGE);
+	skh_message_reset(&message, HTTP_REQUEST, &ops, nullptr);
+	EXPECT_FALSE(skh_message_feed(
+		&message, chunk("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n"), &used, &err));
+	EXPECT_EQ(err.kind, SKH_TOO_LARGE);
+	skh_message_reset(&message, HTTP_REQUEST, &ops, nullptr);
+	EXPECT_FALSE(skh_message_feed(&message,
+				      chunk("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+					    "5\r\nhello\r\n0\r\n\r\n"),
+				      &used, &err));
+	EXPECT_EQ(err.kind, SKH_TOO_LARGE);
+	skh_message_free(&message);
+}
+
+// --- Routes ---
+
+TEST(Routing, LongestPrefixOfTheHostWinsAndKeysHaveOneOwner)
+{
+	skh_routing_t *routing = skh_routing_new();
+	skh_service_info_t service = {};
+	skh_key_owner_t *owner = g_new0(skh_key_owner_t, 1);
+	const char *const prefixes[] = { "/a/", "/a/b/", "/" };
+
+	service.name = g_strdup("s");
+	service.health_path = g_strdup("/");
+	g_array_append_val(routing->services, service);
+	for (const char *prefix : prefixes) {
+		skh_route_t route = {};
+
+		route.name = g_strdup(prefix);
+		route.host = g_strdup("Host.Example");
+		route.prefix = g_strdup(prefix);
+		route.n_splits = 1;
+		route.splits[0] = { 0, 1 };
+		g_array_append_val(routing->routes, route);
+	}
+	owner->customer = g_strdup("c");
+	(void)g_hash_table_replace(routing->keys, g_strdup("k1"), owner);
+	skh_routing_seal(routing);
+	EXPECT_STREQ(skh_routing_find(routing, "host.example:80", "/a/b/c?x=/y/")->name, "/a/b/");
+	EXPECT_STREQ(skh_routing_find(routing, "HOST.example", "/a/")->name, "/a/");
+	EXPECT_STREQ(skh_routing_find(routing, "host.example", "/ab/")->name, "/");
+	EXPECT_EQ(skh_routing_find(routing, "other", "/a/"), nullptr);
+	EXPECT_NE(skh_routing_owner(routing, "Bearer", "Bearer k1"), nullptr);
+	EXPECT_EQ(skh_routing_owner(routing, "Bearer", "Bearer k"), nullptr);
+	EXPECT_EQ(skh_routing_owner(routing, "Bearer", "Basic k1"), nullptr);
+	EXPECT_EQ(skh_routing_owner(routing, "Bearer", nullptr), nullptr);
+	skh_routing_free(routing);
+}
+
+TEST(Routing, WeightsDivideTheRequests)
+{
+	skh_route_t route = {};
+	int first = 0;
+
+	route.n_splits = 2;
+	route.splits[0] = { 3, 90 };
+	route.splits[1] = { 4, 10 };
+	for (int i = 0; i < 1000; i++)
+		first += skh_routing_split(&route, i / 1000.0) == 3;
+	EXPECT_EQ(first, 900);
+}
--- /dev/null
+++ b/test/relief_test.cc
@@ -0,0 +1,235 @@
+// Quick relief and planning of maps: a shift of demand is answered within the
+// ranks' limits, every expert keeps a place, counts survive their packing.
+#include "countpack.h"
+#include "fence.h"
+#include "forecast.h"
+#include "mapplan.h"
+#include "rankrelay.h"
+#include "relief.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <vector>
+
+namespace
+{
+
+// Popularity falls with the rank of an expert, as in the users' traffic.
+std::vector<double> zipf(uint32_t experts, double skew, uint32_t seed)
+{
+	std::vector<double> shares(experts);
+	std::mt19937 random(seed);
+	double sum = 0.0;
+
+	for (uint32_t i = 0; i < experts; i++) {
+		shares[i] = std::pow(i + 1.0, -skew);
+		sum += shares[i];
+	}
+	for (auto &share : shares)
+		share /= sum;
+	std::shuffle(shares.begin(), shares.end(), random);
+	return shares;
+}
+
+// Experts dealt in turn, as the engines' first map does; the other places are empty.
+std::vector<uint32_t> dealt(uint32_t sets, uint32_t ranks, uint32_t places, uint32_t experts)
+{
+	std::vector<uint32_t> map(static_cast<size_t>(sets) * ranks * places);
+
+	for (uint32_t set = 0; set < sets; set++) {
+		for (uint32_t expert = 0; expert < experts; expert++)
+			map[(static_cast<size_t>(set) * ranks + expert % ranks) * places +
+			    expert / ranks] = expert + 1;
+	}
+	return map;
+}
+
+skh_engine_shape_t shape_of(uint32_t sets, uint32_t experts, uint32_t places, uint32_t spare)
+{
+	skh_engine_shape_t shape = {};
+
+	shape.sets = sets;
+	shape.experts = experts;
+	shape.placements = places;
+	shape.spare = spare;
+	return shape;
+}
+
+} // namespace
+
+TEST(Relief, OneExpertWithAFifthOfAllTokensIsSpread)
+{
+	std::vector<double> shares = zipf(72, 1.3, 7);
+	std::vector<uint32_t> map = dealt(1, 12, 8, 72);
+	std::vector<uint32_t> left(12, 2);
+	skh_relief_view_t view = { 12, 8, 72, shares.data(), 1.08, 0.01 };
+
+	EXPECT_GT(skh_relief_skew(&view, map.data()), 3.0);
+	EXPECT_GT(skh_relief_make(&view, map.data(), left.data()), 0U);
+	EXPECT_LT(skh_relief_skew(&view, map.data()), 1.25);
+}
+
+TEST(Relief, DoesNotDropAReplicaThatOthersNeed)
+{
+	// A replica just made must not make room for the next: seen on 63 ranks.
+	std::vector<double> shares = zipf(252, 1.3, 3);
+	std::vector<uint32_t> map = dealt(1, 63, 5, 252);
+	std::vector<uint32_t> left(63, 3);
+	skh_relief_view_t view = { 63, 5, 252, shares.data(), 1.08, 0.01 };
+
+	(void)skh_relief_make(&view, map.data(), left.data());
+	EXPECT_LT(skh_relief_skew(&view, map.data()), 1.3);
+}
+
+TEST(Relief, NeverWorseAndWithinLimitsForAnyShift)
+{
+	const skh_engine_shape_t shape = shape_of(4, 72, 8, 3);
+	std::vector<uint32_t> map = dealt(4, 12, 8, 72);
+	const skh_mapplan_weights_t weights[] = { { 1, 1, 0.006, 2, true }, { 1, 1, 0.006, 4, false } };
+
+	for (uint32_t shift = 0; shift < 30; shift++) {
+		std::vector<double> shares;
+
+		for (uint32_t set = 0; set < 4; set++) {
+			std::vector<double> part = zipf(72, 1.3, shift * 4 + set);
+
+			shares.insert(shares.end(), part.begin(), part.end());
+		}
+		for (const auto &weight : weights) {
+			std::vector<uint32_t> before = map;
+			skh_mapplan_result_t result;
+
+			skh_mapplan_make(&shape, 12, &weight, shares.data(), map.data(), &result);
+			ASSERT_TRUE(skh_mapplan_is_valid(&shape, 12, map.data())) << shift;
+			EXPECT_LE(result.skew_after, result.skew_before + 1e-9) << shift;
+			EXPECT_LE(result.most_new, weight.most_new) << shift;
+			for (size_t row = 0; row < 4 * 12; row++) {
+				int fresh = 0;
+
+				for (size_t i = 0; i < 8; i++) {
+					uint32_t expert = map[row * 8 + i];
+					auto begin = before.begin() + static_cast<long>(row) * 8;
+
+					fresh += expert > 0 && std::find(begin, begin + 8, expert) ==
+								       begin + 8;
+				}
+				EXPECT_LE(fresh, 3);
+			}
+		}
+		EXPECT_LT(skh_mapplan_skew(&shape, 12, shares.data(), map.data()), 1.35) << shift;
+	}
+}
+
+TEST(MapPlan, AnInvalidMapIsSeen)
+{
+	const skh_engine_shape_t shape = shape_of(1, 4, 3, 1);
+	std::vector<uint32_t> map = { 1, 2, 0, 3, 4, 0 };
+
+	EXPECT_TRUE(skh_mapplan_is_valid(&shape, 2, map.data()));
+	map[1] = 1;
+	EXPECT_FALSE(skh_mapplan_is_valid(&shape, 2, map.data())); // twice on a rank
+	map[1] = 0;
+	EXPECT_FALSE(skh_mapplan_is_valid(&shape, 2, map.data())); // 2 stands nowhere
+	map[1] = 5;
+	EXPECT_FALSE(skh_mapplan_is_valid(&shape, 2, map.data())); // no such expert
+}
+
+TEST(Forecast, TheEndOfAShiftIsForetoldFromItsBeginning)
+{
+	std::vector<double> before = zipf(72, 1.3, 1);
+	std::vector<double> after = zipf(72, 1.3, 2);
+	std::vector<double> now(72);
+	std::vector<double> outcome(72);
+	double far = 0.0;
+	double near = 0.0;
+
+	for (size_t i = 0; i < 72; i++)
+		now[i] = 0.5 * before[i] + 0.5 * after[i];
+	EXPECT_NEAR(skh_forecast_outcome(before.data(), now.data(), 72, outcome.data()), 0.5, 0.1);
+	for (size_t i = 0; i < 72; i++) {
+		far += std::fabs(now[i] - after[i]);
+		near += std::fabs(outcome[i] - after[i]);
+	}
+	EXPECT_LT(near, far / 2);
+}
+
+TEST(Forecast, NoiseIsNotTakenForAShift)
+{
+	std::vector<double> before = zipf(72, 1.3, 1);
+	std::vector<double> outcome(72);
+
+	EXPECT_LT(skh_forecast_outcome(before.data(), before.data(), 72, outcome.data()), 0.01);
+	for (size_t i = 0; i < 72; i++)
+		EXPECT_NEAR(outcome[i], before[i], 1e-9);
+}
+
+TEST(Fence, NeverComesTwiceUnderOneLease)
+{
+	skh_fence_t fence = {};
+	int64_t first = skh_fence_next(&fence, 7);
+	int64_t second = skh_fence_next(&fence, 7);
+
+	EXPECT_GT(second, first);
+	// The lease seemed lost and was not: the numbers go on.
+	EXPECT_GT(skh_fence_next(&fence, 7), second);
+	EXPECT_GT(skh_fence_next(&fence, 8), skh_fence_next(&fence, 7));
+}
+
+TEST(CountPack, KeepsProportions)
+{
+	std::vector<uint32_t> counts = { 0, 1, 7, 80, 900, 100000, 55000, 3 };
+	std::vector<uint8_t> packed(skh_countpack_bytes(counts.size()));
+	std::vector<double> sums(counts.size(), 0.0);
+	uint32_t greatest = skh_countpack_write(counts.data(), counts.size(), packed.data());
+
+	EXPECT_EQ(greatest, 100000U);
+	skh_countpack_add(packed.data(), counts.size(), greatest, sums.data());
+	EXPECT_EQ(sums[0], 0.0);
+	EXPECT_NEAR(sums[5], 100000.0, 1.0);
+	EXPECT_NEAR(sums[6] / 55000.0, 1.0, 0.2);
+	EXPECT_LT(sums[1], 1000.0); // below the scale: next to nothing
+}
+
+TEST(RankRelay, AMapByItsDifferencesIsTheSameMap)
+{
+	std::vector<uint32_t> first = dealt(2, 4, 3, 8);
+	std::vector<uint32_t> second = first;
+	skh_rank_map_t known = {};
+	skh_engine_order_t order = {};
+	skh_engine_order_t read = {};
+	skh_buffer_t bytes = SKH_BUFFER_INIT;
+	const skh_rank_map_t base = { 5, first.size(), first.data() };
+
+	order.op = SKH_ENGINE_PREPARE;
+	order.sets = 2;
+	order.ranks = 4;
+	order.places = 3;
+	order.version = 5;
+	order.map = first.data();
+	skh_rankrelay_pack(&order, nullptr, &bytes);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read), 200);
+	second[2] = 7;
+	second[20] = 1;
+	order.version = 6;
+	order.map = second.data();
+	skh_buffer_clear(&bytes);
+	skh_rankrelay_pack(&order, &base, &bytes);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read), 200);
+	EXPECT_TRUE(std::equal(second.begin(), second.end(), read.map));
+	EXPECT_EQ(read.version, 6);
+
+	// A process that knows another map says so rather than guess.
+	known.version = 4;
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read),
+		  SKH_RANKRELAY_NO_BASE);
+	known.version = 5;
+	known.map[0] = 3;
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read),
+		  SKH_RANKRELAY_NO_BASE);
+	skh_buffer_free(&bytes);
+	g_free(known.map);
+}
