Reload settings on SIGHUP and on change; end kept connections at a planned stop

Ruled out: requests of new connections; the listener was open, but the requests seen came on kept ones.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -10,6 +10,7 @@
 #include "process.h"
 #include "rankrelay.h"
 #include "rankwatch.h"
+#include "reload.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -43,6 +44,7 @@
 	skh_engine_client_t *engine;
 	skh_rankwatch_t *watch;
 	skh_rankrelay_t *relay;
+	skh_reload_t *reload;
 	skh_coordinator_t *coordinator; /* NULL before the engines' shape is known */
 	skh_election_view_t lease;
 	uint64_t sender;
@@ -230,6 +232,18 @@
 	uv_stop(&balancer->loop);
 }
 
+static void follow_settings(balancer_t *balancer, int64_t now_us)
+{
+	const skh_settings_t *fresh = skh_reload_look(balancer->reload, now_us);
+
+	if (!fresh)
+		return;
+	balancer->settings = fresh;
+	if (balancer->coordinator)
+		skh_coordinator_set_weights(balancer->coordinator, (double)fresh->skew_weight,
+					    (double)fresh->cost_weight);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	balancer_t *balancer = timer->data;
@@ -239,6 +253,7 @@
 		close_all(balancer);
 		return;
 	}
+	follow_settings(balancer, now_us);
 	skh_election_look(balancer->election, &balancer->lease);
 	follow_shape(balancer);
 	skh_rankwatch_set_pace(balancer->watch, holds_lease(balancer, now_us) ? OWN_COUNTS_US
@@ -330,6 +345,7 @@
 
 	skh_process_setup(settings);
 	balancer->settings = settings;
+	balancer->reload = skh_reload_new(settings);
 	balancer->dialect = skh_dialect_find(settings->dialect);
 	if (!balancer->dialect) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=no dialect is called \"%s\"",
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -133,6 +133,13 @@
 	g_free(coordinator);
 }
 
+void skh_coordinator_set_weights(skh_coordinator_t *coordinator, double skew_weight,
+				 double cost_weight)
+{
+	coordinator->options.skew_weight = skew_weight;
+	coordinator->options.cost_weight = cost_weight;
+}
+
 /* --- Reports --- */
 
 static size_t map_size(const skh_coordinator_t *coordinator)
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -32,6 +32,10 @@
 				       const skh_engine_shape_t *shape);
 void skh_coordinator_free(skh_coordinator_t *coordinator);
 
+/** skh_coordinator_set_weights() - for the plans to come */
+void skh_coordinator_set_weights(skh_coordinator_t *coordinator, double skew_weight,
+				 double cost_weight);
+
 /** skh_coordinator_report() - a rank's report; @own when it is the rank beside this process */
 void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *report,
 			    bool own, int64_t now_us);
--- a/src/downstream.c
+++ b/src/downstream.c
@@ -54,7 +54,6 @@
 	int64_t phase_until_us; /* deadline of the phase; 0 for none */
 	bool chunked;
 	bool keep;	  /* after the answer */
-	bool stop_ahead;  /* reading paused: too much was sent ahead */
 	bool told_slow;
 };
 
@@ -222,14 +221,12 @@
 		write_out(conn, &out);
 	}
 	conn->chunked = false;
-	if (!conn->keep) {
+	/* An answer that began before a planned stop could not announce the end. */
+	if (!conn->keep || conn->listener->retiring) {
 		linger(conn);
 		return;
 	}
 	await_request(conn);
-	if (conn->stop_ahead) {
-		conn->stop_ahead = false;
-	}
 	read_requests(conn);
 }
 
@@ -461,6 +458,12 @@
 	}
 }
 
+void skh_listener_stop_accepting(skh_listener_t *listener)
+{
+	if (!uv_is_closing((uv_handle_t *)&listener->tcp))
+		uv_close((uv_handle_t *)&listener->tcp, NULL);
+}
+
 void skh_listener_close(skh_listener_t *listener)
 {
 	GList *item;
@@ -468,7 +471,7 @@
 	if (listener->closed)
 		return;
 	listener->closed = true;
-	uv_close((uv_handle_t *)&listener->tcp, NULL);
+	skh_listener_stop_accepting(listener);
 	uv_close((uv_handle_t *)&listener->sweep, NULL);
 	while ((item = listener->connections.head) != NULL)
 		lose_caller(item->data);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "culprits.h"
 #include "events.h"
+#include "gossip.h"
 #include "log.h"
 #include "metrics.h"
 #include "verdict.h"
@@ -560,6 +561,7 @@
 static void observe_end(const exchange_t *exchange)
 {
 	skh_metrics_add(SKH_COUNT_ANSWERS_WHOLE, 1);
+	skh_culprits_clear(exchange->gateway->culprits, exchange->content);
 	skh_metrics_observe(SKH_HIST_ANSWER, customer_of(exchange), exchange->route->name,
 			    skh_clock_boot_us() - exchange->received_us);
 }
@@ -622,17 +624,28 @@
 		pass_answer(exchange);
 }
 
+static void tell_crash(void *context, uint64_t content, uint64_t crash)
+{
+	skh_log(SKH_LOG_WARNING, PART, "Request was lost in a crash.",
+		"content=%016" PRIx64 " crash=%016" PRIx64, content, crash);
+	skh_gossip_add_culprit(context, content, crash);
+}
+
 static void on_lost(void *context, skh_lost_t lost, bool handed_over)
 {
 	exchange_t *exchange = context;
+	skh_gateway_t *gateway = exchange->gateway;
 
 	exchange->upstream = NULL;
 	if (!handed_over) {
+		/* What was lost there before was lost in a crash. */
+		skh_culprits_crashed(gateway->culprits, exchange->target->server->id,
+				     skh_clock_boot_us(), tell_crash, gateway->gossip);
 		finish_attempt(exchange, SKH_END_UNREACHABLE);
 		return;
 	}
 	if (lost == SKH_LOST_BROKEN)
-		skh_culprits_note(exchange->gateway->culprits, exchange->content,
+		skh_culprits_note(gateway->culprits, exchange->content,
 				  exchange->target->server->id, skh_clock_boot_us());
 	finish_attempt(exchange, SKH_END_CUT);
 }
@@ -851,6 +864,10 @@
 	const char *host = skh_message_header(exchange->request, "Host");
 
 	exchange->until_us = deadline_of(exchange);
+	if (gateway->refuses) {
+		refuse_kind(exchange, SKH_LEAVING, RETRY_LEAST_MS, "this instance is stopping");
+		return false;
+	}
 	exchange->routing = skh_board_routing(gateway->board);
 	if (!exchange->routing || !gateway->roster) {
 		refuse_kind(exchange, SKH_NOT_READY, retry_after_ms(exchange, RETRY_DEFAULT_MS),
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "gossip.h"
 #include "log.h"
 #include "process.h"
+#include "reload.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -24,7 +25,6 @@
 #define MAX_IDLE	   24
 /* Gateways that are counted on to share the retry budget, at least. */
 #define LEAST_GATEWAYS 4
-#define RELOAD_US      (1 * SKH_US_PER_S)
 
 typedef struct shell {
 	skh_gateway_t gateway; /* first */
@@ -33,6 +33,7 @@
 	uv_timer_t tick;
 	skh_admin_t *admin;
 	skh_store_t *store;
+	skh_reload_t *reload;
 	gint ready; /* read by the administration's threads */
 	int64_t leave_us; /* SIGTERM came then; 0 before */
 	int64_t stop_by_us;
@@ -165,18 +166,39 @@
 
 static void continue_stop(shell_t *shell, int64_t now_us)
 {
-	const skh_gateway_t *gateway = &shell->gateway;
-	bool idle = g_queue_is_empty((GQueue *)&gateway->exchanges);
+	skh_gateway_t *gateway = &shell->gateway;
+	bool idle = g_queue_is_empty(&gateway->exchanges);
 
+	if (now_us >= shell->leave_us + LAME_DUCK_US && !gateway->refuses) {
+		gateway->refuses = true;
+		skh_listener_stop_accepting(gateway->listener);
+	}
 	if (now_us >= shell->stop_by_us || (idle && now_us >= shell->leave_us + LAME_DUCK_US))
 		close_all(shell);
 }
 
+static void apply_settings(skh_gateway_t *gateway, const skh_settings_t *settings)
+{
+	gateway->settings = settings;
+	gateway->retry_bounds.ratio = (double)settings->retry_percent / 100.0;
+	gateway->retry_bounds.least = (double)settings->retry_least;
+	gateway->retry_bounds.window_us = settings->retry_window_ms * SKH_US_PER_MS;
+}
+
+static void follow_settings(shell_t *shell, int64_t now_us)
+{
+	const skh_settings_t *fresh = skh_reload_look(shell->reload, now_us);
+
+	if (fresh)
+		apply_settings(&shell->gateway, fresh);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	shell_t *shell = timer->data;
 	int64_t now_us = skh_clock_boot_us();
 
+	follow_settings(shell, now_us);
 	follow_peers(&shell->gateway);
 	update_ready(shell, now_us);
 	skh_exchange_tick(&shell->gateway);
@@ -191,16 +213,12 @@
 {
 	skh_gateway_t *gateway = &shell->gateway;
 
-	gateway->settings = settings;
+	apply_settings(gateway, settings);
+	gateway->retry_bounds.gateways = LEAST_GATEWAYS;
+	shell->reload = skh_reload_new(settings);
 	gateway->board = skh_board_new();
 	gateway->culprits = skh_culprits_new();
 	g_queue_init(&gateway->exchanges);
-	gateway->retry_bounds = (skh_retryshare_bounds_t){
-		.ratio = (double)settings->retry_percent / 100.0,
-		.least = (double)settings->retry_least,
-		.window_us = settings->retry_window_ms * SKH_US_PER_MS,
-		.gateways = LEAST_GATEWAYS,
-	};
 	shell->pool_options = (skh_pool_options_t){
 		.attempt_header = gateway->dialect->headers[SKH_HEADER_ATTEMPT_ID],
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -38,6 +38,7 @@
 	skh_retryshare_bounds_t retry_bounds;
 	GQueue exchanges; /* open ones */
 	bool dispatching;
+	bool refuses; /* a planned stop has gone on for so long that callers go elsewhere */
 } skh_gateway_t;
 
 /** skh_gateway_main() - run a gateway until SIGTERM or SIGINT; the exit status */
--- a/src/process.c
+++ b/src/process.c
@@ -7,11 +7,11 @@
 #include <stdatomic.h>
 
 static atomic_int stop_requests;
+static atomic_int reload_requests;
 
 static void on_signal(int number)
 {
-	(void)number;
-	atomic_fetch_add(&stop_requests, 1);
+	atomic_fetch_add(number == SIGHUP ? &reload_requests : &stop_requests, 1);
 }
 
 void skh_process_setup(const skh_settings_t *settings)
@@ -23,10 +23,16 @@
 		skh_log_to_stdout();
 	(void)sigaction(SIGTERM, &action, NULL);
 	(void)sigaction(SIGINT, &action, NULL);
+	(void)sigaction(SIGHUP, &action, NULL);
 	(void)signal(SIGPIPE, SIG_IGN);
 	(void)curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
+int32_t skh_process_reload_requests(void)
+{
+	return atomic_load(&reload_requests);
+}
+
 int32_t skh_process_stop_requests(void)
 {
 	return atomic_load(&stop_requests);
--- a/src/process.h
+++ b/src/process.h
@@ -13,9 +13,12 @@
 extern "C" {
 #endif
 
-/** skh_process_setup() - logs from @settings; SIGTERM and SIGINT ask for a stop */
+/** skh_process_setup() - logs from @settings; SIGTERM and SIGINT ask for a stop, SIGHUP to reload */
 void skh_process_setup(const skh_settings_t *settings);
 
+/** skh_process_reload_requests() - how many times SIGHUP has come */
+int32_t skh_process_reload_requests(void);
+
 /** skh_process_stop_requests() - how many stop signals have come */
 int32_t skh_process_stop_requests(void);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -192,13 +192,16 @@
 {
 	g_autoptr(GError) fault = NULL;
 	g_autofree char *text = NULL;
+	skh_settings_t *settings;
 	gsize len = 0;
 
 	if (!g_file_get_contents(path, &text, &len, &fault)) {
 		skh_faults_add(faults, 0, path, "%s", fault->message);
 		return NULL;
 	}
-	return skh_settings_parse(skh_chunk_make(text, len), role, faults);
+	settings = skh_settings_parse(skh_chunk_make(text, len), role, faults);
+	settings->path = g_strdup(path);
+	return settings;
 }
 
 void skh_settings_free(skh_settings_t *settings)
@@ -206,6 +209,7 @@
 	if (!settings)
 		return;
 	skh_node_free(settings->tree);
+	g_free(settings->path);
 	g_free(settings);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -80,6 +80,7 @@
 	int32_t log_format;
 	int32_t log_output;
 	skh_role_t role;
+	char *path; /* of the file; NULL when read from elsewhere */
 	skh_node_t *tree;
 } skh_settings_t;
 
