--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,131 @@
+# The users' platform on loopback, by stand-ins: a metadata store, ranks of one
+# group, plain servers, and in front of them gateways and balancers. Sourced
+# after world.sh.
+
+: "${GATEWAYS:=2}"
+: "${RANKS:=3}"
+: "${KEY_TRUST_MS:=4000}"
+
+STORE="127.0.0.1:$PORT_BASE"
+SERVERS_BASE=$((PORT_BASE + 100))
+
+gateway_port() { echo $((PORT_BASE + 10 * $1)); }
+balancer_port() { echo $((PORT_BASE + 60 + 2 * $1)); }
+rank_port() { echo $((SERVERS_BASE + $1)); }
+plain_port() { echo $((SERVERS_BASE + 80 + $1)); }
+
+# operator_put KEY VALUE: as the operator writes into the store
+operator_put() {
+	jq_free_json "$1" "$2" | curl -sf -X POST --data-binary @- "http://$STORE/put" >/dev/null
+}
+
+jq_free_json() {
+	python3 -c 'import json,sys; print(json.dumps({"key": sys.argv[1], "value": sys.argv[2]}))' "$1" "$2"
+}
+
+fleet_route() { # name prefix kind service extra
+	printf '{"name":"%s","host":"x.example","prefix":"/%s/","kind":"%s","timeout-ms":3000,"latency-goal-ms":500,"priority":1,"service":"%s","max-attempts":2,"public":false%s}' \
+		"$1" "$1" "$2" "$3" "${4:-}"
+}
+
+# fleet_config VERSION [KEYS [EXTRA_ROUTE]]: the operator's document
+fleet_config() {
+	local engine='{"slots":8,"stride":4,"link-mbps":180000.0,"step_ms":4.5,"per_seq_ms":0.9,"sets":2,"experts":'$((RANKS * 2))',"placements":4,"spare":3,"expert-mb":100.0,"expert-share":0.85}'
+	printf '{"version":%s,"routes":[%s,%s,%s%s],"services":[{"name":"model","health-path":"/health","max-connections":100,"engine":%s},{"name":"ledger","health-path":"/health","max-connections":100}],"limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"acme","api-keys":[%s],"priority":1}]}' \
+		"$1" "$(fleet_route stream streaming model ',"stream-resume":true,"gap-goal-ms":120')" \
+		"$(fleet_route once non_idempotent ledger)" "$(fleet_route often idempotent ledger)" \
+		"${3:+,$3}" "$engine" "${2:-\"k1\"}"
+}
+
+gateway_settings() { # number
+	cat <<-TOML
+		[instance]
+		id = "gateway-$1"
+		failure_domain = "a"
+		[http]
+		listen = "127.0.0.1:$(gateway_port "$1")"
+		[admin]
+		listen = "127.0.0.1:$(($(gateway_port "$1") + 1))"
+		[store]
+		endpoints = ["$STORE"]
+		timeout_ms = 900
+		[gateway]
+		dialect = "fleet"
+		gossip_listen = "127.0.0.1:$(($(gateway_port "$1") + 2))"
+		poll_pace_ms = 100
+		key_trust_ms = $KEY_TRUST_MS
+		[stop]
+		drain_ms = 8000
+		[log]
+		format = "json"
+		output = "stdout"
+	TOML
+}
+
+balancer_settings() { # number of the rank
+	cat <<-TOML
+		[instance]
+		id = "balancer-$1"
+		failure_domain = "a"
+		[admin]
+		listen = "127.0.0.1:$(($(balancer_port "$1") + 1))"
+		[store]
+		endpoints = ["$STORE"]
+		timeout_ms = 900
+		[balancer]
+		dialect = "fleet"
+		listen = "127.0.0.1:$(balancer_port "$1")"
+		engine = "127.0.0.1:$(rank_port "$1")"
+		service = "model"
+		[log]
+		format = "json"
+		output = "stdout"
+	TOML
+}
+
+start_gateway() {
+	gateway_settings "$1" >"$WORK/gateway-$1.toml"
+	start "gateway-$1" "$SKH" gateway --settings "$WORK/gateway-$1.toml"
+}
+
+start_balancer() {
+	balancer_settings "$1" >"$WORK/balancer-$1.toml"
+	start "balancer-$1" "$SKH" balancer --settings "$WORK/balancer-$1.toml"
+}
+
+start_fleet() {
+	local i
+	start store "$BUILD/test/standin-fleet_store" "$STORE"
+	wait_until curl -sf "http://$STORE/counts" || return 1
+	start servers "$BUILD/test/standin-fleet_servers" "$STORE" "$SERVERS_BASE" "$RANKS"
+	for ((i = 1; i <= GATEWAYS; i++)); do start_gateway "$i"; done
+	for ((i = 0; i < ${BALANCERS:-RANKS}; i++)); do start_balancer "$i"; done
+}
+
+gateway_is_ready() { curl -sf "http://127.0.0.1:$(($(gateway_port "$1") + 1))/readyz"; }
+
+wait_fleet() {
+	local i
+	for ((i = 1; i <= GATEWAYS; i++)); do wait_until gateway_is_ready "$i" || return 1; done
+	# Every server is listed within a heartbeat.
+	sleep 0.8
+}
+
+# fleet_ask GATEWAY PATH [curl options]
+fleet_ask() {
+	local gateway=$1 path=$2
+	shift 2
+	curl -s -H 'Host: x.example' -H "Authorization: Bearer ${KEY:-k1}" \
+		-H "Skylarkhead-Attempt-Id: ${ID:-a-$RANDOM-$RANDOM}" -H 'Skylarkhead-Deadline-Ms: 3000' \
+		"$@" "http://127.0.0.1:$(gateway_port "$gateway")$path"
+}
+
+status_of() { fleet_ask "$@" -o /dev/null -w '%{http_code}\n'; }
+
+control() { # port JSON
+	curl -sf -X POST -d "$2" "http://127.0.0.1:$1/control" >/dev/null
+}
+
+seen() { # field
+	curl -s "http://127.0.0.1:$(rank_port 0)/seen" | grep -o "\"$1\":[0-9]*" | cut -d: -f2
+}
--- a/src/backends.c
+++ b/src/backends.c
@@ -10,8 +10,8 @@
 #define MEAN_GAIN    0.2
 #define FAILING_GAIN 0.15
 /* A server that can't be reached is left alone for this long, doubled each time. */
-#define AVOID_US     (200 * SKH_US_PER_MS)
-#define AVOID_MOST   5 /* doublings */
+#define AVOID_US   (200 * SKH_US_PER_MS)
+#define AVOID_MOST 5 /* doublings */
 /* A server that turned a request away has room again after about this. */
 #define FULL_US	     (60 * SKH_US_PER_MS)
 #define RATE_SLOT_US (500 * SKH_US_PER_MS)
@@ -107,8 +107,8 @@
 
 static bool is_same_instance(const skh_server_t *a, const skh_server_t *b)
 {
-	return strcmp(a->host, b->host) == 0 && a->port == b->port &&
-	       a->born_ms == b->born_ms && strcmp(a->service, b->service) == 0;
+	return strcmp(a->host, b->host) == 0 && a->port == b->port && a->born_ms == b->born_ms &&
+	       strcmp(a->service, b->service) == 0;
 }
 
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
@@ -182,8 +182,8 @@
 	skh_pick_view_t view = { .list = list,
 				 .n = front->targets->len,
 				 .lock_step = front->lock_step,
-				 .overcommit = front->lock_step ? OVERCOMMIT_RANK
-								: OVERCOMMIT_PLAIN,
+				 .overcommit =
+					 front->lock_step ? OVERCOMMIT_RANK : OVERCOMMIT_PLAIN,
 				 .draw = skh_random_u64() >> 1,
 				 .now_us = now_us };
 	int32_t chosen;
@@ -271,9 +271,10 @@
 	target->avoid_till_us = 0;
 	target->failing -= FAILING_GAIN * target->failing;
 	if (took_us > 0)
-		target->mean_ms = target->mean_ms > 0.0
-					  ? target->mean_ms + MEAN_GAIN * (took_ms - target->mean_ms)
-					  : took_ms;
+		target->mean_ms =
+			target->mean_ms > 0.0
+				? target->mean_ms + MEAN_GAIN * (took_ms - target->mean_ms)
+				: took_ms;
 	advance_rate(target->front, now_us);
 	target->front->done[target->front->done_slot % SKH_FRONT_RATE_SLOTS] += 1.0;
 }
--- a/src/backends.h
+++ b/src/backends.h
@@ -31,7 +31,7 @@
 	uint32_t references;
 	bool listed; /* in the roster */
 	uint32_t own_running;
-	double own_work;       /* expected tokens of those */
+	double own_work;	/* expected tokens of those */
 	uint32_t peers_running; /* by the other gateways' reports */
 	double mean_ms;
 	double failing;
@@ -50,7 +50,7 @@
 	skh_retryshare_t share;
 	bool lock_step;
 	uint32_t max_connections;
-	int64_t first_ms; /* usual time to the first event or answer */
+	int64_t first_ms;		   /* usual time to the first event or answer */
 	double done[SKH_FRONT_RATE_SLOTS]; /* requests that ended, by time slot */
 	int64_t done_slot;
 };
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -16,19 +16,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PART "balancer"
+#define PART	"balancer"
 #define TICK_MS 25
 /* The control budget of 2 KB a second, less what the store takes. */
-#define BYTES_PER_S	1500
-#define DATAGRAM_BYTES	42
-#define LEAST_PAUSE_US	(50 * SKH_US_PER_MS)
+#define BYTES_PER_S    1500
+#define DATAGRAM_BYTES 42
+#define LEAST_PAUSE_US (50 * SKH_US_PER_MS)
 /* The coordinator's own rank is a sample of all: it shows a shift first. */
-#define OWN_COUNTS_US	(50 * SKH_US_PER_MS)
-#define COUNTS_US	(200 * SKH_US_PER_MS)
-#define MAX_DATAGRAM	16384
+#define OWN_COUNTS_US	   (50 * SKH_US_PER_MS)
+#define COUNTS_US	   (200 * SKH_US_PER_MS)
+#define MAX_DATAGRAM	   16384
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define SILENCE_TIMEOUT_US (1 * SKH_US_PER_S)
-#define MAX_IDLE_US	(4 * SKH_US_PER_S)
+#define MAX_IDLE_US	   (4 * SKH_US_PER_S)
 
 typedef struct balancer {
 	const skh_settings_t *settings;
@@ -183,8 +183,7 @@
 		return;
 	}
 	if (strcmp(message->service, balancer->settings->backend_service) == 0)
-		skh_coordinator_report(balancer->coordinator, message, false,
-				       skh_clock_boot_us());
+		skh_coordinator_report(balancer->coordinator, message, false, skh_clock_boot_us());
 	skh__rank_report__free_unpacked(message, NULL);
 }
 
@@ -213,12 +212,25 @@
 	balancer->coordinator = skh_coordinator_new(&options, &balancer->lease.shape);
 }
 
+/* Ranks whose own process never spoke are found in the list of servers. */
+static void find_ranks(balancer_t *balancer, int64_t now_us)
+{
+	bool wanted = balancer->coordinator && holds_lease(balancer, now_us) &&
+		      skh_coordinator_lacks_ranks(balancer->coordinator);
+	GPtrArray *servers = skh_election_servers(balancer->election, wanted);
+
+	for (guint i = 0; wanted && i < servers->len; i++)
+		skh_coordinator_offer(balancer->coordinator, g_ptr_array_index(servers, i), now_us);
+	g_ptr_array_unref(servers);
+}
+
 static void coordinate(balancer_t *balancer, int64_t now_us)
 {
 	int64_t fence = holds_lease(balancer, now_us) ? balancer->lease.fence : 0;
 
-	if (balancer->coordinator &&
-	    !skh_coordinator_tick(balancer->coordinator, fence, now_us)) {
+	find_ranks(balancer, now_us);
+
+	if (balancer->coordinator && !skh_coordinator_tick(balancer->coordinator, fence, now_us)) {
 		skh_log(SKH_LOG_WARNING, PART, "A later coordinator exists.", "fence=%" PRId64,
 			fence);
 		skh_election_resign(balancer->election);
@@ -256,8 +268,8 @@
 	follow_settings(balancer, now_us);
 	skh_election_look(balancer->election, &balancer->lease);
 	follow_shape(balancer);
-	skh_rankwatch_set_pace(balancer->watch, holds_lease(balancer, now_us) ? OWN_COUNTS_US
-									      : COUNTS_US);
+	skh_rankwatch_set_pace(balancer->watch,
+			       holds_lease(balancer, now_us) ? OWN_COUNTS_US : COUNTS_US);
 	skh_rankwatch_tick(balancer->watch, now_us);
 	tell(balancer, now_us);
 	coordinate(balancer, now_us);
@@ -286,8 +298,8 @@
 	const skh_settings_t *settings = balancer->settings;
 	const skh_election_options_t options = {
 		.store = balancer->store,
-		.release_store = balancer->dialect->open_store(
-			skh_settings_endpoint(settings, 0), settings->store_timeout_ms),
+		.release_store = balancer->dialect->open_store(skh_settings_endpoint(settings, 0),
+							       settings->store_timeout_ms),
 		.dialect = balancer->dialect,
 		.prefix = prefix,
 		.address = settings->gossip_listen,
@@ -314,8 +326,8 @@
 		return false;
 	balancer->engine = skh_engine_client_new(&balancer->loop, settings->engine_address,
 						 &balancer->pool_options);
-	balancer->watch = skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed,
-					    balancer);
+	balancer->watch =
+		skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed, balancer);
 	balancer->relay = skh_rankrelay_start(&balancer->loop, settings->gossip_listen,
 					      balancer->engine, balancer->dialect, err);
 	if (!balancer->relay)
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -19,7 +19,7 @@
 #define SILENT_US (900 * SKH_US_PER_MS)
 #define ASK_US	  (300 * SKH_US_PER_MS)
 /* Counts of ranks that were silent for longer do not count. */
-#define STALE_US  (2500 * SKH_US_PER_MS)
+#define STALE_US	 (2500 * SKH_US_PER_MS)
 #define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
 /* Longer: the process waits for its engine's answer for the time above. */
 #define RELAY_TIMEOUT_US (300 * SKH_US_PER_MS)
@@ -46,7 +46,7 @@
 /* Places in a map up to which the best one is searched for in a small share of a core. */
 #define SEARCH_PLACES 600
 /* A hold that nobody seems to want is looked into after this. */
-#define HELD_US	  (250 * SKH_US_PER_MS)
+#define HELD_US (250 * SKH_US_PER_MS)
 /* A new holder hears all ranks before it decides. */
 #define TAKEOVER_US (400 * SKH_US_PER_MS)
 #define COMPLAIN_US (500 * SKH_US_PER_MS)
@@ -54,8 +54,8 @@
 typedef struct rank_state {
 	skh_engine_client_t *client; /* NULL before its address is known */
 	skh_engine_client_t *relay;  /* its process, which hands orders on */
-	bool direct; /* the process did not answer the last order */
-	bool wants_whole; /* the process does not know the map in use */
+	bool direct;		     /* the process did not answer the last order */
+	bool wants_whole;	     /* the process does not know the map in use */
 	bool reported;
 	int64_t heard_us; /* of its process */
 	int64_t told_us;  /* of its state, by its process or itself */
@@ -75,14 +75,16 @@
 	uint32_t own;
 	bool has_own;
 	rank_state_t ranks[SKH_MAPCHANGE_MAX_RANKS];
-	uint32_t *map;	/* in use, [sets][ranks][placements] */
-	uint32_t *next; /* that the change under way brings */
-	double *counts; /* of the interval, [sets][experts] */
-	double *shares; /* expected, [sets][experts] */
+	skh_engine_client_t *offered; /* an engine that is asked for its rank, or NULL */
+	int64_t offered_us;
+	uint32_t *map;	   /* in use, [sets][ranks][placements] */
+	uint32_t *next;	   /* that the change under way brings */
+	double *counts;	   /* of the interval, [sets][experts] */
+	double *shares;	   /* expected, [sets][experts] */
 	bool fresh_counts; /* the shares have changed since the last decision */
 	int64_t observe_us;
-	double *before; /* shares before the shift that is under way */
-	bool shifting; /* seen in the interval before */
+	double *before;		    /* shares before the shift that is under way */
+	bool shifting;		    /* seen in the interval before */
 	skh_forecast_t **forecasts; /* one a set */
 	skh_mapchange_t change;
 	bool changing;
@@ -122,6 +124,8 @@
 		if (coordinator->ranks[rank].relay)
 			skh_engine_client_free(coordinator->ranks[rank].relay);
 	}
+	if (coordinator->offered)
+		skh_engine_client_free(coordinator->offered);
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++)
 		skh_forecast_free(coordinator->forecasts[set]);
 	g_free(coordinator->forecasts);
@@ -288,8 +292,7 @@
 	if (status != 200)
 		return;
 	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &version, &err)) {
-		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "rank=%u reason=%s", tag,
-			err.text);
+		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "rank=%u reason=%s", tag, err.text);
 		return;
 	}
 	if (version == coordinator->ranks[tag].report.map_version)
@@ -326,6 +329,53 @@
 		ask_lists(coordinator, tag);
 }
 
+bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator)
+{
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		if (!coordinator->ranks[rank].client)
+			return true;
+	}
+	return false;
+}
+
+static bool knows_address(const skh_coordinator_t *coordinator, const char *address)
+{
+	for (uint32_t rank = 0; rank < coordinator->n_ranks; rank++) {
+		const skh_engine_client_t *client = coordinator->ranks[rank].client;
+
+		if (client && strcmp(skh_engine_client_address(client), address) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void on_offered_report(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	skh_coordinator_t *coordinator = context;
+	skh_engine_report_t report;
+	skh_error_t err;
+
+	(void)tag;
+	coordinator->offered_us = 0;
+	if (status != 200 || !coordinator->options.dialect->read_report(body, &report, &err) ||
+	    report.group_size != coordinator->n_ranks || report.rank >= coordinator->n_ranks ||
+	    coordinator->ranks[report.rank].client)
+		return;
+	set_address(coordinator, &coordinator->ranks[report.rank].client,
+		    skh_engine_client_address(coordinator->offered));
+	take_state(coordinator, report.rank, &report, skh_clock_boot_us());
+}
+
+void skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us)
+{
+	if (coordinator->offered_us != 0 || knows_address(coordinator, address))
+		return;
+	coordinator->offered_us = now_us;
+	set_address(coordinator, &coordinator->offered, address);
+	skh_engine_client_get(coordinator->offered, coordinator->options.dialect->report_path,
+			      ORDER_TIMEOUT_US * 2, 0, on_offered_report, coordinator);
+}
+
 /* A rank whose process is silent is asked itself; what it says is a moment old. */
 static void ask_silent(skh_coordinator_t *coordinator, int64_t now_us)
 {
@@ -404,10 +454,9 @@
 {
 	char *body = coordinator->options.dialect->write_order(order);
 
-	skh_engine_client_post(coordinator->ranks[rank].client,
-			       coordinator->options.dialect->order_path,
-			       skh_chunk_from_string(body), ORDER_TIMEOUT_US, rank,
-			       on_order_answer, coordinator);
+	skh_engine_client_post(
+		coordinator->ranks[rank].client, coordinator->options.dialect->order_path,
+		skh_chunk_from_string(body), ORDER_TIMEOUT_US, rank, on_order_answer, coordinator);
 	free(body);
 }
 
@@ -486,8 +535,8 @@
 			continue;
 		if (now_us - coordinator->complained_us > COMPLAIN_US) {
 			coordinator->complained_us = now_us;
-			skh_log(SKH_LOG_INFO, PART, "Group is not known.", "rank=%u lacks=%s",
-				rank, why);
+			skh_log(SKH_LOG_INFO, PART, "Group is not known.", "rank=%u lacks=%s", rank,
+				why);
 		}
 		return false;
 	}
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -37,8 +37,14 @@
 				 double cost_weight);
 
 /** skh_coordinator_report() - a rank's report; @own when it is the rank beside this process */
-void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *report,
-			    bool own, int64_t now_us);
+void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *report, bool own,
+			    int64_t now_us);
+
+/** skh_coordinator_lacks_ranks() - the address of some rank's engine is not known */
+bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator);
+
+/** skh_coordinator_offer() - an engine of the service is at @address: ask it who it is */
+void skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us);
 
 /**
  * skh_coordinator_tick() - decide and order
--- a/src/countpack.c
+++ b/src/countpack.c
@@ -26,8 +26,8 @@
 		greatest = counts[i] > greatest ? counts[i] : greatest;
 	for (size_t i = 0; i < n; i++) {
 		if (counts[i] > 0)
-			out[i / 2] |= (uint8_t)(step_of(counts[i], greatest)
-						<< (i % 2 * STEP_BITS));
+			out[i / 2] |=
+				(uint8_t)(step_of(counts[i], greatest) << (i % 2 * STEP_BITS));
 	}
 	return greatest;
 }
--- a/src/culprits.h
+++ b/src/culprits.h
@@ -20,7 +20,7 @@
 #endif
 
 /* Crashes after which a gateway no longer repeats a request by itself. */
-#define SKH_CULPRITS_HELD   2
+#define SKH_CULPRITS_HELD 2
 /* Crashes after which it is not sent to any server. */
 #define SKH_CULPRITS_BARRED 3
 /* How long a crash is held against a request: callers send it again for minutes. */
--- a/src/downstream.c
+++ b/src/downstream.c
@@ -7,13 +7,13 @@
 #include <netinet/in.h>
 #include <string.h>
 
-#define PART	     "http"
-#define BACKLOG	     512
-#define SWEEP_MS     100
+#define PART	 "http"
+#define BACKLOG	 512
+#define SWEEP_MS 100
 /* A caller that reads slowly holds its server's stream back from here on. */
-#define SLOW_BYTES   (256 << 10)
+#define SLOW_BYTES (256 << 10)
 /* Bytes that a caller may send ahead of its answer. */
-#define AHEAD_BYTES  (64 << 10)
+#define AHEAD_BYTES (64 << 10)
 /* Before a configuration is known. */
 #define DEFAULT_HEADER_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES   (4 << 20)
@@ -35,9 +35,9 @@
 };
 
 typedef enum phase {
-	PHASE_IDLE,    /* no byte of a request yet */
-	PHASE_READING, /* part of a request */
-	PHASE_SERVING, /* the answer is due */
+	PHASE_IDLE,	 /* no byte of a request yet */
+	PHASE_READING,	 /* part of a request */
+	PHASE_SERVING,	 /* the answer is due */
 	PHASE_LINGERING, /* answered; waits for the caller to close */
 	PHASE_CLOSED
 } phase_t;
@@ -53,7 +53,7 @@
 	int64_t received_us;
 	int64_t phase_until_us; /* deadline of the phase; 0 for none */
 	bool chunked;
-	bool keep;	  /* after the answer */
+	bool keep; /* after the answer */
 	bool told_slow;
 };
 
@@ -292,8 +292,7 @@
 /* Reads what has come so far; a request that ends leaves the rest for later. */
 static void read_requests(skh_caller_conn_t *conn)
 {
-	while (conn->ahead.len > 0 &&
-	       (conn->phase == PHASE_IDLE || conn->phase == PHASE_READING)) {
+	while (conn->ahead.len > 0 && (conn->phase == PHASE_IDLE || conn->phase == PHASE_READING)) {
 		skh_error_t err;
 		size_t used;
 
--- a/src/downstream.h
+++ b/src/downstream.h
@@ -64,9 +64,9 @@
 	int32_t status;
 	const char *reason;
 	const char *headers;
-	bool chunked;	       /* else @content_length bytes follow */
+	bool chunked; /* else @content_length bytes follow */
 	size_t content_length;
-	bool no_body;	       /* the request was HEAD, or the status allows none */
+	bool no_body; /* the request was HEAD, or the status allows none */
 } skh_answer_head_t;
 
 void skh_caller_conn_begin(skh_caller_conn_t *conn, const skh_answer_head_t *head);
--- a/src/election.c
+++ b/src/election.c
@@ -10,16 +10,18 @@
 
 #define PART "election"
 /* A coordinator that died is missed for as long as its lease. */
-#define LEASE_S	     1
-#define RENEW_US     (280 * SKH_US_PER_MS)
+#define LEASE_S	 1
+#define RENEW_US (280 * SKH_US_PER_MS)
 /* It stops acting this long before the lease can lapse at the store. */
-#define MARGIN_US    (200 * SKH_US_PER_MS)
-#define WATCH_MS     20000
-#define PAUSE_US     (120 * SKH_US_PER_MS)
-#define START_US     (600 * SKH_US_PER_MS)
+#define MARGIN_US (200 * SKH_US_PER_MS)
+#define WATCH_MS  20000
+#define PAUSE_US  (120 * SKH_US_PER_MS)
+#define START_US  (600 * SKH_US_PER_MS)
 /* A renewal that takes longer is worth a line. */
-#define SLOW_US	     (150 * SKH_US_PER_MS)
-#define SLICE_US     (50 * SKH_US_PER_MS)
+#define SLOW_US	 (150 * SKH_US_PER_MS)
+/* The list is read no more often while it is wanted. */
+#define SERVERS_US (1 * SKH_US_PER_S)
+#define SLICE_US   (50 * SKH_US_PER_MS)
 
 struct skh_election {
 	skh_election_options_t options;
@@ -29,9 +31,12 @@
 	bool stop;
 	GMutex lock;
 	skh_election_view_t view; /* under the lock */
+	GPtrArray *servers;	  /* addresses; under the lock */
+	bool wants_servers;
 	/* Of the thread alone: */
 	int64_t lease;
 	int64_t revision; /* of the store, as last read */
+	int64_t servers_us; /* when they were read */
 };
 
 static bool is_stopped(const skh_election_t *election)
@@ -182,8 +187,7 @@
 	if (done && !*taken) {
 		/* All ranks see the lapse at once: they try one after the other. */
 		pause_thread(election, PAUSE_US);
-		done = read_holder(election, taken, &err) &&
-		       (*taken || take_lease(election, &err));
+		done = read_holder(election, taken, &err) && (*taken || take_lease(election, &err));
 		*known = false;
 	}
 	if (!done) {
@@ -193,6 +197,57 @@
 	}
 }
 
+static bool wants_servers(skh_election_t *election)
+{
+	bool wanted;
+
+	g_mutex_lock(&election->lock);
+	wanted = election->wants_servers;
+	g_mutex_unlock(&election->lock);
+	return wanted && skh_clock_boot_us() - election->servers_us > SERVERS_US;
+}
+
+/* The list names engines whose own process is silent. */
+static void read_servers(skh_election_t *election)
+{
+	skh_store_t *store = election->options.store;
+	const skh_dialect_t *dialect = election->options.dialect;
+	GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+	skh_pairs_t pairs;
+	skh_error_t err;
+
+	election->servers_us = skh_clock_boot_us();
+	if (!store->ops->range(store, dialect->servers_prefix, true, &pairs, &err)) {
+		fail("Servers not read.", &err);
+		g_ptr_array_unref(found);
+		return;
+	}
+	for (size_t i = 0; i < pairs.count; i++) {
+		skh_server_t *server = dialect->read_server(
+			pairs.list[i].key, skh_chunk_from_string(pairs.list[i].value), &err);
+
+		if (server && strcmp(server->service, election->options.service) == 0)
+			g_ptr_array_add(found, g_strdup_printf("%s:%u", server->host, server->port));
+		skh_server_free(server);
+	}
+	skh_pairs_clear(&pairs);
+	g_mutex_lock(&election->lock);
+	g_ptr_array_unref(election->servers);
+	election->servers = found;
+	g_mutex_unlock(&election->lock);
+}
+
+GPtrArray *skh_election_servers(skh_election_t *election, bool wanted)
+{
+	GPtrArray *servers;
+
+	g_mutex_lock(&election->lock);
+	election->wants_servers = wanted;
+	servers = g_ptr_array_ref(election->servers);
+	g_mutex_unlock(&election->lock);
+	return servers;
+}
+
 static void renew(skh_election_t *election)
 {
 	skh_store_t *store = election->options.store;
@@ -215,7 +270,10 @@
 	g_mutex_lock(&election->lock);
 	election->view.holds_till_us = asked_us + ttl_s * SKH_US_PER_S - MARGIN_US;
 	g_mutex_unlock(&election->lock);
-	pause_thread(election, RENEW_US);
+	if (wants_servers(election))
+		read_servers(election);
+	else
+		pause_thread(election, RENEW_US);
 }
 
 static void *run(void *argument)
@@ -245,6 +303,7 @@
 	skh_election_t *election = g_new0(skh_election_t, 1);
 
 	election->options = *options;
+	election->servers = g_ptr_array_new_with_free_func(g_free);
 	election->key = g_strconcat(options->prefix, "coordinator", NULL);
 	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
 	g_mutex_init(&election->lock);
--- a/src/election.h
+++ b/src/election.h
@@ -49,6 +49,13 @@
 void skh_election_stop(skh_election_t *election);
 void skh_election_look(skh_election_t *election, skh_election_view_t *view);
 
+/**
+ * skh_election_servers() - addresses of the service's servers, read while asked for
+ * @wanted: whether they are needed now
+ * Return: "host:port" each; free with g_ptr_array_unref().
+ */
+GPtrArray *skh_election_servers(skh_election_t *election, bool wanted);
+
 /** skh_election_resign() - a later holder exists: forget the lease */
 void skh_election_resign(skh_election_t *election);
 
--- a/src/enginecall.h
+++ b/src/enginecall.h
@@ -19,8 +19,7 @@
  * @status: HTTP status, or 0 when there is no answer
  * @body: valid during the call
  */
-typedef void (*skh_engine_answer_fn)(void *context, uint32_t tag, int32_t status,
-				     skh_chunk_t body);
+typedef void (*skh_engine_answer_fn)(void *context, uint32_t tag, int32_t status, skh_chunk_t body);
 
 typedef struct skh_engine_client skh_engine_client_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -16,20 +16,20 @@
 /* Without a deadline of the caller's own. */
 #define DEFAULT_DEADLINE_US (30 * SKH_US_PER_S)
 /* An answer takes about this long on its way to the caller. */
-#define RETURN_US	    (20 * SKH_US_PER_MS)
+#define RETURN_US (20 * SKH_US_PER_MS)
 /* Callers give a stream up after the longest of these without an event. */
-#define PATIENCE_US	    (2 * SKH_US_PER_S)
-#define PATIENCE_GOALS	    4
-#define PATIENCE_GAPS	    8
+#define PATIENCE_US    (2 * SKH_US_PER_S)
+#define PATIENCE_GOALS 4
+#define PATIENCE_GAPS  8
 /* Callers honour Retry-After up to this part of the time they have left. */
-#define RETRY_AFTER_PART    3
-#define RETRY_LEAST_MS	    100
-#define RETRY_SPREAD_MS	    400
-#define RETRY_DEFAULT_MS    500
+#define RETRY_AFTER_PART 3
+#define RETRY_LEAST_MS	 100
+#define RETRY_SPREAD_MS	 400
+#define RETRY_DEFAULT_MS 500
 /* Answers that are kept whole before they are passed on. */
-#define MAX_ANSWER_BYTES    (16U << 20)
-#define MOST_URGENT	    0U
-#define LEAST_URGENT	    9U
+#define MAX_ANSWER_BYTES (16U << 20)
+#define MOST_URGENT	 0U
+#define LEAST_URGENT	 9U
 
 typedef enum stage {
 	STAGE_WAITING,
@@ -55,13 +55,13 @@
 	const skh_key_owner_t *owner; /* NULL where no key is asked for */
 	skh_front_t *front;
 	char attempt_id[80];
-	uint64_t content;     /* hash of what the caller asks for */
+	uint64_t content; /* hash of what the caller asks for */
 	int64_t received_us;
-	int64_t until_us;     /* the deadline or the route's timeout */
-	int64_t sent_us;      /* of the attempt under way */
-	int64_t queued_us;    /* spent waiting for a server */
-	int64_t first_us;     /* first event or answer */
-	double work;	      /* expected tokens */
+	int64_t until_us;  /* the deadline or the route's timeout */
+	int64_t sent_us;   /* of the attempt under way */
+	int64_t queued_us; /* spent waiting for a server */
+	int64_t first_us;  /* first event or answer */
+	double work;	   /* expected tokens */
 	skh_waiter_t waiter;
 	GPtrArray *tried; /* skh_target_t; references */
 	skh_target_t *target;
@@ -69,13 +69,13 @@
 	uint32_t sends;
 	uint32_t runs; /* attempts that may have run */
 	bool paused;
-	skh_buffer_t body;   /* of an answer that is kept whole */
+	skh_buffer_t body; /* of an answer that is kept whole */
 	GString *answer_headers;
 	int32_t answer_status;	/* that the caller gets */
 	int32_t attempt_status; /* of the attempt under way; 0 before its head */
 	char answer_reason[64];
 	bool signed_answer;
-	bool not_run;	     /* the server's word */
+	bool not_run; /* the server's word */
 	skh_events_t events;
 	uv_timer_t timer;
 } exchange_t;
@@ -172,14 +172,13 @@
 	skh_chunk_t text = skh_chunk_from_string(refusal->err.text);
 	bool head_only = exchange->request->parser.method == HTTP_HEAD;
 
-	headers = g_strdup_printf("Content-Type: text/plain\r\n%s: %s\r\n",
-				  header_name(exchange, SKH_HEADER_ATTEMPT_ID),
-				  exchange->attempt_id);
+	headers =
+		g_strdup_printf("Content-Type: text/plain\r\n%s: %s\r\n",
+				header_name(exchange, SKH_HEADER_ATTEMPT_ID), exchange->attempt_id);
 	if (refusal->retry_after_ms > 0) {
-		char *with_retry = g_strdup_printf(
-			"%sRetry-After: %" PRId64 ".%03" PRId64 "\r\n", headers,
-			refusal->retry_after_ms / SKH_MS_PER_S,
-			refusal->retry_after_ms % SKH_MS_PER_S);
+		char *with_retry = g_strdup_printf("%sRetry-After: %" PRId64 ".%03" PRId64 "\r\n",
+						   headers, refusal->retry_after_ms / SKH_MS_PER_S,
+						   refusal->retry_after_ms % SKH_MS_PER_S);
 
 		g_free(headers);
 		headers = with_retry;
@@ -199,8 +198,8 @@
 	bool not_run = refusal->err.run == SKH_RUN_NOT_RUN;
 
 	skh_metrics_add(not_run ? SKH_COUNT_REFUSED : SKH_COUNT_UNKNOWN, 1);
-	log_end(exchange, skh_kind_name(refusal->err.kind),
-		skh_kind_http_status(refusal->err.kind), refusal->err.text);
+	log_end(exchange, skh_kind_name(refusal->err.kind), skh_kind_http_status(refusal->err.kind),
+		refusal->err.text);
 	end_exchange(exchange);
 	answer_refusal(exchange, refusal);
 }
@@ -345,8 +344,8 @@
 
 	if (!route->streams)
 		return exchange->until_us - exchange->received_us;
-	return MAX(PATIENCE_US, MAX(PATIENCE_GOALS * route->goal_us,
-				    PATIENCE_GAPS * route->gap_goal_us));
+	return MAX(PATIENCE_US,
+		   MAX(PATIENCE_GOALS * route->goal_us, PATIENCE_GAPS * route->gap_goal_us));
 }
 
 static void set_waiter(exchange_t *exchange, int64_t now_us)
@@ -479,8 +478,8 @@
 		const skh_header_t *header = &g_array_index(answer->headers, skh_header_t, i);
 
 		if (!skh_header_is_hop(header->name) && !is_named_by(connection, header->name))
-			g_string_append_printf(exchange->answer_headers, "%s: %s\r\n",
-					       header->name, header->value);
+			g_string_append_printf(exchange->answer_headers, "%s: %s\r\n", header->name,
+					       header->value);
 	}
 }
 
@@ -575,8 +574,8 @@
 		skh_caller_conn_write(exchange->conn, skh_buffer_chunk(&exchange->body));
 	observe_end(exchange);
 	log_end(exchange, "passed", exchange->answer_status, "-");
-	leave_attempt(exchange, exchange->answer_status < 500 ? SKH_OUTCOME_GOOD
-							     : SKH_OUTCOME_FAILED,
+	leave_attempt(exchange,
+		      exchange->answer_status < 500 ? SKH_OUTCOME_GOOD : SKH_OUTCOME_FAILED,
 		      exchange->first_us - exchange->sent_us);
 	end_exchange(exchange);
 	skh_caller_conn_end(exchange->conn);
@@ -704,8 +703,10 @@
 static const char *end_name(skh_attempt_end_t end)
 {
 	static const char *const names[] = {
-		[SKH_END_UNREACHABLE] = "unreachable", [SKH_END_NOT_RUN] = "not_run",
-		[SKH_END_ERROR] = "error",	       [SKH_END_LOST] = "lost",
+		[SKH_END_UNREACHABLE] = "unreachable",
+		[SKH_END_NOT_RUN] = "not_run",
+		[SKH_END_ERROR] = "error",
+		[SKH_END_LOST] = "lost",
 		[SKH_END_CUT] = "cut",
 	};
 
@@ -732,8 +733,7 @@
 		.sends = exchange->sends,
 		.may_repeat = skh_retryshare_has_room(&exchange->front->share,
 						      &gateway->retry_bounds, now_us),
-		.is_suspect =
-			skh_culprits_is_held(gateway->culprits, exchange->content, now_us),
+		.is_suspect = skh_culprits_is_held(gateway->culprits, exchange->content, now_us),
 		.now_us = now_us,
 		.until_us = exchange->until_us,
 	};
@@ -890,9 +890,8 @@
 		MIN(exchange->until_us, exchange->received_us + exchange->route->timeout_us);
 	if (!exchange->route->needs_key || !exchange->routing->keys)
 		return true;
-	exchange->owner =
-		skh_routing_owner(exchange->routing, gateway->dialect->key_scheme,
-				  skh_message_header(exchange->request, "Authorization"));
+	exchange->owner = skh_routing_owner(exchange->routing, gateway->dialect->key_scheme,
+					    skh_message_header(exchange->request, "Authorization"));
 	if (!exchange->owner)
 		refuse_kind(exchange, SKH_UNAUTHORIZED, 0, "the key is not known");
 	return exchange->owner != NULL;
--- a/src/feed.c
+++ b/src/feed.c
@@ -55,15 +55,14 @@
 static void note_failure(skh_feed_t *feed, const skh_error_t *err)
 {
 	skh_metrics_add(SKH_COUNT_STORE_FAILED, 1);
-	feed->pause_us = feed->pause_us == 0 ? PAUSE_FIRST_US
-					     : MIN(feed->pause_us * 2, PAUSE_LAST_US);
+	feed->pause_us =
+		feed->pause_us == 0 ? PAUSE_FIRST_US : MIN(feed->pause_us * 2, PAUSE_LAST_US);
 	if (!feed->away && skh_clock_boot_us() - feed->answered_us > AWAY_US) {
 		feed->away = true;
-		skh_log(SKH_LOG_WARNING, PART, "Store is lost.", "revision=%" G_GINT64_FORMAT
-			" reason=%s", feed->after, err->text);
+		skh_log(SKH_LOG_WARNING, PART, "Store is lost.",
+			"revision=%" G_GINT64_FORMAT " reason=%s", feed->after, err->text);
 	}
-	sleep_us(feed, feed->pause_us / 2 +
-			       (int64_t)(skh_random_u64() % (uint64_t)feed->pause_us));
+	sleep_us(feed, feed->pause_us / 2 + (int64_t)(skh_random_u64() % (uint64_t)feed->pause_us));
 }
 
 static void note_answer(skh_feed_t *feed)
@@ -84,8 +83,7 @@
 /* Entries that vanish shortly after an outage may have lapsed in it. */
 static bool may_have_lapsed(const skh_feed_t *feed)
 {
-	return feed->back_us != 0 &&
-	       skh_clock_boot_us() - feed->back_us < SKH_ROSTER_LAPSE_US;
+	return feed->back_us != 0 && skh_clock_boot_us() - feed->back_us < SKH_ROSTER_LAPSE_US;
 }
 
 static void adopt_config(skh_feed_t *feed, const char *value, int64_t revision)
@@ -268,8 +266,7 @@
 static bool put_own_key(skh_feed_t *feed, skh_error_t *err)
 {
 	skh_store_t *store = feed->options.store;
-	g_autofree char *key =
-		g_strconcat(feed->options.peers_prefix, feed->options.own_id, NULL);
+	g_autofree char *key = g_strconcat(feed->options.peers_prefix, feed->options.own_id, NULL);
 	skh_op_t put = { SKH_OP_PUT, key, feed->options.own_address, 0 };
 	const skh_txn_t txn = { .ops = &put, .n_ops = 1 };
 	skh_txn_result_t result;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -34,7 +34,7 @@
 	skh_admin_t *admin;
 	skh_store_t *store;
 	skh_reload_t *reload;
-	gint ready; /* read by the administration's threads */
+	gint ready;	  /* read by the administration's threads */
 	int64_t leave_us; /* SIGTERM came then; 0 before */
 	int64_t stop_by_us;
 	bool closed;
@@ -71,11 +71,10 @@
 	for (guint i = 0; roster && i < roster->servers->len; i++) {
 		const skh_server_t *server = g_ptr_array_index(roster->servers, i);
 
-		json_array_append_new(servers,
-				      json_pack("{s:s, s:s, s:s, s:b}", "id", server->id, "service",
-						server->service, "failure_domain",
-						server->failure_domain, "leaving",
-						server->leaving));
+		json_array_append_new(servers, json_pack("{s:s, s:s, s:s, s:b}", "id", server->id,
+							 "service", server->service,
+							 "failure_domain", server->failure_domain,
+							 "leaving", server->leaving));
 	}
 	json = json_pack("{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:o}", "id", settings->id,
 			 "role", "gateway", "failure_domain", settings->failure_domain, "ready",
@@ -83,8 +82,8 @@
 			 "revision", (json_int_t)(routing ? routing->revision : 0),
 			 "roster_revision", (json_int_t)(roster ? roster->revision : 0),
 			 "fresh_age_ms",
-			 (json_int_t)(age_us == INT64_MAX ? -1 : age_us / SKH_US_PER_MS),
-			 "servers", servers);
+			 (json_int_t)(age_us == INT64_MAX ? -1 : age_us / SKH_US_PER_MS), "servers",
+			 servers);
 	skh_board_release(routing);
 	skh_board_release(roster);
 	return json;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -11,17 +11,17 @@
 
 #define PART "gossip"
 /* A gateway's whole budget for control is 2 KB/s; a third is left for the store. */
-#define BYTES_PER_S	 1400
-#define DATAGRAM_BYTES	 42 /* of Ethernet, IP and UDP before the report */
-#define LEAST_PAUSE_US	 (80 * SKH_US_PER_MS)
-#define MOST_PAUSE_US	 (1 * SKH_US_PER_S)
+#define BYTES_PER_S    1400
+#define DATAGRAM_BYTES 42 /* of Ethernet, IP and UDP before the report */
+#define LEAST_PAUSE_US (80 * SKH_US_PER_MS)
+#define MOST_PAUSE_US  (1 * SKH_US_PER_S)
 /* A gateway that is silent for longer has ended, or its requests have. */
-#define FORGET_US	 (2500 * SKH_US_PER_MS)
-#define MAX_SERVERS	 400
-#define MAX_CULPRITS	 16
-#define CULPRIT_REPEATS	 8
-#define MAX_COUNT	 255
-#define MAX_DATAGRAM	 4096
+#define FORGET_US	(2500 * SKH_US_PER_MS)
+#define MAX_SERVERS	400
+#define MAX_CULPRITS	16
+#define CULPRIT_REPEATS 8
+#define MAX_COUNT	255
+#define MAX_DATAGRAM	4096
 
 typedef struct peer_report {
 	uint64_t number;
@@ -307,8 +307,8 @@
 	sent = send_draft(gossip, &draft) * gossip->peers->len;
 	gossip->last_hash = hash;
 	gossip->last_us = now_us;
-	gossip->next_us = now_us + CLAMP((int64_t)sent * SKH_US_PER_S / BYTES_PER_S,
-					 LEAST_PAUSE_US, MOST_PAUSE_US);
+	gossip->next_us = now_us + CLAMP((int64_t)sent * SKH_US_PER_S / BYTES_PER_S, LEAST_PAUSE_US,
+					 MOST_PAUSE_US);
 }
 
 void skh_gossip_add_culprit(skh_gossip_t *gossip, uint64_t content, uint64_t crash)
--- a/src/log.c
+++ b/src/log.c
@@ -132,8 +132,8 @@
 	if (write_json)
 		print_json(level_name(flag), part, message, pairs);
 	else {
-		g_autofree char *whole = g_strdup_printf("%s: %s: %s%s%s\n", level_name(flag),
-							 part, message, *pairs ? " " : "", pairs);
+		g_autofree char *whole = g_strdup_printf("%s: %s: %s%s%s\n", level_name(flag), part,
+							 message, *pairs ? " " : "", pairs);
 
 		put_line(whole, strlen(whole));
 	}
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -126,8 +126,8 @@
 	}
 }
 
-void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank,
-			  const skh_engine_report_t *report, int64_t now_us)
+void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank, const skh_engine_report_t *report,
+			  int64_t now_us)
 {
 	skh_mapchange_rank_t *state = &change->ranks[rank];
 
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -90,8 +90,8 @@
 			int64_t version, int64_t fence, int64_t now_us);
 
 /** skh_mapchange_report() - a newer report of @rank */
-void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank,
-			  const skh_engine_report_t *report, int64_t now_us);
+void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank, const skh_engine_report_t *report,
+			  int64_t now_us);
 
 /**
  * skh_mapchange_next() - the order that @rank is to be sent now
--- a/src/message.c
+++ b/src/message.c
@@ -231,11 +231,16 @@
 
 bool skh_header_is_hop(const char *name)
 {
-	static const char *const hops[] = { "connection",	   "keep-alive",
-					    "proxy-authenticate",  "proxy-authorization",
-					    "proxy-connection",	   "te",
-					    "trailer",		   "transfer-encoding",
-					    "upgrade",		   "content-length",
+	static const char *const hops[] = { "connection",
+					    "keep-alive",
+					    "proxy-authenticate",
+					    "proxy-authorization",
+					    "proxy-connection",
+					    "te",
+					    "trailer",
+					    "transfer-encoding",
+					    "upgrade",
+					    "content-length",
 					    "expect" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(hops); i++) {
--- a/src/pick.c
+++ b/src/pick.c
@@ -56,8 +56,8 @@
 	if (view->n == 0)
 		return SKH_PICK_NONE;
 	for (uint32_t i = 0; i < view->n; i++)
-		any_sound = any_sound ||
-			    (!view->list[i].excluded && !is_avoided(view, &view->list[i]));
+		any_sound =
+			any_sound || (!view->list[i].excluded && !is_avoided(view, &view->list[i]));
 	return pick_among(view, !any_sound);
 }
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -23,22 +23,22 @@
 /** struct skh_candidate - what is known of one server */
 typedef struct skh_candidate {
 	uint32_t slots;
-	uint32_t running;     /* requests sent there and not ended, by all gateways */
-	double work;	      /* expected tokens of those, or 0 */
-	double mean_ms;	      /* of its recent answers; 0 when unknown */
-	double failing;	      /* part of recent requests that failed, 0 to 1 */
+	uint32_t running;      /* requests sent there and not ended, by all gateways */
+	double work;	       /* expected tokens of those, or 0 */
+	double mean_ms;	       /* of its recent answers; 0 when unknown */
+	double failing;	       /* part of recent requests that failed, 0 to 1 */
 	int64_t avoid_till_us; /* it failed; 0 when it did not */
 	int64_t full_till_us;  /* it turned a request away; 0 when it did not */
-	bool excluded;	      /* leaving, or tried by this request already */
+	bool excluded;	       /* leaving, or tried by this request already */
 } skh_candidate_t;
 
 /** struct skh_pick_view - all candidates of a service */
 typedef struct skh_pick_view {
 	const skh_candidate_t *list;
 	uint32_t n;
-	bool lock_step;	   /* ranks of one group */
+	bool lock_step;	     /* ranks of one group */
 	uint32_t overcommit; /* requests beyond its slots that a server may be given */
-	uint64_t draw;	   /* random, to break ties */
+	uint64_t draw;	     /* random, to break ties */
 	int64_t now_us;
 } skh_pick_view_t;
 
--- a/src/relief.c
+++ b/src/relief.c
@@ -231,8 +231,7 @@
 	uint32_t most = view->n_ranks * view->n_places;
 	uint32_t n = 0;
 
-	while (n < most && height(&state) * (double)view->n_ranks > view->target &&
-	       relieve(&state))
+	while (n < most && height(&state) * (double)view->n_ranks > view->target && relieve(&state))
 		n++;
 	g_free(state.count);
 	g_free(state.highest);
--- a/src/retryshare.h
+++ b/src/retryshare.h
@@ -28,8 +28,8 @@
 
 /** struct skh_retryshare_bounds - of all gateways together */
 typedef struct skh_retryshare_bounds {
-	double ratio;	   /* repeats for each request of the window */
-	double least;	   /* repeats that are always allowed in a window */
+	double ratio; /* repeats for each request of the window */
+	double least; /* repeats that are always allowed in a window */
 	int64_t window_us;
 	uint32_t gateways; /* that share @least; an upper bound */
 } skh_retryshare_bounds_t;
--- a/src/roster.h
+++ b/src/roster.h
@@ -28,9 +28,9 @@
 	char *host; /* IP address */
 	uint16_t port;
 	char *failure_domain;
-	uint32_t slots;	     /* requests that it works on at a time */
-	bool leaving;	     /* takes no new work */
-	int64_t born_ms;     /* Unix time of its start; 0 when not told */
+	uint32_t slots;		/* requests that it works on at a time */
+	bool leaving;		/* takes no new work */
+	int64_t born_ms;	/* Unix time of its start; 0 when not told */
 	int64_t lapsed_till_us; /* gone from the list in an outage, used until then; 0: listed */
 } skh_server_t;
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -65,7 +65,7 @@
 	const char *peers_prefix;
 	int64_t poll_pace_ms;
 	int64_t poll_wait_ms;
-	int64_t key_trust_ms; /* keys hold this long after the store was last heard */
+	int64_t key_trust_ms;  /* keys hold this long after the store was last heard */
 	int64_t retry_percent; /* repeats for 100 requests, of all gateways together */
 	int64_t retry_least;   /* repeats that are always allowed in a window */
 	int64_t retry_window_ms;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -174,8 +174,8 @@
 	int64_t limit_us = upstream->pool->options->max_idle_us;
 
 	if (timeout) {
-		int64_t said_us = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) *
-				  SKH_US_PER_S;
+		int64_t said_us =
+			g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) * SKH_US_PER_S;
 
 		/* Half of it, as it ends at the server's side and unseen for a while. */
 		limit_us = MIN(limit_us, said_us / 2);
@@ -389,9 +389,9 @@
 
 static void connect_upstream(skh_upstream_t *upstream)
 {
-	int status = uv_tcp_connect(&upstream->connect, &upstream->tcp,
-				    (const struct sockaddr *)&upstream->pool->address,
-				    on_connected);
+	int status =
+		uv_tcp_connect(&upstream->connect, &upstream->tcp,
+			       (const struct sockaddr *)&upstream->pool->address, on_connected);
 	int64_t timeout_us = upstream->pool->options->connect_timeout_us;
 
 	if (status == 0)
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -57,10 +57,10 @@
 
 /** struct skh_send - one request for a server */
 typedef struct skh_send {
-	skh_chunk_t bytes; /* copied */
+	skh_chunk_t bytes;	/* copied */
 	const char *attempt_id; /* NULL for a call whose answer names none */
-	bool head_only; /* the answer has no body */
-	bool fresh;	/* on a new connection: an old one may be dead unseen */
+	bool head_only;		/* the answer has no body */
+	bool fresh;		/* on a new connection: an old one may be dead unseen */
 } skh_send_t;
 
 /** skh_pool_send() - send; callbacks never come before this returns */
--- a/src/waitline.h
+++ b/src/waitline.h
@@ -44,8 +44,7 @@
 skh_waiter_t *skh_waitline_hopeless(const skh_waitline_t *line, int64_t now_us);
 
 /** skh_waitline_ahead() - how many would be served before a newcomer like @waiter */
-uint32_t skh_waitline_ahead(const skh_waitline_t *line, const skh_waiter_t *waiter,
-			    int64_t now_us);
+uint32_t skh_waitline_ahead(const skh_waitline_t *line, const skh_waiter_t *waiter, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -448,7 +448,8 @@
 TEST(Message, SmuggledRequestsAreRefused)
 {
 	const char *const bad[] = {
-		"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: "
+		"chunked\r\n\r\n0\r\n\r\n",
 		"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
 		"POST / HTTP/1.1\r\nContent-Length: 5x\r\n\r\nhello",
 		"POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\nhello",
@@ -467,7 +468,8 @@
 
 TEST(Message, StopsAtTheEndOfOneMessage)
 {
-	const std::string two = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n";
+	const std::string two =
+		"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n";
 	static const skh_message_ops_t ops = {};
 	skh_message_t message = {};
 	skh_error_t err = {};
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -423,9 +423,8 @@
 		int64_t fence = coordinator.lease * 4096 + ++coordinator.number;
 
 		skh_mapchange_init(&coordinator.change, static_cast<uint32_t>(engines.size()),
-				   coordinator.own,
-				   coordinator.reports[coordinator.own].epoch, fence,
-				   planted == Planted::kSameFence ? 1 : fence, now);
+				   coordinator.own, coordinator.reports[coordinator.own].epoch,
+				   fence, planted == Planted::kSameFence ? 1 : fence, now);
 		coordinator.changing = true;
 		for (auto &number : coordinator.under_way)
 			number = 0;
@@ -449,7 +448,8 @@
 	void act(Coordinator &coordinator)
 	{
 		size_t index = 0;
-		bool woke = now >= coordinator.frozen_till && now < coordinator.frozen_till + 50 * kMs;
+		bool woke =
+			now >= coordinator.frozen_till && now < coordinator.frozen_till + 50 * kMs;
 
 		while (coordinators[index].get() != &coordinator)
 			index++;
--- /dev/null
+++ b/test/standin/fleet_store.c
@@ -0,0 +1,432 @@
+/*
+ * Stand-in for the users' metadata store: items with revisions, ranges, long
+ * polls, transactions, leases. POST /put {"key","value"} writes as the operator
+ * does; DELETE /put?key=K removes. POST /fault {"mode":M,"count":N,"ms":T,
+ * "only":PART}: "down" answers 503, "slow" waits, "lose" does the work and hangs
+ * up, "drop" hangs up without it, "silent" waits and hangs up, "forget" drops
+ * the history. GET /counts tells the calls.
+ */
+#define _GNU_SOURCE
+#include "standin.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define POLL_US	      (10 * 1000)
+#define US_PER_MS     1000
+#define SILENT_US     (3 * 1000 * 1000)
+#define MAX_HISTORY   20000
+#define MAX_EVENTS    200
+#define STATUS_GONE   410
+#define STATUS_FAILED 412
+
+typedef struct item {
+	char *value; /* base64 */
+	int64_t revision;
+	int64_t created;
+	int64_t lease;
+} item_t;
+
+typedef struct event {
+	int64_t revision;
+	char *key;
+	json_t *json;
+} event_t;
+
+static GMutex lock;
+static GTree *items;	   /* key -> item_t */
+static GArray *history;	   /* event_t */
+static GHashTable *leases; /* id -> deadline, both int64_t */
+static GHashTable *ttls;   /* id -> ttl in ms */
+static int64_t revision = 5;
+static int64_t next_lease = 100;
+static int64_t forgotten; /* history up to here is gone */
+static int64_t calls;
+static char fault_mode[16];
+static char fault_only[32];
+static int64_t fault_count;
+static int64_t fault_ms;
+
+static void free_item(gpointer data)
+{
+	item_t *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	(void)unused;
+	return strcmp(a, b);
+}
+
+static json_t *item_json(const char *key, const item_t *item)
+{
+	return json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key, "value", item->value, "revision",
+			 (json_int_t)item->revision, "create-rev", (json_int_t)item->created,
+			 "lease", (json_int_t)item->lease);
+}
+
+static void add_event(const char *key, json_t *json)
+{
+	event_t event = { revision, g_strdup(key), json };
+
+	g_array_append_val(history, event);
+	if (history->len > MAX_HISTORY) {
+		event_t *old = &g_array_index(history, event_t, 0);
+
+		forgotten = old->revision;
+		g_free(old->key);
+		json_decref(old->json);
+		g_array_remove_index(history, 0);
+	}
+}
+
+/* @value in base64. */
+static void put(const char *key, const char *value, int64_t lease)
+{
+	item_t *old = g_tree_lookup(items, key);
+	item_t *item = g_new0(item_t, 1);
+
+	item->value = g_strdup(value);
+	item->revision = ++revision;
+	item->created = old ? old->created : revision;
+	item->lease = lease;
+	g_tree_replace(items, g_strdup(key), item);
+	add_event(key, item_json(key, item));
+}
+
+static void drop(const char *key)
+{
+	g_autofree char *copy = g_strdup(key);
+
+	if (!g_tree_lookup(items, copy))
+		return;
+	g_tree_remove(items, copy);
+	revision++;
+	add_event(copy, json_pack("{s:s, s:I, s:b}", "key", copy, "revision", (json_int_t)revision,
+				  "tombstone", 1));
+}
+
+typedef struct search {
+	const char *prefix;
+	const char *after;
+	int64_t lease;
+	json_t *found;
+	GPtrArray *keys;
+} search_t;
+
+static gboolean match_prefix(gpointer key, gpointer value, gpointer data)
+{
+	search_t *search = data;
+
+	if (g_str_has_prefix(key, search->prefix) &&
+	    (!search->after || strcmp(key, search->after) > 0))
+		json_array_append_new(search->found, item_json(key, value));
+	return FALSE;
+}
+
+static gboolean match_lease(gpointer key, gpointer value, gpointer data)
+{
+	search_t *search = data;
+
+	if (((item_t *)value)->lease == search->lease)
+		g_ptr_array_add(search->keys, g_strdup(key));
+	return FALSE;
+}
+
+static void end_lease(int64_t id)
+{
+	search_t search = { .lease = id, .keys = g_ptr_array_new_with_free_func(g_free) };
+
+	g_tree_foreach(items, match_lease, &search);
+	for (guint i = 0; i < search.keys->len; i++)
+		drop(search.keys->pdata[i]);
+	g_ptr_array_unref(search.keys);
+	(void)g_hash_table_remove(leases, &id);
+}
+
+static void expire_leases(void)
+{
+	g_autoptr(GList) ids = g_hash_table_get_keys(leases);
+
+	for (GList *id = ids; id; id = id->next) {
+		const int64_t *deadline = g_hash_table_lookup(leases, id->data);
+
+		if (g_get_monotonic_time() > *deadline)
+			end_lease(*(int64_t *)id->data);
+	}
+}
+
+static void keep_lease(int64_t id, int64_t ttl_ms)
+{
+	int64_t deadline = g_get_monotonic_time() + ttl_ms * US_PER_MS;
+
+	(void)g_hash_table_replace(leases, g_memdup2(&id, sizeof(id)),
+				   g_memdup2(&deadline, sizeof(deadline)));
+	(void)g_hash_table_replace(ttls, g_memdup2(&id, sizeof(id)),
+				   g_memdup2(&ttl_ms, sizeof(ttl_ms)));
+}
+
+static char *query_of(struct mg_connection *connection, const char *name)
+{
+	const char *query = mg_get_request_info(connection)->query_string;
+	char value[1024];
+
+	if (!query || mg_get_var(query, strlen(query), name, value, sizeof(value)) < 0)
+		return NULL;
+	return g_strdup(value);
+}
+
+static int64_t number_of(struct mg_connection *connection, const char *name)
+{
+	g_autofree char *text = query_of(connection, name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
+static json_t *get_key(struct mg_connection *connection, int *status)
+{
+	g_autofree char *key = query_of(connection, "key");
+	item_t *item = key ? g_tree_lookup(items, key) : NULL;
+	json_t *json = item ? item_json(key, item) : json_object();
+
+	json_object_set_new(json, "current-rev", json_integer(revision));
+	*status = item ? 200 : 404;
+	return json;
+}
+
+static json_t *get_range(struct mg_connection *connection)
+{
+	g_autofree char *prefix = query_of(connection, "prefix");
+	g_autofree char *after = query_of(connection, "after");
+	search_t search = { .prefix = prefix ? prefix : "", .after = after, .found = json_array() };
+
+	g_tree_foreach(items, match_prefix, &search);
+	return json_pack("{s:o, s:b, s:I}", "items", search.found, "truncated", 0, "current-rev",
+			 (json_int_t)revision);
+}
+
+static json_t *events_after(const char *prefix, int64_t after)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < history->len && json_array_size(list) < MAX_EVENTS; i++) {
+		const event_t *event = &g_array_index(history, event_t, i);
+
+		if (event->revision > after && g_str_has_prefix(event->key, prefix))
+			json_array_append(list, event->json);
+	}
+	return list;
+}
+
+/* Called with the lock held, which it gives up while it waits. */
+static json_t *watch(struct mg_connection *connection, int *status)
+{
+	g_autofree char *prefix = query_of(connection, "prefix");
+	int64_t after = number_of(connection, "after");
+	int64_t until = g_get_monotonic_time() + number_of(connection, "wait-ms") * US_PER_MS;
+	json_t *list = NULL;
+
+	for (;;) {
+		if (after < forgotten) {
+			*status = STATUS_GONE;
+			return json_object();
+		}
+		list = events_after(prefix ? prefix : "", after);
+		if (json_array_size(list) > 0 || g_get_monotonic_time() >= until)
+			break;
+		json_decref(list);
+		g_mutex_unlock(&lock);
+		(void)usleep(POLL_US);
+		g_mutex_lock(&lock);
+		expire_leases();
+	}
+	return json_pack("{s:o, s:I}", "events", list, "current-rev", (json_int_t)revision);
+}
+
+static bool fits(const json_t *expected)
+{
+	json_t *row;
+	size_t index;
+
+	json_array_foreach(expected, index, row) {
+		const item_t *item = g_tree_lookup(
+			items, json_string_value(json_object_get(row, "key")));
+
+		if ((item ? item->revision : 0) !=
+		    json_integer_value(json_object_get(row, "revision")))
+			return false;
+	}
+	return true;
+}
+
+static json_t *transact(const json_t *request, int *status)
+{
+	json_t *row;
+	size_t index;
+
+	if (!fits(json_object_get(request, "expected"))) {
+		*status = STATUS_FAILED;
+		return json_pack("{s:[]}", "items");
+	}
+	json_array_foreach(json_object_get(request, "puts"), index, row) {
+		int64_t lease = json_integer_value(json_object_get(row, "lease"));
+
+		if (lease != 0 && !g_hash_table_contains(leases, &lease)) {
+			*status = 404;
+			return json_object();
+		}
+		put(json_string_value(json_object_get(row, "key")),
+		    json_string_value(json_object_get(row, "value")), lease);
+	}
+	json_array_foreach(json_object_get(request, "remove"), index, row)
+		drop(json_string_value(row));
+	return json_pack("{s:I}", "revision", (json_int_t)revision);
+}
+
+static json_t *grant(const json_t *request)
+{
+	int64_t ttl_ms = json_integer_value(json_object_get(request, "ttl-ms"));
+
+	keep_lease(++next_lease, ttl_ms);
+	return json_pack("{s:I, s:I}", "lease", (json_int_t)next_lease, "ttl-ms",
+			 (json_int_t)ttl_ms);
+}
+
+static json_t *renew(const char *path, int *status)
+{
+	int64_t id = g_ascii_strtoll(strrchr(path, '/') + 1, NULL, 10);
+	const int64_t *ttl_ms = g_hash_table_lookup(ttls, &id);
+
+	if (!g_hash_table_contains(leases, &id) || !ttl_ms) {
+		*status = 404;
+		return json_object();
+	}
+	keep_lease(id, *ttl_ms);
+	return json_pack("{s:I}", "ttl-ms", (json_int_t)*ttl_ms);
+}
+
+static json_t *put_by_operator(struct mg_connection *connection, const json_t *request)
+{
+	const char *value = json_string_value(json_object_get(request, "value"));
+	g_autofree char *encoded = NULL;
+	g_autofree char *removed = query_of(connection, "key");
+
+	if (removed) {
+		drop(removed);
+	} else if (value) {
+		encoded = g_base64_encode((const guchar *)value, strlen(value));
+		put(json_string_value(json_object_get(request, "key")), encoded, 0);
+	}
+	return json_pack("{s:I}", "revision", (json_int_t)revision);
+}
+
+static json_t *set_fault(const json_t *request)
+{
+	const char *mode = json_string_value(json_object_get(request, "mode"));
+	const char *only = json_string_value(json_object_get(request, "only"));
+
+	(void)g_strlcpy(fault_mode, mode ? mode : "", sizeof(fault_mode));
+	(void)g_strlcpy(fault_only, only ? only : "", sizeof(fault_only));
+	fault_count = json_integer_value(json_object_get(request, "count"));
+	fault_ms = json_integer_value(json_object_get(request, "ms"));
+	if (strcmp(fault_mode, "forget") == 0) {
+		forgotten = revision;
+		fault_count = 0;
+	}
+	return json_object();
+}
+
+static json_t *serve(struct mg_connection *connection, const json_t *request, int *status)
+{
+	const char *path = mg_get_request_info(connection)->local_uri;
+
+	if (strcmp(path, "/put") == 0)
+		return put_by_operator(connection, request);
+	if (strcmp(path, "/fault") == 0)
+		return set_fault(request);
+	if (strcmp(path, "/counts") == 0)
+		return json_pack("{s:I, s:I}", "calls", (json_int_t)calls, "revision",
+				 (json_int_t)revision);
+	calls++;
+	if (strcmp(path, "/v1/kv-key") == 0)
+		return get_key(connection, status);
+	if (strcmp(path, "/v1/kv-range") == 0)
+		return get_range(connection);
+	if (strcmp(path, "/v1/kv-watch") == 0)
+		return watch(connection, status);
+	if (strcmp(path, "/v1/kv-txn") == 0)
+		return transact(request, status);
+	if (strcmp(path, "/v1/kv-lease") == 0)
+		return grant(request);
+	if (g_str_has_prefix(path, "/v1/kv-keep/"))
+		return renew(path, status);
+	*status = 404;
+	return json_object();
+}
+
+/* Whether the fault strikes this call; "lose" strikes after the work. */
+static bool strikes(const char *path, char *mode, int64_t *ms)
+{
+	if (fault_count <= 0 || !g_str_has_prefix(path, "/v1/") ||
+	    (*fault_only && !strstr(path, fault_only)))
+		return false;
+	fault_count--;
+	(void)g_strlcpy(mode, fault_mode, sizeof(fault_mode));
+	*ms = fault_ms;
+	return true;
+}
+
+static int handle(struct mg_connection *connection, void *unused)
+{
+	const char *path = mg_get_request_info(connection)->local_uri;
+	json_t *request = standin_read_json(connection);
+	char mode[sizeof(fault_mode)] = "";
+	int64_t ms = 0;
+	int status = 200;
+	json_t *answer;
+
+	(void)unused;
+	g_mutex_lock(&lock);
+	expire_leases();
+	(void)strikes(path, mode, &ms);
+	g_mutex_unlock(&lock);
+	if (strcmp(mode, "slow") == 0)
+		(void)usleep((useconds_t)(ms * US_PER_MS));
+	if (strcmp(mode, "silent") == 0)
+		(void)usleep(SILENT_US);
+	if (strcmp(mode, "drop") == 0 || strcmp(mode, "silent") == 0) {
+		json_decref(request);
+		return standin_hang_up(connection);
+	}
+	if (strcmp(mode, "down") == 0) {
+		json_decref(request);
+		return standin_answer(connection, 503, json_object());
+	}
+	g_mutex_lock(&lock);
+	answer = serve(connection, request, &status);
+	g_mutex_unlock(&lock);
+	json_decref(request);
+	if (strcmp(mode, "lose") == 0) {
+		json_decref(answer);
+		return standin_hang_up(connection);
+	}
+	return standin_answer(connection, status, answer);
+}
+
+int main(int argc, char **argv)
+{
+	if (argc != 2) {
+		(void)fprintf(stderr, "usage: standin-fleet_store ADDRESS:PORT\n");
+		return 2;
+	}
+	items = g_tree_new_full(compare_keys, NULL, g_free, free_item);
+	history = g_array_new(FALSE, FALSE, sizeof(event_t));
+	leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	ttls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	return standin_serve(argv[1], handle);
+}
