Leave entries alone whose instance is gone: after a power cut half of the list is stale

Now an entry is superseded by a later start at its address, and a 421 keeps the entry out for four seconds.

--- a/src/backends.c
+++ b/src/backends.c
@@ -14,6 +14,8 @@
 #define AVOID_MOST 5 /* doublings */
 /* A server that turned a request away has room again after about this. */
 #define FULL_US	     (60 * SKH_US_PER_MS)
+/* The entry of an instance that is gone lapses after three missed heartbeats. */
+#define MISPLACED_US (4 * SKH_US_PER_S)
 #define RATE_SLOT_US (500 * SKH_US_PER_MS)
 /* Beyond its slots a plain server may be given this many, as answers take a moment to arrive. */
 #define OVERCOMMIT_PLAIN 2
@@ -111,6 +113,26 @@
 	       strcmp(a->service, b->service) == 0;
 }
 
+/* After a crash the entry of before stays listed for a while beside the new one. */
+static void note_address(gpointer key, gpointer value, gpointer context)
+{
+	skh_target_t *other = value;
+	skh_target_t *fresh = context;
+	bool is_later = fresh->server->born_ms > other->server->born_ms;
+
+	(void)key;
+	if (other == fresh || other->server->port != fresh->server->port ||
+	    strcmp(other->server->host, fresh->server->host) != 0 ||
+	    fresh->server->born_ms == other->server->born_ms)
+		return;
+	other->superseded = other->superseded || is_later;
+	fresh->superseded = fresh->superseded || !is_later;
+	skh_log(SKH_LOG_INFO, PART, "Address has a new instance.", "address=%s:%u old=%s new=%s",
+		fresh->server->host, fresh->server->port,
+		is_later ? other->server->id : fresh->server->id,
+		is_later ? fresh->server->id : other->server->id);
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -122,6 +144,7 @@
 	target->listed = true;
 	g_ptr_array_add(target->front->targets, target);
 	g_hash_table_insert(backends->targets, target->server->id, target);
+	g_hash_table_foreach(backends->targets, note_address, target);
 	skh_log(SKH_LOG_INFO, PART, "Server listed.", "server=%s service=%s address=%s:%u",
 		server->id, server->service, server->host, server->port);
 }
@@ -199,7 +222,9 @@
 			.failing = target->failing,
 			.avoid_till_us = target->avoid_till_us,
 			.full_till_us = target->full_till_us,
-			.excluded = target->server->leaving || was_tried(tried, target),
+			.excluded = target->server->leaving || target->superseded ||
+				    now_us < target->misplaced_till_us ||
+				    was_tried(tried, target),
 		};
 	}
 	chosen = skh_pick_server(&view);
@@ -211,7 +236,7 @@
 	for (guint i = 0; i < front->targets->len; i++) {
 		const skh_target_t *target = g_ptr_array_index(front->targets, i);
 
-		if (!target->server->leaving)
+		if (!target->server->leaving && !target->superseded)
 			return true;
 	}
 	return false;
@@ -289,6 +314,8 @@
 	else if (outcome == SKH_OUTCOME_FULL)
 		target->full_till_us =
 			now_us + FULL_US + (int64_t)(skh_random_u64() % (uint64_t)FULL_US);
+	else if (outcome == SKH_OUTCOME_MISPLACED)
+		target->misplaced_till_us = now_us + MISPLACED_US;
 	else if (outcome != SKH_OUTCOME_WITHDRAWN)
 		note_failure(target, outcome, now_us);
 	skh_target_unref(target);
--- a/src/backends.h
+++ b/src/backends.h
@@ -38,6 +38,8 @@
 	uint32_t failures; /* in a row */
 	int64_t avoid_till_us;
 	int64_t full_till_us;
+	int64_t misplaced_till_us; /* another instance answered at its address */
+	bool superseded;	   /* a later start is listed at its address */
 };
 
 #define SKH_FRONT_RATE_SLOTS 8
@@ -94,6 +96,7 @@
 	SKH_OUTCOME_FAILED,
 	SKH_OUTCOME_UNREACHABLE,
 	SKH_OUTCOME_FULL,
+	SKH_OUTCOME_MISPLACED, /* another instance has its address */
 	SKH_OUTCOME_WITHDRAWN /* the caller left: says nothing */
 } skh_outcome_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -656,8 +656,10 @@
 	.on_lost = on_lost,
 };
 
-static skh_outcome_t outcome_of(skh_attempt_end_t end)
+static skh_outcome_t outcome_of(const exchange_t *exchange, skh_attempt_end_t end)
 {
+	if (end == SKH_END_NOT_RUN && exchange->attempt_status == 421)
+		return SKH_OUTCOME_MISPLACED;
 	switch (end) {
 	case SKH_END_UNREACHABLE:
 		return SKH_OUTCOME_UNREACHABLE;
@@ -747,7 +749,7 @@
 		return;
 	}
 	target->references++; /* outlives the attempt */
-	leave_attempt(exchange, outcome_of(end), 0);
+	leave_attempt(exchange, outcome_of(exchange, end), 0);
 	if (verdict == SKH_VERDICT_AGAIN)
 		send_again(exchange, target, end, now_us);
 	else
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -80,14 +80,17 @@
 	skh_engine_report_t report;
 	skh_error_t err;
 	bool changed;
+	bool formed;
 
 	if (!watch->dialect->read_report(body, &report, &err)) {
 		skh_log(SKH_LOG_WARNING, PART, "Report not read.", "reason=%s", err.text);
 		return;
 	}
 	changed = !watch->news.has_report || differs(&report, &watch->news.report);
+	formed = !watch->news.has_report || report.epoch != watch->news.report.epoch ||
+		 report.group_open != watch->news.report.group_open;
 	if (changed)
-		skh_log(SKH_LOG_INFO, PART, "Engine's state.",
+		skh_log(formed ? SKH_LOG_INFO : SKH_LOG_DEBUG, PART, "Engine's state.",
 			"group=%s rank=%u size=%u epoch=%" G_GINT64_FORMAT
 			" open=%d pass=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
 			" prepared=%" G_GINT64_FORMAT " armed=%" G_GINT64_FORMAT
