--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 what=${1:-all}
 status=0
 mapfile -t all < <(git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
-mapfile -t product < <(git ls-files -co --exclude-standard 'src/*.c' | grep -v pb-c)
+mapfile -t product < <(git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' | grep -v pb-c)
 
 if [ "$what" != tidy ]; then
 	clang-format --dry-run -Werror "${all[@]}" 2>&1 | grep error: | head -n 20
--- a/src/backends.c
+++ b/src/backends.c
@@ -13,7 +13,7 @@
 #define AVOID_US   (200 * SKH_US_PER_MS)
 #define AVOID_MOST 5 /* doublings */
 /* A server that turned a request away has room again after about this. */
-#define FULL_US	     (60 * SKH_US_PER_MS)
+#define FULL_US (60 * SKH_US_PER_MS)
 /* The entry of an instance that is gone lapses after three missed heartbeats. */
 #define MISPLACED_US (4 * SKH_US_PER_S)
 #define RATE_SLOT_US (500 * SKH_US_PER_MS)
@@ -223,8 +223,7 @@
 			.avoid_till_us = target->avoid_till_us,
 			.full_till_us = target->full_till_us,
 			.excluded = target->server->leaving || target->superseded ||
-				    now_us < target->misplaced_till_us ||
-				    was_tried(tried, target),
+				    now_us < target->misplaced_till_us || was_tried(tried, target),
 		};
 	}
 	chosen = skh_pick_server(&view);
--- a/src/backends.h
+++ b/src/backends.h
@@ -97,7 +97,7 @@
 	SKH_OUTCOME_UNREACHABLE,
 	SKH_OUTCOME_FULL,
 	SKH_OUTCOME_MISPLACED, /* another instance has its address */
-	SKH_OUTCOME_WITHDRAWN /* the caller left: says nothing */
+	SKH_OUTCOME_WITHDRAWN  /* the caller left: says nothing */
 } skh_outcome_t;
 
 /** skh_target_end() - @took_us: to the first event or the whole answer; 0 when unknown */
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -119,17 +119,19 @@
 	const char *address = balancer->lease.coordinator;
 	const char *colon = strrchr(address, ':');
 	g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
-	g_autofree uint8_t *packed = g_malloc(skh__rank_report__get_packed_size(message) + 1);
+	uint8_t *packed;
 	struct sockaddr_in to;
 	uv_buf_t buffer;
 	size_t len;
 
 	if (!host || uv_ip4_addr(host, atoi(colon + 1), &to) != 0)
 		return 0;
+	packed = g_malloc(skh__rank_report__get_packed_size(message) + 1);
 	len = skh__rank_report__pack(message, packed);
 	buffer = uv_buf_init((char *)packed, (unsigned int)len);
 	/* A report that does not go out is made good by the next. */
 	(void)uv_udp_try_send(&balancer->udp, &buffer, 1, (const struct sockaddr *)&to);
+	g_free(packed);
 	skh_metrics_add(SKH_COUNT_CONTROL_BYTES_OUT, len);
 	return len + DATAGRAM_BYTES;
 }
@@ -348,20 +350,16 @@
 	return true;
 }
 
-int skh_balancer_main(const skh_settings_t *settings)
+static int run(balancer_t *balancer)
 {
-	balancer_t *balancer = g_new0(balancer_t, 1);
 	g_autofree char *prefix =
-		g_strdup_printf("skylarkhead/groups/%s/", settings->backend_service);
+		g_strdup_printf("skylarkhead/groups/%s/", balancer->settings->backend_service);
 	skh_error_t err;
 
-	skh_process_setup(settings);
-	balancer->settings = settings;
-	balancer->reload = skh_reload_new(settings);
-	balancer->dialect = skh_dialect_find(settings->dialect);
+	balancer->dialect = skh_dialect_find(balancer->settings->dialect);
 	if (!balancer->dialect) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=no dialect is called \"%s\"",
-			settings->dialect);
+			balancer->settings->dialect);
 		return 1;
 	}
 	if (!start(balancer, prefix, &err)) {
@@ -371,6 +369,17 @@
 	(void)uv_run(&balancer->loop, UV_RUN_DEFAULT);
 	skh_election_stop(balancer->election);
 	skh_admin_stop(balancer->admin);
-	skh_log(SKH_LOG_INFO, PART, "Balancer has stopped.", "id=%s", settings->id);
+	skh_log(SKH_LOG_INFO, PART, "Balancer has stopped.", "id=%s", balancer->settings->id);
 	return 0;
 }
+
+int skh_balancer_main(const skh_settings_t *settings)
+{
+	/* Threads may use it up to the end of the process. */
+	static balancer_t balancer;
+
+	skh_process_setup(settings);
+	balancer.settings = settings;
+	balancer.reload = skh_reload_new(settings);
+	return run(&balancer);
+}
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -71,31 +71,31 @@
 struct skh_coordinator {
 	skh_coordinator_options_t options;
 	skh_engine_shape_t shape;
-	uint32_t n_ranks;
-	uint32_t own;
-	bool has_own;
 	rank_state_t ranks[SKH_MAPCHANGE_MAX_RANKS];
+	skh_mapchange_t change;
+	skh_mapplan_result_t plan;
 	skh_engine_client_t *offered; /* an engine that is asked for its rank, or NULL */
+	skh_forecast_t **forecasts;   /* one a set */
+	uint32_t *map;		      /* in use, [sets][ranks][placements] */
+	uint32_t *next;		      /* that the change under way brings */
+	double *counts;		      /* of the interval, [sets][experts] */
+	double *shares;		      /* expected, [sets][experts] */
+	double *before;		      /* shares before the shift that is under way */
 	int64_t offered_us;
-	uint32_t *map;	   /* in use, [sets][ranks][placements] */
-	uint32_t *next;	   /* that the change under way brings */
-	double *counts;	   /* of the interval, [sets][experts] */
-	double *shares;	   /* expected, [sets][experts] */
-	bool fresh_counts; /* the shares have changed since the last decision */
 	int64_t observe_us;
-	double *before;		    /* shares before the shift that is under way */
-	bool shifting;		    /* seen in the interval before */
-	skh_forecast_t **forecasts; /* one a set */
-	skh_mapchange_t change;
-	bool changing;
-	skh_fence_t fences;
-	int64_t fence; /* of the lease; 0 while it is not held */
 	int64_t decide_us;
 	int64_t complained_us;
+	int64_t change_since_us;
+	skh_fence_t fences;
+	int64_t fence; /* of the lease; 0 while it is not held */
+	uint32_t n_ranks;
+	uint32_t own;
+	bool has_own;
+	bool fresh_counts; /* the shares have changed since the last decision */
+	bool shifting;	   /* a shift was seen in the interval before */
+	bool changing;
 	bool outdated;
 	bool repair; /* the last change failed: its leavings must go */
-	skh_mapplan_result_t plan;
-	int64_t change_since_us;
 };
 
 skh_coordinator_t *skh_coordinator_new(const skh_coordinator_options_t *options,
@@ -284,19 +284,19 @@
 	skh_coordinator_t *coordinator = context;
 	uint32_t places = coordinator->shape.placements;
 	uint32_t sets = coordinator->shape.sets;
-	g_autofree uint32_t *map = g_new0(uint32_t, (size_t)sets * places + 1);
+	uint32_t *map;
 	int64_t version;
 	skh_error_t err;
 
 	coordinator->ranks[tag].asking = false;
 	if (status != 200)
 		return;
-	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &version, &err)) {
+	map = g_new0(uint32_t, (size_t)sets * places + 1);
+	if (!coordinator->options.dialect->read_lists(body, sets, places, map, &version, &err))
 		skh_log(SKH_LOG_WARNING, PART, "Map not read.", "rank=%u reason=%s", tag, err.text);
-		return;
-	}
-	if (version == coordinator->ranks[tag].report.map_version)
+	else if (version == coordinator->ranks[tag].report.map_version)
 		place_map(coordinator, tag, map);
+	g_free(map);
 }
 
 static void ask_lists(skh_coordinator_t *coordinator, uint32_t rank)
@@ -589,7 +589,7 @@
 static double stretch_counts(skh_coordinator_t *coordinator)
 {
 	uint32_t experts = coordinator->shape.experts;
-	g_autofree double *now = g_new(double, experts);
+	double *now = g_new(double, experts);
 	double gone = 0.0;
 
 	for (uint32_t set = 0; set < coordinator->shape.sets; set++) {
@@ -600,6 +600,7 @@
 					     experts, counts);
 		skh_forecast_restart(coordinator->forecasts[set]);
 	}
+	g_free(now);
 	return gone / (double)coordinator->shape.sets;
 }
 
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -36,9 +36,9 @@
 void skh_coordinator_set_weights(skh_coordinator_t *coordinator, double skew_weight,
 				 double cost_weight);
 
-/** skh_coordinator_report() - a rank's report; @own when it is the rank beside this process */
-void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *report, bool own,
-			    int64_t now_us);
+/** skh_coordinator_report() - a rank's report, @message; @own when it is the rank beside this process */
+void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
+			    bool own, int64_t now_us);
 
 /** skh_coordinator_lacks_ranks() - the address of some rank's engine is not known */
 bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator);
--- a/src/election.c
+++ b/src/election.c
@@ -18,7 +18,7 @@
 #define PAUSE_US  (120 * SKH_US_PER_MS)
 #define START_US  (600 * SKH_US_PER_MS)
 /* A renewal that takes longer is worth a line. */
-#define SLOW_US	 (150 * SKH_US_PER_MS)
+#define SLOW_US (150 * SKH_US_PER_MS)
 /* The list is read no more often while it is wanted. */
 #define SERVERS_US (1 * SKH_US_PER_S)
 #define SLICE_US   (50 * SKH_US_PER_MS)
@@ -35,7 +35,7 @@
 	bool wants_servers;
 	/* Of the thread alone: */
 	int64_t lease;
-	int64_t revision; /* of the store, as last read */
+	int64_t revision;   /* of the store, as last read */
 	int64_t servers_us; /* when they were read */
 };
 
@@ -227,7 +227,8 @@
 			pairs.list[i].key, skh_chunk_from_string(pairs.list[i].value), &err);
 
 		if (server && strcmp(server->service, election->options.service) == 0)
-			g_ptr_array_add(found, g_strdup_printf("%s:%u", server->host, server->port));
+			g_ptr_array_add(found,
+					g_strdup_printf("%s:%u", server->host, server->port));
 		skh_server_free(server);
 	}
 	skh_pairs_clear(&pairs);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -277,12 +277,10 @@
 	return true;
 }
 
-int skh_gateway_main(const skh_settings_t *settings)
+static int run(shell_t *shell, const skh_settings_t *settings)
 {
-	shell_t *shell = g_new0(shell_t, 1);
 	skh_error_t err;
 
-	skh_process_setup(settings);
 	shell->gateway.dialect = skh_dialect_find(settings->dialect);
 	if (!shell->gateway.dialect) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=no dialect is called \"%s\"",
@@ -302,3 +300,12 @@
 	skh_log(SKH_LOG_INFO, PART, "Gateway has stopped.", "id=%s", settings->id);
 	return 0;
 }
+
+int skh_gateway_main(const skh_settings_t *settings)
+{
+	/* Threads may use it up to the end of the process. */
+	static shell_t shell;
+
+	skh_process_setup(settings);
+	return run(&shell, settings);
+}
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -249,20 +249,18 @@
 
 bool skh_mapplan_is_valid(const skh_engine_shape_t *shape, uint32_t ranks, const uint32_t *map)
 {
-	g_autofree uint64_t *seen = g_new(uint64_t, shape->experts);
+	uint64_t *seen = g_new(uint64_t, shape->experts);
+	bool valid = true;
 
-	for (uint32_t set = 0; set < shape->sets; set++) {
+	for (uint32_t set = 0; valid && set < shape->sets; set++) {
 		memset(seen, 0, sizeof(*seen) * shape->experts);
-		for (uint32_t rank = 0; rank < ranks; rank++) {
-			if (!is_row_valid(shape,
-					  map + ((size_t)set * ranks + rank) * shape->placements,
-					  seen))
-				return false;
-		}
-		for (uint32_t i = 0; i < shape->experts; i++) {
-			if (seen[i] == 0)
-				return false;
-		}
+		for (uint32_t rank = 0; valid && rank < ranks; rank++)
+			valid = is_row_valid(shape,
+					     map + ((size_t)set * ranks + rank) * shape->placements,
+					     seen);
+		for (uint32_t i = 0; i < shape->experts; i++)
+			valid = valid && seen[i] > 0;
 	}
-	return true;
+	g_free(seen);
+	return valid;
 }
--- a/src/relief.c
+++ b/src/relief.c
@@ -61,12 +61,13 @@
 		}
 	}
 	memset(state->highest, 0, sizeof(double) * state->view->n_experts);
-	for (uint32_t i = 0; i < n; i++) {
-		double load = state->load[i / state->view->n_places];
+	for (uint32_t rank = 0; rank < state->view->n_ranks; rank++) {
+		const uint32_t *row = row_of(state, rank);
 
-		if (state->map[i] > 0)
-			state->highest[state->map[i] - 1] =
-				MAX(state->highest[state->map[i] - 1], load);
+		for (uint32_t i = 0; i < state->view->n_places; i++) {
+			if (row[i] > 0 && state->load[rank] > state->highest[row[i] - 1])
+				state->highest[row[i] - 1] = state->load[rank];
+		}
 	}
 }
 
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -21,21 +21,21 @@
 #include <string.h>
 #include <unistd.h>
 
-#define MAX_SERVERS    32
-#define PLAIN_OFFSET   80
-#define N_PLAIN	       2
-#define SETS	       2
-#define PLACES	       4
-#define PASS_US	       (20 * 1000)
-#define COPY_US	       (50 * 1000)
-#define HEARTBEAT_US   (300 * 1000)
-#define US_PER_MS      1000
-#define EVENTS	       5
-#define EVENT_US       (20 * 1000)
-#define LEFT_BOUND_US  (2 * 1000 * 1000)
-#define LATE_US	       (700 * 1000)
-#define MUTE_US	       (3 * 1000 * 1000)
-#define MAX_COUNTS     (SETS * MAX_SERVERS * PLACES)
+#define MAX_SERVERS   32
+#define PLAIN_OFFSET  80
+#define N_PLAIN	      2
+#define SETS	      2
+#define PLACES	      4
+#define PASS_US	      (20 * 1000)
+#define COPY_US	      (50 * 1000)
+#define HEARTBEAT_US  (300 * 1000)
+#define US_PER_MS     1000
+#define EVENTS	      5
+#define EVENT_US      (20 * 1000)
+#define LEFT_BOUND_US (2 * 1000 * 1000)
+#define LATE_US	      (700 * 1000)
+#define MUTE_US	      (3 * 1000 * 1000)
+#define MAX_COUNTS    (SETS * MAX_SERVERS * PLACES)
 
 typedef struct server {
 	int port;
@@ -114,11 +114,11 @@
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
 	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", server->port);
-	json_t *entry = json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
-		server->engine ? "model" : "ledger", "address", address, "zone", "a", "version",
-		"v1", "slots", 8, "state", server->draining ? "draining" : "ready",
-		"cold-remaining-ms", 0, "sequence", 1);
+	json_t *entry = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
+				  server->engine ? "model" : "ledger", "address", address, "zone",
+				  "a", "version", "v1", "slots", 8, "state",
+				  server->draining ? "draining" : "ready", "cold-remaining-ms", 0,
+				  "sequence", 1);
 	char *value = json_dumps(entry, JSON_COMPACT);
 	json_t *request = json_pack("{s:s, s:s}", "key", key, "value", value);
 	char *body = json_dumps(request, JSON_COMPACT);
@@ -324,12 +324,12 @@
 {
 	bool ready = g_get_monotonic_time() >= rank->ready_at;
 
-	return json_pack(
-		"{s:s, s:{s:s, s:i, s:i, s:s}, s:i, s:I, s:I, s:I, s:I, s:I, s:i}", "phase",
-		"unified", "group", "name", "g0", "epoch", 1, "rank", rank->rank, "state", "open",
-		"size", n_ranks, "step", (json_int_t)pass, "mapping",
-		(json_int_t)rank->map_version, "prepared", (json_int_t)(ready ? rank->prepared : 0),
-		"armed", (json_int_t)rank->armed, "held", (json_int_t)rank->held, "sequence", 1);
+	return json_pack("{s:s, s:{s:s, s:i, s:i, s:s}, s:i, s:I, s:I, s:I, s:I, s:I, s:i}",
+			 "phase", "unified", "group", "name", "g0", "epoch", 1, "rank", rank->rank,
+			 "state", "open", "size", n_ranks, "step", (json_int_t)pass, "mapping",
+			 (json_int_t)rank->map_version, "prepared",
+			 (json_int_t)(ready ? rank->prepared : 0), "armed", (json_int_t)rank->armed,
+			 "held", (json_int_t)rank->held, "sequence", 1);
 }
 
 static json_t *picked(struct mg_connection *connection, const server_t *rank)
@@ -370,8 +370,8 @@
 			 const char *attempt, int status, const char *body)
 {
 	g_autofree char *head = head_of(server, attempt, status);
-	g_autofree char *text = g_strdup_printf("%sContent-Length: %zu\r\n\r\n%s", head,
-						strlen(body), body);
+	g_autofree char *text =
+		g_strdup_printf("%sContent-Length: %zu\r\n\r\n%s", head, strlen(body), body);
 
 	say(connection, text);
 }
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -253,9 +253,10 @@
 	json_t *row;
 	size_t index;
 
-	json_array_foreach(expected, index, row) {
-		const item_t *item = g_tree_lookup(
-			items, json_string_value(json_object_get(row, "key")));
+	json_array_foreach(expected, index, row)
+	{
+		const item_t *item =
+			g_tree_lookup(items, json_string_value(json_object_get(row, "key")));
 
 		if ((item ? item->revision : 0) !=
 		    json_integer_value(json_object_get(row, "revision")))
@@ -273,7 +274,8 @@
 		*status = STATUS_FAILED;
 		return json_pack("{s:[]}", "items");
 	}
-	json_array_foreach(json_object_get(request, "puts"), index, row) {
+	json_array_foreach(json_object_get(request, "puts"), index, row)
+	{
 		int64_t lease = json_integer_value(json_object_get(row, "lease"));
 
 		if (lease != 0 && !g_hash_table_contains(leases, &lease)) {
@@ -300,14 +302,15 @@
 static json_t *renew(const char *path, int *status)
 {
 	int64_t id = g_ascii_strtoll(strrchr(path, '/') + 1, NULL, 10);
-	const int64_t *ttl_ms = g_hash_table_lookup(ttls, &id);
+	const int64_t *known = g_hash_table_lookup(ttls, &id);
+	int64_t ttl_ms = known ? *known : 0;
 
-	if (!g_hash_table_contains(leases, &id) || !ttl_ms) {
+	if (!g_hash_table_contains(leases, &id) || !known) {
 		*status = 404;
 		return json_object();
 	}
-	keep_lease(id, *ttl_ms);
-	return json_pack("{s:I}", "ttl-ms", (json_int_t)*ttl_ms);
+	keep_lease(id, ttl_ms);
+	return json_pack("{s:I}", "ttl-ms", (json_int_t)ttl_ms);
 }
 
 static json_t *put_by_operator(struct mg_connection *connection, const json_t *request)
