--- a/src/backends.h
+++ b/src/backends.h
@@ -9,6 +9,7 @@
  * loop's thread.
  */
 
+#include "groupgate.h"
 #include "pick.h"
 #include "retryshare.h"
 #include "roster.h"
@@ -51,6 +52,7 @@
 	skh_waitline_t *line;
 	skh_retryshare_t share;
 	bool lock_step;
+	skh_groupgate_t gate; /* where the servers are ranks of a group */
 	uint32_t max_connections;
 	int64_t first_ms;		   /* usual time to the first event or answer */
 	double done[SKH_FRONT_RATE_SLOTS]; /* requests that ended, by time slot */
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -33,8 +33,19 @@
  * that other experts are in demand: what was counted before says nothing now.
  */
 #define SHIFT_DISTANCE 0.6
-/* A change is not begun for less skew than this. */
-#define LEAST_GAIN 0.3
+/*
+ * A change is not begun for less skew than this while passes are long, and for
+ * much more while they are short: then copies cost more than they bring.
+ */
+#define LEAST_GAIN	0.3
+#define LEAST_GAIN_IDLE 0.9
+/* Skew of a set that quick relief leaves alone, in the same two cases. */
+#define RELIEF_TARGET	   1.08
+#define RELIEF_TARGET_IDLE 1.6
+/* Passes are short below this part of a pass with every slot in use. */
+#define SHORT_PASS_PART 0.75
+/* Time over which the length of passes is taken. */
+#define PASS_SPAN_US	(600 * SKH_US_PER_MS)
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
 /* Passes are longer while a rank copies; the best map may take so long ... */
@@ -82,6 +93,9 @@
 	double *shares;		      /* expected, [sets][experts] */
 	double *before;		      /* shares before the shift that is under way */
 	int64_t offered_us;
+	int64_t pass_seen; /* own rank's, at pass_seen_us */
+	int64_t pass_seen_us;
+	int64_t pass_us; /* length of a pass of late; 0 when unknown */
 	int64_t observe_us;
 	int64_t decide_us;
 	int64_t complained_us;
@@ -240,6 +254,18 @@
 		place_map(coordinator, rank, message->map);
 }
 
+static void time_passes(skh_coordinator_t *coordinator, int64_t pass, int64_t now_us)
+{
+	int64_t span_us = now_us - coordinator->pass_seen_us;
+
+	if (span_us < PASS_SPAN_US)
+		return;
+	if (pass > coordinator->pass_seen && coordinator->pass_seen > 0)
+		coordinator->pass_us = span_us / (pass - coordinator->pass_seen);
+	coordinator->pass_seen = pass;
+	coordinator->pass_seen_us = now_us;
+}
+
 void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 			    bool own, int64_t now_us)
 {
@@ -272,6 +298,7 @@
 	if (own) {
 		coordinator->own = message->rank;
 		coordinator->has_own = true;
+		time_passes(coordinator, message->pass, now_us);
 	}
 	state->heard_us = now_us;
 	take_state(coordinator, message->rank, &report, now_us);
@@ -686,12 +713,24 @@
 	return (uint32_t)CLAMP(most, 1.0, MOST_NEW);
 }
 
+static bool has_short_passes(const skh_coordinator_t *coordinator)
+{
+	const skh_engine_shape_t *shape = &coordinator->shape;
+	double full_ms = (double)shape->steps_a_pass *
+			 (shape->step_ms + (double)shape->slots * shape->step_ms_each);
+	double pass_ms = (double)coordinator->pass_us / (double)SKH_US_PER_MS;
+
+	return pass_ms > 0.0 && pass_ms < SHORT_PASS_PART * full_ms;
+}
+
 static void decide(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	const skh_engine_shape_t *shape = &coordinator->shape;
 	double skew = skh_mapplan_skew(&coordinator->shape, coordinator->n_ranks,
 				       coordinator->shares, coordinator->map);
+	bool idle = has_short_passes(coordinator);
 	const skh_mapplan_weights_t weights = {
+		.quick_target = idle ? RELIEF_TARGET_IDLE : RELIEF_TARGET,
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
 		.load_cost = LOAD_COST,
@@ -714,7 +753,8 @@
 		return;
 	}
 	if (!repair && (coordinator->plan.n_new == 0 ||
-			coordinator->plan.skew_before - coordinator->plan.skew_after < LEAST_GAIN))
+			coordinator->plan.skew_before - coordinator->plan.skew_after <
+				(idle ? LEAST_GAIN_IDLE : LEAST_GAIN)))
 		return;
 	begin_change(coordinator, now_us);
 }
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -26,6 +26,8 @@
 #define RETRY_LEAST_MS	 100
 #define RETRY_SPREAD_MS	 400
 #define RETRY_DEFAULT_MS 500
+/* A broken group is back after seconds. */
+#define GROUP_DOWN_MS 2000
 /* Answers that are kept whole before they are passed on. */
 #define MAX_ANSWER_BYTES (16U << 20)
 #define MOST_URGENT	 0U
@@ -315,6 +317,7 @@
 		skh_retryshare_repeat(&exchange->front->share, &gateway->retry_bounds, now_us);
 	skh_metrics_add(exchange->sends == 0 ? SKH_COUNT_ATTEMPTS : SKH_COUNT_RETRIES, 1);
 	exchange->sends++;
+	skh_groupgate_sent(&exchange->front->gate, now_us);
 	exchange->stage = exchange->stage == STAGE_ANSWERING ? STAGE_ANSWERING : STAGE_SENT;
 	exchange->target = target;
 	exchange->sent_us = now_us;
@@ -390,8 +393,11 @@
 	(void)context;
 	while ((waiter = skh_waitline_next(front->line, now_us)) != NULL) {
 		exchange_t *exchange = exchange_of(waiter);
-		skh_target_t *target = skh_front_pick(front, exchange->tried, now_us);
+		skh_target_t *target;
 
+		if (front->lock_step && !skh_groupgate_may_send(&front->gate, now_us))
+			return;
+		target = skh_front_pick(front, exchange->tried, now_us);
 		if (!target)
 			return;
 		send_to(exchange, target, now_us);
@@ -532,6 +538,7 @@
 	bool follows = skh_events_feed(&exchange->events, bytes, &out);
 
 	if (out.len > 0) {
+		skh_groupgate_answered(&exchange->front->gate);
 		note_first(exchange);
 		if (exchange->stage != STAGE_ANSWERING)
 			begin_answer(exchange, true, 0);
@@ -740,6 +747,9 @@
 		.until_us = exchange->until_us,
 	};
 	verdict = skh_verdict_of(&view);
+	if (end == SKH_END_NOT_RUN && exchange->front->lock_step &&
+	    exchange->attempt_status == 503)
+		skh_groupgate_refused(&exchange->front->gate, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
 		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d",
 		exchange->attempt_id, target->server->id, end_name(end), exchange->attempt_status,
@@ -925,6 +935,12 @@
 	set_waiter(exchange, now_us);
 	if (skh_waitline_length(exchange->front->line) == 0)
 		return true;
+	/* Those who wait already are enough to see when it opens. */
+	if (skh_groupgate_is_closed(&exchange->front->gate, now_us)) {
+		refuse_kind(exchange, SKH_NO_BACKEND, retry_after_ms(exchange, GROUP_DOWN_MS),
+			    "the group of servers is down");
+		return false;
+	}
 	wait_us = expected_wait_us(exchange, now_us);
 	if (now_us + wait_us <= exchange->waiter.until_us)
 		return true;
--- /dev/null
+++ b/src/groupgate.h
@@ -0,0 +1,44 @@
+#ifndef SKH_GROUPGATE_H
+#define SKH_GROUPGATE_H
+
+/**
+ * DOC: Gate before a lock-step group
+ *
+ * Pure. Answers the load pattern of a rank that dies: it breaks the whole group,
+ * and every rank refuses for seconds. Sending each request to four ranks in turn
+ * uses up the retry budget for nothing, and callers who wait learn too late. While
+ * the group refuses, one request now and then goes through as a probe.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** struct skh_groupgate - zeroed before its first use */
+typedef struct skh_groupgate {
+	int64_t closed_since_us; /* ranks refuse; 0 while the group is open */
+	int64_t probe_us;	 /* next request that is let through while it is closed */
+} skh_groupgate_t;
+
+/** skh_groupgate_refused() - a rank refused a request that it had room for */
+void skh_groupgate_refused(skh_groupgate_t *gate, int64_t now_us);
+
+/** skh_groupgate_answered() - a rank answers: the group is open */
+void skh_groupgate_answered(skh_groupgate_t *gate);
+
+/** skh_groupgate_may_send() - while the group is closed only a probe now and then */
+bool skh_groupgate_may_send(const skh_groupgate_t *gate, int64_t now_us);
+
+/** skh_groupgate_sent() - a request was sent */
+void skh_groupgate_sent(skh_groupgate_t *gate, int64_t now_us);
+
+/** skh_groupgate_is_closed() - it has refused for so long that waiting is no use */
+bool skh_groupgate_is_closed(const skh_groupgate_t *gate, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -143,19 +143,18 @@
 	}
 }
 
-/* Skew below which a quick plan leaves a set alone, and what a load must bring. */
-#define RELIEF_TARGET	  1.08
+/* Skew that a load of a quick plan must bring. */
 #define RELIEF_LEAST_GAIN 0.01
 
 static skh_relief_view_t relief_view(const skh_engine_shape_t *shape, uint32_t ranks,
-				     const double *shares)
+				     const double *shares, double target)
 {
 	return (skh_relief_view_t){
 		.n_ranks = ranks,
 		.n_places = shape->placements,
 		.n_experts = shape->experts,
 		.shares = shares,
-		.target = RELIEF_TARGET,
+		.target = target,
 		.least_gain = RELIEF_LEAST_GAIN,
 	};
 }
@@ -186,7 +185,7 @@
 {
 	size_t places = (size_t)ranks * shape->placements;
 	g_autofree uint32_t *before = g_memdup2(map, places * sizeof(*map));
-	skh_relief_view_t view = relief_view(shape, ranks, shares);
+	skh_relief_view_t view = relief_view(shape, ranks, shares, weights->quick_target);
 	uint32_t loads_left[SKH_BALANCE_MAX_RANKS];
 
 	for (uint32_t rank = 0; rank < ranks; rank++)
@@ -207,7 +206,7 @@
 
 	for (uint32_t set = 0; set < shape->sets; set++) {
 		skh_relief_view_t view =
-			relief_view(shape, ranks, shares + (size_t)set * shape->experts);
+			relief_view(shape, ranks, shares + (size_t)set * shape->experts, 1.0);
 
 		sum += skh_relief_skew(&view, map + (size_t)set * ranks * shape->placements);
 	}
--- a/src/routing.h
+++ b/src/routing.h
@@ -52,6 +52,7 @@
 
 /** struct skh_engine_shape - how the engines of a model service work */
 typedef struct skh_engine_shape {
+	uint32_t slots;	     /* requests that a rank works on at a time */
 	uint32_t sets;	     /* of layers, each with experts of its own */
 	uint32_t experts;    /* in each set */
 	uint32_t placements; /* experts that a rank holds of a set, at the most */
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "culprits.h"
 #include "events.h"
+#include "groupgate.h"
 #include "message.h"
 #include "pick.h"
 #include "retryshare.h"
@@ -558,3 +559,31 @@
 		first += skh_routing_split(&route, i / 1000.0) == 3;
 	EXPECT_EQ(first, 900);
 }
+
+// --- A broken group ---
+
+// A rank dies for 5 s; every rank refuses. Naive: each request tries four ranks.
+TEST(GroupGate, ABrokenGroupIsProbedAndNotFlooded)
+{
+	skh_groupgate_t gate = {};
+	int sent = 0;
+	int64_t opened = 0;
+
+	for (int64_t now = kS; now < 7 * kS; now += 20 * kMs) {
+		bool broken = now < 6 * kS;
+
+		if (!skh_groupgate_may_send(&gate, now))
+			continue;
+		skh_groupgate_sent(&gate, now);
+		sent += broken;
+		if (broken) {
+			skh_groupgate_refused(&gate, now);
+		} else {
+			skh_groupgate_answered(&gate);
+			opened = opened ? opened : now;
+		}
+	}
+	EXPECT_LE(sent, 40); // 250 arrivals, 1,000 attempts without the gate
+	EXPECT_LE(opened, 6 * kS + 200 * kMs);
+	EXPECT_FALSE(skh_groupgate_is_closed(&gate, 7 * kS));
+}
