--- a/src/balancer.c
+++ b/src/balancer.c
@@ -47,6 +47,7 @@
 	skh_reload_t *reload;
 	skh_coordinator_t *coordinator; /* NULL before the engines' shape is known */
 	skh_election_view_t lease;
+	guint offer_next; /* index of the server that is asked next for its rank */
 	uint64_t sender;
 	uint64_t number;
 	int64_t tell_us; /* next report with counts */
@@ -221,8 +222,15 @@
 		      skh_coordinator_lacks_ranks(balancer->coordinator);
 	GPtrArray *servers = skh_election_servers(balancer->election, wanted);
 
-	for (guint i = 0; wanted && i < servers->len; i++)
-		skh_coordinator_offer(balancer->coordinator, g_ptr_array_index(servers, i), now_us);
+	/* In turn, as an entry where nobody answers must not keep the others out. */
+	for (guint i = 0; wanted && i < servers->len; i++) {
+		guint at = balancer->offer_next % servers->len;
+
+		if (!skh_coordinator_offer(balancer->coordinator, g_ptr_array_index(servers, at),
+					   now_us))
+			break;
+		balancer->offer_next = at + 1;
+	}
 	g_ptr_array_unref(servers);
 }
 
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -20,6 +20,8 @@
 #define ASK_US	  (300 * SKH_US_PER_MS)
 /* Counts of ranks that were silent for longer do not count. */
 #define STALE_US	 (2500 * SKH_US_PER_MS)
+/* Entries of others may name addresses where nobody answers. */
+#define OFFER_TIMEOUT_US (100 * SKH_US_PER_MS)
 #define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
 /* Longer: the process waits for its engine's answer for the time above. */
 #define RELAY_TIMEOUT_US (300 * SKH_US_PER_MS)
@@ -393,14 +395,17 @@
 	take_state(coordinator, report.rank, &report, skh_clock_boot_us());
 }
 
-void skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us)
+bool skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us)
 {
-	if (coordinator->offered_us != 0 || knows_address(coordinator, address))
-		return;
+	if (knows_address(coordinator, address))
+		return true;
+	if (coordinator->offered_us != 0)
+		return false;
 	coordinator->offered_us = now_us;
 	set_address(coordinator, &coordinator->offered, address);
 	skh_engine_client_get(coordinator->offered, coordinator->options.dialect->report_path,
-			      ORDER_TIMEOUT_US * 2, 0, on_offered_report, coordinator);
+			      OFFER_TIMEOUT_US, 0, on_offered_report, coordinator);
+	return true;
 }
 
 /* A rank whose process is silent is asked itself; what it says is a moment old. */
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -43,8 +43,11 @@
 /** skh_coordinator_lacks_ranks() - the address of some rank's engine is not known */
 bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator);
 
-/** skh_coordinator_offer() - an engine of the service is at @address: ask it who it is */
-void skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us);
+/**
+ * skh_coordinator_offer() - an engine of the service is at @address: ask it who it is
+ * Return: true when @address needs no asking or is being asked now; false to offer it again.
+ */
+bool skh_coordinator_offer(skh_coordinator_t *coordinator, const char *address, int64_t now_us);
 
 /**
  * skh_coordinator_tick() - decide and order
