--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -8,7 +8,8 @@
  * POST /control on a server's port: {"draining":true}, {"gone":true},
  * {"back":true}, {"fault":F,"count":N} with F of not_run, error, reset, garble,
  * extra, unframed, cut, mute; on a rank also {"order":"lose"|"late"|"drop"}.
- * GET /seen tells what was seen by all.
+ * GET /seen tells what was seen by all, GET /ran which attempts ran. With OFFSET
+ * the list names each port as that much higher, where a proxy listens.
  */
 #define _GNU_SOURCE
 #include "standin.h"
@@ -75,7 +76,9 @@
 static int64_t mixed;
 static int64_t map_changes;
 static double counts[MAX_COUNTS];
-static GHashTable *ran; /* attempt ids of requests that must run once */
+static GHashTable *ran;	/* attempt ids of requests that must run once */
+static GHashTable *all; /* attempt ids of all requests that ran */
+static int offset;
 
 static server_t *server_at(struct mg_connection *connection)
 {
@@ -113,7 +116,7 @@
 static void list_server(CURL *curl, const server_t *server)
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
-	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", server->port);
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", server->port + offset);
 	json_t *entry = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
 				  server->engine ? "model" : "ledger", "address", address, "zone",
 				  "a", "version", "v1", "slots", 8, "state",
@@ -435,6 +438,7 @@
 	const char *path = mg_get_request_info(connection)->local_uri;
 
 	runs++;
+	(void)g_hash_table_add(all, g_strdup(attempt));
 	if (!mg_get_header(connection, "Skylarkhead-Tenant") ||
 	    mg_get_header(connection, "Authorization") ||
 	    !mg_get_header(connection, "Skylarkhead-Deadline-Ms"))
@@ -518,6 +522,18 @@
 			 (json_int_t)pass, "map_changes", (json_int_t)map_changes);
 }
 
+static json_t *all_ran(void)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, all);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		json_array_append_new(list, json_string(id));
+	return list;
+}
+
 static int handle(struct mg_connection *connection, void *unused)
 {
 	const char *path = mg_get_request_info(connection)->local_uri;
@@ -532,6 +548,8 @@
 		json = control(connection, server);
 	else if (strcmp(path, "/seen") == 0)
 		json = seen();
+	else if (strcmp(path, "/ran") == 0)
+		json = all_ran();
 	else if (strcmp(path, "/v1/report") == 0)
 		json = report(server);
 	else if (strcmp(path, "/v1/picked") == 0)
@@ -560,12 +578,14 @@
 	pthread_t thread;
 	int base;
 
-	if (argc != 4) {
-		(void)fprintf(stderr, "usage: standin-fleet_servers STORE BASE RANKS\n");
+	if (argc != 4 && argc != 5) {
+		(void)fprintf(stderr, "usage: standin-fleet_servers STORE BASE RANKS [OFFSET]\n");
 		return 2;
 	}
 	store = argv[1];
 	base = atoi(argv[2]);
+	offset = argc == 5 ? atoi(argv[4]) : 0;
+	all = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	n_ranks = MIN(atoi(argv[3]), MAX_SERVERS - N_PLAIN);
 	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int i = 0; i < n_ranks; i++)
