--- /dev/null
+++ b/fuzz/fuzz_fleet.c
@@ -0,0 +1,32 @@
+/* What comes from the users' platform: configuration, servers, engines' answers. */
+#include "dialect.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+#define SETS   2
+#define PLACES 4
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const skh_dialect_t *dialect = skh_dialect_find("fleet");
+	const skh_chunk_t text = { data, size };
+	skh_routing_t *routing;
+	skh_engine_report_t report;
+	skh_engine_counts_t counts;
+	uint32_t map[SETS * PLACES];
+	int64_t version;
+	skh_error_t err;
+
+	routing = dialect->read_config(text, &err);
+	if (routing) {
+		(void)skh_routing_find(routing, "x.example", "/a/b");
+		(void)skh_routing_service(routing, "s");
+	}
+	skh_routing_free(routing);
+	skh_server_free(dialect->read_server("id", text, &err));
+	(void)dialect->read_report(text, &report, &err);
+	if (dialect->read_counts(text, &counts, &err))
+		g_free(counts.counts);
+	(void)dialect->read_lists(text, SETS, PLACES, map, &version, &err);
+	return 0;
+}
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -6,7 +6,8 @@
 BUILD=${BUILD:-build-fuzz}
 CC=clang CXX=clang++ cmake -S . -B "$BUILD" -G Ninja -DSKH_FUZZ=ON -DSKH_SANITIZE=ON \
 	-DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-cmake --build "$BUILD" --target fuzz-frame fuzz-manifest fuzz-settings fuzz-json >"$BUILD/build.log" ||
+cmake --build "$BUILD" --target fuzz-frame fuzz-manifest fuzz-settings fuzz-json \
+	fuzz-fleet fuzz-http >"$BUILD/build.log" ||
 	{ tail -n 30 "$BUILD/build.log"; exit 1; }
 mkdir -p "$BUILD/findings"
 if [ -n "${FUZZ_RUNS:-}" ]; then
@@ -15,7 +16,7 @@
 	limit=("-max_total_time=${FUZZ_SECONDS:-60}")
 fi
 status=0
-for name in frame manifest settings json; do
+for name in frame manifest settings json fleet http; do
 	work="$BUILD/corpus-$name"
 	rm -rf "$work"
 	mkdir -p "$work"
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -216,7 +216,7 @@
         kind = rng.choice(("once", "often", "often", "stream"))
         with self.lock:
             self.requests += 1
-            key_version = self.version - rng.choice((0, 0, 0, 1, 1, 2, 3))
+            key_version = self.version - rng.choice((0, 0, 0, 0, 1, 1, 1, 2, 3, 4, 5))
             attempt = f"a{number}-{self.requests}"
         body = f"{attempt}:{rng.random()}"
         connection = connections.get(gateway) or http.client.HTTPConnection(
@@ -375,10 +375,23 @@
             self.put_config()
             time.sleep(self.random.uniform(0.05, 1.5))
 
+    def long_outage(self):
+        """Gateways are cut from the store for longer than keys hold, while keys go."""
+        self.store_proxy.mode = "silent"
+        for _ in range(5):
+            self.put_config()
+            time.sleep(REVOKE_BOUND_S / 3)
+        self.store_proxy.mode = "pass"
+        self.store_proxy.reset_all()
+
     def play(self, until):
         unplanned = (self.pause_process, self.kill_process, self.store_fault, self.cut, self.reset,
-                     self.delay, self.server_fault)
+                     self.delay, self.server_fault, self.long_outage)
         planned = (self.storm, self.hup, self.planned_stop, self.leaving)
+        if self.options.plant == "leaving":
+            self.leaving()
+        if self.options.plant == "revoke":
+            self.long_outage()
         while time.monotonic() < until:
             series = [self.random.choice(unplanned + planned)
                       for _ in range(self.random.randrange(1, 4))]
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -19,7 +19,7 @@
 #define SILENT_US (900 * SKH_US_PER_MS)
 #define ASK_US	  (300 * SKH_US_PER_MS)
 /* Counts of ranks that were silent for longer do not count. */
-#define STALE_US	 (2500 * SKH_US_PER_MS)
+#define STALE_US (2500 * SKH_US_PER_MS)
 /* Entries of others may name addresses where nobody answers. */
 #define OFFER_TIMEOUT_US (100 * SKH_US_PER_MS)
 #define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
@@ -47,7 +47,7 @@
 /* Passes are short below this part of a pass with every slot in use. */
 #define SHORT_PASS_PART 0.75
 /* Time over which the length of passes is taken. */
-#define PASS_SPAN_US	(600 * SKH_US_PER_MS)
+#define PASS_SPAN_US (600 * SKH_US_PER_MS)
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
 /* Passes are longer while a rank copies; the best map may take so long ... */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -747,8 +747,7 @@
 		.until_us = exchange->until_us,
 	};
 	verdict = skh_verdict_of(&view);
-	if (end == SKH_END_NOT_RUN && exchange->front->lock_step &&
-	    exchange->attempt_status == 503)
+	if (end == SKH_END_NOT_RUN && exchange->front->lock_step && exchange->attempt_status == 503)
 		skh_groupgate_refused(&exchange->front->gate, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
 		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d",
--- a/src/mapplan.h
+++ b/src/mapplan.h
@@ -21,9 +21,9 @@
 typedef struct skh_mapplan_weights {
 	double skew_weight;
 	double cost_weight;
-	double load_cost;  /* of one new expert at a rank, in parts of a set's skew */
-	uint32_t most_new; /* experts that are new to a rank in all sets */
-	bool quick;	   /* relieve the fullest ranks (relief.h) and search no further */
+	double load_cost;    /* of one new expert at a rank, in parts of a set's skew */
+	uint32_t most_new;   /* experts that are new to a rank in all sets */
+	bool quick;	     /* relieve the fullest ranks (relief.h) and search no further */
 	double quick_target; /* skew of a set that such a plan leaves alone */
 } skh_mapplan_weights_t;
 
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -76,7 +76,7 @@
 static int64_t mixed;
 static int64_t map_changes;
 static double counts[MAX_COUNTS];
-static GHashTable *ran;	/* attempt ids of requests that must run once */
+static GHashTable *ran; /* attempt ids of requests that must run once */
 static GHashTable *all; /* attempt ids of all requests that ran */
 static int offset;
 
