--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 BUILD_TEST ?= build-test
 
-.PHONY: all deps build demo test soak fuzz bench capacity format lint clean
+.PHONY: all deps build demo test soak soak-processes fuzz bench capacity format lint clean
 
 all: build
 
@@ -26,6 +26,12 @@
 	@SKH_SEEDS=$${SKH_SEEDS:-20000} $(BUILD)/test/unit --gtest_brief=1 \
 		--gtest_filter='History.Nothing*:ExpertMap.No*:ExpertMap.Once*'
 
+# Gateways and balancers as processes, faults from outside, seeds in a row.
+soak-processes: build
+	@for seed in $$(seq $${SKH_FIRST:-100} $${SKH_LAST:-119}); do \
+		python3 soak/soak.py --build $(BUILD) --seed $$seed --seconds 25 || exit 1; \
+	done
+
 # Each target for a minute; what it finds goes into fuzz/corpus and a test.
 fuzz: deps
 	@BUILD=build-fuzz FUZZ_SECONDS=$${FUZZ_SECONDS:-60} fuzz/run.sh
--- /dev/null
+++ b/src/attempt.h
@@ -0,0 +1,105 @@
+#ifndef SKH_ATTEMPT_H
+#define SKH_ATTEMPT_H
+
+/**
+ * DOC: One attempt of a request at one server
+ *
+ * Sending it, passing the answer on, and what follows when it fails. Shared by
+ * attempt.c and exchange.c only: exchange.c has the caller's side.
+ */
+
+#include "events.h"
+#include "exchange.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Retry-After where nothing better is known: a server is back or free by then. */
+#define SKH_RETRY_DEFAULT_MS 500
+
+/** enum skh_exchange_stage - how far a request is */
+typedef enum skh_exchange_stage {
+	SKH_EXCHANGE_WAITING,
+	SKH_EXCHANGE_SENT,
+	SKH_EXCHANGE_ANSWERING, /* the head has gone to the caller */
+	SKH_EXCHANGE_ENDED
+} skh_exchange_stage_t;
+
+/** struct skh_exchange - one request, from the caller's words to the end of its answer */
+typedef struct skh_exchange {
+	skh_gateway_t *gateway;
+	skh_caller_conn_t *conn;
+	const skh_message_t *request; /* of the connection, until the answer ends */
+	GList link;
+	skh_exchange_stage_t stage;
+	const skh_routing_t *routing; /* a reference: the route belongs to it */
+	const skh_route_t *route;
+	const skh_key_owner_t *owner; /* NULL where no key is asked for */
+	skh_front_t *front;
+	char attempt_id[80];
+	uint64_t content; /* hash of what the caller asks for */
+	int64_t received_us;
+	int64_t until_us;  /* the deadline or the route's timeout */
+	int64_t sent_us;   /* of the attempt under way */
+	int64_t queued_us; /* spent waiting for a server */
+	int64_t first_us;  /* first event or answer */
+	double work;	   /* expected tokens */
+	skh_waiter_t waiter;
+	GPtrArray *tried; /* skh_target_t; references */
+	skh_target_t *target;
+	skh_upstream_t *upstream;
+	uint32_t sends;
+	uint32_t runs; /* attempts that may have run */
+	bool paused;
+	skh_buffer_t body; /* of an answer that is kept whole */
+	GString *answer_headers;
+	int32_t answer_status;	/* that the caller gets */
+	int32_t attempt_status; /* of the attempt under way; 0 before its head */
+	char answer_reason[64];
+	bool signed_answer;
+	bool not_run; /* the server's word */
+	skh_events_t events;
+	uv_timer_t timer;
+} skh_exchange_t;
+
+/* --- attempt.c --- */
+
+/** skh_attempt_send() - hand the request to the server; it leaves the line */
+void skh_attempt_send(skh_exchange_t *exchange, skh_target_t *target, int64_t now_us);
+
+/** skh_attempt_leave() - end the attempt, if any; the server's connection closes if it works */
+void skh_attempt_leave(skh_exchange_t *exchange, skh_outcome_t outcome, int64_t took_us);
+
+/* --- exchange.c --- */
+
+/** skh_exchange_header_name() - the platform's name of a header */
+const char *skh_exchange_header_name(const skh_exchange_t *exchange, skh_field_name_t name);
+
+/** skh_exchange_customer() - whose request it is, "-" if nobody's */
+const char *skh_exchange_customer(const skh_exchange_t *exchange);
+
+/** skh_exchange_priority() - the customer's, or else the route's */
+uint32_t skh_exchange_priority(const skh_exchange_t *exchange);
+
+/** skh_exchange_log_end() - the one line by which an operator finds how it ended */
+void skh_exchange_log_end(const skh_exchange_t *exchange, const char *outcome, int32_t status,
+			  const char *reason);
+
+/** skh_exchange_end() - out of the line and the list; freed once its timer is closed */
+void skh_exchange_end(skh_exchange_t *exchange);
+
+/** skh_exchange_refuse() - end it with the gateway's own answer; 0 ms for no Retry-After */
+void skh_exchange_refuse(skh_exchange_t *exchange, skh_kind_t kind, int64_t retry_after_ms,
+			 const char *text);
+
+/** skh_exchange_retry_after_ms() - what the caller will honour, spread */
+int64_t skh_exchange_retry_after_ms(const skh_exchange_t *exchange, int64_t wanted_ms);
+
+/** skh_exchange_wait() - into the service's line, which is served at once */
+void skh_exchange_wait(skh_exchange_t *exchange, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -176,7 +176,7 @@
 {
 }
 
-inline const skh_store_ops_t ops = { range, txn, lease_grant, lease_keep, watch, close };
+inline const skh_store_ops_t ops = { range, txn, lease_grant, lease_keep, watch, close, nullptr };
 
 } // namespace fake_store
 
--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -88,8 +88,7 @@
 
 	void answer(const std::string &text)
 	{
-		EXPECT_EQ(write(peer, text.data(), text.size()),
-			  static_cast<ssize_t>(text.size()));
+		EXPECT_EQ(write(peer, text.data(), text.size()), static_cast<ssize_t>(text.size()));
 	}
 
 	// The reset arrives together with the last bytes.
