--- a/test/forward_test.cc
+++ b/test/forward_test.cc
@@ -28,7 +28,9 @@
 		skh_error_t err = {};
 		size_t used = 0;
 
-		skh_message_reset(&message, type, nullptr, nullptr);
+		static const skh_message_ops_t ops = {};
+
+		skh_message_reset(&message, type, &ops, nullptr);
 		EXPECT_TRUE(skh_message_feed(&message, skh_chunk_make(text.data(), text.size()),
 					     &used, &err));
 		EXPECT_TRUE(message.done);
