Ranks of a large group tell of their last passes only

Cause: at 63 ranks reports are 0.7 s apart by the control budget, and each told all counts since the one before: a shift hid behind what was before it, and the first change of map came 0.4 to 0.6 s after it, the second as late again. Now a process looks at its counts only in the last 175 ms before a report, and leaves out a span of over 300 ms.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -23,8 +23,13 @@
 #define DATAGRAM_BYTES 42
 #define LEAST_PAUSE_US (50 * SKH_US_PER_MS)
 /* The coordinator's own rank is a sample of all: it shows a shift first. */
-#define OWN_COUNTS_US	   (50 * SKH_US_PER_MS)
-#define COUNTS_US	   (200 * SKH_US_PER_MS)
+#define OWN_COUNTS_US (50 * SKH_US_PER_MS)
+#define COUNTS_US     (75 * SKH_US_PER_MS)
+/*
+ * A report tells of about this long before it. Reports of a large group are 0.7 s
+ * apart; told whole, what was before a shift would hide it.
+ */
+#define TOLD_SPAN_US	   (175 * SKH_US_PER_MS)
 #define MAX_DATAGRAM	   16384
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define SILENCE_TIMEOUT_US (1 * SKH_US_PER_S)
@@ -279,7 +284,8 @@
 	skh_election_look(balancer->election, &balancer->lease);
 	follow_shape(balancer);
 	skh_rankwatch_set_pace(balancer->watch,
-			       holds_lease(balancer, now_us) ? OWN_COUNTS_US : COUNTS_US);
+			       holds_lease(balancer, now_us) ? OWN_COUNTS_US : COUNTS_US,
+			       balancer->tell_us - TOLD_SPAN_US);
 	skh_rankwatch_tick(balancer->watch, now_us);
 	tell(balancer, now_us);
 	coordinate(balancer, now_us);
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -9,6 +9,8 @@
 /* The engine's own machine asks for nothing. */
 #define REPORT_US  (50 * SKH_US_PER_MS)
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
+/* Counts over longer than this say too little of the last passes, and are left out. */
+#define MOST_SPAN_US (300 * SKH_US_PER_MS)
 
 typedef enum ask {
 	ASK_REPORT,
@@ -27,10 +29,12 @@
 	skh_rank_news_t news;
 	double *seen; /* counts at the last look */
 	uint32_t n_seen;
+	int64_t seen_us;
 	int64_t seen_epoch;
 	bool asked[ASK_KINDS];
 	int64_t next_us[ASK_KINDS];
 	int64_t counts_us;
+	int64_t counts_from_us;
 	bool lost; /* the engine does not answer */
 };
 
@@ -109,6 +113,8 @@
 
 static void take_counts(skh_rankwatch_t *watch, skh_chunk_t body)
 {
+	int64_t now_us = skh_clock_boot_us();
+	bool is_fresh = now_us - watch->seen_us <= MOST_SPAN_US;
 	skh_engine_counts_t counts;
 	skh_error_t err;
 
@@ -122,10 +128,12 @@
 		/* An engine that restarted counts from nothing. */
 		if (more < 0.0 || counts.epoch != watch->seen_epoch)
 			more = more < 0.0 ? counts.counts[i] : more;
-		watch->news.counts[i] += (uint32_t)more;
+		if (is_fresh)
+			watch->news.counts[i] += (uint32_t)more;
 		watch->seen[i] = counts.counts[i];
 	}
 	watch->seen_epoch = counts.epoch;
+	watch->seen_us = now_us;
 	g_free(counts.counts);
 }
 
@@ -181,9 +189,10 @@
 	skh_engine_client_get(watch->client, path, TIMEOUT_US, what, on_answer, watch);
 }
 
-void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us)
+void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us, int64_t from_us)
 {
 	watch->counts_us = counts_us;
+	watch->counts_from_us = from_us;
 }
 
 void skh_rankwatch_tick(skh_rankwatch_t *watch, int64_t now_us)
@@ -191,7 +200,8 @@
 	ask(watch, ASK_REPORT, watch->dialect->report_path, REPORT_US, now_us);
 	if (!watch->has_shape || !watch->news.has_report)
 		return;
-	ask(watch, ASK_COUNTS, watch->dialect->counts_path, watch->counts_us, now_us);
+	if (now_us >= watch->counts_from_us)
+		ask(watch, ASK_COUNTS, watch->dialect->counts_path, watch->counts_us, now_us);
 	if (!watch->news.has_map)
 		ask(watch, ASK_LISTS, watch->dialect->lists_path, REPORT_US, now_us);
 }
--- a/src/rankwatch.h
+++ b/src/rankwatch.h
@@ -41,8 +41,8 @@
 /** skh_rankwatch_set_shape() - sets, experts and placements are known */
 void skh_rankwatch_set_shape(skh_rankwatch_t *watch, const skh_engine_shape_t *shape);
 
-/** skh_rankwatch_set_pace() - ask for the counts this often */
-void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us);
+/** skh_rankwatch_set_pace() - ask for the counts each @counts_us, but not before @from_us */
+void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us, int64_t from_us);
 
 /** skh_rankwatch_tick() - ask what is due */
 void skh_rankwatch_tick(skh_rankwatch_t *watch, int64_t now_us);
