--- a/src/cmd_check.c
+++ b/src/cmd_check.c
@@ -45,23 +45,36 @@
 	return status;
 }
 
+/* Kinds of settings; a manifest is none of them. */
+static const struct {
+	const char *kind;
+	skh_role_t role;
+} roles[] = {
+	{ "entry", SKH_ROLE_ENTRY },
+	{ "sidecar", SKH_ROLE_SIDECAR },
+	{ "gateway", SKH_ROLE_GATEWAY },
+	{ "balancer", SKH_ROLE_BALANCER },
+};
+
 static int check(const char *kind, const char *file)
 {
 	if (strcmp(kind, "manifest") == 0)
 		return check_manifest(file);
-	if (strcmp(kind, "entry") == 0)
-		return check_settings(file, SKH_ROLE_ENTRY);
-	if (strcmp(kind, "sidecar") == 0)
-		return check_settings(file, SKH_ROLE_SIDECAR);
-	(void)fprintf(stderr, "check: KIND is entry, sidecar or manifest, not \"%s\"\n", kind);
+	for (size_t i = 0; i < G_N_ELEMENTS(roles); i++) {
+		if (strcmp(kind, roles[i].kind) == 0)
+			return check_settings(file, roles[i].role);
+	}
+	(void)fprintf(stderr,
+		      "check: KIND is entry, sidecar, gateway, balancer or manifest, not \"%s\"\n",
+		      kind);
 	return SKH_EXIT_USAGE;
 }
 
 int skh_cmd_check(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_str *kind =
-		arg_str1(NULL, NULL, "KIND", "what the file holds: entry, sidecar or manifest");
+	struct arg_str *kind = arg_str1(NULL, NULL, "KIND",
+					"what the file holds: a role's settings, or \"manifest\"");
 	struct arg_file *file = arg_file1(NULL, NULL, "FILE", "file to check");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, kind, file, end };
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -82,14 +82,19 @@
 	skh_log(SKH_LOG_INFO, PART, "Request ended.",
 		"id=%s route=%s customer=%s outcome=%s status=%" PRId32 " server=%s sends=%u"
 		" runs=%u queued_ms=%" PRId64 " first_ms=%" PRId64 " total_ms=%" PRId64
-		" last_event=%" PRId64 " reason=%s",
+		" last_event=%" PRId64 " waiting=%u config=%" PRId64 " config_age_ms=%" PRId64
+		" list=%" PRId64 " reason=%s",
 		exchange->attempt_id, exchange->route ? exchange->route->name : "-",
 		skh_exchange_customer(exchange), outcome, status,
 		exchange->target ? exchange->target->server->id : "-", exchange->sends,
 		exchange->runs, exchange->queued_us / SKH_US_PER_MS,
 		exchange->first_us ? (exchange->first_us - exchange->received_us) / SKH_US_PER_MS
 				   : -1,
-		(now_us - exchange->received_us) / SKH_US_PER_MS, exchange->events.last_id, reason);
+		(now_us - exchange->received_us) / SKH_US_PER_MS, exchange->events.last_id,
+		exchange->front ? skh_waitline_length(exchange->front->line) : 0,
+		exchange->routing ? exchange->routing->version : 0,
+		skh_gateway_fresh_age_us(exchange->gateway, now_us) / SKH_US_PER_MS,
+		exchange->gateway->roster ? exchange->gateway->roster->revision : 0, reason);
 }
 
 void skh_exchange_end(skh_exchange_t *exchange)
--- /dev/null
+++ b/test/backends_test.cc
@@ -0,0 +1,97 @@
+// The list of servers after a power loss, when it still names those from before.
+#include "backends.h"
+#include "clock.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+constexpr int64_t kS = 1000000;
+
+struct Backends {
+	uv_loop_t loop = {};
+	skh_pool_options_t options = {};
+	skh_roster_t roster = {};
+	skh_backends_t *backends = nullptr;
+
+	Backends()
+	{
+		options.attempt_header = "Id";
+		EXPECT_EQ(uv_loop_init(&loop), 0);
+		roster.servers = g_ptr_array_new_with_free_func([](gpointer server) {
+			skh_server_free(static_cast<skh_server_t *>(server));
+		});
+		backends = skh_backends_new(&loop, &options);
+	}
+	~Backends()
+	{
+		skh_backends_free(backends);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		g_ptr_array_unref(roster.servers);
+	}
+	void list(const char *id, const char *host, int64_t born_ms)
+	{
+		skh_server_t *server = g_new0(skh_server_t, 1);
+
+		server->id = g_strdup(id);
+		server->service = g_strdup("s");
+		server->host = g_strdup(host);
+		server->failure_domain = g_strdup("a");
+		server->port = 80;
+		server->slots = 4;
+		server->born_ms = born_ms;
+		g_ptr_array_add(roster.servers, server);
+		roster.revision++;
+		skh_backends_sync(backends, &roster, nullptr);
+	}
+	std::string pick()
+	{
+		skh_front_t *front = skh_backends_front(backends, "s");
+		skh_target_t *target = skh_front_pick(front, nullptr, skh_clock_boot_us());
+
+		return target ? target->server->id : "-";
+	}
+};
+
+TEST(Backends, OfTwoAtOneAddressOnlyTheLaterStartIsUsed)
+{
+	Backends t;
+
+	t.list("before", "127.0.0.1", 1000);
+	EXPECT_EQ(t.pick(), "before");
+	t.list("after", "127.0.0.1", 2000);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.pick(), "after");
+}
+
+TEST(Backends, TheOrderOfTheListDoesNotMatter)
+{
+	Backends t;
+
+	t.list("after", "127.0.0.1", 2000);
+	t.list("before", "127.0.0.1", 1000);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.pick(), "after");
+}
+
+// Its entry may still be on its way: the address belongs to somebody else meanwhile.
+TEST(Backends, AServerWhoseAddressAnsweredForAnotherIsLeftAlone)
+{
+	Backends t;
+	skh_target_t *target;
+
+	t.list("one", "127.0.0.1", 1000);
+	t.list("two", "127.0.0.2", 1000);
+	target = skh_backends_target(t.backends, "one");
+	target->references++;
+	skh_target_begin(target, 1.0);
+	skh_target_end(target, 1.0, SKH_OUTCOME_MISPLACED, 0, skh_clock_boot_us());
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.pick(), "two");
+	EXPECT_TRUE(skh_front_pick(target->front, nullptr, skh_clock_boot_us() + 60 * kS));
+	skh_target_unref(target);
+}
+
+} // namespace
