Requests wait at the gateway while a lock-step group is silent

A rank's machine freezes, the whole group stands still, and what is sent to the frozen rank is read seconds later, after its callers have left. Now no event from any stream for 0.4 s after a request was sent closes the gate: requests wait where they can still be refused as not run; one probe a second.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -371,6 +371,7 @@
 		.until_us = exchange->until_us,
 	};
 	verdict = skh_verdict_of(&view);
+	skh_groupgate_failed(&exchange->front->gate);
 	if (end == SKH_END_NOT_RUN && exchange->front->lock_step && exchange->attempt_status == 503)
 		skh_groupgate_refused(&exchange->front->gate, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
--- a/src/groupgate.h
+++ b/src/groupgate.h
@@ -8,6 +8,10 @@
  * and every rank refuses for seconds. Sending each request to four ranks in turn
  * uses up the retry budget for nothing, and callers who wait learn too late. While
  * the group refuses, one request now and then goes through as a probe.
+ *
+ * And of a rank that freezes: all ranks fall silent, and what is sent to the frozen
+ * one is read long after its callers have left. While nothing comes back, requests
+ * wait here, where they can still be refused as not run.
  */
 
 #include <stdbool.h>
@@ -21,6 +25,8 @@
 typedef struct skh_groupgate {
 	int64_t closed_since_us; /* ranks refuse; 0 while the group is open */
 	int64_t probe_us;	 /* next request that is let through while it is closed */
+	int64_t unanswered_us;	 /* first request sent since the last event; 0 for none */
+	int64_t sent_us;	 /* the last one */
 } skh_groupgate_t;
 
 /** skh_groupgate_refused() - a rank refused a request that it had room for */
@@ -29,7 +35,10 @@
 /** skh_groupgate_answered() - a rank answers: the group is open */
 void skh_groupgate_answered(skh_groupgate_t *gate);
 
-/** skh_groupgate_may_send() - while the group is closed only a probe now and then */
+/** skh_groupgate_failed() - an attempt failed by itself: broken, perhaps, but not silent */
+void skh_groupgate_failed(skh_groupgate_t *gate);
+
+/** skh_groupgate_may_send() - while the group is closed or silent only a probe now and then */
 bool skh_groupgate_may_send(const skh_groupgate_t *gate, int64_t now_us);
 
 /** skh_groupgate_sent() - a request was sent */
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -587,3 +587,52 @@
 	EXPECT_LE(opened, 6 * kS + 200 * kMs);
 	EXPECT_FALSE(skh_groupgate_is_closed(&gate, 7 * kS));
 }
+
+// One rank freezes for 4 s and the others wait for it: 10 requests a second come in.
+TEST(GroupGate, ASilentGroupGetsNoMoreThanAFew)
+{
+	skh_groupgate_t gate = {};
+	int sent = 0;
+	int64_t opened = 0;
+
+	for (int64_t now = kS; now < 7 * kS; now += 20 * kMs) {
+		bool frozen = now >= 2 * kS && now < 6 * kS;
+
+		if (!frozen) {
+			skh_groupgate_answered(&gate);
+			opened = now >= 6 * kS && opened == 0 ? now : opened;
+		}
+		if (now % (100 * kMs) != 0 || !skh_groupgate_may_send(&gate, now))
+			continue;
+		skh_groupgate_sent(&gate, now);
+		sent += frozen;
+	}
+	EXPECT_LE(sent, 8); // 40 without the gate
+	EXPECT_EQ(opened, 6 * kS);
+	EXPECT_TRUE(skh_groupgate_may_send(&gate, 7 * kS));
+}
+
+// A lone request whose prompt is long: the next ones may wait, but not for ever.
+TEST(GroupGate, SilenceIsProbed)
+{
+	skh_groupgate_t gate = {};
+
+	skh_groupgate_sent(&gate, kS);
+	EXPECT_TRUE(skh_groupgate_may_send(&gate, kS + 200 * kMs));
+	EXPECT_FALSE(skh_groupgate_may_send(&gate, kS + 600 * kMs));
+	EXPECT_TRUE(skh_groupgate_may_send(&gate, 2 * kS + 1 * kMs));
+	skh_groupgate_sent(&gate, 2 * kS + 1 * kMs);
+	EXPECT_FALSE(skh_groupgate_may_send(&gate, 2 * kS + 500 * kMs));
+	skh_groupgate_answered(&gate);
+	EXPECT_TRUE(skh_groupgate_may_send(&gate, 2 * kS + 500 * kMs));
+}
+
+// A rank died and its group forms anew: that must be seen by probes, not in a second.
+TEST(GroupGate, ABrokenGroupIsNotSilent)
+{
+	skh_groupgate_t gate = {};
+
+	skh_groupgate_sent(&gate, kS);
+	skh_groupgate_failed(&gate);
+	EXPECT_TRUE(skh_groupgate_may_send(&gate, kS + 600 * kMs));
+}
