Upstream test: wait for events, not for time

Cause: each step slept 20 ms and then judged, so a busy machine could change the verdict. Change: the loop turns until the request has ended; the server's side waits in the same loop for the request. A guard of 60 s ends a run that hangs, as a failure. The tests keep their assertions.

--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -42,6 +42,9 @@
 
 const skh_upstream_ops_t ops = { on_head, on_body, on_end, on_lost };
 
+// No verdict depends on time: a timeout of this length only ends a run that hangs.
+constexpr int64_t kHungUs = 60 * SKH_US_PER_S;
+
 // A server on loopback that is driven step by step between turns of the loop.
 class Pair
 {
@@ -57,15 +60,19 @@
 		EXPECT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), len), 0);
 		EXPECT_EQ(listen(listener, 8), 0);
 		EXPECT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &len), 0);
-		options = { "X-Id", 1000 * SKH_US_PER_MS, 1000 * SKH_US_PER_MS, SKH_US_PER_S, 4 };
+		options = { "X-Id", kHungUs, kHungUs, kHungUs, 4 };
 		EXPECT_EQ(uv_loop_init(&loop), 0);
+		(void)uv_timer_init(&loop, &guard);
+		guard.data = this;
+		(void)uv_timer_start(&guard, on_guard, kHungUs / SKH_US_PER_MS, 0);
 		pool = skh_pool_new(&loop, "127.0.0.1", ntohs(address.sin_port), &options);
 	}
 
 	~Pair()
 	{
+		uv_close(reinterpret_cast<uv_handle_t *>(&guard), nullptr);
 		skh_pool_free(pool);
-		turn();
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
 		close(peer);
 		close(listener);
 		uv_run(&loop, UV_RUN_DEFAULT);
@@ -80,10 +87,9 @@
 		what.bytes = skh_chunk_from_string(request);
 		what.attempt_id = id;
 		(void)skh_pool_send(pool, &what, &ops, seen);
-		turn();
 		if (peer < 0)
 			peer = accept(listener, nullptr, nullptr);
-		turn();
+		receive();
 	}
 
 	void answer(const std::string &text)
@@ -101,26 +107,51 @@
 		peer = -1;
 	}
 
-	// Bytes of the request that are left unread would turn the end into a reset.
+	// Nothing of the request is left unread, which would turn the end into a reset.
 	void finish()
 	{
-		char request[256];
-
-		(void)!read(peer, request, sizeof(request));
 		close(peer);
 		peer = -1;
 	}
 
-	void turn()
+	// Turns the loop until the request has ended, one way or the other.
+	void settle(const Seen &seen)
 	{
-		for (int i = 0; i < 20; i++) {
-			(void)uv_run(&loop, UV_RUN_NOWAIT);
-			usleep(1000);
-		}
+		while (!seen.ended && !seen.lost && !hung)
+			(void)uv_run(&loop, UV_RUN_ONCE);
 	}
 
       private:
+	// Reads a whole request; the loop goes on meanwhile.
+	void receive()
+	{
+		std::string request;
+		char bytes[256];
+		uv_poll_t readable;
+
+		(void)uv_poll_init(&loop, &readable, peer);
+		(void)uv_poll_start(&readable, UV_READABLE, [](uv_poll_t *, int, int) {});
+		while (request.find("\r\n\r\n") == std::string::npos && !hung) {
+			ssize_t n = recv(peer, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+			if (n > 0)
+				request.append(bytes, static_cast<size_t>(n));
+			else
+				(void)uv_run(&loop, UV_RUN_ONCE);
+		}
+		uv_close(reinterpret_cast<uv_handle_t *>(&readable), nullptr);
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+	}
+
+	static void on_guard(uv_timer_t *timer)
+	{
+		ADD_FAILURE() << "nothing comes";
+		static_cast<Pair *>(timer->data)->hung = true;
+	}
+
 	uv_loop_t loop = {};
+	uv_timer_t guard = {};
+	bool hung = false;
 	skh_pool_options_t options = {};
 	skh_pool_t *pool = nullptr;
 	int listener = -1;
@@ -137,7 +168,7 @@
 	pair.send(&seen, "a");
 	pair.answer("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nhalf of it");
 	pair.reset();
-	pair.turn();
+	pair.settle(seen);
 	EXPECT_FALSE(seen.ended);
 	EXPECT_TRUE(seen.lost);
 }
@@ -150,7 +181,7 @@
 	pair.send(&seen, "a");
 	pair.answer("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it");
 	pair.finish();
-	pair.turn();
+	pair.settle(seen);
 	EXPECT_TRUE(seen.ended);
 	EXPECT_EQ(seen.body, "all of it");
 }
@@ -163,7 +194,7 @@
 	pair.send(&seen, "b");
 	pair.answer("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\n\r\nold"
 		    "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 3\r\n\r\nnew");
-	pair.turn();
+	pair.settle(seen);
 	EXPECT_TRUE(seen.ended);
 	EXPECT_EQ(seen.body, "new");
 }
@@ -176,12 +207,12 @@
 
 	pair.send(&first, "a");
 	pair.answer("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200");
-	pair.turn();
+	pair.settle(first);
 	EXPECT_TRUE(first.ended);
 	pair.finish();
 	pair.send(&second, "b");
 	pair.answer("HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nhi");
-	pair.turn();
+	pair.settle(second);
 	EXPECT_EQ(second.body, "hi");
 }
 
@@ -192,7 +223,7 @@
 
 	pair.send(&seen, "a");
 	pair.answer("HTP/9 nonsense\r\n\r\n");
-	pair.turn();
+	pair.settle(seen);
 	EXPECT_TRUE(seen.lost);
 	EXPECT_FALSE(seen.ended);
 }
