--- a/fuzz/fuzz_fleet.c
+++ b/fuzz/fuzz_fleet.c
@@ -8,14 +8,14 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	const skh_dialect_t *dialect = skh_dialect_find("fleet");
+	skh_error_t err;
+	const skh_dialect_t *dialect = skh_dialect_find("fleet", &err);
 	const skh_chunk_t text = { data, size };
 	skh_routing_t *routing;
 	skh_engine_report_t report;
 	skh_engine_counts_t counts;
 	uint32_t map[SETS * PLACES];
 	int64_t version;
-	skh_error_t err;
 
 	routing = dialect->read_config(text, &err);
 	if (routing) {
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -1,5 +1,6 @@
 #include "balancer.h"
 
+#include "address.h"
 #include "admin.h"
 #include "clock.h"
 #include "coordinator.h"
@@ -122,15 +123,13 @@
 
 static size_t send_report(balancer_t *balancer, const Skh__RankReport *message)
 {
-	const char *address = balancer->lease.coordinator;
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
 	uint8_t *packed;
 	struct sockaddr_in to;
 	uv_buf_t buffer;
 	size_t len;
 
-	if (!host || uv_ip4_addr(host, atoi(colon + 1), &to) != 0)
+	/* Nobody coordinates, or it is not known who. */
+	if (!skh_address_parse(balancer->lease.coordinator, &to))
 		return 0;
 	packed = g_malloc(skh__rank_report__get_packed_size(message) + 1);
 	len = skh__rank_report__pack(message, packed);
@@ -294,10 +293,8 @@
 static bool open_udp(balancer_t *balancer, skh_error_t *err)
 {
 	const char *address = balancer->settings->gossip_listen;
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
 	struct sockaddr_in own;
-	int code = host ? uv_ip4_addr(host, atoi(colon + 1), &own) : UV_EINVAL;
+	int code = skh_address_parse(address, &own) ? 0 : UV_EINVAL;
 
 	(void)uv_udp_init(&balancer->loop, &balancer->udp);
 	balancer->udp.data = balancer;
@@ -370,13 +367,8 @@
 		g_strdup_printf("skylarkhead/groups/%s/", balancer->settings->backend_service);
 	skh_error_t err;
 
-	balancer->dialect = skh_dialect_find(balancer->settings->dialect);
-	if (!balancer->dialect) {
-		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=no dialect is called \"%s\"",
-			balancer->settings->dialect);
-		return 1;
-	}
-	if (!start(balancer, prefix, &err)) {
+	balancer->dialect = skh_dialect_find(balancer->settings->dialect, &err);
+	if (!balancer->dialect || !start(balancer, prefix, &err)) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=%s", err.text);
 		return 1;
 	}
--- a/src/board.c
+++ b/src/board.c
@@ -3,6 +3,7 @@
 #include <urcu-bp.h>
 
 #include <glib.h>
+#include <string.h>
 
 /* A section is stored behind this header; readers see only the payload. */
 typedef struct header {
@@ -110,40 +111,35 @@
 	(void)payload;
 }
 
-void skh_board_publish_config(skh_board_t *board, skh_config_t *config)
+/* The section takes over what @content holds; the struct itself is given up. */
+static void publish_content(skh_board_t *board, skh_section_id_t id, void *content, size_t size,
+			    void (*destroy)(void *payload))
 {
-	header_t *header = new_section(sizeof(*config), destroy_config);
+	header_t *header = new_section(size, destroy);
 
-	*(skh_config_t *)payload_of(header) = *config;
-	g_free(config);
-	publish(board, SKH_SECTION_CONFIG, header);
+	memcpy(payload_of(header), content, size);
+	g_free(content);
+	publish(board, id, header);
 }
 
-void skh_board_publish_members(skh_board_t *board, skh_members_t *members)
+void skh_board_publish_config(skh_board_t *board, skh_config_t *config)
 {
-	header_t *header = new_section(sizeof(*members), destroy_members);
+	publish_content(board, SKH_SECTION_CONFIG, config, sizeof(*config), destroy_config);
+}
 
-	*(skh_members_t *)payload_of(header) = *members;
-	g_free(members);
-	publish(board, SKH_SECTION_MEMBERS, header);
+void skh_board_publish_members(skh_board_t *board, skh_members_t *members)
+{
+	publish_content(board, SKH_SECTION_MEMBERS, members, sizeof(*members), destroy_members);
 }
 
 void skh_board_publish_routing(skh_board_t *board, skh_routing_t *routing)
 {
-	header_t *header = new_section(sizeof(*routing), destroy_routing);
-
-	*(skh_routing_t *)payload_of(header) = *routing;
-	g_free(routing);
-	publish(board, SKH_SECTION_ROUTING, header);
+	publish_content(board, SKH_SECTION_ROUTING, routing, sizeof(*routing), destroy_routing);
 }
 
 void skh_board_publish_roster(skh_board_t *board, skh_roster_t *roster)
 {
-	header_t *header = new_section(sizeof(*roster), destroy_roster);
-
-	*(skh_roster_t *)payload_of(header) = *roster;
-	g_free(roster);
-	publish(board, SKH_SECTION_ROSTER, header);
+	publish_content(board, SKH_SECTION_ROSTER, roster, sizeof(*roster), destroy_roster);
 }
 
 const skh_routing_t *skh_board_routing(skh_board_t *board)
--- a/src/clock.c
+++ b/src/clock.c
@@ -3,9 +3,12 @@
 #include <stddef.h>
 #include <sys/random.h>
 #include <time.h>
+#include <unistd.h>
 
 #define NS_PER_US 1000
 #define NS_PER_MS 1000000
+/* A pause notices a stop this late at most. */
+#define SLICE_US (100 * SKH_US_PER_MS)
 
 int64_t skh_clock_now_us(void)
 {
@@ -31,6 +34,14 @@
 	return (int64_t)now.tv_sec * SKH_MS_PER_S + now.tv_nsec / NS_PER_MS;
 }
 
+void skh_clock_pause(int64_t pause_us, const bool *stop)
+{
+	while (pause_us > 0 && !__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		(void)usleep((useconds_t)(pause_us < SLICE_US ? pause_us : SLICE_US));
+		pause_us -= SLICE_US;
+	}
+}
+
 uint64_t skh_random_u64(void)
 {
 	uint64_t value = 0;
--- a/src/clock.h
+++ b/src/clock.h
@@ -8,6 +8,7 @@
  * these functions. Deadlines are stored as points on the monotonic clock.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -31,6 +32,9 @@
 /** skh_clock_unix_ms() - wall clock, milliseconds since 1970 (UTC) */
 int64_t skh_clock_unix_ms(void);
 
+/** skh_clock_pause() - let this thread rest for @pause_us, or until @stop is set by another */
+void skh_clock_pause(int64_t pause_us, const bool *stop);
+
 /** skh_random_u64() - unpredictable number for identifiers and jitter */
 uint64_t skh_random_u64(void);
 
--- a/src/dialect.c
+++ b/src/dialect.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-const skh_dialect_t *skh_dialect_find(const char *name)
+const skh_dialect_t *skh_dialect_find(const char *name, skh_error_t *err)
 {
 	static const skh_dialect_t *const dialects[] = { &skh_platform_dialect };
 
@@ -12,5 +12,6 @@
 		if (strcmp(dialects[i]->name, name) == 0)
 			return dialects[i];
 	}
+	(void)skh_error_set(err, SKH_CONFIG_INVALID, "no dialect is called \"%s\"", name);
 	return NULL;
 }
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -109,8 +109,8 @@
 	char *(*write_order)(const skh_engine_order_t *order);
 } skh_dialect_t;
 
-/** skh_dialect_find() - the dialect called @name, or NULL */
-const skh_dialect_t *skh_dialect_find(const char *name);
+/** skh_dialect_find() - the dialect called @name, or NULL with @err */
+const skh_dialect_t *skh_dialect_find(const char *name, skh_error_t *err);
 
 #ifdef __cplusplus
 }
--- a/src/downstream.c
+++ b/src/downstream.c
@@ -1,5 +1,6 @@
 #include "downstream.h"
 
+#include "address.h"
 #include "clock.h"
 #include "log.h"
 
@@ -395,14 +396,6 @@
 	(void)uv_timer_start(&listener->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 }
 
-static bool parse_address(const char *address, struct sockaddr_in *parsed)
-{
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
-
-	return host && uv_ip4_addr(host, atoi(colon + 1), parsed) == 0;
-}
-
 skh_listener_t *skh_listener_start(uv_loop_t *loop, const char *address,
 				   const skh_listener_ops_t *ops, void *context, skh_error_t *err)
 {
@@ -415,7 +408,7 @@
 	listener->limits = (skh_caller_limits_t){ DEFAULT_HEADER_BYTES, DEFAULT_BODY_BYTES,
 						  DEFAULT_TIMEOUT_US, DEFAULT_TIMEOUT_US };
 	g_queue_init(&listener->connections);
-	if (!parse_address(address, &parsed)) {
+	if (!skh_address_parse(address, &parsed)) {
 		(void)skh_error_set(err, SKH_CONFIG_INVALID, "\"%s\" is no address", address);
 		g_free(listener);
 		return NULL;
--- a/src/election.c
+++ b/src/election.c
@@ -21,7 +21,6 @@
 #define SLOW_US (150 * SKH_US_PER_MS)
 /* The list is read no more often while it is wanted. */
 #define SERVERS_US (1 * SKH_US_PER_S)
-#define SLICE_US   (50 * SKH_US_PER_MS)
 
 struct skh_election {
 	skh_election_options_t options;
@@ -44,13 +43,12 @@
 	return __atomic_load_n(&election->stop, __ATOMIC_ACQUIRE);
 }
 
+/* Jittered: all ranks see the same lapse at once. */
 static void pause_thread(const skh_election_t *election, int64_t pause_us)
 {
-	pause_us = pause_us * 3 / 4 + (int64_t)(skh_random_u64() % (uint64_t)pause_us) / 2;
-	while (pause_us > 0 && !is_stopped(election)) {
-		g_usleep((gulong)MIN(pause_us, SLICE_US));
-		pause_us -= SLICE_US;
-	}
+	int64_t jitter_us = (int64_t)(skh_random_u64() % (uint64_t)pause_us) / 2;
+
+	skh_clock_pause(pause_us * 3 / 4 + jitter_us, &election->stop);
 }
 
 static void fail(const char *what, const skh_error_t *err)
--- a/src/enginecall.c
+++ b/src/enginecall.c
@@ -1,10 +1,13 @@
 #include "enginecall.h"
 
+#include "address.h"
 #include "clock.h"
+#include "log.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#define PART "engine"
+
 struct skh_engine_client {
 	uv_loop_t *loop;
 	char *address;
@@ -106,12 +109,15 @@
 					   const skh_pool_options_t *options)
 {
 	skh_engine_client_t *client = g_new0(skh_engine_client_t, 1);
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = g_strndup(address, colon ? (gsize)(colon - address) : 0);
+	g_autofree char *host = NULL;
+	uint16_t port = 0;
 
 	client->loop = loop;
 	client->address = g_strdup(address);
-	client->pool = skh_pool_new(loop, host, (uint16_t)(colon ? atoi(colon + 1) : 0), options);
+	/* Calls to an address that can't be read fail as those to nobody do. */
+	if (!skh_address_split(address, &host, &port))
+		skh_log(SKH_LOG_WARNING, PART, "Engine's address not read.", "address=%s", address);
+	client->pool = skh_pool_new(loop, host ? host : "", port, options);
 	g_queue_init(&client->calls);
 	return client;
 }
--- a/src/feed.c
+++ b/src/feed.c
@@ -42,16 +42,6 @@
 	return __atomic_load_n(&feed->stop, __ATOMIC_ACQUIRE);
 }
 
-static void sleep_us(const skh_feed_t *feed, int64_t pause_us)
-{
-	const int64_t slice_us = 100 * SKH_US_PER_MS;
-
-	while (pause_us > 0 && !is_stopped(feed)) {
-		g_usleep((gulong)MIN(pause_us, slice_us));
-		pause_us -= slice_us;
-	}
-}
-
 static void note_failure(skh_feed_t *feed, const skh_error_t *err)
 {
 	skh_metrics_add(SKH_COUNT_STORE_FAILED, 1);
@@ -62,7 +52,8 @@
 		skh_log(SKH_LOG_WARNING, PART, "Store is lost.",
 			"revision=%" G_GINT64_FORMAT " reason=%s", feed->after, err->text);
 	}
-	sleep_us(feed, feed->pause_us / 2 + (int64_t)(skh_random_u64() % (uint64_t)feed->pause_us));
+	skh_clock_pause(feed->pause_us / 2 + (int64_t)(skh_random_u64() % (uint64_t)feed->pause_us),
+			&feed->stop);
 }
 
 static void note_answer(skh_feed_t *feed)
@@ -327,7 +318,8 @@
 			__atomic_store_n(&feed->fresh_us, asked_us, __ATOMIC_RELEASE);
 		register_own(feed);
 		if (feed->after != 0)
-			sleep_us(feed, asked_us + feed->options.pace_us - skh_clock_boot_us());
+			skh_clock_pause(asked_us + feed->options.pace_us - skh_clock_boot_us(),
+					&feed->stop);
 	}
 	return NULL;
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -281,14 +281,10 @@
 {
 	skh_error_t err;
 
-	shell->gateway.dialect = skh_dialect_find(settings->dialect);
-	if (!shell->gateway.dialect) {
-		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=no dialect is called \"%s\"",
-			settings->dialect);
-		return 1;
-	}
-	set_up(shell, settings);
-	if (!start(shell, &err)) {
+	shell->gateway.dialect = skh_dialect_find(settings->dialect, &err);
+	if (shell->gateway.dialect)
+		set_up(shell, settings);
+	if (!shell->gateway.dialect || !start(shell, &err)) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=%s", err.text);
 		return 1;
 	}
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -1,5 +1,6 @@
 #include "gossip.h"
 
+#include "address.h"
 #include "clock.h"
 #include "culprits.h"
 #include "log.h"
@@ -154,10 +155,8 @@
 skh_gossip_t *skh_gossip_start(skh_gateway_t *gateway, const char *address, skh_error_t *err)
 {
 	skh_gossip_t *gossip = g_new0(skh_gossip_t, 1);
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
 	struct sockaddr_in own;
-	int status = host ? uv_ip4_addr(host, atoi(colon + 1), &own) : UV_EINVAL;
+	int status = skh_address_parse(address, &own) ? 0 : UV_EINVAL;
 
 	gossip->gateway = gateway;
 	gossip->sender = skh_random_u64();
@@ -182,11 +181,9 @@
 	g_array_set_size(gossip->peers, 0);
 	for (guint i = 0; i < peers->len; i++) {
 		const char *address = g_ptr_array_index(peers, i);
-		const char *colon = strrchr(address, ':');
-		g_autofree char *host = colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
 		struct sockaddr_in peer;
 
-		if (host && uv_ip4_addr(host, atoi(colon + 1), &peer) == 0)
+		if (skh_address_parse(address, &peer))
 			g_array_append_val(gossip->peers, peer);
 		else
 			skh_log(SKH_LOG_WARNING, PART, "Gateway's address not read.", "address=%s",
--- a/src/store.c
+++ b/src/store.c
@@ -35,6 +35,27 @@
 	*changes = (skh_changes_t){ 0 };
 }
 
+char *skh_store_decode(const char *base64)
+{
+	gsize len = 0;
+	g_autofree guchar *bytes = NULL;
+
+	if (!base64 || !*base64)
+		return g_strdup("");
+	bytes = g_base64_decode(base64, &len);
+	return g_strndup((const char *)bytes, len);
+}
+
+size_t skh_store_keep_answer(char *data, size_t size, size_t n, void *context)
+{
+	skh_buffer_t *answer = context;
+
+	if (answer->len + size * n > SKH_STORE_MAX_ANSWER_BYTES)
+		return 0;
+	skh_buffer_append(answer, skh_chunk_make(data, size * n));
+	return size * n;
+}
+
 uint64_t skh_store_calls(void)
 {
 	return atomic_load(&calls);
--- a/src/store.h
+++ b/src/store.h
@@ -133,6 +133,15 @@
 /** skh_store_open_etcd() - etcd v3 over JSON and HTTP; NULL-terminated @endpoints are copied */
 skh_store_t *skh_store_open_etcd(const char *const *endpoints, int64_t timeout_ms);
 
+/** skh_store_decode() - text in base64; "" for NULL or ""; free with g_free() */
+char *skh_store_decode(const char *base64);
+
+/* Longest answer that is kept: all parts of a configuration at the design size, and more. */
+#define SKH_STORE_MAX_ANSWER_BYTES (64U << 20)
+
+/** skh_store_keep_answer() - as libcurl's write function; @context is a skh_buffer_t */
+size_t skh_store_keep_answer(char *data, size_t size, size_t n, void *context);
+
 /** skh_store_calls() - calls made so far by all stores of this process */
 uint64_t skh_store_calls(void);
 void skh_store_count_call(void);
--- a/src/store_etcd.c
+++ b/src/store_etcd.c
@@ -6,11 +6,10 @@
 #include <jansson.h>
 #include <string.h>
 
-#define CONNECT_SHARE	 4 /* a quarter of the timeout may go to connecting */
-#define MAX_ANSWER_BYTES (64U << 20)
-#define HTTP_OK		 200
-#define WATCH_POLL_MS	 100
-#define KEEPALIVE_S	 10L
+#define CONNECT_SHARE 4 /* a quarter of the timeout may go to connecting */
+#define HTTP_OK	      200
+#define WATCH_POLL_MS 100
+#define KEEPALIVE_S   10L
 
 typedef struct etcd_store {
 	skh_store_t base;
@@ -25,21 +24,6 @@
 	return g_base64_encode((const guchar *)text, strlen(text));
 }
 
-static char *decode(const json_t *value)
-{
-	const char *text = json_string_value(value);
-	gsize len = 0;
-	guchar *bytes;
-	char *copy;
-
-	if (!text || !*text)
-		return g_strdup("");
-	bytes = g_base64_decode(text, &len);
-	copy = g_strndup((const char *)bytes, len);
-	g_free(bytes);
-	return copy;
-}
-
 /* The gateway writes 64-bit integers as texts. */
 static int64_t integer_of(const json_t *object, const char *key)
 {
@@ -68,16 +52,6 @@
 	json_object_set_new(object, key, json_string(encoded));
 }
 
-static size_t keep_answer(char *data, size_t size, size_t n, void *context)
-{
-	skh_buffer_t *answer = context;
-
-	if (answer->len + size * n > MAX_ANSWER_BYTES)
-		return 0;
-	skh_buffer_append(answer, skh_chunk_make(data, size * n));
-	return size * n;
-}
-
 /* Only a failure before the connection stood proves that nothing was written. */
 static skh_kind_t kind_of_failure(CURLcode code)
 {
@@ -112,7 +86,7 @@
 
 	skh_store_count_call();
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)store->timeout_ms);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep_answer);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, skh_store_keep_answer);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
 	code = curl_easy_perform(curl);
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
@@ -156,8 +130,8 @@
 
 static void read_pair(const json_t *kv, skh_pair_t *pair)
 {
-	pair->key = decode(json_object_get(kv, "key"));
-	pair->value = decode(json_object_get(kv, "value"));
+	pair->key = skh_store_decode(json_string_value(json_object_get(kv, "key")));
+	pair->value = skh_store_decode(json_string_value(json_object_get(kv, "value")));
 	pair->create_revision = integer_of(kv, "create_revision");
 	pair->mod_revision = integer_of(kv, "mod_revision");
 	pair->lease = integer_of(kv, "lease");
@@ -337,7 +311,7 @@
 	char *end;
 
 	skh_buffer_append(&watching->line, skh_chunk_make(data, size * n));
-	if (watching->line.len > MAX_ANSWER_BYTES)
+	if (watching->line.len > SKH_STORE_MAX_ANSWER_BYTES)
 		return 0;
 	while (watching->line.len > 0 &&
 	       (end = memchr(watching->line.data, '\n', watching->line.len)) != NULL) {
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -142,13 +142,16 @@
 
 		if (verdict == SKH_VERDICT_AGAIN && ran) {
 			EXPECT_NE(view.repeat, SKH_REPEAT_NEVER);
-			if (view.end != SKH_END_UNREACHABLE && view.end != SKH_END_NOT_RUN)
+			if (view.end != SKH_END_UNREACHABLE && view.end != SKH_END_NOT_RUN) {
 				EXPECT_LT(view.runs, view.max_attempts);
+			}
 		}
-		if (verdict == SKH_VERDICT_REFUSE)
+		if (verdict == SKH_VERDICT_REFUSE) {
 			EXPECT_FALSE(ran);
-		if (verdict == SKH_VERDICT_PASS)
+		}
+		if (verdict == SKH_VERDICT_PASS) {
 			EXPECT_EQ(view.end, SKH_END_ERROR);
+		}
 	}
 }
 
--- a/test/relief_test.cc
+++ b/test/relief_test.cc
@@ -89,8 +89,8 @@
 {
 	const skh_engine_shape_t shape = shape_of(4, 72, 8, 3);
 	std::vector<uint32_t> map = dealt(4, 12, 8, 72);
-	const skh_mapplan_weights_t weights[] = { { 1, 1, 0.006, 2, true },
-						  { 1, 1, 0.006, 4, false } };
+	const skh_mapplan_weights_t weights[] = { { 1, 1, 0.006, 2, true, 0 },
+						  { 1, 1, 0.006, 4, false, 0 } };
 
 	for (uint32_t shift = 0; shift < 30; shift++) {
 		std::vector<double> shares;
