--- a/src/feed.c
+++ b/src/feed.c
@@ -22,7 +22,8 @@
 	bool stop;
 	int64_t fresh_us; /* atomic */
 	GMutex lock;
-	GHashTable *peers; /* id -> address; under the lock */
+	GHashTable *peers;     /* id -> address; under the lock */
+	uint64_t peer_changes; /* counted from 1; under the lock */
 	/* Of the thread alone: */
 	skh_record_t *record;
 	int64_t after; /* revision up to which changes are known; 0: read all */
@@ -126,6 +127,7 @@
 		(void)g_hash_table_replace(feed->peers, g_strdup(id), g_strdup(value));
 	else
 		(void)g_hash_table_remove(feed->peers, id);
+	feed->peer_changes++;
 	g_mutex_unlock(&feed->lock);
 }
 
@@ -330,6 +332,7 @@
 
 	feed->options = *options;
 	feed->record = skh_record_new();
+	feed->peer_changes = 1;
 	feed->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_mutex_init(&feed->lock);
 	(void)pthread_create(&feed->thread, NULL, run, feed);
@@ -351,19 +354,30 @@
 	return __atomic_load_n(&feed->fresh_us, __ATOMIC_ACQUIRE);
 }
 
-GPtrArray *skh_feed_peers(skh_feed_t *feed)
+/* Under the lock. */
+static GPtrArray *list_peers(const skh_feed_t *feed)
 {
 	GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer id;
 	gpointer address;
 
-	g_mutex_lock(&feed->lock);
 	g_hash_table_iter_init(&iter, feed->peers);
 	while (g_hash_table_iter_next(&iter, &id, &address)) {
 		if (!feed->options.own_id || strcmp(id, feed->options.own_id) != 0)
 			g_ptr_array_add(list, g_strdup(address));
 	}
+	return list;
+}
+
+GPtrArray *skh_feed_peers(skh_feed_t *feed, uint64_t *seen)
+{
+	GPtrArray *list = NULL;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->peer_changes != *seen)
+		list = list_peers(feed);
+	*seen = feed->peer_changes;
 	g_mutex_unlock(&feed->lock);
 	return list;
 }
--- a/src/feed.h
+++ b/src/feed.h
@@ -43,8 +43,12 @@
  */
 int64_t skh_feed_fresh_us(const skh_feed_t *feed);
 
-/** skh_feed_peers() - addresses of the other gateways; free with g_ptr_array_unref() */
-GPtrArray *skh_feed_peers(skh_feed_t *feed);
+/**
+ * skh_feed_peers() - addresses of the other gateways
+ * @seen: the caller's mark of what it had last; 0 at first, set here
+ * Return: NULL when nothing has changed since; else free with g_ptr_array_unref().
+ */
+GPtrArray *skh_feed_peers(skh_feed_t *feed, uint64_t *seen);
 
 #ifdef __cplusplus
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -34,8 +34,9 @@
 	skh_admin_t *admin;
 	skh_store_t *store;
 	skh_reload_t *reload;
-	gint ready;	  /* read by the administration's threads */
-	int64_t leave_us; /* SIGTERM came then; 0 before */
+	uint64_t seen_peers; /* of the feed's */
+	gint ready;	     /* read by the administration's threads */
+	int64_t leave_us;    /* SIGTERM came then; 0 before */
 	int64_t stop_by_us;
 	bool closed;
 } shell_t;
@@ -112,14 +113,17 @@
 	skh_exchange_dispatch(gateway);
 }
 
-static void follow_peers(skh_gateway_t *gateway)
+static void follow_peers(shell_t *shell)
 {
-	uint32_t peers;
+	skh_gateway_t *gateway = &shell->gateway;
+	GPtrArray *peers = skh_feed_peers(gateway->feed, &shell->seen_peers);
 
-	skh_gossip_set_peers(gateway->gossip, skh_feed_peers(gateway->feed));
-	peers = skh_gossip_count_peers(gateway->gossip);
+	if (!peers)
+		return;
+	skh_gossip_set_peers(gateway->gossip, peers);
 	/* Some that are not registered now may have been a moment ago. */
-	gateway->retry_bounds.gateways = MAX(LEAST_GATEWAYS, peers + 1);
+	gateway->retry_bounds.gateways =
+		MAX(LEAST_GATEWAYS, skh_gossip_count_peers(gateway->gossip) + 1);
 }
 
 static void update_ready(shell_t *shell, int64_t now_us)
@@ -198,7 +202,7 @@
 	int64_t now_us = skh_clock_boot_us();
 
 	follow_settings(shell, now_us);
-	follow_peers(&shell->gateway);
+	follow_peers(shell);
 	update_ready(shell, now_us);
 	skh_exchange_tick(&shell->gateway);
 	skh_gossip_tick(shell->gateway.gossip);
