--- a/test/relief_test.cc
+++ b/test/relief_test.cc
@@ -6,6 +6,7 @@
 #include "mapplan.h"
 #include "rankrelay.h"
 #include "relief.h"
+#include "zipf.h"
 
 #include <gtest/gtest.h>
 
@@ -18,23 +19,6 @@
 namespace
 {
 
-// Popularity falls with the rank of an expert, as in the users' traffic.
-std::vector<double> zipf(uint32_t experts, double skew, uint32_t seed)
-{
-	std::vector<double> shares(experts);
-	std::mt19937 random(seed);
-	double sum = 0.0;
-
-	for (uint32_t i = 0; i < experts; i++) {
-		shares[i] = std::pow(i + 1.0, -skew);
-		sum += shares[i];
-	}
-	for (auto &share : shares)
-		share /= sum;
-	std::shuffle(shares.begin(), shares.end(), random);
-	return shares;
-}
-
 // Experts dealt in turn, as the engines' first map does; the other places are empty.
 std::vector<uint32_t> dealt(uint32_t sets, uint32_t ranks, uint32_t places, uint32_t experts)
 {
