--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -74,11 +74,13 @@
 	} else if (data[0] % 4 == 2) {
 		check_events(bytes, cut);
 	} else {
-		skh_rank_map_t known = { 0 };
+		skh_rank_maps_t known = { 0 };
 		skh_engine_order_t order;
+		char *engine;
 
-		(void)skh_rankrelay_unpack(bytes, &known, &order);
-		g_free(known.map);
+		(void)skh_rankrelay_unpack(bytes, &known, &order, &engine);
+		g_free(engine);
+		skh_rank_maps_clear(&known);
 	}
 	return 0;
 }
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -342,7 +342,8 @@
 	balancer->watch =
 		skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed, balancer);
 	balancer->relay = skh_rankrelay_start(&balancer->loop, settings->gossip_listen,
-					      balancer->engine, balancer->dialect, err);
+					      balancer->engine, balancer->dialect,
+					      &balancer->pool_options, err);
 	if (!balancer->relay)
 		return false;
 	balancer->board = skh_board_new();
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -15,9 +15,11 @@
 #include <string.h>
 
 #define PART		 "group"
-#define ORDER_TIMEOUT_US (160 * SKH_US_PER_MS)
-/* Longer: the process waits for its engine's answer for the time above. */
-#define RELAY_TIMEOUT_US (300 * SKH_US_PER_MS)
+#define ORDER_TIMEOUT_US (100 * SKH_US_PER_MS)
+/* Longer: the process hands an order to its engine again and again for 180 ms. */
+#define RELAY_TIMEOUT_US (220 * SKH_US_PER_MS)
+/* Shorter: the group may stand still for it. Three ways of a millisecond, and slow processes. */
+#define HOLD_TIMEOUT_US (60 * SKH_US_PER_MS)
 /*
  * A change is not begun for less skew than this while passes are long, and for
  * much more while they are short: then copies cost more than they bring.
@@ -48,11 +50,16 @@
 	bool wants_whole; /* its process does not know the map in use */
 } way_t;
 
+/* A deputy is a rank whose process was heard of within this. */
+#define DEPUTY_HEARD_US (300 * SKH_US_PER_MS)
+
 struct skh_coordinator {
 	skh_coordinator_options_t options;
 	skh_groupview_t view;
 	skh_demand_t *demand;
 	way_t ways[SKH_MAPCHANGE_MAX_RANKS];
+	bool holds_itself; /* the deputy did not answer the last order to hold */
+	uint32_t deputy;   /* of the last change */
 	skh_mapchange_t change;
 	skh_mapplan_result_t plan;
 	int64_t decide_us;
@@ -65,13 +72,19 @@
 	bool repair; /* the last change failed: its leavings must go */
 };
 
-static void on_state(void *context, uint32_t rank, int64_t now_us)
+static void send_orders(skh_coordinator_t *coordinator, int64_t now_us);
+
+static void on_state(void *context, uint32_t rank, int64_t asked_us, int64_t now_us)
 {
 	skh_coordinator_t *coordinator = context;
 
-	if (coordinator->changing)
-		skh_mapchange_report(&coordinator->change, rank,
-				     &coordinator->view.ranks[rank].report, now_us);
+	if (!coordinator->changing)
+		return;
+	if (asked_us > 0 && rank == coordinator->change.deputy)
+		skh_mapchange_contact(&coordinator->change, asked_us);
+	skh_mapchange_report(&coordinator->change, rank, &coordinator->view.ranks[rank].report,
+			     now_us);
+	send_orders(coordinator, now_us);
 }
 
 skh_coordinator_t *skh_coordinator_new(const skh_coordinator_options_t *options,
@@ -165,24 +178,39 @@
 	}
 }
 
-static void send_orders(skh_coordinator_t *coordinator, int64_t now_us);
+static bool is_by_deputy(const skh_coordinator_t *coordinator, skh_engine_op_t op)
+{
+	return op == SKH_ENGINE_HOLD && coordinator->change.deputy != coordinator->change.own &&
+	       !coordinator->holds_itself;
+}
+
+static void note_way(skh_coordinator_t *coordinator, uint32_t rank, int32_t status)
+{
+	way_t *way = &coordinator->ways[rank];
+	bool no_answer = answer_of(status) == SKH_ORDER_NO_ANSWER;
+
+	if (is_by_deputy(coordinator, coordinator->change.ranks[rank].op)) {
+		coordinator->holds_itself = no_answer;
+		return;
+	}
+	/* A process that is gone or frozen must not keep its engine from the order. */
+	way->wants_whole = status == SKH_RANKRELAY_NO_BASE;
+	way->direct = no_answer && !way->wants_whole && !way->direct;
+}
 
 static void on_order_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_coordinator_t *coordinator = context;
-	way_t *way = &coordinator->ways[tag];
 	int64_t now_us = skh_clock_boot_us();
 	skh_order_answer_t answer = answer_of(status);
 
 	(void)body;
-	/* A process that is gone or frozen must not keep its engine from the order. */
-	way->wants_whole = status == SKH_RANKRELAY_NO_BASE;
-	way->direct = answer == SKH_ORDER_NO_ANSWER && !way->wants_whole && !way->direct;
+	note_way(coordinator, tag, status);
 	if (answer != SKH_ORDER_ACCEPTED)
 		skh_log(SKH_LOG_INFO, PART, "Order not done.",
 			"rank=%u op=%s status=%d version=%" PRId64 " direct=%d", tag,
 			op_name(coordinator->change.ranks[tag].op), status,
-			coordinator->change.version, way->direct);
+			coordinator->change.version, coordinator->ways[tag].direct);
 	if (!coordinator->changing)
 		return;
 	skh_mapchange_answer(&coordinator->change, tag, answer, now_us);
@@ -201,8 +229,11 @@
 	free(body);
 }
 
-/* The rank's process hands the order on: it is small on the way, and free there. */
-static void send_relayed(skh_coordinator_t *coordinator, uint32_t rank,
+/*
+ * The process of @giver hands the order on. A rank's own gets a map in a small form
+ * and has the engine beside it; the deputy reaches the coordinator's engine.
+ */
+static void send_relayed(skh_coordinator_t *coordinator, uint32_t rank, uint32_t giver,
 			 const skh_engine_order_t *order)
 {
 	skh_buffer_t body = SKH_BUFFER_INIT;
@@ -210,9 +241,14 @@
 	const skh_rank_map_t base = { view->ranks[rank].report.map_version,
 				      skh_groupview_map_size(view), view->map };
 
-	skh_rankrelay_pack(order, coordinator->ways[rank].wants_whole ? NULL : &base, &body);
-	skh_engine_client_post(view->ranks[rank].relay, SKH_RANKRELAY_PATH, skh_buffer_chunk(&body),
-			       RELAY_TIMEOUT_US, rank, on_order_answer, coordinator);
+	skh_rankrelay_pack(order, coordinator->ways[rank].wants_whole ? NULL : &base,
+			   giver == rank ? NULL
+					 : skh_engine_client_address(view->ranks[rank].engine),
+			   &body);
+	skh_engine_client_post(view->ranks[giver].relay, SKH_RANKRELAY_PATH,
+			       skh_buffer_chunk(&body),
+			       giver == rank ? RELAY_TIMEOUT_US : HOLD_TIMEOUT_US, rank,
+			       on_order_answer, coordinator);
 	skh_buffer_free(&body);
 }
 
@@ -228,8 +264,10 @@
 		"rank=%u op=%s version=%" PRId64 " pass=%" PRId64, rank, op_name(order->op),
 		order->version, order->pass);
 	skh_metrics_add(SKH_COUNT_ORDERS, 1);
-	if (view->ranks[rank].relay && !coordinator->ways[rank].direct)
-		send_relayed(coordinator, rank, order);
+	if (is_by_deputy(coordinator, order->op))
+		send_relayed(coordinator, rank, coordinator->change.deputy, order);
+	else if (view->ranks[rank].relay && !coordinator->ways[rank].direct)
+		send_relayed(coordinator, rank, rank, order);
 	else
 		send_direct(coordinator, rank, order);
 }
@@ -243,19 +281,46 @@
 		    skh_mapchange_next(&coordinator->change, rank, now_us, &order))
 			send_order(coordinator, rank, &order);
 	}
+	if (coordinator->changing && skh_mapchange_wants_contact(&coordinator->change))
+		skh_groupview_ask(&coordinator->view, coordinator->change.deputy, now_us);
 }
 
 /* --- Decisions --- */
 
+/* Another one each time; the own rank when no other is heard of. */
+static uint32_t choose_deputy(const skh_coordinator_t *coordinator, int64_t now_us)
+{
+	const skh_groupview_t *view = &coordinator->view;
+
+	for (uint32_t i = 1; i <= view->n_ranks; i++) {
+		uint32_t rank = (coordinator->deputy + i) % view->n_ranks;
+
+		if (rank != view->own && view->ranks[rank].relay &&
+		    now_us - view->ranks[rank].heard_us < DEPUTY_HEARD_US)
+			return rank;
+	}
+	return view->own;
+}
+
 static void begin_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	skh_groupview_t *view = &coordinator->view;
 	int64_t epoch = view->ranks[view->own].report.epoch;
-	int64_t fence = skh_fence_next(&coordinator->fences, coordinator->fence);
+	int64_t fence = skh_fence_next(&coordinator->fences, coordinator->fence,
+				       SKH_MAPCHANGE_FENCES);
+	const skh_mapchange_options_t options = {
+		.n_ranks = view->n_ranks,
+		.own = view->own,
+		.deputy = choose_deputy(coordinator, now_us),
+		.epoch = epoch,
+		/* Fences only grow, from holder to holder, and so do versions named after them. */
+		.version = fence,
+		.fence = fence,
+	};
 
-	/* Fences only grow, from holder to holder, and so do versions named after them. */
-	skh_mapchange_init(&coordinator->change, view->n_ranks, view->own, epoch, fence, fence,
-			   now_us);
+	skh_mapchange_init(&coordinator->change, &options, now_us);
+	coordinator->deputy = options.deputy;
+	coordinator->holds_itself = false;
 	view->next_epoch = epoch;
 	view->next_version = fence;
 	coordinator->changing = true;
--- a/src/fence.h
+++ b/src/fence.h
@@ -24,12 +24,19 @@
 	int64_t number;
 } skh_fence_t;
 
-/** skh_fence_next() - fence of a new change under @lease, the store's number */
-static inline int64_t skh_fence_next(skh_fence_t *fence, int64_t lease)
+/**
+ * skh_fence_next() - the first of @n fences for a new change under @lease
+ * @lease: the store's number
+ */
+static inline int64_t skh_fence_next(skh_fence_t *fence, int64_t lease, int64_t n)
 {
+	int64_t first;
+
 	if (lease != fence->lease)
 		*fence = (skh_fence_t){ lease, 0 };
-	return lease * SKH_FENCE_ROOM + ++fence->number;
+	first = lease * SKH_FENCE_ROOM + fence->number + 1;
+	fence->number += n;
+	return first;
 }
 
 #ifdef __cplusplus
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -87,7 +87,7 @@
 }
 
 static void take_state(skh_groupview_t *view, uint32_t rank, const skh_engine_report_t *report,
-		       int64_t now_us)
+		       int64_t asked_us, int64_t now_us)
 {
 	skh_groupview_rank_t *state = &view->ranks[rank];
 
@@ -101,7 +101,7 @@
 	state->reported = true;
 	state->told_us = now_us;
 	state->report = *report;
-	view->options.on_state(view->options.context, rank, now_us);
+	view->options.on_state(view->options.context, rank, asked_us, now_us);
 }
 
 /* @map is the rank's own, [sets][placements]. */
@@ -170,7 +170,7 @@
 		time_passes(view, message->pass, now_us);
 	}
 	state->heard_us = now_us;
-	take_state(view, message->rank, &report, now_us);
+	take_state(view, message->rank, &report, 0, now_us);
 	take_map(view, message->rank, message);
 	return true;
 }
@@ -222,7 +222,7 @@
 	}
 	if (report.rank != tag)
 		return;
-	take_state(view, tag, &report, skh_clock_boot_us());
+	take_state(view, tag, &report, view->ranks[tag].asked_us, skh_clock_boot_us());
 	if (!view->ranks[tag].map_known)
 		ask_lists(view, tag);
 }
@@ -261,7 +261,7 @@
 		return;
 	set_address(view, &view->ranks[report.rank].engine,
 		    skh_engine_client_address(view->offered));
-	take_state(view, report.rank, &report, skh_clock_boot_us());
+	take_state(view, report.rank, &report, 0, skh_clock_boot_us());
 }
 
 bool skh_groupview_offer(skh_groupview_t *view, const char *address, int64_t now_us)
@@ -277,18 +277,26 @@
 	return true;
 }
 
+void skh_groupview_ask(skh_groupview_t *view, uint32_t rank, int64_t now_us)
+{
+	skh_groupview_rank_t *state = &view->ranks[rank];
+
+	if (!state->engine || state->asking)
+		return;
+	state->asking = true;
+	state->asked_us = now_us;
+	state->ask_us = now_us + ASK_US;
+	skh_engine_client_get(state->engine, view->options.dialect->report_path, ASK_TIMEOUT_US,
+			      rank, on_report, view);
+}
+
 void skh_groupview_ask_silent(skh_groupview_t *view, int64_t now_us)
 {
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		skh_groupview_rank_t *state = &view->ranks[rank];
 
-		if (!state->engine || state->asking || now_us - state->heard_us < SILENT_US ||
-		    now_us < state->ask_us)
-			continue;
-		state->asking = true;
-		state->ask_us = now_us + ASK_US;
-		skh_engine_client_get(state->engine, view->options.dialect->report_path,
-				      ASK_TIMEOUT_US, rank, on_report, view);
+		if (now_us - state->heard_us >= SILENT_US && now_us >= state->ask_us)
+			skh_groupview_ask(view, rank, now_us);
 	}
 }
 
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -29,7 +29,8 @@
 	skh_engine_report_t report;
 	bool map_known;
 	bool asking;
-	int64_t ask_us;
+	int64_t asked_us;
+	int64_t ask_us; /* not before */
 	int64_t held_since_us;
 } skh_groupview_rank_t;
 
@@ -38,8 +39,8 @@
 	uv_loop_t *loop;
 	const skh_dialect_t *dialect;
 	const skh_pool_options_t *pool_options;
-	/* What @rank says of itself is newer. */
-	void (*on_state)(void *context, uint32_t rank, int64_t now_us);
+	/* What @rank says of itself is newer; @asked_us is 0 unless its engine was asked. */
+	void (*on_state)(void *context, uint32_t rank, int64_t asked_us, int64_t now_us);
 	void *context;
 } skh_groupview_options_t;
 
@@ -85,6 +86,9 @@
 /** skh_groupview_ask_silent() - ask engines whose process was not heard of for long */
 void skh_groupview_ask_silent(skh_groupview_t *view, int64_t now_us);
 
+/** skh_groupview_ask() - ask the engine of @rank for its state, unless it is being asked */
+void skh_groupview_ask(skh_groupview_t *view, uint32_t rank, int64_t now_us);
+
 /** skh_groupview_is_whole() - all that a decision needs is known of all ranks, and fits together */
 bool skh_groupview_is_whole(skh_groupview_t *view, int64_t now_us);
 
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -16,19 +16,27 @@
 #define PHASE_US (9 * SKH_US_PER_S)
 /* The group may stand still meanwhile. */
 #define ARM_US (2500 * SKH_US_PER_MS)
+/*
+ * The deputy's answer is older than this when its rank is armed: twice the way between
+ * failure domains and a turn of a slow process. Frozen meanwhile, it may be armed or not.
+ */
+#define CONTACT_US (30 * SKH_US_PER_MS)
+/* The group stands still for the deputy; a pass takes 50 to 150 ms. */
+#define DEPUTY_US (60 * SKH_US_PER_MS)
 /* Without a hold the map can't have changed: begin anew. */
 #define SETTLE_US (4 * SKH_US_PER_S)
 
-void skh_mapchange_init(skh_mapchange_t *change, uint32_t n_ranks, uint32_t own, int64_t epoch,
-			int64_t version, int64_t fence, int64_t now_us)
+void skh_mapchange_init(skh_mapchange_t *change, const skh_mapchange_options_t *options,
+			int64_t now_us)
 {
 	*change = (skh_mapchange_t){
 		.phase = SKH_CHANGE_PREPARE,
-		.n_ranks = n_ranks,
-		.own = own,
-		.epoch = epoch,
-		.version = version,
-		.fence = fence,
+		.n_ranks = options->n_ranks,
+		.own = options->own,
+		.deputy = options->deputy,
+		.epoch = options->epoch,
+		.version = options->version,
+		.fence = options->fence,
 		.phase_since_us = now_us,
 	};
 }
@@ -80,6 +88,12 @@
 	return rank->armed;
 }
 
+static bool is_not_armed(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	(void)change;
+	return !rank->arm_sent;
+}
+
 static bool is_not_held(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
 {
 	(void)change;
@@ -91,6 +105,38 @@
 	return rank->report.map_version == change->version;
 }
 
+static bool has_deputy(const skh_mapchange_t *change)
+{
+	return change->deputy != change->own;
+}
+
+static bool others_are_armed(const skh_mapchange_t *change)
+{
+	for (uint32_t i = 0; i < change->n_ranks; i++) {
+		if (i != change->deputy && !change->ranks[i].armed)
+			return false;
+	}
+	return true;
+}
+
+/* Frozen in between, the deputy's rank could be armed or not, and nobody could tell. */
+static bool may_arm_deputy(const skh_mapchange_t *change, int64_t now_us)
+{
+	return !has_deputy(change) ||
+	       (others_are_armed(change) && now_us - change->contact_us <= CONTACT_US);
+}
+
+bool skh_mapchange_wants_contact(const skh_mapchange_t *change)
+{
+	return change->phase == SKH_CHANGE_ARM && has_deputy(change) &&
+	       !change->ranks[change->deputy].arm_sent && others_are_armed(change);
+}
+
+void skh_mapchange_contact(skh_mapchange_t *change, int64_t asked_us)
+{
+	change->contact_us = MAX(change->contact_us, asked_us);
+}
+
 static void begin_hold(skh_mapchange_t *change, int64_t now_us)
 {
 	change->pass = change->ranks[change->own].report.pass + LEAD_PASSES;
@@ -108,6 +154,8 @@
 		begin_hold(change, now_us);
 	if (change->phase == SKH_CHANGE_ARM && all_ranks(change, is_armed))
 		enter(change, SKH_CHANGE_GO, now_us);
+	if (change->phase == SKH_CHANGE_DISARM && all_ranks(change, is_not_armed))
+		enter(change, SKH_CHANGE_UNHOLD, now_us);
 	if (change->phase == SKH_CHANGE_SETTLE && all_ranks(change, uses_map))
 		enter(change, SKH_CHANGE_DONE, now_us);
 }
@@ -190,7 +238,8 @@
 	return true;
 }
 
-static bool choose_order(const skh_mapchange_t *change, uint32_t rank, skh_engine_order_t *order)
+static bool choose_order(const skh_mapchange_t *change, uint32_t rank, int64_t now_us,
+			 skh_engine_order_t *order)
 {
 	const skh_mapchange_rank_t *state = &change->ranks[rank];
 
@@ -206,7 +255,16 @@
 		return rank == change->own;
 	case SKH_CHANGE_ARM:
 		order->op = SKH_ENGINE_ARM;
-		return !state->armed;
+		return !state->armed &&
+		       (rank != change->deputy || may_arm_deputy(change, now_us));
+	case SKH_CHANGE_DISARM:
+		order->op = SKH_ENGINE_DISARM;
+		order->fence++;
+		return state->arm_sent;
+	case SKH_CHANGE_UNHOLD:
+		order->op = SKH_ENGINE_GO;
+		order->fence++;
+		return rank == change->own;
 	case SKH_CHANGE_GO:
 		order->op = SKH_ENGINE_GO;
 		return rank == change->own;
@@ -231,9 +289,11 @@
 		.epoch = change->epoch,
 		.fence = change->fence,
 	};
-	if (state->ordered || now_us < state->not_before_us || !choose_order(change, rank, order))
+	if (state->ordered || now_us < state->not_before_us || 
+	    !choose_order(change, rank, now_us, order))
 		return false;
 	state->ordered = true;
+	state->arm_sent = state->arm_sent || order->op == SKH_ENGINE_ARM;
 	state->op = order->op;
 	state->ordered_us = now_us;
 	return true;
@@ -248,6 +308,10 @@
 		break;
 	case SKH_ENGINE_DISARM:
 		state->report.armed = 0;
+		if (change->phase == SKH_CHANGE_DISARM) {
+			state->armed = false;
+			state->arm_sent = false;
+		}
 		break;
 	case SKH_ENGINE_HOLD:
 		if (change->phase == SKH_CHANGE_HOLD) {
@@ -262,6 +326,10 @@
 		state->report.held = 0;
 		if (change->phase == SKH_CHANGE_GO)
 			enter(change, SKH_CHANGE_SETTLE, now_us);
+		if (change->phase == SKH_CHANGE_UNHOLD) {
+			change->held_since_us = 0;
+			fail(change, "the deputy fell silent", now_us);
+		}
 		break;
 	}
 }
@@ -303,6 +371,19 @@
 	advance(change, now_us);
 }
 
+/* Undoes the change while it is certain that the deputy's rank was never armed. */
+static void watch_deputy(skh_mapchange_t *change, int64_t now_us)
+{
+	if (!skh_mapchange_wants_contact(change)) {
+		change->others_armed_us = 0;
+		return;
+	}
+	if (change->others_armed_us == 0)
+		change->others_armed_us = now_us;
+	if (now_us - change->others_armed_us > DEPUTY_US)
+		enter(change, SKH_CHANGE_DISARM, now_us);
+}
+
 void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us)
 {
 	int64_t spent_us = now_us - change->phase_since_us;
@@ -318,6 +399,11 @@
 	/* The next change disarms and releases. */
 	if (change->phase == SKH_CHANGE_ARM && spent_us > ARM_US)
 		fail(change, "a rank was not armed in time", now_us);
+	if ((change->phase == SKH_CHANGE_DISARM || change->phase == SKH_CHANGE_UNHOLD) &&
+	    spent_us > ARM_US)
+		fail(change, "a rank was not disarmed in time", now_us);
+	if (change->phase == SKH_CHANGE_ARM)
+		watch_deputy(change, now_us);
 	/* An idle group makes no passes: it changes with the first that comes. */
 	if (change->phase == SKH_CHANGE_SETTLE && own->pass < change->pass)
 		change->phase_since_us = now_us;
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -18,11 +18,19 @@
  *    every rank has accepted, none is armed and whatever an earlier coordinator
  *    still has under way is fenced off.
  * 2. Only then a hold that was left behind is released.
- * 3. When every rank has its copies, the group is held at a pass to come.
- * 4. Only under a confirmed hold is any rank armed for that pass.
+ * 3. When every rank has its copies, the group is held at a pass to come. The
+ *    hold is at the coordinator's own rank, where it can be released without the
+ *    network, but a *deputy*, the process of another rank, places it.
+ * 4. Only under a confirmed hold is any rank armed for that pass, the deputy's
+ *    last, and only just after it has answered a question.
  * 5. Only when every rank has confirmed is the hold released, mostly long
  *    before the pass.
  *
+ * The instance that places a hold is the one whose loss in that moment costs most.
+ * When the deputy falls silent its rank was never armed: the others are disarmed
+ * under the next fence, which outdates orders that are still under way, and the
+ * group goes on with the map it had.
+ *
  * A coordinator that fails at any point leaves the group running, or held; the
  * next starts again at 1.
  */
@@ -34,6 +42,8 @@
 #endif
 
 #define SKH_MAPCHANGE_MAX_RANKS 64
+/* Fences that one change may use: its own, and the next to undo it. */
+#define SKH_MAPCHANGE_FENCES 2
 
 /** enum skh_mapchange_phase - see above */
 typedef enum skh_mapchange_phase {
@@ -42,6 +52,8 @@
 	SKH_CHANGE_COPY,
 	SKH_CHANGE_HOLD,
 	SKH_CHANGE_ARM,
+	SKH_CHANGE_DISARM, /* undo: the deputy is silent */
+	SKH_CHANGE_UNHOLD, /* undo: nobody is armed */
 	SKH_CHANGE_GO,
 	SKH_CHANGE_SETTLE,
 	SKH_CHANGE_DONE,
@@ -64,6 +76,7 @@
 	bool answered;	    /* it has answered some order of this change: it knows the fence */
 	bool prepared;	    /* it has accepted this change's prepare */
 	bool armed;	    /* it is armed for this change */
+	bool arm_sent;	    /* it may be, now or later */
 	bool ordered;	    /* an order is under way */
 	skh_engine_op_t op; /* of that order */
 	int64_t ordered_us;
@@ -74,20 +87,33 @@
 typedef struct skh_mapchange {
 	skh_mapchange_phase_t phase;
 	uint32_t n_ranks;
-	uint32_t own; /* the rank beside this process: it holds the group */
+	uint32_t own;	 /* the rank beside this process: it holds the group */
+	uint32_t deputy; /* the rank whose process places the hold; @own without one */
 	int64_t epoch;
 	int64_t version;
 	int64_t fence;
 	int64_t pass; /* at which the map changes */
 	int64_t phase_since_us;
-	int64_t held_since_us;
+	int64_t held_since_us;	 /* 0 when nothing is left behind */
+	int64_t contact_us;	 /* the deputy has answered a question of this time */
+	int64_t others_armed_us; /* since then all ranks but the deputy's are armed */
 	const char *why; /* it failed */
 	skh_mapchange_rank_t ranks[SKH_MAPCHANGE_MAX_RANKS];
 } skh_mapchange_t;
 
-/** skh_mapchange_init() - begin to bring @n_ranks ranks to map @version */
-void skh_mapchange_init(skh_mapchange_t *change, uint32_t n_ranks, uint32_t own, int64_t epoch,
-			int64_t version, int64_t fence, int64_t now_us);
+/** struct skh_mapchange_options - what a change is about */
+typedef struct skh_mapchange_options {
+	uint32_t n_ranks;
+	uint32_t own;
+	uint32_t deputy;
+	int64_t epoch;
+	int64_t version;
+	int64_t fence;
+} skh_mapchange_options_t;
+
+/** skh_mapchange_init() - begin to bring the ranks of a group to another map */
+void skh_mapchange_init(skh_mapchange_t *change, const skh_mapchange_options_t *options,
+			int64_t now_us);
 
 /** skh_mapchange_report() - a newer report of @rank */
 void skh_mapchange_report(skh_mapchange_t *change, uint32_t rank, const skh_engine_report_t *report,
@@ -104,6 +130,12 @@
 void skh_mapchange_answer(skh_mapchange_t *change, uint32_t rank, skh_order_answer_t answer,
 			  int64_t now_us);
 
+/** skh_mapchange_wants_contact() - the deputy's engine should be asked for anything now */
+bool skh_mapchange_wants_contact(const skh_mapchange_t *change);
+
+/** skh_mapchange_contact() - the deputy's engine has answered what was asked at @asked_us */
+void skh_mapchange_contact(skh_mapchange_t *change, int64_t asked_us);
+
 /** skh_mapchange_tick() - time has passed */
 void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us);
 
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -8,23 +8,35 @@
 #include <string.h>
 
 #define PART		  "relay"
-#define ENGINE_TIMEOUT_US (160 * SKH_US_PER_MS)
+/* The engine beside this process answers at once or not at all ... */
+#define ENGINE_TIMEOUT_US (30 * SKH_US_PER_MS)
+/* ... and is asked again, free and without the way to the coordinator, so often. */
+#define MOST_TRIES 6
 #define MAX_PLACES	  (1U << 20)
 #define BYTES_A_PLACE	  2
 #define STATUS_OK	  200
 #define STATUS_BAD	  400
+#define STATUS_BUSY	  503
 #define STATUS_NO_ANSWER  504
 
 struct skh_rankrelay {
 	skh_listener_t *listener;
+	uv_loop_t *loop;
+	const skh_pool_options_t *pool_options;
 	skh_engine_client_t *engine;
+	skh_engine_client_t *other; /* of the coordinator that this is a deputy of, or NULL */
+	uint32_t other_calls;	    /* under way there */
 	const skh_dialect_t *dialect;
-	skh_rank_map_t known; /* the last map that was handed on */
+	skh_rank_maps_t known;
 };
 
 /* One order; outlives the caller's connection if that is closed first. */
 typedef struct relayed {
 	skh_caller_conn_t *conn; /* NULL when the caller has left */
+	skh_rankrelay_t *relay;
+	skh_engine_client_t *engine;
+	char *body;
+	uint32_t tries;
 } relayed_t;
 
 static uint64_t hash_map(const uint32_t *map, size_t places)
@@ -60,7 +72,7 @@
 }
 
 void skh_rankrelay_pack(const skh_engine_order_t *order, const skh_rank_map_t *base,
-			skh_buffer_t *out)
+			const char *engine, skh_buffer_t *out)
 {
 	Skh__RankOrder message = SKH__RANK_ORDER__INIT;
 	size_t places = (size_t)order->sets * order->ranks * order->places;
@@ -70,6 +82,7 @@
 	message.pass = order->pass;
 	message.epoch = order->epoch;
 	message.fence = order->fence;
+	message.engine = (char *)(engine ? engine : "");
 	if (order->op == SKH_ENGINE_PREPARE) {
 		message.sets = order->sets;
 		message.ranks = order->ranks;
@@ -101,16 +114,15 @@
 	return map;
 }
 
-static uint32_t *unpack_changes(const Skh__RankOrder *message, const skh_rank_map_t *known,
+static uint32_t *unpack_changes(const Skh__RankOrder *message, const skh_rank_map_t *base,
 				size_t places)
 {
 	uint32_t *map;
 	size_t at = 0;
 
-	if (!known->map || known->places != places || known->version != message->base_version ||
-	    message->n_changed != message->n_experts)
+	if (!base || base->places != places || message->n_changed != message->n_experts)
 		return NULL;
-	map = g_memdup2(known->map, places * sizeof(*map));
+	map = g_memdup2(base->map, places * sizeof(*map));
 	for (size_t i = 0; i < message->n_changed; i++) {
 		at += message->changed[i];
 		if (at >= places)
@@ -120,47 +132,83 @@
 	return map;
 }
 
-static int32_t unpack_map(const Skh__RankOrder *message, skh_rank_map_t *known)
+const skh_rank_map_t *skh_rank_maps_find(const skh_rank_maps_t *maps, int64_t version)
+{
+	for (uint32_t i = 0; i < SKH_RANKRELAY_MAPS; i++) {
+		if (maps->list[i].map && maps->list[i].version == version)
+			return &maps->list[i];
+	}
+	return NULL;
+}
+
+void skh_rank_maps_clear(skh_rank_maps_t *maps)
+{
+	for (uint32_t i = 0; i < SKH_RANKRELAY_MAPS; i++)
+		g_free(maps->list[i].map);
+	*maps = (skh_rank_maps_t){ 0 };
+}
+
+/* Takes ownership of @map. */
+static void add_map(skh_rank_maps_t *maps, int64_t version, size_t places, uint32_t *map)
+{
+	skh_rank_map_t *slot = &maps->list[maps->next];
+
+	maps->next = (maps->next + 1) % SKH_RANKRELAY_MAPS;
+	g_free(slot->map);
+	*slot = (skh_rank_map_t){ version, places, map };
+}
+
+static int32_t unpack_map(const Skh__RankOrder *message, skh_rank_maps_t *known)
 {
 	uint64_t places = (uint64_t)message->sets * message->ranks * message->places;
+	bool whole = message->base_version == 0;
 	uint32_t *map;
 
 	if (places == 0 || places > MAX_PLACES)
 		return STATUS_BAD;
-	map = message->base_version != 0 ? unpack_changes(message, known, places)
-					 : unpack_whole(message, places);
+	map = whole ? unpack_whole(message, places)
+		    : unpack_changes(message, skh_rank_maps_find(known, message->base_version),
+				     places);
 	if (!map || hash_map(map, places) != message->map_hash) {
 		g_free(map);
-		return message->base_version != 0 ? SKH_RANKRELAY_NO_BASE : STATUS_BAD;
+		return whole ? STATUS_BAD : SKH_RANKRELAY_NO_BASE;
 	}
-	g_free(known->map);
-	*known = (skh_rank_map_t){ message->version, places, map };
+	add_map(known, message->version, places, map);
 	return STATUS_OK;
 }
 
-int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_rank_map_t *known, skh_engine_order_t *order)
+int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_rank_maps_t *known, skh_engine_order_t *order,
+			     char **engine)
 {
 	Skh__RankOrder *message = skh__rank_order__unpack(NULL, bytes.len, bytes.data);
+	const skh_rank_map_t *map;
 	int32_t status = STATUS_OK;
 
+	*engine = NULL;
 	if (!message)
 		return STATUS_BAD;
+	*engine = *message->engine ? g_strdup(message->engine) : NULL;
 	/* An order sent again finds its map known already. */
 	if (message->op > SKH_ENGINE_GO)
 		status = STATUS_BAD;
-	else if (message->op == SKH_ENGINE_PREPARE && known->version != message->version)
+	else if (message->op == SKH_ENGINE_PREPARE && !skh_rank_maps_find(known, message->version))
 		status = unpack_map(message, known);
+	map = skh_rank_maps_find(known, message->version);
 	*order = (skh_engine_order_t){
 		.op = (skh_engine_op_t)message->op,
 		.version = message->version,
 		.pass = message->pass,
 		.epoch = message->epoch,
 		.fence = message->fence,
-		.map = known->map,
+		.map = map ? map->map : NULL,
 		.sets = message->sets,
 		.ranks = message->ranks,
 		.places = message->places,
 	};
+	/* What stands for the same version may be of another size. */
+	if (status == STATUS_OK && message->op == SKH_ENGINE_PREPARE &&
+	    (uint64_t)order->sets * order->ranks * order->places != map->places)
+		status = STATUS_BAD;
 	skh__rank_order__free_unpacked(message, NULL);
 	return status;
 }
@@ -173,42 +221,91 @@
 	skh_caller_conn_end(conn);
 }
 
+static void hand_on(relayed_t *relayed);
+
+static void end_relayed(relayed_t *relayed, int32_t status)
+{
+	if (relayed->engine == relayed->relay->other)
+		relayed->relay->other_calls--;
+	if (relayed->conn)
+		answer(relayed->conn, status);
+	free(relayed->body);
+	g_free(relayed);
+}
+
 static void on_engine_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	relayed_t *relayed = context;
 
 	(void)tag;
 	(void)body;
-	if (relayed->conn)
-		answer(relayed->conn, status == 0 ? STATUS_NO_ANSWER : status);
-	g_free(relayed);
+	/* Carried out twice, each order leaves the same state, or is refused the second time. */
+	if (status == 0 && relayed->conn && relayed->tries < MOST_TRIES)
+		hand_on(relayed);
+	else
+		end_relayed(relayed, status == 0 ? STATUS_NO_ANSWER : status);
+}
+
+static void hand_on(relayed_t *relayed)
+{
+	relayed->tries++;
+	skh_engine_client_post(relayed->engine, relayed->relay->dialect->order_path,
+			       skh_chunk_from_string(relayed->body), ENGINE_TIMEOUT_US, 0,
+			       on_engine_answer, relayed);
+}
+
+/* The one beside this process for NULL; NULL when another coordinator's is in use. */
+static skh_engine_client_t *engine_at(skh_rankrelay_t *relay, const char *address)
+{
+	if (!address || strcmp(address, skh_engine_client_address(relay->engine)) == 0)
+		return relay->engine;
+	if (relay->other && strcmp(address, skh_engine_client_address(relay->other)) == 0)
+		return relay->other;
+	if (relay->other_calls > 0)
+		return NULL;
+	if (relay->other)
+		skh_engine_client_free(relay->other);
+	relay->other = skh_engine_client_new(relay->loop, address, relay->pool_options);
+	return relay->other;
+}
+
+static void begin_relayed(skh_rankrelay_t *relay, skh_caller_conn_t *conn,
+			  const skh_engine_order_t *order, skh_engine_client_t *engine)
+{
+	relayed_t *relayed = g_new0(relayed_t, 1);
+
+	relayed->relay = relay;
+	relayed->conn = conn;
+	relayed->engine = engine;
+	relayed->body = relay->dialect->write_order(order);
+	if (engine == relay->other)
+		relay->other_calls++;
+	skh_caller_conn_bind(conn, relayed);
+	hand_on(relayed);
 }
 
 static void on_request(void *context, skh_caller_conn_t *conn, const skh_message_t *request)
 {
 	skh_rankrelay_t *relay = context;
+	g_autofree char *address = NULL;
+	skh_engine_client_t *engine = NULL;
 	skh_engine_order_t order;
 	int32_t status = STATUS_BAD;
-	relayed_t *relayed;
-	char *body;
 
 	if (strcmp(request->target->str, SKH_RANKRELAY_PATH) == 0)
 		status = skh_rankrelay_unpack(skh_buffer_chunk(&request->body), &relay->known,
-					      &order);
-	if (status != STATUS_OK) {
-		skh_log(SKH_LOG_INFO, PART, "Order not taken.", "status=%d bytes=%zu", status,
-			request->body.len);
-		answer(conn, status);
+					      &order, &address);
+	if (status == STATUS_OK) {
+		engine = engine_at(relay, address);
+		status = engine ? STATUS_OK : STATUS_BUSY;
+	}
+	if (status == STATUS_OK) {
+		begin_relayed(relay, conn, &order, engine);
 		return;
 	}
-	relayed = g_new0(relayed_t, 1);
-	relayed->conn = conn;
-	skh_caller_conn_bind(conn, relayed);
-	body = relay->dialect->write_order(&order);
-	skh_engine_client_post(relay->engine, relay->dialect->order_path,
-			       skh_chunk_from_string(body), ENGINE_TIMEOUT_US, 0, on_engine_answer,
-			       relayed);
-	free(body);
+	skh_log(SKH_LOG_INFO, PART, "Order not taken.", "status=%d bytes=%zu", status,
+		request->body.len);
+	answer(conn, status);
 }
 
 static void on_gone(void *context, void *exchange)
@@ -231,10 +328,12 @@
 
 skh_rankrelay_t *skh_rankrelay_start(uv_loop_t *loop, const char *address,
 				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
-				     skh_error_t *err)
+				     const skh_pool_options_t *pool_options, skh_error_t *err)
 {
 	skh_rankrelay_t *relay = g_new0(skh_rankrelay_t, 1);
 
+	relay->loop = loop;
+	relay->pool_options = pool_options;
 	relay->engine = engine;
 	relay->dialect = dialect;
 	relay->listener = skh_listener_start(loop, address, &relay_ops, relay, err);
--- a/src/rankrelay.h
+++ b/src/rankrelay.h
@@ -6,7 +6,8 @@
  *
  * Takes orders from the group's coordinator over HTTP and hands them to the
  * engine beside this process. A map is small on the way and large only there.
- * The answer is the engine's own; the fence in the order is checked there.
+ * The answer is the engine's own; the fence in the order is checked there. As a
+ * deputy it hands an order to the coordinator's engine, over the network.
  */
 
 #include "dialect.h"
@@ -24,7 +25,7 @@
 /** skh_rankrelay_start() - listen on "address:port"; NULL with @err */
 skh_rankrelay_t *skh_rankrelay_start(uv_loop_t *loop, const char *address,
 				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
-				     skh_error_t *err);
+				     const skh_pool_options_t *pool_options, skh_error_t *err);
 
 /* Status of an order whose map is told by its differences from one that is not known. */
 #define SKH_RANKRELAY_NO_BASE 428
@@ -36,19 +37,35 @@
 	uint32_t *map; /* owned; NULL before the first */
 } skh_rank_map_t;
 
+/* Versions of maps that the next may be told from: changes may fail or be withdrawn. */
+#define SKH_RANKRELAY_MAPS 4
+
+/** struct skh_rank_maps - the last maps that a relay was told; zeroed before its first use */
+typedef struct skh_rank_maps {
+	skh_rank_map_t list[SKH_RANKRELAY_MAPS];
+	uint32_t next; /* the one that is replaced next */
+} skh_rank_maps_t;
+
+/** skh_rank_maps_find() - the map of @version, or NULL */
+const skh_rank_map_t *skh_rank_maps_find(const skh_rank_maps_t *maps, int64_t version);
+void skh_rank_maps_clear(skh_rank_maps_t *maps);
+
 /**
  * skh_rankrelay_pack() - append @order as the relay takes it
  * @base: a map that the relay knows, so that only differences are sent; or NULL
+ * @engine: address of the engine that gets it; NULL for the one beside the relay
  */
 void skh_rankrelay_pack(const skh_engine_order_t *order, const skh_rank_map_t *base,
-			skh_buffer_t *out);
+			const char *engine, skh_buffer_t *out);
 
 /**
  * skh_rankrelay_unpack() - the order in @bytes
- * @known: the last map; replaced by the order's, which @order then borrows
+ * @known: the order's map is added, and then borrowed by @order
+ * @engine: as in skh_rankrelay_pack(); set to NULL or a copy to free
  * Return: 200, or the status that refuses it.
  */
-int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_rank_map_t *known, skh_engine_order_t *order);
+int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_rank_maps_t *known, skh_engine_order_t *order,
+			     char **engine);
 
 #ifdef __cplusplus
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2508,7 +2508,7 @@
   (ProtobufCMessageInit) skh__rank_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[13] =
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[14] =
 {
   {
     "op",
@@ -2666,10 +2666,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engine",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_order__field_indices_by_name[] = {
   9,   /* field[9] = base_version */
   10,   /* field[10] = changed */
+  13,   /* field[13] = engine */
   3,   /* field[3] = epoch */
   11,   /* field[11] = experts */
   4,   /* field[4] = fence */
@@ -2685,7 +2698,7 @@
 static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor skh__rank_order__descriptor =
 {
@@ -2695,7 +2708,7 @@
   "Skh__RankOrder",
   "skh",
   sizeof(Skh__RankOrder),
-  13,
+  14,
   skh__rank_order__field_descriptors,
   skh__rank_order__field_indices_by_name,
   1,  skh__rank_order__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -485,11 +485,16 @@
    * of the whole map
    */
 	uint64_t map_hash;
+	/*
+   * that gets the order; the one beside the process when empty
+   */
+	char *engine;
 };
 #define SKH__RANK_ORDER__INIT                                                                      \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_order__descriptor)                              \
-		, 0, 0, 0, 0, 0, 0, 0, 0, { 0, NULL }, 0, 0, NULL, 0, NULL, 0                      \
+		, 0, 0, 0, 0, 0, 0, 0, 0, { 0, NULL }, 0, 0, NULL, 0, NULL, 0,                     \
+			(char *)protobuf_c_empty_string                                            \
 	}
 
 /* Skh__Frame methods */
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -43,6 +43,7 @@
 	uint32_t rank = 0;
 	skh_engine_order_t order = {};
 	bool answered = true;
+	uint32_t giver = 0; // the rank beside the process that hands it to the engine
 	uint64_t number = 0;
 };
 
@@ -74,7 +75,7 @@
 {
       public:
 	World(uint32_t seed, uint32_t n, Planted planted)
-	    : random(seed), planted(planted), engines(n)
+	    : random(seed), planted(planted), engines(n), frozen_till(n)
 	{
 	}
 
@@ -91,10 +92,18 @@
 			coordinator->alive = false;
 	}
 
+	// The next process that places a hold freezes with its whole instance.
+	void freeze_holder()
+	{
+		holder_freezes = true;
+	}
+
 	std::string violation;
 	int64_t passes = 0;
 	int64_t changes = 0;
 	int64_t now = 0;
+	int64_t held_longest = 0;
+	int64_t frozen_since = 0; // by freeze_holder()
 
       private:
 	bool chance(double part)
@@ -110,6 +119,7 @@
 	void step()
 	{
 		now += 5 * kMs;
+		time_hold();
 		deliver();
 		begin_pass();
 		elect();
@@ -118,6 +128,36 @@
 		send_reports();
 		if (faulty && chance(0.0004))
 			restart();
+		if (faulty && chance(0.0008))
+			freeze(static_cast<uint32_t>(between(0, engines.size() - 1)),
+			       between(200, 5000) * kMs);
+		if (faulty && chance(0.0008))
+			holder_freezes = true;
+	}
+
+	void time_hold()
+	{
+		bool held = false;
+
+		for (const auto &engine : engines)
+			held = held || engine.held != 0;
+		held_since = held && held_since == 0 ? now : held ? held_since : 0;
+		if (held)
+			held_longest = std::max(held_longest, now - held_since);
+	}
+
+	bool is_frozen(uint32_t rank) const
+	{
+		return now < frozen_till[rank];
+	}
+
+	void freeze(uint32_t rank, int64_t time)
+	{
+		frozen_till[rank] = now + time;
+		for (auto &coordinator : coordinators) {
+			if (coordinator->own == rank)
+				coordinator->frozen_till = now + time;
+		}
 	}
 
 	// --- Engines ---
@@ -213,7 +253,16 @@
 			return 409;
 		if (order.fence < engine.fence)
 			return 412;
-		engine.fence = order.fence;
+		int status = do_order(engine, order);
+
+		// Whether a refused order's fence counts is not known: here it does not.
+		if (status / 100 == 2)
+			engine.fence = order.fence;
+		return status;
+	}
+
+	int do_order(Engine &engine, const skh_engine_order_t &order)
+	{
 		switch (order.op) {
 		case SKH_ENGINE_PREPARE:
 			return prepare(engine, order);
@@ -276,6 +325,7 @@
 		event.order.coordinator = from;
 		event.order.rank = rank;
 		event.order.order = order;
+		event.order.giver = giver_of(*coordinators[from], rank, order.op);
 		event.order.number = ++numbers;
 		coordinators[from]->under_way[rank] = numbers;
 		if (faulty && chance(0.25)) {
@@ -296,12 +346,31 @@
 		post(now + 160 * kMs, timeout);
 	}
 
+	static uint32_t giver_of(const Coordinator &coordinator, uint32_t rank, skh_engine_op_t op)
+	{
+		return op == SKH_ENGINE_HOLD ? coordinator.change.deputy : rank;
+	}
+
+	// What a frozen instance was sent is read when it wakes up.
 	void arrive(const Event &event)
 	{
 		Event reply = event;
+		uint32_t rank = event.order.rank;
+		uint32_t giver = event.order.giver;
 
+		if (is_frozen(rank) || is_frozen(giver)) {
+			post(std::max(frozen_till[rank], frozen_till[giver]) + kMs, event);
+			return;
+		}
 		reply.kind = 1;
 		reply.status = carry_out(event.order);
+		if (event.order.order.op == SKH_ENGINE_HOLD && reply.status == 202 &&
+		    holder_freezes) {
+			holder_freezes = false;
+			frozen_since = now;
+			freeze(giver, 4 * kS);
+			return;
+		}
 		if (event.order.answered)
 			post(now + between(1, 15) * kMs, reply);
 	}
@@ -339,7 +408,7 @@
 				Event event;
 				bool own = coordinators[i]->own == rank;
 
-				if (!own && faulty && chance(0.2))
+				if (is_frozen(rank) || (!own && faulty && chance(0.2)))
 					continue;
 				event.kind = 2;
 				event.order.coordinator = i;
@@ -407,6 +476,19 @@
 		}
 	}
 
+	// A question to the deputy's engine, and its answer: 2 ms each way.
+	void ask_deputy(size_t index)
+	{
+		Coordinator &coordinator = *coordinators[index];
+		uint32_t deputy = coordinator.change.deputy;
+
+		if (!skh_mapchange_wants_contact(&coordinator.change) || is_frozen(deputy) ||
+		    (faulty && chance(0.1)))
+			return;
+		skh_mapchange_contact(&coordinator.change, now - 4 * kMs);
+		send_orders(index);
+	}
+
 	bool knows_group(const Coordinator &coordinator) const
 	{
 		for (uint32_t rank = 0; rank < engines.size(); rank++) {
@@ -420,11 +502,18 @@
 
 	void begin(Coordinator &coordinator)
 	{
-		int64_t fence = coordinator.lease * 4096 + ++coordinator.number;
-
-		skh_mapchange_init(&coordinator.change, static_cast<uint32_t>(engines.size()),
-				   coordinator.own, coordinator.reports[coordinator.own].epoch,
-				   fence, planted == Planted::kSameFence ? 1 : fence, now);
+		int64_t fence = coordinator.lease * 4096 + coordinator.number;
+		skh_mapchange_options_t options = {};
+
+		coordinator.number += SKH_MAPCHANGE_FENCES;
+		options.n_ranks = static_cast<uint32_t>(engines.size());
+		options.own = coordinator.own;
+		options.deputy = (coordinator.own + 1 + coordinator.number / 2 % (options.n_ranks - 1)) %
+				 options.n_ranks;
+		options.epoch = coordinator.reports[coordinator.own].epoch;
+		options.version = fence;
+		options.fence = planted == Planted::kSameFence ? 1 : fence;
+		skh_mapchange_init(&coordinator.change, &options, now);
 		coordinator.changing = true;
 		for (auto &number : coordinator.under_way)
 			number = 0;
@@ -465,6 +554,7 @@
 		skh_mapchange_tick(&coordinator.change, now);
 		plant(coordinator);
 		send_orders(index);
+		ask_deputy(index);
 		if (coordinator.change.phase == SKH_CHANGE_DONE) {
 			coordinator.changing = false;
 			changes++;
@@ -476,6 +566,7 @@
 	std::mt19937 random;
 	Planted planted;
 	std::vector<Engine> engines;
+	std::vector<int64_t> frozen_till; // an instance with its engine and process
 	std::vector<std::unique_ptr<Coordinator>> coordinators;
 	std::multimap<int64_t, Event> events;
 	int64_t epoch = 1;
@@ -484,6 +575,8 @@
 	int64_t leases = 0;
 	uint64_t numbers = 0;
 	bool faulty = true;
+	bool holder_freezes = false;
+	int64_t held_since = 0;
 };
 
 uint32_t violations(Planted planted, uint32_t seeds)
@@ -536,6 +629,26 @@
 	}
 }
 
+// The instance from which a hold was placed freezes with it: others see to its end.
+TEST(MapChange, GroupIsNotHeldWhileItsHolderIsFrozen)
+{
+	for (uint32_t seed = 1; seed <= seeds_or(100); seed++) {
+		World world(seed, 3 + seed % 5, Planted::kNothing);
+		int64_t changes;
+
+		world.run(5 * kS, false);
+		world.freeze_holder();
+		world.run(10 * kS, false);
+		ASSERT_EQ(world.violation, "") << "seed " << seed;
+		ASSERT_GT(world.frozen_since, 0) << "seed " << seed;
+		EXPECT_LT(world.held_longest, 400 * kMs) << "seed " << seed;
+		changes = world.changes;
+		world.run(20 * kS, false);
+		ASSERT_EQ(world.violation, "") << "seed " << seed;
+		EXPECT_GT(world.changes, changes) << "seed " << seed;
+	}
+}
+
 TEST(MapChange, PlantedFaultsAreCaught)
 {
 	EXPECT_GT(violations(Planted::kGoBeforeArmed, 40), 0U);
--- a/test/relief_test.cc
+++ b/test/relief_test.cc
@@ -155,13 +155,14 @@
 TEST(Fence, NeverComesTwiceUnderOneLease)
 {
 	skh_fence_t fence = {};
-	int64_t first = skh_fence_next(&fence, 7);
-	int64_t second = skh_fence_next(&fence, 7);
+	int64_t first = skh_fence_next(&fence, 7, 2);
+	int64_t second = skh_fence_next(&fence, 7, 2);
 
-	EXPECT_GT(second, first);
+	// The change before has both of its own.
+	EXPECT_GT(second, first + 1);
 	// The lease seemed lost and was not: the numbers go on.
-	EXPECT_GT(skh_fence_next(&fence, 7), second);
-	EXPECT_GT(skh_fence_next(&fence, 8), skh_fence_next(&fence, 7));
+	EXPECT_GT(skh_fence_next(&fence, 7, 1), second + 1);
+	EXPECT_GT(skh_fence_next(&fence, 8, 1), skh_fence_next(&fence, 7, 1));
 }
 
 TEST(CountPack, KeepsProportions)
@@ -183,10 +184,11 @@
 {
 	std::vector<uint32_t> first = dealt(2, 4, 3, 8);
 	std::vector<uint32_t> second = first;
-	skh_rank_map_t known = {};
+	skh_rank_maps_t known = {};
 	skh_engine_order_t order = {};
 	skh_engine_order_t read = {};
 	skh_buffer_t bytes = SKH_BUFFER_INIT;
+	char *engine = nullptr;
 	const skh_rank_map_t base = { 5, first.size(), first.data() };
 
 	order.op = SKH_ENGINE_PREPARE;
@@ -195,26 +197,34 @@
 	order.places = 3;
 	order.version = 5;
 	order.map = first.data();
-	skh_rankrelay_pack(&order, nullptr, &bytes);
-	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read), 200);
+	skh_rankrelay_pack(&order, nullptr, nullptr, &bytes);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read, &engine), 200);
+	EXPECT_EQ(engine, nullptr);
 	second[2] = 7;
 	second[20] = 1;
 	order.version = 6;
 	order.map = second.data();
 	skh_buffer_clear(&bytes);
-	skh_rankrelay_pack(&order, &base, &bytes);
-	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read), 200);
+	skh_rankrelay_pack(&order, &base, "10.0.0.7:80", &bytes);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read, &engine), 200);
 	EXPECT_TRUE(std::equal(second.begin(), second.end(), read.map));
 	EXPECT_EQ(read.version, 6);
+	EXPECT_STREQ(engine, "10.0.0.7:80");
+	g_free(engine);
 
 	// A process that knows another map says so rather than guess.
-	known.version = 4;
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read),
+	skh_rank_maps_t others = {};
+
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &others, &read, &engine),
 		  SKH_RANKRELAY_NO_BASE);
-	known.version = 5;
-	known.map[0] = 3;
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read),
+	g_free(engine);
+	ASSERT_NE(skh_rank_maps_find(&known, 5), nullptr);
+	known.list[0].map[0] = 3;
+	known.list[1].version = 7;
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&bytes), &known, &read, &engine),
 		  SKH_RANKRELAY_NO_BASE);
+	g_free(engine);
 	skh_buffer_free(&bytes);
-	g_free(known.map);
+	skh_rank_maps_clear(&known);
+	skh_rank_maps_clear(&others);
 }
