Move streams off a rank that is out of reach while its group goes on

A stream gets an event in each pass. Requests that must run once stay. Ruled out: TCP_USER_TIMEOUT alone, 2.5 s, longer than callers wait.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -22,10 +22,16 @@
 		skh_upstream_cancel(exchange->upstream);
 		exchange->upstream = NULL;
 	}
-	if (exchange->target)
-		skh_target_end(exchange->target, exchange->work, outcome, took_us,
-			       skh_clock_boot_us());
+	if (exchange->target) {
+		const skh_target_use_t use = { .work = exchange->work,
+					       .streaming = exchange->attempt_streams,
+					       .outcome = outcome,
+					       .took_us = took_us };
+
+		skh_target_end(exchange->target, &use, skh_clock_boot_us());
+	}
 	exchange->target = NULL;
+	exchange->attempt_streams = false;
 }
 
 /* --- Sending --- */
@@ -67,7 +73,7 @@
 	exchange->not_run = false;
 	exchange->attempt_status = 0;
 	skh_buffer_clear(&exchange->body);
-	skh_target_begin(target, exchange->work);
+	skh_target_begin(target, exchange->work, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Request placed.",
 		"id=%s server=%s send=%u queued_ms=%" PRId64 " running=%u peers=%u waiting=%u"
 		" config=%" PRId64 " config_age_ms=%" PRId64 " list=%" PRId64,
@@ -122,6 +128,7 @@
 	skh_exchange_t *exchange = context;
 	bool is_success = answer->parser.status_code / 100 == 2;
 
+	exchange->target->heard_us = skh_clock_boot_us();
 	exchange->attempt_status = (int32_t)answer->parser.status_code;
 	exchange->not_run = says_not_run(exchange, answer);
 	exchange->signed_answer =
@@ -158,7 +165,10 @@
 	skh_buffer_t out = SKH_BUFFER_INIT;
 	bool follows = skh_events_feed(&exchange->events, bytes, &out);
 
+	exchange->target->heard_us = skh_clock_boot_us();
 	if (out.len > 0) {
+		exchange->target->own_streaming += !exchange->attempt_streams;
+		exchange->attempt_streams = true;
 		skh_groupgate_answered(&exchange->front->gate);
 		note_first(exchange);
 		if (exchange->stage != SKH_EXCHANGE_ANSWERING)
@@ -346,22 +356,17 @@
 	return names[end];
 }
 
-static void finish_attempt(skh_exchange_t *exchange, skh_attempt_end_t end)
+/* What follows when the attempt under way ends so. */
+static skh_verdict_t verdict_on(const skh_exchange_t *exchange, skh_attempt_end_t end,
+				int64_t now_us, skh_verdict_view_t *view)
 {
-	skh_gateway_t *gateway = exchange->gateway;
-	int64_t now_us = skh_clock_boot_us();
-	skh_target_t *target = exchange->target;
-	skh_verdict_view_t view;
-	skh_verdict_t verdict;
+	const skh_gateway_t *gateway = exchange->gateway;
+	bool ran = end == SKH_END_ERROR || end == SKH_END_LOST || end == SKH_END_CUT;
 
-	if (end == SKH_END_CUT && exchange->stage != SKH_EXCHANGE_ANSWERING)
-		end = SKH_END_LOST;
-	if (end == SKH_END_ERROR || end == SKH_END_LOST || end == SKH_END_CUT)
-		exchange->runs++;
-	view = (skh_verdict_view_t){
+	*view = (skh_verdict_view_t){
 		.end = end,
 		.repeat = exchange->route->repeat,
-		.runs = exchange->runs,
+		.runs = exchange->runs + ran,
 		.max_attempts = exchange->route->max_attempts,
 		.sends = exchange->sends,
 		.may_repeat = skh_retryshare_has_room(&exchange->front->share,
@@ -370,14 +375,35 @@
 		.now_us = now_us,
 		.until_us = exchange->until_us,
 	};
-	verdict = skh_verdict_of(&view);
+	return skh_verdict_of(view);
+}
+
+static void log_failure(const skh_exchange_t *exchange, const skh_verdict_view_t *view,
+			skh_verdict_t verdict)
+{
+	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
+		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d",
+		exchange->attempt_id, exchange->target->server->id, end_name(view->end),
+		exchange->attempt_status, view->runs, view->may_repeat, view->is_suspect,
+		verdict == SKH_VERDICT_AGAIN);
+}
+
+static void finish_attempt(skh_exchange_t *exchange, skh_attempt_end_t end)
+{
+	skh_gateway_t *gateway = exchange->gateway;
+	int64_t now_us = skh_clock_boot_us();
+	skh_target_t *target = exchange->target;
+	skh_verdict_view_t view;
+	skh_verdict_t verdict;
+
+	if (end == SKH_END_CUT && exchange->stage != SKH_EXCHANGE_ANSWERING)
+		end = SKH_END_LOST;
+	verdict = verdict_on(exchange, end, now_us, &view);
+	exchange->runs = view.runs;
 	skh_groupgate_failed(&exchange->front->gate);
 	if (end == SKH_END_NOT_RUN && exchange->front->lock_step && exchange->attempt_status == 503)
 		skh_groupgate_refused(&exchange->front->gate, now_us);
-	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
-		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d",
-		exchange->attempt_id, target->server->id, end_name(end), exchange->attempt_status,
-		exchange->runs, view.may_repeat, view.is_suspect, verdict == SKH_VERDICT_AGAIN);
+	log_failure(exchange, &view, verdict);
 	if (verdict == SKH_VERDICT_PASS) {
 		conclude(exchange, verdict);
 		return;
@@ -391,3 +417,22 @@
 	skh_target_unref(target);
 	skh_exchange_dispatch(gateway);
 }
+
+void skh_attempt_move(skh_exchange_t *exchange)
+{
+	skh_attempt_end_t end =
+		exchange->stage == SKH_EXCHANGE_ANSWERING ? SKH_END_CUT : SKH_END_LOST;
+	int64_t now_us = skh_clock_boot_us();
+	skh_target_t *target = exchange->target;
+	skh_verdict_view_t view;
+	skh_verdict_t verdict = verdict_on(exchange, end, now_us, &view);
+
+	log_failure(exchange, &view, verdict);
+	if (verdict != SKH_VERDICT_AGAIN)
+		return;
+	exchange->runs = view.runs;
+	target->references++; /* outlives the attempt */
+	skh_attempt_leave(exchange, SKH_OUTCOME_WITHDRAWN, 0);
+	send_again(exchange, target, end, now_us);
+	skh_target_unref(target);
+}
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -56,6 +56,7 @@
 	GString *answer_headers;
 	int32_t answer_status;	/* that the caller gets */
 	int32_t attempt_status; /* of the attempt under way; 0 before its head */
+	bool attempt_streams;	/* its first event has come */
 	char answer_reason[64];
 	bool signed_answer;
 	bool not_run; /* the server's word */
@@ -71,6 +72,13 @@
 /** skh_attempt_leave() - end the attempt, if any; the server's connection closes if it works */
 void skh_attempt_leave(skh_exchange_t *exchange, skh_outcome_t outcome, int64_t took_us);
 
+/**
+ * skh_attempt_move() - the server is out of reach: try elsewhere, where that is allowed
+ *
+ * A request that may not run twice stays: its answer may still come.
+ */
+void skh_attempt_move(skh_exchange_t *exchange);
+
 /* --- exchange.c --- */
 
 /** skh_exchange_header_name() - the platform's name of a header */
--- a/src/backends.c
+++ b/src/backends.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "ranksilence.h"
 
 #include <string.h>
 
@@ -269,8 +270,29 @@
 	return done * (double)SKH_US_PER_S / (double)(RATE_SLOT_US * (SKH_FRONT_RATE_SLOTS - 1));
 }
 
-void skh_target_begin(skh_target_t *target, double work)
+bool skh_front_is_lost(const skh_front_t *front, const skh_target_t *target, int64_t now_us)
 {
+	skh_ranksilence_view_t view = {
+		.running = target->own_running,
+		.streaming = target->own_streaming,
+		.heard_us = target->heard_us,
+		.busy_since_us = target->busy_since_us,
+		.now_us = now_us,
+	};
+
+	for (guint i = 0; i < front->targets->len; i++) {
+		const skh_target_t *other = g_ptr_array_index(front->targets, i);
+
+		if (other != target)
+			view.group_heard_us = MAX(view.group_heard_us, other->heard_us);
+	}
+	return front->lock_step && skh_ranksilence_is_lost(&view);
+}
+
+void skh_target_begin(skh_target_t *target, double work, int64_t now_us)
+{
+	if (target->own_running == 0)
+		target->busy_since_us = now_us;
 	target->references++;
 	target->own_running++;
 	target->own_work += work;
@@ -287,6 +309,11 @@
 		target->avoid_till_us = now_us + (AVOID_US << doublings);
 }
 
+void skh_target_avoid(skh_target_t *target, int64_t now_us)
+{
+	note_failure(target, SKH_OUTCOME_UNREACHABLE, now_us);
+}
+
 static void note_success(skh_target_t *target, int64_t took_us, int64_t now_us)
 {
 	double took_ms = (double)took_us / (double)SKH_US_PER_MS;
@@ -303,20 +330,20 @@
 	target->front->done[target->front->done_slot % SKH_FRONT_RATE_SLOTS] += 1.0;
 }
 
-void skh_target_end(skh_target_t *target, double work, skh_outcome_t outcome, int64_t took_us,
-		    int64_t now_us)
+void skh_target_end(skh_target_t *target, const skh_target_use_t *use, int64_t now_us)
 {
 	target->own_running--;
-	target->own_work -= work;
-	if (outcome == SKH_OUTCOME_GOOD)
-		note_success(target, took_us, now_us);
-	else if (outcome == SKH_OUTCOME_FULL)
+	target->own_streaming -= use->streaming;
+	target->own_work -= use->work;
+	if (use->outcome == SKH_OUTCOME_GOOD)
+		note_success(target, use->took_us, now_us);
+	else if (use->outcome == SKH_OUTCOME_FULL)
 		target->full_till_us =
 			now_us + FULL_US + (int64_t)(skh_random_u64() % (uint64_t)FULL_US);
-	else if (outcome == SKH_OUTCOME_MISPLACED)
+	else if (use->outcome == SKH_OUTCOME_MISPLACED)
 		target->misplaced_till_us = now_us + MISPLACED_US;
-	else if (outcome != SKH_OUTCOME_WITHDRAWN)
-		note_failure(target, outcome, now_us);
+	else if (use->outcome != SKH_OUTCOME_WITHDRAWN)
+		note_failure(target, use->outcome, now_us);
 	skh_target_unref(target);
 }
 
--- a/src/backends.h
+++ b/src/backends.h
@@ -32,6 +32,9 @@
 	uint32_t references;
 	bool listed; /* in the roster */
 	uint32_t own_running;
+	uint32_t own_streaming; /* of those, such that have begun to answer */
+	int64_t busy_since_us;	/* own_running is not 0 since */
+	int64_t heard_us;	/* the last bytes of an answer */
 	double own_work;	/* expected tokens of those */
 	uint32_t peers_running; /* by the other gateways' reports */
 	double mean_ms;
@@ -89,8 +92,11 @@
 /** skh_front_rate() - requests that end here in a second; 0 when unknown */
 double skh_front_rate(const skh_front_t *front, int64_t now_us);
 
+/** skh_front_is_lost() - the rank is out of reach while others of its group move */
+bool skh_front_is_lost(const skh_front_t *front, const skh_target_t *target, int64_t now_us);
+
 /* A request is at the server from begin to end. */
-void skh_target_begin(skh_target_t *target, double work);
+void skh_target_begin(skh_target_t *target, double work, int64_t now_us);
 
 /** enum skh_outcome - what an attempt says of its server */
 typedef enum skh_outcome {
@@ -102,9 +108,18 @@
 	SKH_OUTCOME_WITHDRAWN  /* the caller left: says nothing */
 } skh_outcome_t;
 
-/** skh_target_end() - @took_us: to the first event or the whole answer; 0 when unknown */
-void skh_target_end(skh_target_t *target, double work, skh_outcome_t outcome, int64_t took_us,
-		    int64_t now_us);
+/** struct skh_target_use - one request's use of a server, as it ends */
+typedef struct skh_target_use {
+	double work;
+	bool streaming; /* it had begun to answer */
+	skh_outcome_t outcome;
+	int64_t took_us; /* to the first event or the whole answer; 0 when unknown */
+} skh_target_use_t;
+
+void skh_target_end(skh_target_t *target, const skh_target_use_t *use, int64_t now_us);
+
+/** skh_target_avoid() - it is out of reach: leave it alone for a while */
+void skh_target_avoid(skh_target_t *target, int64_t now_us);
 void skh_target_unref(skh_target_t *target);
 
 #ifdef __cplusplus
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -341,9 +341,9 @@
 						 &balancer->pool_options);
 	balancer->watch =
 		skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed, balancer);
-	balancer->relay = skh_rankrelay_start(&balancer->loop, settings->gossip_listen,
-					      balancer->engine, balancer->dialect,
-					      &balancer->pool_options, err);
+	balancer->relay =
+		skh_rankrelay_start(&balancer->loop, settings->gossip_listen, balancer->engine,
+				    balancer->dialect, &balancer->pool_options, err);
 	if (!balancer->relay)
 		return false;
 	balancer->board = skh_board_new();
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -241,10 +241,9 @@
 	const skh_rank_map_t base = { view->ranks[rank].report.map_version,
 				      skh_groupview_map_size(view), view->map };
 
-	skh_rankrelay_pack(order, coordinator->ways[rank].wants_whole ? NULL : &base,
-			   giver == rank ? NULL
-					 : skh_engine_client_address(view->ranks[rank].engine),
-			   &body);
+	skh_rankrelay_pack(
+		order, coordinator->ways[rank].wants_whole ? NULL : &base,
+		giver == rank ? NULL : skh_engine_client_address(view->ranks[rank].engine), &body);
 	skh_engine_client_post(view->ranks[giver].relay, SKH_RANKRELAY_PATH,
 			       skh_buffer_chunk(&body),
 			       giver == rank ? RELAY_TIMEOUT_US : HOLD_TIMEOUT_US, rank,
@@ -306,8 +305,8 @@
 {
 	skh_groupview_t *view = &coordinator->view;
 	int64_t epoch = view->ranks[view->own].report.epoch;
-	int64_t fence = skh_fence_next(&coordinator->fences, coordinator->fence,
-				       SKH_MAPCHANGE_FENCES);
+	int64_t fence =
+		skh_fence_next(&coordinator->fences, coordinator->fence, SKH_MAPCHANGE_FENCES);
 	const skh_mapchange_options_t options = {
 		.n_ranks = view->n_ranks,
 		.own = view->own,
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -280,8 +280,46 @@
 	}
 }
 
+/* Requests at a rank that is out of reach go on elsewhere; new ones have to connect first. */
+static void leave_rank(skh_gateway_t *gateway, skh_target_t *target, int64_t now_us)
+{
+	GList *link = gateway->exchanges.head;
+
+	skh_log(SKH_LOG_WARNING, PART, "Rank is silent while its group goes on.",
+		"server=%s running=%u streaming=%u silent_ms=%" PRId64, target->server->id,
+		target->own_running, target->own_streaming,
+		(now_us - MAX(target->heard_us, target->busy_since_us)) / SKH_US_PER_MS);
+	skh_pool_drop_idle(target->pool);
+	target->references++;
+	while (link) {
+		skh_exchange_t *exchange = link->data;
+
+		/* A move may end the exchange, but no other. */
+		link = link->next;
+		if (exchange->target == target)
+			skh_attempt_move(exchange);
+	}
+	/* What had to stay is asked about again later. */
+	target->busy_since_us = now_us;
+	skh_target_avoid(target, now_us);
+	skh_target_unref(target);
+}
+
+static void watch_ranks(skh_front_t *front, void *context)
+{
+	int64_t now_us = skh_clock_boot_us();
+
+	for (guint i = 0; front->lock_step && i < front->targets->len; i++) {
+		skh_target_t *target = g_ptr_array_index(front->targets, i);
+
+		if (skh_front_is_lost(front, target, now_us))
+			leave_rank(context, target, now_us);
+	}
+}
+
 void skh_exchange_tick(skh_gateway_t *gateway)
 {
+	skh_backends_each_front(gateway->backends, watch_ranks, gateway);
 	skh_backends_each_front(gateway->backends, end_hopeless, NULL);
 	skh_exchange_dispatch(gateway);
 }
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -255,8 +255,7 @@
 		return rank == change->own;
 	case SKH_CHANGE_ARM:
 		order->op = SKH_ENGINE_ARM;
-		return !state->armed &&
-		       (rank != change->deputy || may_arm_deputy(change, now_us));
+		return !state->armed && (rank != change->deputy || may_arm_deputy(change, now_us));
 	case SKH_CHANGE_DISARM:
 		order->op = SKH_ENGINE_DISARM;
 		order->fence++;
@@ -289,7 +288,7 @@
 		.epoch = change->epoch,
 		.fence = change->fence,
 	};
-	if (state->ordered || now_us < state->not_before_us || 
+	if (state->ordered || now_us < state->not_before_us ||
 	    !choose_order(change, rank, now_us, order))
 		return false;
 	state->ordered = true;
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -97,7 +97,7 @@
 	int64_t held_since_us;	 /* 0 when nothing is left behind */
 	int64_t contact_us;	 /* the deputy has answered a question of this time */
 	int64_t others_armed_us; /* since then all ranks but the deputy's are armed */
-	const char *why; /* it failed */
+	const char *why;	 /* it failed */
 	skh_mapchange_rank_t ranks[SKH_MAPCHANGE_MAX_RANKS];
 } skh_mapchange_t;
 
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -7,17 +7,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PART		  "relay"
+#define PART "relay"
 /* The engine beside this process answers at once or not at all ... */
 #define ENGINE_TIMEOUT_US (30 * SKH_US_PER_MS)
 /* ... and is asked again, free and without the way to the coordinator, so often. */
-#define MOST_TRIES 6
-#define MAX_PLACES	  (1U << 20)
-#define BYTES_A_PLACE	  2
-#define STATUS_OK	  200
-#define STATUS_BAD	  400
-#define STATUS_BUSY	  503
-#define STATUS_NO_ANSWER  504
+#define MOST_TRIES	 6
+#define MAX_PLACES	 (1U << 20)
+#define BYTES_A_PLACE	 2
+#define STATUS_OK	 200
+#define STATUS_BAD	 400
+#define STATUS_BUSY	 503
+#define STATUS_NO_ANSWER 504
 
 struct skh_rankrelay {
 	skh_listener_t *listener;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -452,12 +452,17 @@
 	return pool;
 }
 
-void skh_pool_free(skh_pool_t *pool)
+void skh_pool_drop_idle(skh_pool_t *pool)
 {
 	skh_upstream_t *upstream;
 
-	pool->freed = true;
 	while ((upstream = g_queue_peek_head(&pool->idle)) != NULL)
 		close_upstream(upstream);
+}
+
+void skh_pool_free(skh_pool_t *pool)
+{
+	pool->freed = true;
+	skh_pool_drop_idle(pool);
 	drop_pool(pool);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -55,6 +55,12 @@
 /** skh_pool_free() - close idle connections; those in use end by themselves */
 void skh_pool_free(skh_pool_t *pool);
 
+/** skh_pool_drop_idle() - close idle connections: they may be dead without a sign */
+void skh_pool_drop_idle(skh_pool_t *pool);
+
+/** skh_pool_drop_idle() - close idle connections: they may be dead without a sign */
+void skh_pool_drop_idle(skh_pool_t *pool);
+
 /** struct skh_send - one request for a server */
 typedef struct skh_send {
 	skh_chunk_t bytes;	/* copied */
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -86,8 +86,12 @@
 	t.list("two", "127.0.0.2", 1000);
 	target = skh_backends_target(t.backends, "one");
 	target->references++;
-	skh_target_begin(target, 1.0);
-	skh_target_end(target, 1.0, SKH_OUTCOME_MISPLACED, 0, skh_clock_boot_us());
+	skh_target_use_t use = {};
+
+	use.work = 1.0;
+	use.outcome = SKH_OUTCOME_MISPLACED;
+	skh_target_begin(target, 1.0, skh_clock_boot_us());
+	skh_target_end(target, &use, skh_clock_boot_us());
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ(t.pick(), "two");
 	EXPECT_TRUE(skh_front_pick(target->front, nullptr, skh_clock_boot_us() + 60 * kS));
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -508,8 +508,9 @@
 		coordinator.number += SKH_MAPCHANGE_FENCES;
 		options.n_ranks = static_cast<uint32_t>(engines.size());
 		options.own = coordinator.own;
-		options.deputy = (coordinator.own + 1 + coordinator.number / 2 % (options.n_ranks - 1)) %
-				 options.n_ranks;
+		options.deputy =
+			(coordinator.own + 1 + coordinator.number / 2 % (options.n_ranks - 1)) %
+			options.n_ranks;
 		options.epoch = coordinator.reports[coordinator.own].epoch;
 		options.version = fence;
 		options.fence = planted == Planted::kSameFence ? 1 : fence;
