--- a/src/balancer.c
+++ b/src/balancer.c
@@ -4,6 +4,7 @@
 #include "admin.h"
 #include "clock.h"
 #include "coordinator.h"
+#include "countfeed.h"
 #include "countpack.h"
 #include "election.h"
 #include "log.h"
@@ -17,20 +18,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PART	"balancer"
-#define TICK_MS 25
+#define PART "balancer"
+/* Orders and reports are looked after this often ... */
+#define TICK_MS 20
+/* ... and while a change of the map is under way: the group may stand still for it. */
+#define BUSY_TICK_MS 8
+/* An order is followed by another within this while a change goes on. */
+#define BUSY_US (500 * SKH_US_PER_MS)
+/* A pass lasts 50 ms and more, and each is to be seen by itself. */
+#define REPORT_US      (40 * SKH_US_PER_MS)
+#define BUSY_REPORT_US (8 * SKH_US_PER_MS)
 /* The control budget of 2 KB a second, less what the store takes. */
 #define BYTES_PER_S    1500
 #define DATAGRAM_BYTES 42
-#define LEAST_PAUSE_US (50 * SKH_US_PER_MS)
-/* The coordinator's own rank is a sample of all: it shows a shift first. */
-#define OWN_COUNTS_US (50 * SKH_US_PER_MS)
-#define COUNTS_US     (75 * SKH_US_PER_MS)
-/*
- * A report tells of about this long before it. Reports of a large group are 0.7 s
- * apart; told whole, what was before a shift would hide it.
- */
-#define TOLD_SPAN_US	   (175 * SKH_US_PER_MS)
+/* The coordinator hears of each rank this often, news or none. */
+#define ALIVE_US	   (500 * SKH_US_PER_MS)
 #define MAX_DATAGRAM	   16384
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define SILENCE_TIMEOUT_US (1 * SKH_US_PER_S)
@@ -56,8 +58,11 @@
 	guint offer_next; /* index of the server that is asked next for its rank */
 	uint64_t sender;
 	uint64_t number;
-	int64_t tell_us; /* next report with counts */
-	bool tell_now;	 /* the rank's state has changed */
+	skh_countfeed_t *counts; /* NULL before the engines' shape is known */
+	int64_t told_us;
+	bool tell_now; /* the rank's state has changed */
+	bool busy;     /* a change of the map is under way here */
+	char coordinated_by[64];
 	bool stopping;
 } balancer_t;
 
@@ -86,13 +91,18 @@
 	return balancer->lease.holds && now_us < balancer->lease.holds_till_us;
 }
 
-static void pack_counts(const skh_rank_news_t *news, Skh__RankReport *message)
+static void pack_counts(const balancer_t *balancer, Skh__RankReport *message)
 {
-	message->counts.len = skh_countpack_bytes(news->n_counts);
+	const skh_engine_shape_t *shape = &balancer->lease.shape;
+	const skh_demand_sample_t *sample = skh_countfeed_sample(balancer->counts);
+	size_t n = (size_t)shape->sets * shape->experts;
+
+	message->counts.len = skh_countpack_bytes(n);
 	message->counts.data = g_malloc0(message->counts.len + 1);
-	message->n_counts = news->n_counts;
-	message->greatest_count =
-		skh_countpack_write(news->counts, news->n_counts, message->counts.data);
+	message->n_counts = (uint32_t)n;
+	message->from_pass = sample->from_pass;
+	message->to_pass = sample->to_pass;
+	message->greatest_count = skh_countpack_write(sample->counts, n, message->counts.data);
 }
 
 static void fill_report(balancer_t *balancer, const skh_rank_news_t *news, bool with_counts,
@@ -118,7 +128,7 @@
 	message->n_map = news->has_map ? news->n_map : 0;
 	message->map = news->map;
 	if (with_counts)
-		pack_counts(news, message);
+		pack_counts(balancer, message);
 }
 
 static size_t send_report(balancer_t *balancer, const Skh__RankReport *message)
@@ -141,39 +151,75 @@
 	return len + DATAGRAM_BYTES;
 }
 
-/* Tells the coordinator, which may be this process, of the rank. */
+static bool coordinates(const balancer_t *balancer, int64_t now_us)
+{
+	return balancer->coordinator && holds_lease(balancer, now_us);
+}
+
+/* This process coordinates: it sees its own rank each time. */
+static void tell_oneself(balancer_t *balancer, int64_t now_us)
+{
+	const skh_rank_news_t *news = skh_rankwatch_news(balancer->watch);
+	Skh__RankReport message = SKH__RANK_REPORT__INIT;
+
+	if (!news->has_report)
+		return;
+	fill_report(balancer, news, false, &message);
+	skh_coordinator_report(balancer->coordinator, &message, true, now_us);
+}
+
+/* Tells another process, which coordinates, of the rank. */
 static void tell(balancer_t *balancer, int64_t now_us)
 {
 	const skh_rank_news_t *news = skh_rankwatch_news(balancer->watch);
-	bool with_counts = now_us >= balancer->tell_us;
+	bool with_counts = balancer->counts && skh_countfeed_is_due(balancer->counts, now_us);
 	Skh__RankReport message = SKH__RANK_REPORT__INIT;
-	size_t sent = 0;
+	size_t sent;
 
-	if (!news->has_report || (!with_counts && !balancer->tell_now))
+	if (!news->has_report || coordinates(balancer, now_us) ||
+	    (!with_counts && !balancer->tell_now && now_us - balancer->told_us < ALIVE_US))
 		return;
-	balancer->tell_now = false;
 	fill_report(balancer, news, with_counts, &message);
-	if (holds_lease(balancer, now_us) && balancer->coordinator)
-		skh_coordinator_report(balancer->coordinator, &message, true, now_us);
-	else
-		sent = send_report(balancer, &message);
+	sent = send_report(balancer, &message);
 	g_free(message.counts.data);
-	if (!with_counts)
+	if (sent == 0)
 		return;
-	if (news->n_counts > 0)
-		skh_rankwatch_take_counts(balancer->watch);
-	balancer->tell_us =
-		now_us + MAX(LEAST_PAUSE_US, (int64_t)sent * SKH_US_PER_S / BYTES_PER_S);
+	balancer->tell_now = false;
+	balancer->told_us = now_us;
+	if (balancer->counts)
+		skh_countfeed_told(balancer->counts, sent, with_counts, now_us);
 }
 
 static void on_rank_changed(void *context)
 {
 	balancer_t *balancer = context;
+	int64_t now_us = skh_clock_boot_us();
 
 	balancer->tell_now = true;
-	tell(balancer, skh_clock_boot_us());
+	if (coordinates(balancer, now_us))
+		tell_oneself(balancer, now_us);
+	else
+		tell(balancer, now_us);
+}
+
+static void on_look(void *context, const skh_demand_sample_t *sample)
+{
+	balancer_t *balancer = context;
+	int64_t now_us = skh_clock_boot_us();
+
+	if (coordinates(balancer, now_us))
+		skh_coordinator_sample(balancer->coordinator, sample, now_us);
+	/* Also there: it may lose the lease. */
+	if (balancer->counts)
+		(void)skh_countfeed_look(balancer->counts, sample, now_us);
+	tell(balancer, now_us);
 }
 
+static const skh_rankwatch_ops_t watch_ops = {
+	.on_change = on_rank_changed,
+	.on_look = on_look,
+};
+
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buffer,
 			const struct sockaddr *from, unsigned int flags)
 {
@@ -216,6 +262,7 @@
 	if (balancer->coordinator || !balancer->lease.has_shape || balancer->lease.shape.sets == 0)
 		return;
 	skh_rankwatch_set_shape(balancer->watch, &balancer->lease.shape);
+	balancer->counts = skh_countfeed_new(&balancer->lease.shape, BYTES_PER_S, skh_random_u64());
 	balancer->coordinator = skh_coordinator_new(&options, &balancer->lease.shape);
 }
 
@@ -270,6 +317,31 @@
 					    (double)fresh->cost_weight);
 }
 
+/* Who coordinates from now on knows nothing yet. */
+static void follow_lease(balancer_t *balancer, int64_t now_us)
+{
+	skh_election_look(balancer->election, &balancer->lease);
+	if (strcmp(balancer->coordinated_by, balancer->lease.coordinator) == 0)
+		return;
+	(void)g_strlcpy(balancer->coordinated_by, balancer->lease.coordinator,
+			sizeof(balancer->coordinated_by));
+	balancer->tell_now = true;
+	if (balancer->counts)
+		skh_countfeed_hurry(balancer->counts, now_us);
+}
+
+static void follow_pace(balancer_t *balancer, int64_t now_us)
+{
+	bool busy = now_us - skh_rankrelay_order_us(balancer->relay) < BUSY_US ||
+		    (coordinates(balancer, now_us) &&
+		     skh_coordinator_is_changing(balancer->coordinator));
+
+	skh_rankwatch_set_pace(balancer->watch, busy ? BUSY_REPORT_US : REPORT_US);
+	if (busy != balancer->busy)
+		uv_timer_set_repeat(&balancer->tick, busy ? BUSY_TICK_MS : TICK_MS);
+	balancer->busy = busy;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	balancer_t *balancer = timer->data;
@@ -280,13 +352,14 @@
 		return;
 	}
 	follow_settings(balancer, now_us);
-	skh_election_look(balancer->election, &balancer->lease);
+	follow_lease(balancer, now_us);
 	follow_shape(balancer);
-	skh_rankwatch_set_pace(balancer->watch,
-			       holds_lease(balancer, now_us) ? OWN_COUNTS_US : COUNTS_US,
-			       balancer->tell_us - TOLD_SPAN_US);
+	follow_pace(balancer, now_us);
 	skh_rankwatch_tick(balancer->watch, now_us);
-	tell(balancer, now_us);
+	if (coordinates(balancer, now_us))
+		tell_oneself(balancer, now_us);
+	else
+		tell(balancer, now_us);
 	coordinate(balancer, now_us);
 }
 
@@ -340,7 +413,7 @@
 	balancer->engine = skh_engine_client_new(&balancer->loop, settings->engine_address,
 						 &balancer->pool_options);
 	balancer->watch =
-		skh_rankwatch_new(balancer->engine, balancer->dialect, on_rank_changed, balancer);
+		skh_rankwatch_new(balancer->engine, balancer->dialect, &watch_ops, balancer);
 	balancer->relay =
 		skh_rankrelay_start(&balancer->loop, settings->gossip_listen, balancer->engine,
 				    balancer->dialect, &balancer->pool_options, err);
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -24,7 +24,7 @@
  * A change is not begun for less skew than this while passes are long, and for
  * much more while they are short: then copies cost more than they bring.
  */
-#define LEAST_GAIN	0.3
+#define LEAST_GAIN	0.15
 #define LEAST_GAIN_IDLE 0.9
 /* Skew of a set that quick relief leaves alone, in the same two cases. */
 #define RELIEF_TARGET	   1.08
@@ -33,14 +33,21 @@
 #define SHORT_PASS_PART 0.75
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
-/* Passes are longer while a rank copies; the best map may take so long ... */
-#define COPY_MS 400.0
-/* ... and while the skew is greater, a quick relief, which comes first, half of it. */
-#define RELIEF_SKEW 1.8
-#define RELIEF_MS   200.0
-#define MOST_NEW    64.0
+/*
+ * Above this skew a first change brings what can be copied within about a pass, two
+ * experts a rank at least: waiting for more costs more than a second change.
+ */
+#define RELIEF_SKEW  1.8
+#define RELIEF_MS    75.0
+#define RELIEF_LEAST 2
+/* Later changes may take longer, as passes are shorter by then. */
+#define COPY_MS	   100.0
+#define COPY_LEAST 4
+#define MOST_NEW   64.0
 /* Places in a map up to which the best one is searched for in a small share of a core. */
 #define SEARCH_PLACES 600
+/* A plan takes milliseconds of a small share of a core, for a gain that is seldom there. */
+#define PLAN_PAUSE_US (60 * SKH_US_PER_MS)
 /* A new holder hears all ranks before it decides. */
 #define TAKEOVER_US (400 * SKH_US_PER_MS)
 
@@ -57,16 +64,20 @@
 	skh_coordinator_options_t options;
 	skh_groupview_t view;
 	skh_demand_t *demand;
+	double *counts; /* of one report, [sets][experts] */
 	way_t ways[SKH_MAPCHANGE_MAX_RANKS];
 	bool holds_itself; /* the deputy did not answer the last order to hold */
 	uint32_t deputy;   /* of the last change */
 	skh_mapchange_t change;
 	skh_mapplan_result_t plan;
+	uint32_t change_number; /* tells answers to its orders from those of changes before */
 	int64_t decide_us;
+	int64_t plan_us; /* not before, unless demand has shifted */
 	int64_t change_since_us;
 	skh_fence_t fences;
 	int64_t fence;	   /* of the lease; 0 while it is not held */
 	bool fresh_counts; /* the shares have changed since the last decision */
+	bool shifted;	   /* demand has shifted since the last plan */
 	bool changing;
 	bool outdated;
 	bool repair; /* the last change failed: its leavings must go */
@@ -101,6 +112,7 @@
 
 	coordinator->options = *options;
 	coordinator->demand = skh_demand_new(shape);
+	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
 	skh_groupview_init(&coordinator->view, &view_options, shape);
 	return coordinator;
 }
@@ -109,6 +121,7 @@
 {
 	skh_groupview_clear(&coordinator->view);
 	skh_demand_free(coordinator->demand);
+	g_free(coordinator->counts);
 	g_free(coordinator);
 }
 
@@ -119,21 +132,53 @@
 	coordinator->options.cost_weight = cost_weight;
 }
 
-static void take_counts(skh_coordinator_t *coordinator, const Skh__RankReport *message)
+static void consider(skh_coordinator_t *coordinator, int64_t now_us);
+
+void skh_coordinator_sample(skh_coordinator_t *coordinator, const skh_demand_sample_t *sample,
+			    int64_t now_us)
+{
+	skh_demand_news_t news = skh_demand_add(coordinator->demand, sample, now_us);
+
+	if (news == SKH_DEMAND_SHIFT || news == SKH_DEMAND_BREAK) {
+		skh_log(SKH_LOG_INFO, PART, "Demand shifts.",
+			"after_pass=%" PRId64 " up_to_pass=%" PRId64 " whole=%d", sample->from_pass,
+			sample->to_pass, news == SKH_DEMAND_SHIFT);
+		coordinator->shifted = true;
+	}
+	coordinator->fresh_counts = coordinator->fresh_counts || news != SKH_DEMAND_NONE;
+	if (coordinator->fence != 0)
+		consider(coordinator, now_us);
+}
+
+static void take_counts(skh_coordinator_t *coordinator, const Skh__RankReport *message,
+			int64_t now_us)
 {
 	const skh_engine_shape_t *shape = &coordinator->view.shape;
 	size_t n = (size_t)shape->sets * shape->experts;
+	const skh_demand_sample_t sample = {
+		.counts = coordinator->counts,
+		.epoch = message->epoch,
+		.from_pass = message->from_pass,
+		.to_pass = message->to_pass,
+	};
 
-	if (message->n_counts == n && message->counts.len == skh_countpack_bytes(n))
-		skh_countpack_add(message->counts.data, n, message->greatest_count,
-				  skh_demand_counts(coordinator->demand));
+	if (message->n_counts != n || message->counts.len != skh_countpack_bytes(n))
+		return;
+	memset(coordinator->counts, 0, n * sizeof(double));
+	skh_countpack_add(message->counts.data, n, message->greatest_count, coordinator->counts);
+	skh_coordinator_sample(coordinator, &sample, now_us);
 }
 
 void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 			    bool own, int64_t now_us)
 {
 	if (skh_groupview_report(&coordinator->view, message, own, now_us))
-		take_counts(coordinator, message);
+		take_counts(coordinator, message, now_us);
+}
+
+bool skh_coordinator_is_changing(const skh_coordinator_t *coordinator)
+{
+	return coordinator->changing;
 }
 
 bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator)
@@ -198,22 +243,31 @@
 	way->direct = no_answer && !way->wants_whole && !way->direct;
 }
 
+/* Orders outlive their change: an answer must not be taken for one of the next. */
+static uint32_t tag_of(const skh_coordinator_t *coordinator, uint32_t rank)
+{
+	return coordinator->change_number * SKH_MAPCHANGE_MAX_RANKS + rank;
+}
+
 static void on_order_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_coordinator_t *coordinator = context;
 	int64_t now_us = skh_clock_boot_us();
 	skh_order_answer_t answer = answer_of(status);
+	uint32_t rank = tag % SKH_MAPCHANGE_MAX_RANKS;
 
 	(void)body;
-	note_way(coordinator, tag, status);
+	if (tag != tag_of(coordinator, rank))
+		return;
+	note_way(coordinator, rank, status);
 	if (answer != SKH_ORDER_ACCEPTED)
 		skh_log(SKH_LOG_INFO, PART, "Order not done.",
-			"rank=%u op=%s status=%d version=%" PRId64 " direct=%d", tag,
-			op_name(coordinator->change.ranks[tag].op), status,
-			coordinator->change.version, coordinator->ways[tag].direct);
+			"rank=%u op=%s status=%d version=%" PRId64 " direct=%d", rank,
+			op_name(coordinator->change.ranks[rank].op), status,
+			coordinator->change.version, coordinator->ways[rank].direct);
 	if (!coordinator->changing)
 		return;
-	skh_mapchange_answer(&coordinator->change, tag, answer, now_us);
+	skh_mapchange_answer(&coordinator->change, rank, answer, now_us);
 	coordinator->outdated = coordinator->outdated || answer == SKH_ORDER_OUTDATED;
 	send_orders(coordinator, now_us);
 }
@@ -223,9 +277,10 @@
 {
 	char *body = coordinator->options.dialect->write_order(order);
 
-	skh_engine_client_post(
-		coordinator->view.ranks[rank].engine, coordinator->options.dialect->order_path,
-		skh_chunk_from_string(body), ORDER_TIMEOUT_US, rank, on_order_answer, coordinator);
+	skh_engine_client_post(coordinator->view.ranks[rank].engine,
+			       coordinator->options.dialect->order_path,
+			       skh_chunk_from_string(body), ORDER_TIMEOUT_US,
+			       tag_of(coordinator, rank), on_order_answer, coordinator);
 	free(body);
 }
 
@@ -246,8 +301,8 @@
 		giver == rank ? NULL : skh_engine_client_address(view->ranks[rank].engine), &body);
 	skh_engine_client_post(view->ranks[giver].relay, SKH_RANKRELAY_PATH,
 			       skh_buffer_chunk(&body),
-			       giver == rank ? RELAY_TIMEOUT_US : HOLD_TIMEOUT_US, rank,
-			       on_order_answer, coordinator);
+			       giver == rank ? RELAY_TIMEOUT_US : HOLD_TIMEOUT_US,
+			       tag_of(coordinator, rank), on_order_answer, coordinator);
 	skh_buffer_free(&body);
 }
 
@@ -318,6 +373,7 @@
 	};
 
 	skh_mapchange_init(&coordinator->change, &options, now_us);
+	coordinator->change_number++;
 	coordinator->deputy = options.deputy;
 	coordinator->holds_itself = false;
 	view->next_epoch = epoch;
@@ -337,25 +393,14 @@
 	send_orders(coordinator, now_us);
 }
 
-/* Counts are taken into the forecasts in steady steps, also while a change is under way. */
-static void observe(skh_coordinator_t *coordinator, int64_t now_us)
-{
-	skh_demand_news_t news = skh_demand_observe(coordinator->demand, now_us);
-
-	coordinator->fresh_counts = coordinator->fresh_counts || news != SKH_DEMAND_NONE;
-	if (news == SKH_DEMAND_SHIFT)
-		skh_log(SKH_LOG_INFO, PART, "Demand shifts.", "gone=%.2f",
-			skh_demand_gone(coordinator->demand));
-}
-
-/* Experts that a rank can copy in @time_ms; one at least. */
-static uint32_t copies_in(const skh_engine_shape_t *shape, double time_ms)
+/* Experts that a rank can copy in @time_ms; @least at least. */
+static uint32_t copies_in(const skh_engine_shape_t *shape, double time_ms, double least)
 {
 	double bits = shape->expert_mb * 8.0e6;
 	double copy_ms = shape->link_mbps > 0.0 ? bits / (shape->link_mbps * 1000.0) : 0.0;
 	double most = copy_ms > 0.0 ? (time_ms + copy_ms / 2.0) / copy_ms : MOST_NEW;
 
-	return (uint32_t)CLAMP(most, 1.0, MOST_NEW);
+	return (uint32_t)CLAMP(most, least, MOST_NEW);
 }
 
 static bool has_short_passes(const skh_groupview_t *view)
@@ -368,40 +413,54 @@
 	return pass_ms > 0.0 && pass_ms < SHORT_PASS_PART * full_ms;
 }
 
-/* Plans the next map from fresh counts. */
+/* Plans the next map from fresh counts, unless the one in use is good enough. */
 static void plan(skh_coordinator_t *coordinator, bool idle)
 {
 	skh_groupview_t *view = &coordinator->view;
 	const double *shares = skh_demand_shares(coordinator->demand);
 	double skew = skh_mapplan_skew(&view->shape, view->n_ranks, shares, view->map);
+	bool relief = skew > RELIEF_SKEW;
 	const skh_mapplan_weights_t weights = {
 		.quick_target = idle ? RELIEF_TARGET_IDLE : RELIEF_TARGET,
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
 		.load_cost = LOAD_COST,
-		.most_new = copies_in(&view->shape, skew > RELIEF_SKEW ? RELIEF_MS : COPY_MS),
-		.quick = skew > RELIEF_SKEW || skh_groupview_map_size(view) > SEARCH_PLACES,
+		.most_new = relief ? copies_in(&view->shape, RELIEF_MS, RELIEF_LEAST)
+				   : copies_in(&view->shape, COPY_MS, COPY_LEAST),
+		.quick = relief || skh_groupview_map_size(view) > SEARCH_PLACES,
 	};
 
+	if (skew - 1.0 < (idle ? LEAST_GAIN_IDLE : LEAST_GAIN))
+		return;
 	skh_mapplan_make(&view->shape, view->n_ranks, &weights, shares, view->next,
 			 &coordinator->plan);
 }
 
+static bool is_plan_due(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	return coordinator->fresh_counts &&
+	       (coordinator->shifted || now_us >= coordinator->plan_us) &&
+	       skh_demand_is_known(coordinator->demand, now_us);
+}
+
 static void decide(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	skh_groupview_t *view = &coordinator->view;
 	bool idle = has_short_passes(view);
 	bool repair = coordinator->repair || skh_groupview_is_held(view, now_us);
-	bool judged = coordinator->fresh_counts;
+	bool judged = is_plan_due(coordinator, now_us);
 	double gain;
 
 	if (!judged && !repair)
 		return;
-	coordinator->fresh_counts = false;
 	memcpy(view->next, view->map, skh_groupview_map_size(view) * sizeof(uint32_t));
 	coordinator->plan = (skh_mapplan_result_t){ 0 };
-	if (judged)
+	if (judged) {
+		coordinator->fresh_counts = false;
+		coordinator->shifted = false;
+		coordinator->plan_us = now_us + PLAN_PAUSE_US;
 		plan(coordinator, idle);
+	}
 	if (!skh_mapplan_is_valid(&view->shape, view->n_ranks, view->next)) {
 		skh_log(SKH_LOG_ERROR, PART, "Plan is no map.", "judged=%d", judged);
 		return;
@@ -412,6 +471,28 @@
 		begin_change(coordinator, now_us);
 }
 
+/* What ranks are copying was planned for a demand that is gone. */
+static void withdraw_change(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	coordinator->changing = false;
+	skh_log(SKH_LOG_INFO, PART, "Map change withdrawn.",
+		"version=%" PRId64 " took_ms=%" PRId64 " reason=shift", coordinator->change.version,
+		(now_us - coordinator->change_since_us) / SKH_US_PER_MS);
+}
+
+static void consider(skh_coordinator_t *coordinator, int64_t now_us)
+{
+	if (now_us < coordinator->decide_us || !skh_groupview_is_whole(&coordinator->view, now_us))
+		return;
+	if (coordinator->changing) {
+		if (!coordinator->shifted || !is_plan_due(coordinator, now_us) ||
+		    !skh_mapchange_may_withdraw(&coordinator->change))
+			return;
+		withdraw_change(coordinator, now_us);
+	}
+	decide(coordinator, now_us);
+}
+
 static void end_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	const skh_mapchange_t *change = &coordinator->change;
@@ -420,6 +501,8 @@
 	if (!done && change->phase != SKH_CHANGE_FAILED)
 		return;
 	coordinator->changing = false;
+	if (done)
+		skh_groupview_switched(&coordinator->view);
 	/* A rank may be left armed or holding. */
 	coordinator->repair = !done && change->held_since_us != 0;
 	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
@@ -449,14 +532,11 @@
 	if (fence == 0)
 		return true;
 	skh_groupview_ask_silent(&coordinator->view, now_us);
-	observe(coordinator, now_us);
 	if (coordinator->changing) {
 		skh_mapchange_tick(&coordinator->change, now_us);
 		send_orders(coordinator, now_us);
 		end_change(coordinator, now_us);
-	} else if (now_us >= coordinator->decide_us &&
-		   skh_groupview_is_whole(&coordinator->view, now_us)) {
-		decide(coordinator, now_us);
 	}
+	consider(coordinator, now_us);
 	return !coordinator->outdated;
 }
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -9,7 +9,7 @@
  * the lease. Runs on the event loop's thread.
  */
 
-#include "dialect.h"
+#include "demand.h"
 #include "enginecall.h"
 #include "wire.pb-c.h"
 
@@ -40,6 +40,13 @@
 void skh_coordinator_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 			    bool own, int64_t now_us);
 
+/** skh_coordinator_sample() - what the rank beside this process has counted */
+void skh_coordinator_sample(skh_coordinator_t *coordinator, const skh_demand_sample_t *sample,
+			    int64_t now_us);
+
+/** skh_coordinator_is_changing() - a change of the map is under way */
+bool skh_coordinator_is_changing(const skh_coordinator_t *coordinator);
+
 /** skh_coordinator_lacks_ranks() - the address of some rank's engine is not known */
 bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator);
 
--- /dev/null
+++ b/src/countfeed.h
@@ -0,0 +1,45 @@
+#ifndef SKH_COUNTFEED_H
+#define SKH_COUNTFEED_H
+
+/**
+ * DOC: What a rank tells of its counts, and when
+ *
+ * Pure. A rank has about a kilobyte a second for this, and a whole report of a
+ * large group takes one. While demand is steady, a report now and then is enough.
+ * Answers a shift: each rank sees it by itself in the first pass, drops what it
+ * counted before, and tells at once; the budget was saved up for that.
+ */
+
+#include "demand.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct skh_countfeed skh_countfeed_t;
+
+/** skh_countfeed_new() - @bytes_a_s: the budget; @draw: of a rank's own, to spread reports */
+skh_countfeed_t *skh_countfeed_new(const skh_engine_shape_t *shape, int64_t bytes_a_s,
+				   uint64_t draw);
+void skh_countfeed_free(skh_countfeed_t *feed);
+
+/** skh_countfeed_look() - the counts since the last look */
+skh_demand_news_t skh_countfeed_look(skh_countfeed_t *feed, const skh_demand_sample_t *sample,
+				     int64_t now_us);
+
+/** skh_countfeed_hurry() - somebody new wants to know */
+void skh_countfeed_hurry(skh_countfeed_t *feed, int64_t now_us);
+
+/** skh_countfeed_is_due() - counts should be told now */
+bool skh_countfeed_is_due(const skh_countfeed_t *feed, int64_t now_us);
+
+/** skh_countfeed_sample() - what is to be told: all since the last time, or since a shift */
+const skh_demand_sample_t *skh_countfeed_sample(const skh_countfeed_t *feed);
+
+/** skh_countfeed_told() - @bytes were sent, with or without the counts */
+void skh_countfeed_told(skh_countfeed_t *feed, size_t bytes, bool with_counts, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/countpack.c
+++ b/src/countpack.c
@@ -9,27 +9,27 @@
 #define STEP_BITS   4
 #define STEP_MASK   0x0F
 
-static uint8_t step_of(uint32_t count, uint32_t greatest)
+static uint8_t step_of(double count, double greatest)
 {
-	double below = log((double)greatest / (double)count) / log(STEP_FACTOR);
+	double below = log(greatest / count) / log(STEP_FACTOR);
 	long step = TOP_STEP - lround(below);
 
 	return (uint8_t)(step > 0 ? step : 0);
 }
 
-uint32_t skh_countpack_write(const uint32_t *counts, size_t n, uint8_t *out)
+uint32_t skh_countpack_write(const double *counts, size_t n, uint8_t *out)
 {
-	uint32_t greatest = 0;
+	double greatest = 0.0;
 
 	memset(out, 0, skh_countpack_bytes(n));
 	for (size_t i = 0; i < n; i++)
 		greatest = counts[i] > greatest ? counts[i] : greatest;
 	for (size_t i = 0; i < n; i++) {
-		if (counts[i] > 0)
+		if (counts[i] > 0.0)
 			out[i / 2] |=
 				(uint8_t)(step_of(counts[i], greatest) << (i % 2 * STEP_BITS));
 	}
-	return greatest;
+	return (uint32_t)greatest;
 }
 
 void skh_countpack_add(const uint8_t *packed, size_t n, uint32_t greatest, double *sums)
--- a/src/countpack.h
+++ b/src/countpack.h
@@ -28,7 +28,7 @@
  * @out: skh_countpack_bytes(@n) bytes
  * Return: the greatest count, which the reader needs.
  */
-uint32_t skh_countpack_write(const uint32_t *counts, size_t n, uint8_t *out);
+uint32_t skh_countpack_write(const double *counts, size_t n, uint8_t *out);
 
 /** skh_countpack_add() - add the packed counts to @sums, [@n] */
 void skh_countpack_add(const uint8_t *packed, size_t n, uint32_t greatest, double *sums);
--- a/src/demand.h
+++ b/src/demand.h
@@ -4,10 +4,11 @@
 /**
  * DOC: What a group's tokens ask of its experts
  *
- * Pure. The counts of all ranks become the shares that each expert is expected to
- * have. Answers a shift of demand: tokens turn to other experts within a pass, and
- * a forecast that only smooths would follow it for seconds. The interval in which
- * the shift is seen is stretched to where it ends; the next one stands alone.
+ * Pure. Counts of ranks become the share that each expert is expected to have.
+ * Answers a shift of demand: from one pass to the next all tokens of a group turn
+ * to other experts, those of every rank alike. Samples are told apart by the first
+ * pass that they count: one that differs from what was counted before and begins
+ * later means a shift, and nothing of before says anything any more.
  */
 
 #include "dialect.h"
@@ -18,27 +19,34 @@
 
 typedef struct skh_demand skh_demand_t;
 
-/** enum skh_demand_news - what an observation has brought */
+/** struct skh_demand_sample - tokens of one rank that chose each expert */
+typedef struct skh_demand_sample {
+	const double *counts; /* [sets][experts] */
+	int64_t epoch;	      /* of the group; passes count from its beginning */
+	int64_t from_pass;    /* the passes counted lie between these: after the first, ... */
+	int64_t to_pass;      /* ... up to the second */
+} skh_demand_sample_t;
+
+/** enum skh_demand_news - what a sample has brought */
 typedef enum skh_demand_news {
-	SKH_DEMAND_NONE,  /* too few counts, or too soon */
+	SKH_DEMAND_NONE,  /* it says nothing, or of before the last shift */
 	SKH_DEMAND_FRESH, /* the shares are newer */
-	SKH_DEMAND_SHIFT  /* and demand has shifted */
+	SKH_DEMAND_SHIFT, /* demand has shifted, and the shares are of after it */
+	SKH_DEMAND_BREAK  /* demand has shifted amid the sample, and the shares are unknown */
 } skh_demand_news_t;
 
 skh_demand_t *skh_demand_new(const skh_engine_shape_t *shape);
 void skh_demand_free(skh_demand_t *demand);
 
-/** skh_demand_counts() - of the interval under way, [sets][experts]; reports are added here */
-double *skh_demand_counts(skh_demand_t *demand);
-
-/** skh_demand_observe() - end the interval if it is due and its counts say enough */
-skh_demand_news_t skh_demand_observe(skh_demand_t *demand, int64_t now_us);
+/** skh_demand_add() - take in a sample */
+skh_demand_news_t skh_demand_add(skh_demand_t *demand, const skh_demand_sample_t *sample,
+				 int64_t now_us);
 
-/** skh_demand_gone() - how far the last shift had gone when it was seen, 0 to 1 */
-double skh_demand_gone(const skh_demand_t *demand);
+/** skh_demand_is_known() - enough was counted since the last shift to plan a map by it */
+bool skh_demand_is_known(const skh_demand_t *demand, int64_t now_us);
 
 /** skh_demand_shares() - expected, [sets][experts]; a set's sum is 1 */
-const double *skh_demand_shares(const skh_demand_t *demand);
+const double *skh_demand_shares(skh_demand_t *demand);
 
 #ifdef __cplusplus
 }
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -8,7 +8,7 @@
 
 #define PART "group"
 /* A rank that was not heard of for longer is asked over the network. */
-#define SILENT_US      (900 * SKH_US_PER_MS)
+#define SILENT_US      (1300 * SKH_US_PER_MS)
 #define ASK_US	       (300 * SKH_US_PER_MS)
 #define ASK_TIMEOUT_US (320 * SKH_US_PER_MS)
 /* What ranks said that were silent for longer is no ground for a decision. */
@@ -104,6 +104,20 @@
 	view->options.on_state(view->options.context, rank, asked_us, now_us);
 }
 
+void skh_groupview_switched(skh_groupview_t *view)
+{
+	memcpy(view->map, view->next, skh_groupview_map_size(view) * sizeof(uint32_t));
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
+		skh_engine_report_t *report = &view->ranks[rank].report;
+
+		/* Its own report of this comes a little later. */
+		report->map_version = view->next_version;
+		report->prepared = 0;
+		report->armed = 0;
+		view->ranks[rank].map_known = true;
+	}
+}
+
 /* @map is the rank's own, [sets][placements]. */
 static void place_map(skh_groupview_t *view, uint32_t rank, const uint32_t *map)
 {
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -89,6 +89,9 @@
 /** skh_groupview_ask() - ask the engine of @rank for its state, unless it is being asked */
 void skh_groupview_ask(skh_groupview_t *view, uint32_t rank, int64_t now_us);
 
+/** skh_groupview_switched() - the group has changed to the next map, all ranks in one pass */
+void skh_groupview_switched(skh_groupview_t *view);
+
 /** skh_groupview_is_whole() - all that a decision needs is known of all ranks, and fits together */
 bool skh_groupview_is_whole(skh_groupview_t *view, int64_t now_us);
 
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -100,9 +100,10 @@
 	return rank->report.held == 0;
 }
 
-static bool uses_map(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+/* All ranks were armed for one pass: where one has switched, all have. */
+static bool has_switched(const skh_mapchange_t *change)
 {
-	return rank->report.map_version == change->version;
+	return change->ranks[change->own].report.map_version == change->version;
 }
 
 static bool has_deputy(const skh_mapchange_t *change)
@@ -137,6 +138,12 @@
 	change->contact_us = MAX(change->contact_us, asked_us);
 }
 
+bool skh_mapchange_may_withdraw(const skh_mapchange_t *change)
+{
+	return (change->phase == SKH_CHANGE_PREPARE || change->phase == SKH_CHANGE_COPY) &&
+	       change->held_since_us == 0;
+}
+
 static void begin_hold(skh_mapchange_t *change, int64_t now_us)
 {
 	change->pass = change->ranks[change->own].report.pass + LEAD_PASSES;
@@ -156,7 +163,7 @@
 		enter(change, SKH_CHANGE_GO, now_us);
 	if (change->phase == SKH_CHANGE_DISARM && all_ranks(change, is_not_armed))
 		enter(change, SKH_CHANGE_UNHOLD, now_us);
-	if (change->phase == SKH_CHANGE_SETTLE && all_ranks(change, uses_map))
+	if (change->phase == SKH_CHANGE_SETTLE && has_switched(change))
 		enter(change, SKH_CHANGE_DONE, now_us);
 }
 
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -24,7 +24,8 @@
  * 4. Only under a confirmed hold is any rank armed for that pass, the deputy's
  *    last, and only just after it has answered a question.
  * 5. Only when every rank has confirmed is the hold released, mostly long
- *    before the pass.
+ *    before the pass. All ranks then switch in that pass, and the coordinator's
+ *    own tells when.
  *
  * The instance that places a hold is the one whose loss in that moment costs most.
  * When the deputy falls silent its rank was never armed: the others are disarmed
@@ -136,6 +137,9 @@
 /** skh_mapchange_contact() - the deputy's engine has answered what was asked at @asked_us */
 void skh_mapchange_contact(skh_mapchange_t *change, int64_t asked_us);
 
+/** skh_mapchange_may_withdraw() - ranks copy at most: another change may begin instead */
+bool skh_mapchange_may_withdraw(const skh_mapchange_t *change);
+
 /** skh_mapchange_tick() - time has passed */
 void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us);
 
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -28,6 +28,7 @@
 	uint32_t other_calls;	    /* under way there */
 	const skh_dialect_t *dialect;
 	skh_rank_maps_t known;
+	int64_t order_us;
 };
 
 /* One order; outlives the caller's connection if that is closed first. */
@@ -280,6 +281,7 @@
 	relayed->body = relay->dialect->write_order(order);
 	if (engine == relay->other)
 		relay->other_calls++;
+	relay->order_us = skh_clock_boot_us();
 	skh_caller_conn_bind(conn, relayed);
 	hand_on(relayed);
 }
@@ -342,3 +344,8 @@
 	g_free(relay);
 	return NULL;
 }
+
+int64_t skh_rankrelay_order_us(const skh_rankrelay_t *relay)
+{
+	return relay->order_us;
+}
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -5,12 +5,9 @@
 
 #include <string.h>
 
-#define PART "rank"
-/* The engine's own machine asks for nothing. */
-#define REPORT_US  (50 * SKH_US_PER_MS)
+#define PART	   "rank"
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
-/* Counts over longer than this say too little of the last passes, and are left out. */
-#define MOST_SPAN_US (300 * SKH_US_PER_MS)
+#define LISTS_US   (50 * SKH_US_PER_MS)
 
 typedef enum ask {
 	ASK_REPORT,
@@ -22,30 +19,31 @@
 struct skh_rankwatch {
 	skh_engine_client_t *client;
 	const skh_dialect_t *dialect;
-	skh_rankwatch_fn fn;
+	const skh_rankwatch_ops_t *ops;
 	void *context;
 	bool has_shape;
 	skh_engine_shape_t shape;
 	skh_rank_news_t news;
-	double *seen; /* counts at the last look */
+	double *seen; /* counts at the last look; NULL before the shape is known */
+	double *more; /* since the look before */
 	uint32_t n_seen;
-	int64_t seen_us;
+	bool has_seen;
+	int64_t seen_pass;
 	int64_t seen_epoch;
 	bool asked[ASK_KINDS];
 	int64_t next_us[ASK_KINDS];
-	int64_t counts_us;
-	int64_t counts_from_us;
+	int64_t report_us;
 	bool lost; /* the engine does not answer */
 };
 
 skh_rankwatch_t *skh_rankwatch_new(skh_engine_client_t *client, const skh_dialect_t *dialect,
-				   skh_rankwatch_fn fn, void *context)
+				   const skh_rankwatch_ops_t *ops, void *context)
 {
 	skh_rankwatch_t *watch = g_new0(skh_rankwatch_t, 1);
 
 	watch->client = client;
 	watch->dialect = dialect;
-	watch->fn = fn;
+	watch->ops = ops;
 	watch->context = context;
 	return watch;
 }
@@ -53,8 +51,8 @@
 void skh_rankwatch_free(skh_rankwatch_t *watch)
 {
 	g_free(watch->news.map);
-	g_free(watch->news.counts);
 	g_free(watch->seen);
+	g_free(watch->more);
 	g_free(watch);
 }
 
@@ -66,10 +64,9 @@
 	watch->shape = *shape;
 	watch->news.n_map = shape->sets * shape->placements;
 	watch->news.map = g_new0(uint32_t, watch->news.n_map);
-	watch->news.n_counts = shape->sets * shape->experts;
-	watch->news.counts = g_new0(uint32_t, watch->news.n_counts);
-	watch->n_seen = watch->news.n_counts;
+	watch->n_seen = shape->sets * shape->experts;
 	watch->seen = g_new0(double, watch->n_seen);
+	watch->more = g_new0(double, watch->n_seen);
 }
 
 static bool differs(const skh_engine_report_t *a, const skh_engine_report_t *b)
@@ -108,13 +105,26 @@
 	if (report.map_version != watch->news.map_version || report.epoch != watch->news.map_epoch)
 		watch->news.has_map = false;
 	if (changed)
-		watch->fn(watch->context);
+		watch->ops->on_change(watch->context);
+}
+
+/* What was counted since the last look; false for the first of an engine's start. */
+static bool find_more(skh_rankwatch_t *watch, const skh_engine_counts_t *counts)
+{
+	bool is_next = watch->has_seen && counts->epoch == watch->seen_epoch &&
+		       counts->pass > watch->seen_pass;
+
+	for (uint32_t i = 0; i < watch->n_seen; i++) {
+		watch->more[i] = counts->counts[i] - watch->seen[i];
+		/* An engine that restarted counts from nothing. */
+		is_next = is_next && watch->more[i] >= 0.0;
+		watch->seen[i] = counts->counts[i];
+	}
+	return is_next;
 }
 
 static void take_counts(skh_rankwatch_t *watch, skh_chunk_t body)
 {
-	int64_t now_us = skh_clock_boot_us();
-	bool is_fresh = now_us - watch->seen_us <= MOST_SPAN_US;
 	skh_engine_counts_t counts;
 	skh_error_t err;
 
@@ -122,18 +132,24 @@
 		skh_log(SKH_LOG_WARNING, PART, "Counts not read.", "reason=%s", err.text);
 		return;
 	}
-	for (uint32_t i = 0; i < MIN(counts.n, watch->n_seen); i++) {
-		double more = counts.counts[i] - watch->seen[i];
-
-		/* An engine that restarted counts from nothing. */
-		if (more < 0.0 || counts.epoch != watch->seen_epoch)
-			more = more < 0.0 ? counts.counts[i] : more;
-		if (is_fresh)
-			watch->news.counts[i] += (uint32_t)more;
-		watch->seen[i] = counts.counts[i];
+	if (counts.n == watch->n_seen) {
+		skh_demand_sample_t sample = {
+			.counts = watch->more,
+			.epoch = counts.epoch,
+			.from_pass = watch->seen_pass,
+			.to_pass = counts.pass,
+		};
+		bool is_next = find_more(watch, &counts);
+
+		watch->has_seen = true;
+		watch->seen_epoch = counts.epoch;
+		watch->seen_pass = counts.pass;
+		if (is_next)
+			watch->ops->on_look(watch->context, &sample);
+	} else {
+		skh_log(SKH_LOG_WARNING, PART, "Counts do not fit.", "counts=%u expected=%u",
+			counts.n, watch->n_seen);
 	}
-	watch->seen_epoch = counts.epoch;
-	watch->seen_us = now_us;
 	g_free(counts.counts);
 }
 
@@ -153,7 +169,34 @@
 	watch->news.has_map = true;
 	watch->news.map_version = version;
 	watch->news.map_epoch = watch->news.report.epoch;
-	watch->fn(watch->context);
+	watch->ops->on_change(watch->context);
+}
+
+static void on_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body);
+
+static void ask(skh_rankwatch_t *watch, ask_t what, const char *path, int64_t period_us,
+		int64_t now_us)
+{
+	if (watch->asked[what] || now_us < watch->next_us[what])
+		return;
+	watch->asked[what] = true;
+	watch->next_us[what] = now_us + period_us;
+	skh_engine_client_get(watch->client, path, TIMEOUT_US, what, on_answer, watch);
+}
+
+/* Counts are read once a pass: what is counted before a shift must not mix with what is after. */
+static bool has_begun_pass(const skh_rankwatch_t *watch)
+{
+	const skh_engine_report_t *report = &watch->news.report;
+
+	return !watch->has_seen || report->pass > watch->seen_pass ||
+	       report->epoch != watch->seen_epoch;
+}
+
+static void look(skh_rankwatch_t *watch, int64_t now_us)
+{
+	if (watch->has_shape && has_begun_pass(watch))
+		ask(watch, ASK_COUNTS, watch->dialect->counts_path, 0, now_us);
 }
 
 static void on_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
@@ -171,47 +214,31 @@
 	if (watch->lost)
 		skh_log(SKH_LOG_INFO, PART, "Engine answers again.", "status=%d", status);
 	watch->lost = false;
-	if (tag == ASK_REPORT)
+	if (tag == ASK_REPORT) {
 		take_report(watch, body);
-	else if (tag == ASK_COUNTS)
+		look(watch, skh_clock_boot_us());
+	} else if (tag == ASK_COUNTS) {
 		take_counts(watch, body);
-	else
+	} else {
 		take_lists(watch, body);
+	}
 }
 
-static void ask(skh_rankwatch_t *watch, ask_t what, const char *path, int64_t period_us,
-		int64_t now_us)
-{
-	if (watch->asked[what] || now_us < watch->next_us[what])
-		return;
-	watch->asked[what] = true;
-	watch->next_us[what] = now_us + period_us;
-	skh_engine_client_get(watch->client, path, TIMEOUT_US, what, on_answer, watch);
-}
-
-void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us, int64_t from_us)
+void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t report_us)
 {
-	watch->counts_us = counts_us;
-	watch->counts_from_us = from_us;
+	watch->report_us = report_us;
 }
 
 void skh_rankwatch_tick(skh_rankwatch_t *watch, int64_t now_us)
 {
-	ask(watch, ASK_REPORT, watch->dialect->report_path, REPORT_US, now_us);
+	ask(watch, ASK_REPORT, watch->dialect->report_path, watch->report_us, now_us);
 	if (!watch->has_shape || !watch->news.has_report)
 		return;
-	if (now_us >= watch->counts_from_us)
-		ask(watch, ASK_COUNTS, watch->dialect->counts_path, watch->counts_us, now_us);
 	if (!watch->news.has_map)
-		ask(watch, ASK_LISTS, watch->dialect->lists_path, REPORT_US, now_us);
+		ask(watch, ASK_LISTS, watch->dialect->lists_path, LISTS_US, now_us);
 }
 
 const skh_rank_news_t *skh_rankwatch_news(const skh_rankwatch_t *watch)
 {
 	return &watch->news;
 }
-
-void skh_rankwatch_take_counts(skh_rankwatch_t *watch)
-{
-	memset(watch->news.counts, 0, sizeof(*watch->news.counts) * watch->news.n_counts);
-}
--- a/src/rankwatch.h
+++ b/src/rankwatch.h
@@ -8,8 +8,8 @@
  * where that is fresh and free. Runs on the event loop's thread.
  */
 
+#include "demand.h"
 #include "enginecall.h"
-#include "dialect.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -25,32 +25,32 @@
 	int64_t map_epoch;
 	uint32_t n_map;
 	uint32_t *map; /* expert + 1, [sets][placements] */
-	uint32_t n_counts;
-	uint32_t *counts; /* since skh_rankwatch_take_counts() */
 } skh_rank_news_t;
 
 typedef struct skh_rankwatch skh_rankwatch_t;
 
-/** typedef skh_rankwatch_fn - the rank's state has changed */
-typedef void (*skh_rankwatch_fn)(void *context);
+/** struct skh_rankwatch_ops - who is told */
+typedef struct skh_rankwatch_ops {
+	/* The rank's state has changed. */
+	void (*on_change)(void *context);
+	/* What the passes since the last look have counted. */
+	void (*on_look)(void *context, const skh_demand_sample_t *sample);
+} skh_rankwatch_ops_t;
 
 skh_rankwatch_t *skh_rankwatch_new(skh_engine_client_t *client, const skh_dialect_t *dialect,
-				   skh_rankwatch_fn fn, void *context);
+				   const skh_rankwatch_ops_t *ops, void *context);
 void skh_rankwatch_free(skh_rankwatch_t *watch);
 
 /** skh_rankwatch_set_shape() - sets, experts and placements are known */
 void skh_rankwatch_set_shape(skh_rankwatch_t *watch, const skh_engine_shape_t *shape);
 
-/** skh_rankwatch_set_pace() - ask for the counts each @counts_us, but not before @from_us */
-void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t counts_us, int64_t from_us);
+/** skh_rankwatch_set_pace() - ask for the rank's state each @report_us */
+void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t report_us);
 
 /** skh_rankwatch_tick() - ask what is due */
 void skh_rankwatch_tick(skh_rankwatch_t *watch, int64_t now_us);
 const skh_rank_news_t *skh_rankwatch_news(const skh_rankwatch_t *watch);
 
-/** skh_rankwatch_take_counts() - forget the counts, which were passed on */
-void skh_rankwatch_take_counts(skh_rankwatch_t *watch);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2236,7 +2236,7 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[21] =
 {
   {
     "service",
@@ -2466,12 +2466,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from_pass",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, from_pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_pass",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, to_pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
   9,   /* field[9] = armed */
   13,   /* field[13] = counts */
   1,   /* field[1] = engine */
   5,   /* field[5] = epoch */
+  19,   /* field[19] = from_pass */
   16,   /* field[16] = greatest_count */
   10,   /* field[10] = held */
   14,   /* field[14] = map */
@@ -2487,11 +2512,12 @@
   12,   /* field[12] = sender */
   0,   /* field[0] = service */
   3,   /* field[3] = size */
+  20,   /* field[20] = to_pass */
 };
 static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor skh__rank_report__descriptor =
 {
@@ -2501,7 +2527,7 @@
   "Skh__RankReport",
   "skh",
   sizeof(Skh__RankReport),
-  19,
+  21,
   skh__rank_report__field_descriptors,
   skh__rank_report__field_indices_by_name,
   1,  skh__rank_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -421,7 +421,7 @@
    */
 	uint64_t sender;
 	/*
-   * of each expert since the report before, src/countpack.h
+   * of each expert after from_pass up to to_pass, src/countpack.h
    */
 	ProtobufCBinaryData counts;
 	/*
@@ -436,13 +436,15 @@
    * address that takes RankOrders for the rank
    */
 	char *relay;
+	int64_t from_pass;
+	int64_t to_pass;
 };
 #define SKH__RANK_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_report__descriptor)                             \
 		, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, \
 			0, 0, 0, 0, 0, 0, { 0, NULL }, 0, NULL, 0, 0, 0,                           \
-			(char *)protobuf_c_empty_string                                            \
+			(char *)protobuf_c_empty_string, 0, 0                                      \
 	}
 
 /*
--- a/test/demand_test.cc
+++ b/test/demand_test.cc
@@ -1,5 +1,6 @@
-// A shift of demand: tokens turn to other experts within a pass.
+// A shift of demand: from one pass to the next all tokens turn to other experts.
 #include "clock.h"
+#include "countfeed.h"
 #include "demand.h"
 #include "zipf.h"
 
@@ -12,39 +13,120 @@
 namespace
 {
 
-constexpr uint32_t kSets = 2;
-constexpr uint32_t kExperts = 72;
-constexpr int64_t kStep = 70 * SKH_US_PER_MS;
+constexpr int64_t kPass = 70 * SKH_US_PER_MS;
 
-// Ranks report @tokens tokens, of which a part is still of before the shift.
-void report(skh_demand_t *demand, const std::vector<double> &before,
-	    const std::vector<double> &after, double part_before, double tokens)
+// A group as one of the users': many experts that are liked alike, or few that are liked most.
+struct Kind {
+	uint32_t sets;
+	uint32_t experts;
+	double skew;
+};
+
+constexpr Kind kMany = { 8, 252, 0.66 };
+constexpr Kind kFew = { 4, 72, 1.3 };
+
+skh_engine_shape_t shape_of(const Kind &kind)
 {
-	double *counts = skh_demand_counts(demand);
+	skh_engine_shape_t shape = {};
 
-	for (uint32_t i = 0; i < kSets * kExperts; i++)
-		counts[i] += tokens * (part_before * before[i % kExperts] +
-				       (1.0 - part_before) * after[i % kExperts]);
+	shape.sets = kind.sets;
+	shape.experts = kind.experts;
+	return shape;
 }
 
-double distance(const skh_demand_t *demand, const std::vector<double> &shares)
+// What tokens choose: 0.7 of it is common, the rest is the prompt's own.
+class Tokens
 {
-	double sum = 0.0;
+      public:
+	Tokens(const Kind &kind, uint32_t seed) : kind(kind), random(seed)
+	{
+		for (uint32_t set = 0; set < kind.sets; set++)
+			common.push_back(zipf(kind.experts, kind.skew, seed * 100 + set));
+		for (uint32_t i = 0; i < 40; i++)
+			topics.push_back(zipf(kind.experts, kind.skew, seed * 1000 + i));
+	}
+
+	// Part of the experts change places in what is liked.
+	void shift(double part)
+	{
+		for (uint32_t set = 0; set < kind.sets; set++) {
+			std::vector<uint32_t> moved;
+			std::vector<double> shares;
+
+			for (uint32_t i = 0; i < kind.experts; i++) {
+				if (std::uniform_real_distribution<double>(0, 1)(random) < part)
+					moved.push_back(i);
+			}
+			for (uint32_t i : moved)
+				shares.push_back(common[set][i]);
+			std::shuffle(shares.begin(), shares.end(), random);
+			for (size_t i = 0; i < moved.size(); i++)
+				common[set][moved[i]] = shares[i];
+		}
+	}
+
+	// Adds the choices of @n tokens of one prompt to @counts.
+	void choose(double n, std::vector<double> &counts)
+	{
+		for (uint32_t set = 0; set < kind.sets; set++) {
+			const std::vector<double> &own = topics[random() % topics.size()];
+
+			for (uint32_t i = 0; i < kind.experts; i++) {
+				double mean = n * (0.9 * common[set][i] + 0.1 * own[i]);
+
+				counts[set * kind.experts + i] +=
+					std::poisson_distribution<int>(mean)(random);
+			}
+		}
+	}
+
+	double distance(const double *shares) const
+	{
+		double sum = 0.0;
+
+		for (uint32_t i = 0; i < kind.experts; i++)
+			sum += std::fabs(shares[i] - common[0][i]);
+		return sum;
+	}
+
+	Kind kind;
 
-	for (uint32_t i = 0; i < kExperts; i++)
-		sum += std::fabs(skh_demand_shares(demand)[i] - shares[i]);
-	return sum;
+      private:
+	std::mt19937 random;
+	std::vector<std::vector<double>> common;
+	std::vector<std::vector<double>> topics;
+};
+
+// One rank: streams that choose a little in each pass, and a long prompt now and then.
+std::vector<double> pass_of(Tokens &tokens, std::mt19937 &random)
+{
+	std::vector<double> counts(tokens.kind.sets * tokens.kind.experts);
+
+	for (int stream = 0; stream < 5; stream++)
+		tokens.choose(200, counts);
+	if (random() % 3 == 0)
+		tokens.choose(std::uniform_real_distribution<double>(5e3, 1e5)(random), counts);
+	return counts;
+}
+
+skh_demand_sample_t sample_of(const std::vector<double> &counts, int64_t from, int64_t to)
+{
+	skh_demand_sample_t sample = {};
+
+	sample.counts = counts.data();
+	sample.epoch = 1;
+	sample.from_pass = from;
+	sample.to_pass = to;
+	return sample;
 }
 
 struct Demand {
 	skh_demand_t *demand;
 
-	Demand()
+	explicit Demand(const Kind &kind)
 	{
-		skh_engine_shape_t shape = {};
+		skh_engine_shape_t shape = shape_of(kind);
 
-		shape.sets = kSets;
-		shape.experts = kExperts;
 		demand = skh_demand_new(&shape);
 	}
 	~Demand()
@@ -53,69 +135,236 @@
 	}
 };
 
-TEST(Demand, TooFewTokensSayNothing)
+class DemandOf : public testing::TestWithParam<Kind>
+{
+};
+
+TEST_P(DemandOf, PromptsAreNoShift)
 {
-	Demand t;
-	std::vector<double> shares = zipf(kExperts, 1.3, 1);
-
-	report(t.demand, shares, shares, 1.0, 500.0);
-	EXPECT_EQ(skh_demand_observe(t.demand, kStep), SKH_DEMAND_NONE);
-	report(t.demand, shares, shares, 1.0, 3000.0);
-	EXPECT_NE(skh_demand_observe(t.demand, kStep), SKH_DEMAND_NONE);
-	report(t.demand, shares, shares, 1.0, 5000.0);
-	EXPECT_EQ(skh_demand_observe(t.demand, kStep + 1), SKH_DEMAND_NONE);
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		Demand t(GetParam());
+		Tokens tokens(GetParam(), seed);
+		std::mt19937 random(seed);
+
+		for (int64_t pass = 1; pass <= 100; pass++) {
+			std::vector<double> counts = pass_of(tokens, random);
+			skh_demand_sample_t sample = sample_of(counts, pass - 1, pass);
+
+			ASSERT_EQ(skh_demand_add(t.demand, &sample, pass * kPass), SKH_DEMAND_FRESH)
+				<< "seed " << seed << " pass " << pass;
+		}
+		EXPECT_LT(tokens.distance(skh_demand_shares(t.demand)), 0.25);
+	}
 }
 
-// The interval in which the shift is seen is half of before it.
-TEST(Demand, AShiftIsFollowedInTwoIntervals)
+TEST_P(DemandOf, AShiftIsSeenInItsFirstPass)
 {
-	Demand t;
-	std::vector<double> before = zipf(kExperts, 1.3, 1);
-	std::vector<double> after = zipf(kExperts, 1.3, 2);
-	int64_t now = kStep;
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		Demand t(GetParam());
+		Tokens tokens(GetParam(), seed);
+		std::mt19937 random(seed);
 
-	for (int i = 0; i < 20; i++, now += kStep) {
-		report(t.demand, before, before, 1.0, 5000.0);
-		skh_demand_news_t news = skh_demand_observe(t.demand, now);
+		for (int64_t pass = 1; pass <= 60; pass++) {
+			bool shifts = pass % 20 == 0;
 
-		if (i > 0) {
-			EXPECT_EQ(news, SKH_DEMAND_FRESH) << i;
+			if (shifts)
+				tokens.shift(0.6);
+			std::vector<double> counts = pass_of(tokens, random);
+			skh_demand_sample_t sample = sample_of(counts, pass - 1, pass);
+
+			ASSERT_EQ(skh_demand_add(t.demand, &sample, pass * kPass),
+				  shifts ? SKH_DEMAND_SHIFT : SKH_DEMAND_FRESH)
+				<< "seed " << seed << " pass " << pass;
 		}
 	}
-	EXPECT_LT(distance(t.demand, before), 0.02);
-	report(t.demand, before, after, 0.5, 5000.0);
-	EXPECT_EQ(skh_demand_observe(t.demand, now), SKH_DEMAND_SHIFT);
-	EXPECT_NEAR(skh_demand_gone(t.demand), 0.5, 0.1);
-	// The counts themselves are half of the way off; what they are stretched to is nearer.
-	EXPECT_LT(distance(t.demand, after), 0.5 * distance(t.demand, before));
-	now += kStep;
-	report(t.demand, before, after, 0.0, 5000.0);
-	EXPECT_EQ(skh_demand_observe(t.demand, now), SKH_DEMAND_FRESH);
-	EXPECT_LT(distance(t.demand, after), 0.02);
 }
 
-// Counts of an interval vary as draws do; what is no shift must not be taken for one.
-TEST(Demand, NoiseIsNoShift)
+// Samples of other ranks come late, and some began to count before the shift.
+TEST_P(DemandOf, WhatWasCountedBeforeAShiftSaysNothingAnyMore)
+{
+	Demand t(GetParam());
+	Tokens tokens(GetParam(), 3);
+	std::mt19937 random(3);
+	std::vector<double> before;
+
+	for (int64_t pass = 1; pass <= 20; pass++) {
+		before = pass_of(tokens, random);
+		skh_demand_sample_t sample = sample_of(before, pass - 1, pass);
+
+		(void)skh_demand_add(t.demand, &sample, pass * kPass);
+	}
+	tokens.shift(0.6);
+	std::vector<double> after = pass_of(tokens, random);
+	skh_demand_sample_t sample = sample_of(after, 20, 21);
+
+	ASSERT_EQ(skh_demand_add(t.demand, &sample, 21 * kPass), SKH_DEMAND_SHIFT);
+	EXPECT_FALSE(skh_demand_is_known(t.demand, 21 * kPass));
+	sample = sample_of(before, 12, 20);
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, 21 * kPass), SKH_DEMAND_NONE);
+	std::vector<double> mixed = after;
+
+	for (size_t i = 0; i < mixed.size(); i++)
+		mixed[i] += before[i];
+	sample = sample_of(mixed, 18, 21);
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, 21 * kPass), SKH_DEMAND_NONE);
+	for (int i = 0; i < 30; i++) {
+		after = pass_of(tokens, random);
+		sample = sample_of(after, 20, 21);
+		EXPECT_EQ(skh_demand_add(t.demand, &sample, 21 * kPass), SKH_DEMAND_FRESH);
+	}
+	EXPECT_TRUE(skh_demand_is_known(t.demand, 21 * kPass));
+	EXPECT_LT(tokens.distance(skh_demand_shares(t.demand)), 0.25);
+}
+
+// A look over several passes: the shift is certain, but not what it counted.
+TEST_P(DemandOf, ASampleThatAShiftCutsInTwoIsDropped)
 {
-	Demand t;
-	std::vector<double> shares = zipf(kExperts, 1.3, 1);
-	std::mt19937 random(7);
-	std::discrete_distribution<uint32_t> draw(shares.begin(), shares.end());
+	Demand t(GetParam());
+	Tokens tokens(GetParam(), 4);
+	std::mt19937 random(4);
+
+	for (int64_t pass = 1; pass <= 20; pass++) {
+		std::vector<double> counts = pass_of(tokens, random);
+		skh_demand_sample_t sample = sample_of(counts, pass - 1, pass);
 
-	for (int i = 0; i < 200; i++) {
-		double *counts = skh_demand_counts(t.demand);
+		(void)skh_demand_add(t.demand, &sample, pass * kPass);
+	}
+	std::vector<double> counts = pass_of(tokens, random);
+
+	tokens.shift(0.8);
+	for (int i = 0; i < 3; i++)
+		tokens.choose(1e5, counts);
+	skh_demand_sample_t sample = sample_of(counts, 20, 23);
+
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, 23 * kPass), SKH_DEMAND_BREAK);
+	EXPECT_FALSE(skh_demand_is_known(t.demand, 24 * kPass));
+	for (int i = 0; i < 30; i++) {
+		counts = pass_of(tokens, random);
+		sample = sample_of(counts, 23, 24);
+		EXPECT_EQ(skh_demand_add(t.demand, &sample, 24 * kPass), SKH_DEMAND_FRESH);
+	}
+	EXPECT_LT(tokens.distance(skh_demand_shares(t.demand)), 0.25);
+}
 
-		for (uint32_t set = 0; set < kSets; set++) {
-			for (int token = 0; token < 3000; token++)
-				counts[set * kExperts + draw(random)] += 1.0;
+INSTANTIATE_TEST_SUITE_P(Kinds, DemandOf, testing::Values(kMany, kFew));
+
+TEST(Demand, AGroupThatFormsAnewCountsPassesFromTheBeginning)
+{
+	Demand t(kFew);
+	Tokens tokens(kFew, 5);
+	std::mt19937 random(5);
+	std::vector<double> counts = pass_of(tokens, random);
+	skh_demand_sample_t sample = sample_of(counts, 700, 701);
+
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, kPass), SKH_DEMAND_FRESH);
+	sample.epoch = 2;
+	sample.from_pass = 0;
+	sample.to_pass = 1;
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, kPass), SKH_DEMAND_FRESH);
+	sample.epoch = 1;
+	sample.from_pass = 702;
+	EXPECT_EQ(skh_demand_add(t.demand, &sample, kPass), SKH_DEMAND_NONE);
+}
+
+constexpr int64_t kBytesAS = 1500;
+constexpr size_t kReport = 1100;
+
+struct Feed {
+	Tokens tokens;
+	std::mt19937 random;
+	skh_countfeed_t *feed;
+	int64_t now = 0;
+	int64_t pass = 0;
+	size_t bytes = 0;
+
+	explicit Feed(uint32_t seed) : tokens(kMany, seed), random(seed)
+	{
+		skh_engine_shape_t shape = shape_of(kMany);
+
+		feed = skh_countfeed_new(&shape, kBytesAS, seed * 12345);
+	}
+	~Feed()
+	{
+		skh_countfeed_free(feed);
+	}
+
+	// One pass; returns whether a report with counts goes out in it.
+	bool step()
+	{
+		std::vector<double> counts = pass_of(tokens, random);
+		skh_demand_sample_t sample = sample_of(counts, pass, pass + 1);
+		bool due = false;
+
+		pass++;
+		now += kPass;
+		(void)skh_countfeed_look(feed, &sample, now);
+		due = skh_countfeed_is_due(feed, now);
+		if (due) {
+			skh_countfeed_told(feed, kReport, true, now);
+			bytes += kReport;
 		}
-		skh_demand_news_t news = skh_demand_observe(t.demand, (i + 1) * kStep);
+		return due;
+	}
+};
+
+TEST(CountFeed, KeepsToItsBudgetAndTellsOfAShiftAtOnce)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		Feed t(seed);
+
+		for (int i = 0; i < 30; i++)
+			(void)t.step();
+		for (int shift = 0; shift < 6; shift++) {
+			int passes = 0;
 
-		if (i > 0) {
-			EXPECT_EQ(news, SKH_DEMAND_FRESH) << i;
+			t.tokens.shift(0.6);
+			for (int i = 1; i <= 36; i++) {
+				if (t.step() && passes == 0) {
+					passes = i;
+					EXPECT_EQ(skh_countfeed_sample(t.feed)->from_pass, 0);
+				}
+			}
+			// At once with a prompt; without one after 0.16 s.
+			EXPECT_GE(passes, 1) << "seed " << seed;
+			EXPECT_LE(passes, 4) << "seed " << seed;
 		}
+		EXPECT_LT(t.bytes, 2400 + kBytesAS * t.now / SKH_US_PER_S) << "seed " << seed;
 	}
-	EXPECT_LT(distance(t.demand, shares), 0.15);
+}
+
+TEST(CountFeed, DropsWhatItCountedBeforeAShift)
+{
+	Feed t(7);
+
+	while (!t.step())
+		;
+	for (int i = 0; i < 5; i++)
+		(void)t.step();
+	t.tokens.shift(0.7);
+	int64_t shift = t.pass;
+
+	std::vector<double> counts = pass_of(t.tokens, t.random);
+	skh_demand_sample_t sample = sample_of(counts, t.pass, t.pass + 1);
+
+	EXPECT_EQ(skh_countfeed_look(t.feed, &sample, t.now + kPass), SKH_DEMAND_SHIFT);
+	EXPECT_EQ(skh_countfeed_sample(t.feed)->from_pass, shift);
+	EXPECT_EQ(skh_countfeed_sample(t.feed)->to_pass, shift + 1);
+	EXPECT_EQ(skh_countfeed_sample(t.feed)->counts[3], counts[3]);
+}
+
+TEST(CountFeed, HurriesForANewCoordinator)
+{
+	Feed t(8);
+
+	for (int i = 0; i < 60; i++)
+		(void)t.step();
+	while (!t.step())
+		;
+	(void)t.step();
+	(void)t.step();
+	EXPECT_FALSE(skh_countfeed_is_due(t.feed, t.now));
+	skh_countfeed_hurry(t.feed, t.now);
+	EXPECT_TRUE(skh_countfeed_is_due(t.feed, t.now + SKH_US_PER_S));
 }
 
 } // namespace
--- a/test/relief_test.cc
+++ b/test/relief_test.cc
@@ -167,7 +167,7 @@
 
 TEST(CountPack, KeepsProportions)
 {
-	std::vector<uint32_t> counts = { 0, 1, 7, 80, 900, 100000, 55000, 3 };
+	std::vector<double> counts = { 0, 1, 7, 80, 900, 100000, 55000, 3 };
 	std::vector<uint8_t> packed(skh_countpack_bytes(counts.size()));
 	std::vector<double> sums(counts.size(), 0.0);
 	uint32_t greatest = skh_countpack_write(counts.data(), counts.size(), packed.data());
