--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -7,7 +7,7 @@
 	libcivetweb-dev liburcu-dev libzmq3-dev libargtable2-dev libglib2.0-dev
 	libtomlplusplus-dev libjansson-dev libcurl4-openssl-dev libprotobuf-c-dev
 	libuv1-dev libhttp-parser-dev
-	libxxhash-dev libgtest-dev librapidcheck-dev spin python3
+	libxxhash-dev libyajl-dev libgtest-dev librapidcheck-dev spin python3
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/backends.c
+++ b/src/backends.c
@@ -29,6 +29,7 @@
 	const skh_pool_options_t *options;
 	GHashTable *targets; /* id -> skh_target_t */
 	GHashTable *fronts;  /* service -> skh_front_t */
+	char *paces;	     /* of slow ranks, "\naddress pace" each */
 };
 
 static void free_front(gpointer data)
@@ -56,6 +57,7 @@
 
 	backends->loop = loop;
 	backends->options = options;
+	backends->paces = g_strdup("");
 	backends->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
 	backends->fronts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_front);
 	return backends;
@@ -65,6 +67,7 @@
 {
 	g_hash_table_unref(backends->targets);
 	g_hash_table_unref(backends->fronts);
+	g_free(backends->paces);
 	g_free(backends);
 }
 
@@ -134,6 +137,33 @@
 		is_later ? fresh->server->id : other->server->id);
 }
 
+/* By the coordinators' last word; each line of it begins after a line's end. */
+static void follow_pace(skh_target_t *target, const char *paces)
+{
+	g_autofree char *address =
+		g_strdup_printf("\n%s:%u ", target->server->host, target->server->port);
+	const char *line = strstr(paces, address);
+	double pace = line ? g_ascii_strtod(line + strlen(address), NULL) : 1.0;
+
+	if (pace != target->pace)
+		skh_log(SKH_LOG_INFO, PART, "Pace of a rank.", "server=%s pace=%.1f",
+			target->server->id, pace);
+	target->pace = pace;
+}
+
+static void set_pace(gpointer id, gpointer value, gpointer context)
+{
+	(void)id;
+	follow_pace(value, context);
+}
+
+void skh_backends_set_paces(skh_backends_t *backends, const char *text)
+{
+	g_free(backends->paces);
+	backends->paces = g_strconcat("\n", text, NULL);
+	g_hash_table_foreach(backends->targets, set_pace, backends->paces);
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -142,7 +172,9 @@
 	target->front = skh_backends_front(backends, server->service);
 	target->pool = skh_pool_new(backends->loop, server->host, server->port, backends->options);
 	target->references = 1;
+	target->pace = 1.0;
 	target->listed = true;
+	follow_pace(target, backends->paces);
 	g_ptr_array_add(target->front->targets, target);
 	g_hash_table_insert(backends->targets, target->server->id, target);
 	g_hash_table_foreach(backends->targets, note_address, target);
@@ -220,6 +252,7 @@
 			.running = target->own_running + target->peers_running,
 			.work = target->own_work,
 			.mean_ms = target->mean_ms,
+			.pace = target->pace,
 			.failing = target->failing,
 			.avoid_till_us = target->avoid_till_us,
 			.full_till_us = target->full_till_us,
--- a/src/backends.h
+++ b/src/backends.h
@@ -38,6 +38,7 @@
 	double own_work;	/* expected tokens of those */
 	uint32_t peers_running; /* by the other gateways' reports */
 	double mean_ms;
+	double pace; /* of a rank, as its coordinator tells; 1 is usual */
 	double failing;
 	uint32_t failures; /* in a row */
 	int64_t avoid_till_us;
@@ -86,6 +87,9 @@
  */
 skh_target_t *skh_front_pick(skh_front_t *front, const GPtrArray *tried, int64_t now_us);
 
+/** skh_backends_set_paces() - @text: "address pace" of slow ranks, a line each; all others are usual */
+void skh_backends_set_paces(skh_backends_t *backends, const char *text);
+
 /** skh_front_has_servers() - some server may be used now or later */
 bool skh_front_has_servers(const skh_front_t *front);
 
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -7,6 +7,7 @@
 #include "countfeed.h"
 #include "countpack.h"
 #include "election.h"
+#include "feed.h"
 #include "log.h"
 #include "metrics.h"
 #include "process.h"
@@ -23,11 +24,11 @@
 #define TICK_MS 20
 /* ... and while a change of the map is under way: the group may stand still for it. */
 #define BUSY_TICK_MS 8
-/* An order is followed by another within this while a change goes on. */
-#define BUSY_US (500 * SKH_US_PER_MS)
-/* A pass lasts 50 ms and more, and each is to be seen by itself. */
-#define REPORT_US      (40 * SKH_US_PER_MS)
+/* The rank's state changes by orders, which are followed closely, or seldom. */
+#define REPORT_US      (150 * SKH_US_PER_MS)
 #define BUSY_REPORT_US (8 * SKH_US_PER_MS)
+/* A rank that copies for longer than this is no longer watched closely. */
+#define COPYING_US (600 * SKH_US_PER_MS)
 /* The control budget of 2 KB a second, less what the store takes. */
 #define BYTES_PER_S    1500
 #define DATAGRAM_BYTES 42
@@ -53,6 +54,7 @@
 	skh_rankwatch_t *watch;
 	skh_rankrelay_t *relay;
 	skh_reload_t *reload;
+	char *notice_key;
 	skh_coordinator_t *coordinator; /* NULL before the engines' shape is known */
 	skh_election_view_t lease;
 	guint offer_next; /* index of the server that is asked next for its rank */
@@ -121,6 +123,7 @@
 	message->prepared = report->prepared;
 	message->armed = report->armed;
 	message->held = report->held;
+	message->pace = report->pace;
 	message->sender = balancer->sender;
 	message->number = ++balancer->number;
 	message->relay = (char *)balancer->settings->gossip_listen;
@@ -285,6 +288,14 @@
 	g_ptr_array_unref(servers);
 }
 
+/* Gateways send less to a rank that all others wait for. */
+static void tell_slow_ranks(balancer_t *balancer)
+{
+	g_autofree char *text = skh_coordinator_slow_ranks(balancer->coordinator);
+
+	skh_election_set_notice(balancer->election, text);
+}
+
 static void coordinate(balancer_t *balancer, int64_t now_us)
 {
 	int64_t fence = holds_lease(balancer, now_us) ? balancer->lease.fence : 0;
@@ -296,6 +307,8 @@
 			fence);
 		skh_election_resign(balancer->election);
 	}
+	if (coordinates(balancer, now_us))
+		tell_slow_ranks(balancer);
 }
 
 static void close_all(balancer_t *balancer)
@@ -332,9 +345,13 @@
 
 static void follow_pace(balancer_t *balancer, int64_t now_us)
 {
-	bool busy = now_us - skh_rankrelay_order_us(balancer->relay) < BUSY_US ||
-		    (coordinates(balancer, now_us) &&
-		     skh_coordinator_is_changing(balancer->coordinator));
+	const skh_engine_report_t *report = &skh_rankwatch_news(balancer->watch)->report;
+	int64_t since_us = 0;
+	int64_t version = skh_rankrelay_prepared(balancer->relay, &since_us);
+	bool copying = version > report->prepared && version > report->map_version &&
+		       now_us - since_us < COPYING_US;
+	bool busy = copying || (coordinates(balancer, now_us) &&
+				skh_coordinator_is_changing(balancer->coordinator));
 
 	skh_rankwatch_set_pace(balancer->watch, busy ? BUSY_REPORT_US : REPORT_US);
 	if (busy != balancer->busy)
@@ -382,12 +399,14 @@
 static void start_election(balancer_t *balancer, char *prefix)
 {
 	const skh_settings_t *settings = balancer->settings;
+
 	const skh_election_options_t options = {
 		.store = balancer->store,
 		.release_store = balancer->dialect->open_store(skh_settings_endpoint(settings, 0),
 							       settings->store_timeout_ms),
 		.dialect = balancer->dialect,
 		.prefix = prefix,
+		.notice_key = balancer->notice_key,
 		.address = settings->gossip_listen,
 		.service = settings->backend_service,
 	};
@@ -400,6 +419,7 @@
 	const skh_settings_t *settings = balancer->settings;
 
 	balancer->sender = skh_random_u64();
+	balancer->notice_key = g_strconcat(SKH_NOTICE_PREFIX, settings->backend_service, NULL);
 	balancer->pool_options = (skh_pool_options_t){
 		.attempt_header = "",
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -12,6 +12,7 @@
 #include "rankrelay.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 #define PART		 "group"
@@ -34,16 +35,20 @@
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
 #define LOAD_COST 0.006
 /*
- * Above this skew a first change brings what can be copied within about a pass, two
- * experts a rank at least: waiting for more costs more than a second change.
+ * Above this skew a first change brings what can be copied within about half a
+ * pass, an expert a rank at least: waiting for more costs more than a second change.
  */
 #define RELIEF_SKEW  1.8
-#define RELIEF_MS    75.0
-#define RELIEF_LEAST 2
+#define RELIEF_MS    45.0
+#define RELIEF_LEAST 1
 /* Later changes may take longer, as passes are shorter by then. */
 #define COPY_MS	   100.0
 #define COPY_LEAST 4
-#define MOST_NEW   64.0
+/* A rank that takes less than this many times as long as usual is not slow. */
+#define SLOW_PACE 1.25
+/* A pace that changes by this part is worth another plan. */
+#define PACE_NEWS 0.2
+#define MOST_NEW  64.0
 /* Places in a map up to which the best one is searched for in a small share of a core. */
 #define SEARCH_PLACES 600
 /* A plan takes milliseconds of a small share of a core, for a gain that is seldom there. */
@@ -64,7 +69,8 @@
 	skh_coordinator_options_t options;
 	skh_groupview_t view;
 	skh_demand_t *demand;
-	double *counts; /* of one report, [sets][experts] */
+	double *counts;			       /* of one report, [sets][experts] */
+	double paces[SKH_MAPCHANGE_MAX_RANKS]; /* that the last plan was made for */
 	way_t ways[SKH_MAPCHANGE_MAX_RANKS];
 	bool holds_itself; /* the deputy did not answer the last order to hold */
 	uint32_t deputy;   /* of the last change */
@@ -111,6 +117,8 @@
 	};
 
 	coordinator->options = *options;
+	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++)
+		coordinator->paces[rank] = 1.0;
 	coordinator->demand = skh_demand_new(shape);
 	coordinator->counts = g_new0(double, (size_t)shape->sets * shape->experts);
 	skh_groupview_init(&coordinator->view, &view_options, shape);
@@ -378,6 +386,7 @@
 	coordinator->holds_itself = false;
 	view->next_epoch = epoch;
 	view->next_version = fence;
+	view->switched_pass = 0;
 	coordinator->changing = true;
 	coordinator->change_since_us = now_us;
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
@@ -413,14 +422,55 @@
 	return pass_ms > 0.0 && pass_ms < SHORT_PASS_PART * full_ms;
 }
 
+/* Time that a rank takes for its part, 1 is usual. */
+static double pace_of(const skh_coordinator_t *coordinator, uint32_t rank)
+{
+	double pace = coordinator->view.ranks[rank].report.pace;
+
+	return pace > SLOW_PACE ? pace : 1.0;
+}
+
+static bool has_pace_changed(const skh_coordinator_t *coordinator)
+{
+	for (uint32_t rank = 0; rank < coordinator->view.n_ranks; rank++) {
+		double planned = coordinator->paces[rank];
+
+		if (fabs(pace_of(coordinator, rank) - planned) > PACE_NEWS * planned)
+			return true;
+	}
+	return false;
+}
+
+char *skh_coordinator_slow_ranks(const skh_coordinator_t *coordinator)
+{
+	const skh_groupview_t *view = &coordinator->view;
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
+		double pace = pace_of(coordinator, rank);
+
+		if (pace > 1.0 && view->ranks[rank].engine)
+			g_string_append_printf(text, "%s %.1f\n",
+					       skh_engine_client_address(view->ranks[rank].engine),
+					       pace);
+	}
+	return g_string_free(text, FALSE);
+}
+
 /* Plans the next map from fresh counts, unless the one in use is good enough. */
 static void plan(skh_coordinator_t *coordinator, bool idle)
 {
 	skh_groupview_t *view = &coordinator->view;
 	const double *shares = skh_demand_shares(coordinator->demand);
-	double skew = skh_mapplan_skew(&view->shape, view->n_ranks, shares, view->map);
-	bool relief = skew > RELIEF_SKEW;
-	const skh_mapplan_weights_t weights = {
+	double skew;
+	bool relief;
+	skh_mapplan_weights_t weights;
+
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++)
+		coordinator->paces[rank] = pace_of(coordinator, rank);
+	skew = skh_mapplan_skew(&view->shape, view->n_ranks, shares, coordinator->paces, view->map);
+	relief = skew > RELIEF_SKEW;
+	weights = (skh_mapplan_weights_t){
 		.quick_target = idle ? RELIEF_TARGET_IDLE : RELIEF_TARGET,
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
@@ -428,6 +478,7 @@
 		.most_new = relief ? copies_in(&view->shape, RELIEF_MS, RELIEF_LEAST)
 				   : copies_in(&view->shape, COPY_MS, COPY_LEAST),
 		.quick = relief || skh_groupview_map_size(view) > SEARCH_PLACES,
+		.paces = coordinator->paces,
 	};
 
 	if (skew - 1.0 < (idle ? LEAST_GAIN_IDLE : LEAST_GAIN))
@@ -438,7 +489,7 @@
 
 static bool is_plan_due(skh_coordinator_t *coordinator, int64_t now_us)
 {
-	return coordinator->fresh_counts &&
+	return (coordinator->fresh_counts || has_pace_changed(coordinator)) &&
 	       (coordinator->shifted || now_us >= coordinator->plan_us) &&
 	       skh_demand_is_known(coordinator->demand, now_us);
 }
@@ -493,6 +544,11 @@
 	decide(coordinator, now_us);
 }
 
+static int64_t spent_ms(const skh_mapchange_t *change, skh_mapchange_phase_t phase)
+{
+	return change->spent_us[phase] / SKH_US_PER_MS;
+}
+
 static void end_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	const skh_mapchange_t *change = &coordinator->change;
@@ -502,12 +558,16 @@
 		return;
 	coordinator->changing = false;
 	if (done)
-		skh_groupview_switched(&coordinator->view);
+		skh_groupview_switched(&coordinator->view, change->pass);
 	/* A rank may be left armed or holding. */
 	coordinator->repair = !done && change->held_since_us != 0;
 	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
-		"version=%" PRId64 " took_ms=%" PRId64 " reason=%s", change->version,
-		(now_us - coordinator->change_since_us) / SKH_US_PER_MS, done ? "-" : change->why);
+		"version=%" PRId64 " took_ms=%" PRId64 " prepare_ms=%" PRId64 " copy_ms=%" PRId64
+		" hold_ms=%" PRId64 " arm_ms=%" PRId64 " settle_ms=%" PRId64 " reason=%s",
+		change->version, (now_us - coordinator->change_since_us) / SKH_US_PER_MS,
+		spent_ms(change, SKH_CHANGE_PREPARE), spent_ms(change, SKH_CHANGE_COPY),
+		spent_ms(change, SKH_CHANGE_HOLD), spent_ms(change, SKH_CHANGE_ARM),
+		spent_ms(change, SKH_CHANGE_SETTLE), done ? "-" : change->why);
 	skh_metrics_add(done ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -47,6 +47,9 @@
 /** skh_coordinator_is_changing() - a change of the map is under way */
 bool skh_coordinator_is_changing(const skh_coordinator_t *coordinator);
 
+/** skh_coordinator_slow_ranks() - "address pace" of each, a line each; free with g_free() */
+char *skh_coordinator_slow_ranks(const skh_coordinator_t *coordinator);
+
 /** skh_coordinator_lacks_ranks() - the address of some rank's engine is not known */
 bool skh_coordinator_lacks_ranks(const skh_coordinator_t *coordinator);
 
--- a/src/election.c
+++ b/src/election.c
@@ -31,11 +31,13 @@
 	GMutex lock;
 	skh_election_view_t view; /* under the lock */
 	GPtrArray *servers;	  /* addresses; under the lock */
+	char *notice;		  /* to be told; under the lock */
 	bool wants_servers;
 	/* Of the thread alone: */
 	int64_t lease;
 	int64_t revision;   /* of the store, as last read */
 	int64_t servers_us; /* when they were read */
+	char *told;	    /* the notice in the store under this lease, or "" */
 };
 
 static bool is_stopped(const skh_election_t *election)
@@ -145,6 +147,9 @@
 	if (!store->ops->txn(store, &txn, &result, err))
 		return false;
 	if (result.succeeded) {
+		/* What was told under an earlier lease is gone with it. */
+		g_free(election->told);
+		election->told = g_strdup("");
 		set_hold(election, result.pairs.store_revision,
 			 asked_us + LEASE_S * SKH_US_PER_S - MARGIN_US);
 		set_coordinator(election, election->value);
@@ -247,7 +252,42 @@
 	return servers;
 }
 
-static void renew(skh_election_t *election)
+static char *copy_notice(skh_election_t *election)
+{
+	char *notice;
+
+	g_mutex_lock(&election->lock);
+	notice = g_strdup(election->notice);
+	g_mutex_unlock(&election->lock);
+	return notice;
+}
+
+/* Writes the notice if it is another; an answer that was lost is made good by the next try. */
+static void tell_notice(skh_election_t *election, int64_t fence)
+{
+	skh_store_t *store = election->options.store;
+	g_autofree char *notice = copy_notice(election);
+	const skh_compare_t held = { election->key, fence };
+	const skh_op_t op = { *notice ? SKH_OP_PUT : SKH_OP_DELETE,
+			      (char *)election->options.notice_key, notice, election->lease };
+	const skh_txn_t txn = { .compares = &held, .n_compares = 1, .ops = &op, .n_ops = 1 };
+	skh_txn_result_t result;
+	skh_error_t err;
+
+	if (strcmp(notice, election->told) == 0)
+		return;
+	if (!store->ops->txn(store, &txn, &result, &err)) {
+		fail("Notice not written.", &err);
+		return;
+	}
+	skh_pairs_clear(&result.pairs);
+	g_free(election->told);
+	election->told = g_steal_pointer(&notice);
+	skh_log(SKH_LOG_INFO, PART, "Notice written.", "fence=%" PRId64 " bytes=%zu", fence,
+		strlen(election->told));
+}
+
+static void renew(skh_election_t *election, int64_t fence)
 {
 	skh_store_t *store = election->options.store;
 	int64_t asked_us = skh_clock_boot_us();
@@ -269,6 +309,7 @@
 	g_mutex_lock(&election->lock);
 	election->view.holds_till_us = asked_us + ttl_s * SKH_US_PER_S - MARGIN_US;
 	g_mutex_unlock(&election->lock);
+	tell_notice(election, fence);
 	if (wants_servers(election))
 		read_servers(election);
 	else
@@ -290,7 +331,7 @@
 		if (view.holds && skh_clock_boot_us() > view.holds_till_us + LEASE_S * SKH_US_PER_S)
 			set_hold(election, 0, 0);
 		else if (view.holds)
-			renew(election);
+			renew(election, view.fence);
 		else
 			follow(election, &known, &taken);
 	}
@@ -303,6 +344,8 @@
 
 	election->options = *options;
 	election->servers = g_ptr_array_new_with_free_func(g_free);
+	election->notice = g_strdup("");
+	election->told = g_strdup("");
 	election->key = g_strconcat(options->prefix, "coordinator", NULL);
 	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
 	g_mutex_init(&election->lock);
@@ -339,6 +382,16 @@
 	g_mutex_unlock(&election->lock);
 }
 
+void skh_election_set_notice(skh_election_t *election, const char *text)
+{
+	g_mutex_lock(&election->lock);
+	if (strcmp(election->notice, text) != 0) {
+		g_free(election->notice);
+		election->notice = g_strdup(text);
+	}
+	g_mutex_unlock(&election->lock);
+}
+
 void skh_election_resign(skh_election_t *election)
 {
 	set_hold(election, 0, 0);
--- a/src/election.h
+++ b/src/election.h
@@ -21,9 +21,10 @@
 	skh_store_t *store;	    /* of the election's own */
 	skh_store_t *release_store; /* another, as a watch may occupy the first */
 	const skh_dialect_t *dialect;
-	const char *prefix;  /* of the group's keys; ends with a slash */
-	const char *address; /* where the holder hears the others */
-	const char *service; /* whose engines are coordinated */
+	const char *prefix;	/* of the group's keys; ends with a slash */
+	const char *notice_key; /* of what gateways are told of the group */
+	const char *address;	/* where the holder hears the others */
+	const char *service;	/* whose engines are coordinated */
 } skh_election_options_t;
 
 /** struct skh_election_view - what is known of the lease */
@@ -56,6 +57,13 @@
  */
 GPtrArray *skh_election_servers(skh_election_t *election, bool wanted);
 
+/**
+ * skh_election_set_notice() - what the holder tells gateways of its group, in the store
+ *
+ * Kept under the holder's lease: it is gone when the holder is. "" takes it back.
+ */
+void skh_election_set_notice(skh_election_t *election, const char *text);
+
 /** skh_election_resign() - a later holder exists: forget the lease */
 void skh_election_resign(skh_election_t *election);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -25,6 +25,11 @@
 #define RETRY_AFTER_PART 3
 #define RETRY_LEAST_MS	 100
 #define RETRY_SPREAD_MS	 400
+/*
+ * All streams of a group wait for its slowest rank. Beyond this pace those that it has
+ * cost the others more than they lose by being read again elsewhere.
+ */
+#define MOVE_PACE 2.5
 /* A broken group is back after seconds. */
 #define GROUP_DOWN_MS 2000
 
@@ -280,16 +285,11 @@
 	}
 }
 
-/* Requests at a rank that is out of reach go on elsewhere; new ones have to connect first. */
-static void leave_rank(skh_gateway_t *gateway, skh_target_t *target, int64_t now_us)
+/* What may run again goes on elsewhere. */
+static void move_all(skh_gateway_t *gateway, skh_target_t *target)
 {
 	GList *link = gateway->exchanges.head;
 
-	skh_log(SKH_LOG_WARNING, PART, "Rank is silent while its group goes on.",
-		"server=%s running=%u streaming=%u silent_ms=%" PRId64, target->server->id,
-		target->own_running, target->own_streaming,
-		(now_us - MAX(target->heard_us, target->busy_since_us)) / SKH_US_PER_MS);
-	skh_pool_drop_idle(target->pool);
 	target->references++;
 	while (link) {
 		skh_exchange_t *exchange = link->data;
@@ -299,10 +299,37 @@
 		if (exchange->target == target)
 			skh_attempt_move(exchange);
 	}
+	skh_target_unref(target);
+}
+
+/* Requests at a rank that is out of reach go on elsewhere; new ones have to connect first. */
+static void leave_rank(skh_gateway_t *gateway, skh_target_t *target, int64_t now_us)
+{
+	skh_log(SKH_LOG_WARNING, PART, "Rank is silent while its group goes on.",
+		"server=%s running=%u streaming=%u silent_ms=%" PRId64, target->server->id,
+		target->own_running, target->own_streaming,
+		(now_us - MAX(target->heard_us, target->busy_since_us)) / SKH_US_PER_MS);
+	skh_pool_drop_idle(target->pool);
+	move_all(gateway, target);
 	/* What had to stay is asked about again later. */
 	target->busy_since_us = now_us;
 	skh_target_avoid(target, now_us);
-	skh_target_unref(target);
+}
+
+static void relieve_slow(skh_target_t *target, void *context)
+{
+	if (target->pace < MOVE_PACE || target->own_running == 0)
+		return;
+	skh_log(SKH_LOG_WARNING, PART, "Rank is slow and all wait for it.",
+		"server=%s pace=%.1f running=%u", target->server->id, target->pace,
+		target->own_running);
+	move_all(context, target);
+}
+
+void skh_exchange_follow_paces(skh_gateway_t *gateway)
+{
+	skh_backends_each_target(gateway->backends, relieve_slow, gateway);
+	skh_exchange_dispatch(gateway);
 }
 
 static void watch_ranks(skh_front_t *front, void *context)
--- a/src/feed.c
+++ b/src/feed.c
@@ -24,6 +24,8 @@
 	GMutex lock;
 	GHashTable *peers;     /* id -> address; under the lock */
 	uint64_t peer_changes; /* counted from 1; under the lock */
+	GHashTable *notices;   /* service -> text; under the lock */
+	uint64_t notice_changes;
 	/* Of the thread alone: */
 	skh_record_t *record;
 	int64_t after; /* revision up to which changes are known; 0: read all */
@@ -131,6 +133,17 @@
 	g_mutex_unlock(&feed->lock);
 }
 
+static void take_notice(skh_feed_t *feed, const char *service, const char *value)
+{
+	g_mutex_lock(&feed->lock);
+	if (value)
+		(void)g_hash_table_replace(feed->notices, g_strdup(service), g_strdup(value));
+	else
+		(void)g_hash_table_remove(feed->notices, service);
+	feed->notice_changes++;
+	g_mutex_unlock(&feed->lock);
+}
+
 /* @value is NULL for a deletion. */
 static void take_change(skh_feed_t *feed, const char *key, const char *value, int64_t revision)
 {
@@ -143,6 +156,8 @@
 		take_server(feed, key + strlen(servers), value);
 	else if (g_str_has_prefix(key, peers))
 		take_peer(feed, key + strlen(peers), value);
+	else if (g_str_has_prefix(key, SKH_NOTICE_PREFIX))
+		take_notice(feed, key + strlen(SKH_NOTICE_PREFIX), value);
 }
 
 static bool read_config(skh_feed_t *feed, int64_t *revision, skh_error_t *err)
@@ -182,11 +197,21 @@
 		feed->roster_changed = true;
 }
 
+/* Those that were taken back unseen are not in the store any more. */
+static void forget_notices(skh_feed_t *feed)
+{
+	g_mutex_lock(&feed->lock);
+	g_hash_table_remove_all(feed->notices);
+	feed->notice_changes++;
+	g_mutex_unlock(&feed->lock);
+}
+
 /* Reads everything, as at the start and when the store's history is gone. */
 static bool read_all(skh_feed_t *feed, skh_error_t *err)
 {
 	skh_pairs_t servers;
 	skh_pairs_t peers;
+	skh_pairs_t notices;
 	int64_t revision;
 
 	if (!read_config(feed, &revision, err))
@@ -199,6 +224,10 @@
 	if (!read_prefix(feed, feed->options.peers_prefix, &peers, err))
 		return false;
 	skh_pairs_clear(&peers);
+	forget_notices(feed);
+	if (!read_prefix(feed, SKH_NOTICE_PREFIX, &notices, err))
+		return false;
+	skh_pairs_clear(&notices);
 	feed->after = revision;
 	feed->has_roster = true;
 	feed->roster_changed = true;
@@ -334,6 +363,8 @@
 	feed->record = skh_record_new();
 	feed->peer_changes = 1;
 	feed->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	feed->notice_changes = 1;
+	feed->notices = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_mutex_init(&feed->lock);
 	(void)pthread_create(&feed->thread, NULL, run, feed);
 	return feed;
@@ -345,6 +376,7 @@
 	(void)pthread_join(feed->thread, NULL);
 	skh_record_free(feed->record);
 	g_hash_table_unref(feed->peers);
+	g_hash_table_unref(feed->notices);
 	g_mutex_clear(&feed->lock);
 	g_free(feed);
 }
@@ -381,3 +413,21 @@
 	g_mutex_unlock(&feed->lock);
 	return list;
 }
+
+char *skh_feed_notices(skh_feed_t *feed, uint64_t *seen)
+{
+	GString *all = NULL;
+	GHashTableIter iter;
+	gpointer text;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->notice_changes != *seen) {
+		all = g_string_new(NULL);
+		g_hash_table_iter_init(&iter, feed->notices);
+		while (g_hash_table_iter_next(&iter, NULL, &text))
+			g_string_append(all, text);
+	}
+	*seen = feed->notice_changes;
+	g_mutex_unlock(&feed->lock);
+	return all ? g_string_free(all, FALSE) : NULL;
+}
--- a/src/feed.h
+++ b/src/feed.h
@@ -17,6 +17,9 @@
 extern "C" {
 #endif
 
+/* Keys of what coordinators tell of their groups: "address pace" of slow ranks, a line each. */
+#define SKH_NOTICE_PREFIX "skylarkhead/slow/"
+
 /** struct skh_feed_options - texts are borrowed for the feed's life */
 typedef struct skh_feed_options {
 	skh_store_t *store; /* of the feed's own */
@@ -50,6 +53,13 @@
  */
 GPtrArray *skh_feed_peers(skh_feed_t *feed, uint64_t *seen);
 
+/**
+ * skh_feed_notices() - what coordinators tell of their groups, the texts of all services
+ * @seen: as in skh_feed_peers()
+ * Return: NULL when nothing has changed since; else free with g_free().
+ */
+char *skh_feed_notices(skh_feed_t *feed, uint64_t *seen);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -35,8 +35,9 @@
 	skh_store_t *store;
 	skh_reload_t *reload;
 	uint64_t seen_peers; /* of the feed's */
-	gint ready;	     /* read by the administration's threads */
-	int64_t leave_us;    /* SIGTERM came then; 0 before */
+	uint64_t seen_notices;
+	gint ready;	  /* read by the administration's threads */
+	int64_t leave_us; /* SIGTERM came then; 0 before */
 	int64_t stop_by_us;
 	bool closed;
 } shell_t;
@@ -126,6 +127,16 @@
 		MAX(LEAST_GATEWAYS, skh_gossip_count_peers(gateway->gossip) + 1);
 }
 
+static void follow_notices(shell_t *shell)
+{
+	g_autofree char *notices = skh_feed_notices(shell->gateway.feed, &shell->seen_notices);
+
+	if (!notices)
+		return;
+	skh_backends_set_paces(shell->gateway.backends, notices);
+	skh_exchange_follow_paces(&shell->gateway);
+}
+
 static void update_ready(shell_t *shell, int64_t now_us)
 {
 	skh_gateway_t *gateway = &shell->gateway;
@@ -203,6 +214,7 @@
 
 	follow_settings(shell, now_us);
 	follow_peers(shell);
+	follow_notices(shell);
 	update_ready(shell, now_us);
 	skh_exchange_tick(&shell->gateway);
 	skh_gossip_tick(shell->gateway.gossip);
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -86,11 +86,21 @@
 	}
 }
 
+/* A rank may tell a little later of its state before the change that all ranks have made. */
+static bool is_of_before(const skh_groupview_t *view, const skh_engine_report_t *report)
+{
+	return report->epoch == view->next_epoch && report->map_version < view->next_version &&
+	       report->pass < view->switched_pass;
+}
+
 static void take_state(skh_groupview_t *view, uint32_t rank, const skh_engine_report_t *report,
 		       int64_t asked_us, int64_t now_us)
 {
 	skh_groupview_rank_t *state = &view->ranks[rank];
 
+	state->told_us = now_us;
+	if (is_of_before(view, report))
+		return;
 	if (state->reported && (state->report.epoch != report->epoch ||
 				state->report.map_version != report->map_version))
 		follow_map(view, rank, report);
@@ -99,13 +109,13 @@
 	else if (state->held_since_us == 0)
 		state->held_since_us = now_us;
 	state->reported = true;
-	state->told_us = now_us;
 	state->report = *report;
 	view->options.on_state(view->options.context, rank, asked_us, now_us);
 }
 
-void skh_groupview_switched(skh_groupview_t *view)
+void skh_groupview_switched(skh_groupview_t *view, int64_t pass)
 {
+	view->switched_pass = pass;
 	memcpy(view->map, view->next, skh_groupview_map_size(view) * sizeof(uint32_t));
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		skh_engine_report_t *report = &view->ranks[rank].report;
@@ -163,6 +173,7 @@
 		.prepared = message->prepared,
 		.armed = message->armed,
 		.held = message->held,
+		.pace = message->pace,
 	};
 	skh_groupview_rank_t *state;
 
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -58,6 +58,7 @@
 	uint32_t *next;
 	int64_t next_epoch;
 	int64_t next_version;
+	int64_t switched_pass; /* in which the group changed to it */
 	/* Private: */
 	int64_t pass_seen; /* own rank's, at pass_seen_us */
 	int64_t pass_seen_us;
@@ -89,8 +90,8 @@
 /** skh_groupview_ask() - ask the engine of @rank for its state, unless it is being asked */
 void skh_groupview_ask(skh_groupview_t *view, uint32_t rank, int64_t now_us);
 
-/** skh_groupview_switched() - the group has changed to the next map, all ranks in one pass */
-void skh_groupview_switched(skh_groupview_t *view);
+/** skh_groupview_switched() - the group has changed to the next map, all ranks in @pass */
+void skh_groupview_switched(skh_groupview_t *view, int64_t pass);
 
 /** skh_groupview_is_whole() - all that a decision needs is known of all ranks, and fits together */
 bool skh_groupview_is_whole(skh_groupview_t *view, int64_t now_us);
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -43,6 +43,7 @@
 
 static void enter(skh_mapchange_t *change, skh_mapchange_phase_t phase, int64_t now_us)
 {
+	change->spent_us[change->phase] += now_us - change->phase_since_us;
 	change->phase = phase;
 	change->phase_since_us = now_us;
 	for (uint32_t i = 0; i < change->n_ranks; i++)
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -95,7 +95,8 @@
 	int64_t fence;
 	int64_t pass; /* at which the map changes */
 	int64_t phase_since_us;
-	int64_t held_since_us;	 /* 0 when nothing is left behind */
+	int64_t spent_us[SKH_CHANGE_FAILED + 1]; /* in each phase */
+	int64_t held_since_us;			 /* 0 when nothing is left behind */
 	int64_t contact_us;	 /* the deputy has answered a question of this time */
 	int64_t others_armed_us; /* since then all ranks but the deputy's are armed */
 	const char *why;	 /* it failed */
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -21,7 +21,8 @@
  * Empty places hold experts without work, each of them on every rank that needs
  * it, so that any of them may give its place up.
  */
-static void fill_set(set_view_t *view, const double *shares, const uint32_t *map)
+static void fill_set(set_view_t *view, const double *shares, const double *paces,
+		     const uint32_t *map)
 {
 	uint32_t places = view->shape->placements;
 
@@ -32,7 +33,7 @@
 	for (uint32_t rank = 0; rank < view->ranks; rank++) {
 		uint32_t pad = view->shape->experts;
 
-		view->speed[rank] = 1.0;
+		view->speed[rank] = paces ? 1.0 / paces[rank] : 1.0;
 		view->domain[rank] = rank;
 		for (uint32_t i = 0; i < places; i++) {
 			uint32_t at = rank * places + i;
@@ -57,14 +58,14 @@
 }
 
 static void open_set(set_view_t *view, const skh_engine_shape_t *shape, uint32_t ranks,
-		     const double *shares, const uint32_t *map)
+		     const double *shares, const double *paces, const uint32_t *map)
 {
 	view->shape = shape;
 	view->ranks = ranks;
 	view->padding = most_empty(shape, ranks, map);
 	view->placement = g_new(uint32_t, ranks * shape->placements);
 	view->shares = g_new(double, shape->experts + view->padding);
-	fill_set(view, shares, map);
+	fill_set(view, shares, paces, map);
 }
 
 static void close_set(set_view_t *view)
@@ -147,18 +148,59 @@
 #define RELIEF_LEAST_GAIN 0.01
 
 static skh_relief_view_t relief_view(const skh_engine_shape_t *shape, uint32_t ranks,
-				     const double *shares, double target)
+				     const double *shares, const double *paces)
 {
 	return (skh_relief_view_t){
 		.n_ranks = ranks,
 		.n_places = shape->placements,
 		.n_experts = shape->experts,
 		.shares = shares,
-		.target = target,
+		.paces = paces,
 		.least_gain = RELIEF_LEAST_GAIN,
 	};
 }
 
+/* The set with most skew that something can still be done about; NULL when none is left. */
+static skh_relief_t *most_skewed(skh_relief_t **reliefs, const bool *done, uint32_t sets,
+				 double target, uint32_t *at)
+{
+	skh_relief_t *most = NULL;
+
+	for (uint32_t set = 0; set < sets; set++) {
+		if (done[set] || skh_relief_skew(reliefs[set]) <= target ||
+		    (most && skh_relief_skew(reliefs[set]) <= skh_relief_skew(most)))
+			continue;
+		most = reliefs[set];
+		*at = set;
+	}
+	return most;
+}
+
+/* Loads go to the set that needs them most: a pass lasts as long as all sets together. */
+static void relieve_sets(const skh_engine_shape_t *shape, uint32_t ranks,
+			 const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map)
+{
+	g_autofree skh_relief_t **reliefs = g_new0(skh_relief_t *, shape->sets);
+	g_autofree bool *done = g_new0(bool, shape->sets);
+	uint32_t loads_left[SKH_BALANCE_MAX_RANKS];
+	skh_relief_t *next;
+	uint32_t at = 0;
+
+	for (uint32_t rank = 0; rank < ranks; rank++)
+		loads_left[rank] = weights->most_new;
+	for (uint32_t set = 0; set < shape->sets; set++) {
+		skh_relief_view_t view = relief_view(
+			shape, ranks, shares + (size_t)set * shape->experts, weights->paces);
+
+		reliefs[set] = skh_relief_new(&view, map + (size_t)set * ranks * shape->placements,
+					      shape->spare, loads_left);
+	}
+	while ((next = most_skewed(reliefs, done, shape->sets, weights->quick_target, &at)) != NULL)
+		done[at] = !skh_relief_step(next);
+	for (uint32_t set = 0; set < shape->sets; set++)
+		skh_relief_free(reliefs[set]);
+}
+
 static void search_set(const skh_engine_shape_t *shape, uint32_t ranks,
 		       const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
 		       const uint32_t *new_so_far)
@@ -172,63 +214,100 @@
 
 	for (uint32_t rank = 0; rank < ranks; rank++)
 		rank_loads[rank] = MIN(shape->spare, weights->most_new - new_so_far[rank]);
-	open_set(&view, shape, ranks, shares, map);
+	open_set(&view, shape, ranks, shares, weights->paces, map);
 	balance = balance_view(&view, weights, rank_loads);
 	if (skh_balance_decide(&balance, plan))
 		apply_moves(shape, ranks, weights, plan, before, new_so_far, map);
 	close_set(&view);
 }
 
-static void plan_set(const skh_engine_shape_t *shape, uint32_t ranks,
-		     const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
-		     uint32_t *new_so_far)
+static void search_sets(const skh_engine_shape_t *shape, uint32_t ranks,
+			const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map)
 {
 	size_t places = (size_t)ranks * shape->placements;
-	g_autofree uint32_t *before = g_memdup2(map, places * sizeof(*map));
-	skh_relief_view_t view = relief_view(shape, ranks, shares, weights->quick_target);
-	uint32_t loads_left[SKH_BALANCE_MAX_RANKS];
+	uint32_t new_so_far[SKH_BALANCE_MAX_RANKS] = { 0 };
 
-	for (uint32_t rank = 0; rank < ranks; rank++)
-		loads_left[rank] = MIN(shape->spare, weights->most_new - new_so_far[rank]);
-	if (weights->quick)
-		(void)skh_relief_make(&view, map, loads_left);
-	else
-		search_set(shape, ranks, weights, shares, map, new_so_far);
-	for (uint32_t rank = 0; rank < ranks; rank++)
-		new_so_far[rank] += count_new(before + rank * shape->placements,
-					      map + rank * shape->placements, shape->placements);
+	for (uint32_t set = 0; set < shape->sets; set++) {
+		uint32_t *set_map = map + set * places;
+		g_autofree uint32_t *before = g_memdup2(set_map, places * sizeof(*map));
+
+		search_set(shape, ranks, weights, shares + (size_t)set * shape->experts, set_map,
+			   new_so_far);
+		for (uint32_t rank = 0; rank < ranks; rank++)
+			new_so_far[rank] +=
+				count_new(before + rank * shape->placements,
+					  set_map + rank * shape->placements, shape->placements);
+	}
 }
 
 double skh_mapplan_skew(const skh_engine_shape_t *shape, uint32_t ranks, const double *shares,
-			const uint32_t *map)
+			const double *paces, const uint32_t *map)
 {
+	uint32_t none[SKH_BALANCE_MAX_RANKS] = { 0 };
 	double sum = 0.0;
 
 	for (uint32_t set = 0; set < shape->sets; set++) {
 		skh_relief_view_t view =
-			relief_view(shape, ranks, shares + (size_t)set * shape->experts, 1.0);
+			relief_view(shape, ranks, shares + (size_t)set * shape->experts, paces);
+		skh_relief_t *relief = skh_relief_new(
+			&view, (uint32_t *)map + (size_t)set * ranks * shape->placements, 0, none);
 
-		sum += skh_relief_skew(&view, map + (size_t)set * ranks * shape->placements);
+		sum += skh_relief_skew(relief);
+		skh_relief_free(relief);
 	}
 	return sum / (double)shape->sets;
 }
 
+static void count_loads(const skh_engine_shape_t *shape, uint32_t ranks, const uint32_t *before,
+			const uint32_t *map, skh_mapplan_result_t *result)
+{
+	uint32_t places = shape->placements;
+
+	for (uint32_t rank = 0; rank < ranks; rank++) {
+		uint32_t n = 0;
+
+		for (uint32_t set = 0; set < shape->sets; set++) {
+			size_t at = ((size_t)set * ranks + rank) * places;
+
+			n += count_new(before + at, map + at, places);
+		}
+		result->n_new += n;
+		result->most_new = MAX(result->most_new, n);
+	}
+}
+
+/* Engines tell a rank's experts without gaps: a map that comes back must be the same. */
+static void close_gaps(const skh_engine_shape_t *shape, uint32_t ranks, uint32_t *map)
+{
+	for (size_t row = 0; row < (size_t)shape->sets * ranks; row++) {
+		uint32_t *places = map + row * shape->placements;
+		uint32_t n = 0;
+
+		for (uint32_t i = 0; i < shape->placements; i++) {
+			if (places[i] > 0)
+				places[n++] = places[i];
+		}
+		memset(places + n, 0, (shape->placements - n) * sizeof(*places));
+	}
+}
+
 void skh_mapplan_make(const skh_engine_shape_t *shape, uint32_t ranks,
 		      const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
 		      skh_mapplan_result_t *result)
 {
-	uint32_t new_so_far[SKH_BALANCE_MAX_RANKS] = { 0 };
+	size_t size = (size_t)shape->sets * ranks * shape->placements;
+	g_autofree uint32_t *before = g_memdup2(map, size * sizeof(*map));
 
-	*result = (skh_mapplan_result_t){ .skew_before =
-						  skh_mapplan_skew(shape, ranks, shares, map) };
-	for (uint32_t set = 0; set < shape->sets; set++)
-		plan_set(shape, ranks, weights, shares + (size_t)set * shape->experts,
-			 map + (size_t)set * ranks * shape->placements, new_so_far);
-	for (uint32_t rank = 0; rank < ranks; rank++) {
-		result->n_new += new_so_far[rank];
-		result->most_new = MAX(result->most_new, new_so_far[rank]);
-	}
-	result->skew_after = skh_mapplan_skew(shape, ranks, shares, map);
+	*result = (skh_mapplan_result_t){
+		.skew_before = skh_mapplan_skew(shape, ranks, shares, weights->paces, map),
+	};
+	if (weights->quick)
+		relieve_sets(shape, ranks, weights, shares, map);
+	else
+		search_sets(shape, ranks, weights, shares, map);
+	close_gaps(shape, ranks, map);
+	count_loads(shape, ranks, before, map, result);
+	result->skew_after = skh_mapplan_skew(shape, ranks, shares, weights->paces, map);
 }
 
 static bool is_row_valid(const skh_engine_shape_t *shape, const uint32_t *row, uint64_t *seen)
--- a/src/mapplan.h
+++ b/src/mapplan.h
@@ -25,6 +25,7 @@
 	uint32_t most_new;   /* experts that are new to a rank in all sets */
 	bool quick;	     /* relieve the fullest ranks (relief.h) and search no further */
 	double quick_target; /* skew of a set that such a plan leaves alone */
+	const double *paces; /* time that each rank takes, 1 is usual; NULL for all 1 */
 } skh_mapplan_weights_t;
 
 /** struct skh_mapplan_result - what the plan brings */
@@ -46,9 +47,9 @@
 		      const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map,
 		      skh_mapplan_result_t *result);
 
-/** skh_mapplan_skew() - mean of the sets' skew under @map and @shares */
+/** skh_mapplan_skew() - mean of the sets' skew under @map and @shares; @paces as above */
 double skh_mapplan_skew(const skh_engine_shape_t *shape, uint32_t ranks, const double *shares,
-			const uint32_t *map);
+			const double *paces, const uint32_t *map);
 
 /** skh_mapplan_is_valid() - every expert stands somewhere, no rank holds one twice */
 bool skh_mapplan_is_valid(const skh_engine_shape_t *shape, uint32_t ranks, const uint32_t *map);
--- a/src/pick.c
+++ b/src/pick.c
@@ -1,7 +1,14 @@
 #include "pick.h"
 
+#include <glib.h>
+
 /* Requests that a server with a failing part of 1 seems to have more than it has. */
 #define FAILING_WEIGHT 12.0
+/*
+ * A step of a rank without writers takes as long as about so many writers do. What a slow
+ * rank does at a pace of 2 counts as twice its writers and these, less these.
+ */
+#define IDLE_STEP_WRITERS 4.0
 /* Time of an answer before one was seen; ordinary servers are near it. */
 #define DEFAULT_MEAN_MS 60.0
 
@@ -23,7 +30,8 @@
 
 	/* Work only tells servers with as many requests apart. */
 	if (view->lock_step)
-		return load + candidate->work * 1e-6;
+		return (load + IDLE_STEP_WRITERS) * MAX(candidate->pace, 1.0) +
+		       candidate->work * 1e-6;
 	return (load + 1.0) / (double)candidate->slots * mean_ms;
 }
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -5,7 +5,8 @@
  * DOC: Which backend server gets a request
  *
  * Pure. In a lock-step group every rank waits for the one with the most
- * writers, so requests go where the fewest run. Plain servers differ in speed,
+ * writers, so requests go where the fewest run, and fewer to a rank that takes
+ * longer than the others. Plain servers differ in speed,
  * so there the expected time decides. A server that failed of late is left
  * alone for a while, then tried with a single request; when nothing else is
  * left it is used all the same.
@@ -26,6 +27,7 @@
 	uint32_t running;      /* requests sent there and not ended, by all gateways */
 	double work;	       /* expected tokens of those, or 0 */
 	double mean_ms;	       /* of its recent answers; 0 when unknown */
+	double pace;	       /* of a rank: time that it takes, 1 is usual */
 	double failing;	       /* part of recent requests that failed, 0 to 1 */
 	int64_t avoid_till_us; /* it failed; 0 when it did not */
 	int64_t full_till_us;  /* it turned a request away; 0 when it did not */
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -28,7 +28,8 @@
 	uint32_t other_calls;	    /* under way there */
 	const skh_dialect_t *dialect;
 	skh_rank_maps_t known;
-	int64_t order_us;
+	int64_t prepared; /* version of the last map that was handed on ... */
+	int64_t prepared_us;
 };
 
 /* One order; outlives the caller's connection if that is closed first. */
@@ -281,7 +282,10 @@
 	relayed->body = relay->dialect->write_order(order);
 	if (engine == relay->other)
 		relay->other_calls++;
-	relay->order_us = skh_clock_boot_us();
+	if (order->op == SKH_ENGINE_PREPARE) {
+		relay->prepared = order->version;
+		relay->prepared_us = skh_clock_boot_us();
+	}
 	skh_caller_conn_bind(conn, relayed);
 	hand_on(relayed);
 }
@@ -345,7 +349,8 @@
 	return NULL;
 }
 
-int64_t skh_rankrelay_order_us(const skh_rankrelay_t *relay)
+int64_t skh_rankrelay_prepared(const skh_rankrelay_t *relay, int64_t *since_us)
 {
-	return relay->order_us;
+	*since_us = relay->prepared_us;
+	return relay->prepared;
 }
--- a/src/rankrelay.h
+++ b/src/rankrelay.h
@@ -27,8 +27,8 @@
 				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
 				     const skh_pool_options_t *pool_options, skh_error_t *err);
 
-/** skh_rankrelay_order_us() - when the last order was handed on; 0 for none */
-int64_t skh_rankrelay_order_us(const skh_rankrelay_t *relay);
+/** skh_rankrelay_prepared() - the last map that the rank was told to prepare, and *@since_us when */
+int64_t skh_rankrelay_prepared(const skh_rankrelay_t *relay, int64_t *since_us);
 
 /* Status of an order whose map is told by its differences from one that is not known. */
 #define SKH_RANKRELAY_NO_BASE 428
--- a/src/rankwatch.c
+++ b/src/rankwatch.c
@@ -3,11 +3,18 @@
 #include "clock.h"
 #include "log.h"
 
+#include <math.h>
 #include <string.h>
 
 #define PART	   "rank"
 #define TIMEOUT_US (400 * SKH_US_PER_MS)
 #define LISTS_US   (50 * SKH_US_PER_MS)
+/* A look that came before the end of its pass is followed by another after this. */
+#define EARLY_US (15 * SKH_US_PER_MS)
+/* A pass lasts 50 to 300 ms; its length is followed over about so many. */
+#define FIRST_PASS_US (60 * SKH_US_PER_MS)
+#define MOST_PASS_US  (300 * SKH_US_PER_MS)
+#define PASS_MEMORY   4
 
 typedef enum ask {
 	ASK_REPORT,
@@ -30,6 +37,8 @@
 	bool has_seen;
 	int64_t seen_pass;
 	int64_t seen_epoch;
+	int64_t looked_us; /* when a pass was last seen to have ended */
+	int64_t pass_us;   /* about how long it lasts */
 	bool asked[ASK_KINDS];
 	int64_t next_us[ASK_KINDS];
 	int64_t report_us;
@@ -45,6 +54,7 @@
 	watch->dialect = dialect;
 	watch->ops = ops;
 	watch->context = context;
+	watch->pass_us = FIRST_PASS_US;
 	return watch;
 }
 
@@ -69,11 +79,15 @@
 	watch->more = g_new0(double, watch->n_seen);
 }
 
+/* A rank's pace that changes by less is no news. */
+#define PACE_NEWS 0.1
+
 static bool differs(const skh_engine_report_t *a, const skh_engine_report_t *b)
 {
-	return a->epoch != b->epoch || a->group_open != b->group_open ||
-	       a->map_version != b->map_version || a->prepared != b->prepared ||
-	       a->armed != b->armed || a->held != b->held || a->rank != b->rank;
+	return fabs(a->pace - b->pace) > PACE_NEWS * b->pace || a->epoch != b->epoch ||
+	       a->group_open != b->group_open || a->map_version != b->map_version ||
+	       a->prepared != b->prepared || a->armed != b->armed || a->held != b->held ||
+	       a->rank != b->rank;
 }
 
 static void take_report(skh_rankwatch_t *watch, skh_chunk_t body)
@@ -95,10 +109,10 @@
 			"group=%s rank=%u size=%u epoch=%" G_GINT64_FORMAT
 			" open=%d pass=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
 			" prepared=%" G_GINT64_FORMAT " armed=%" G_GINT64_FORMAT
-			" held=%" G_GINT64_FORMAT,
+			" held=%" G_GINT64_FORMAT " pace=%.2f",
 			report.in_group ? report.group : "-", report.rank, report.group_size,
 			report.epoch, report.group_open, report.pass, report.map_version,
-			report.prepared, report.armed, report.held);
+			report.prepared, report.armed, report.held, report.pace);
 	watch->news.has_report = true;
 	watch->news.report = report;
 	watch->news.reported_us = skh_clock_boot_us();
@@ -108,6 +122,25 @@
 		watch->ops->on_change(watch->context);
 }
 
+/*
+ * Counts are read once a pass, so that what is counted before a shift does not mix with
+ * what is after. The next look is due when the next pass should have ended.
+ */
+static void plan_look(skh_rankwatch_t *watch, bool is_next, int64_t passes, int64_t now_us)
+{
+	int64_t span_us = now_us - watch->looked_us;
+
+	if (!is_next) {
+		watch->next_us[ASK_COUNTS] = now_us + EARLY_US;
+		return;
+	}
+	/* A group that stood still does not tell how long a pass lasts. */
+	if (span_us < passes * MOST_PASS_US)
+		watch->pass_us += (span_us / passes - watch->pass_us) / PASS_MEMORY;
+	watch->looked_us = now_us;
+	watch->next_us[ASK_COUNTS] = now_us + watch->pass_us;
+}
+
 /* What was counted since the last look; false for the first of an engine's start. */
 static bool find_more(skh_rankwatch_t *watch, const skh_engine_counts_t *counts)
 {
@@ -141,6 +174,7 @@
 		};
 		bool is_next = find_more(watch, &counts);
 
+		plan_look(watch, is_next, counts.pass - watch->seen_pass, skh_clock_boot_us());
 		watch->has_seen = true;
 		watch->seen_epoch = counts.epoch;
 		watch->seen_pass = counts.pass;
@@ -184,21 +218,6 @@
 	skh_engine_client_get(watch->client, path, TIMEOUT_US, what, on_answer, watch);
 }
 
-/* Counts are read once a pass: what is counted before a shift must not mix with what is after. */
-static bool has_begun_pass(const skh_rankwatch_t *watch)
-{
-	const skh_engine_report_t *report = &watch->news.report;
-
-	return !watch->has_seen || report->pass > watch->seen_pass ||
-	       report->epoch != watch->seen_epoch;
-}
-
-static void look(skh_rankwatch_t *watch, int64_t now_us)
-{
-	if (watch->has_shape && has_begun_pass(watch))
-		ask(watch, ASK_COUNTS, watch->dialect->counts_path, 0, now_us);
-}
-
 static void on_answer(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_rankwatch_t *watch = context;
@@ -214,18 +233,19 @@
 	if (watch->lost)
 		skh_log(SKH_LOG_INFO, PART, "Engine answers again.", "status=%d", status);
 	watch->lost = false;
-	if (tag == ASK_REPORT) {
+	if (tag == ASK_REPORT)
 		take_report(watch, body);
-		look(watch, skh_clock_boot_us());
-	} else if (tag == ASK_COUNTS) {
+	else if (tag == ASK_COUNTS)
 		take_counts(watch, body);
-	} else {
+	else
 		take_lists(watch, body);
-	}
 }
 
 void skh_rankwatch_set_pace(skh_rankwatch_t *watch, int64_t report_us)
 {
+	/* What was to come late comes sooner. */
+	if (report_us < watch->report_us)
+		watch->next_us[ASK_REPORT] = 0;
 	watch->report_us = report_us;
 }
 
@@ -234,6 +254,7 @@
 	ask(watch, ASK_REPORT, watch->dialect->report_path, watch->report_us, now_us);
 	if (!watch->has_shape || !watch->news.has_report)
 		return;
+	ask(watch, ASK_COUNTS, watch->dialect->counts_path, watch->pass_us, now_us);
 	if (!watch->news.has_map)
 		ask(watch, ASK_LISTS, watch->dialect->lists_path, LISTS_US, now_us);
 }
--- a/src/relief.c
+++ b/src/relief.c
@@ -4,14 +4,18 @@
 #include <stdbool.h>
 #include <string.h>
 
-typedef struct state {
-	const skh_relief_view_t *view;
+struct skh_relief {
+	skh_relief_view_t view;
 	uint32_t *map;
-	uint32_t *loads_left;
-	uint32_t *count; /* ranks that hold an expert */
-	double *highest; /* load of the fullest of them */
+	uint32_t *loads_left;			   /* of all sets */
+	uint32_t spare_left[SKH_RELIEF_MAX_RANKS]; /* of this one */
+	uint32_t *count;			   /* ranks that hold an expert */
+	double *highest;			   /* load of the fullest of them */
 	double load[SKH_RELIEF_MAX_RANKS];
-} state_t;
+	/* These follow from the above: */
+	uint32_t full;	  /* the fullest rank */
+	double roughness; /* sum of squares: falls when any full rank is relieved */
+};
 
 /* One load: @expert comes to @place of @rank; what stood there leaves. */
 typedef struct step {
@@ -21,86 +25,132 @@
 	double height; /* greatest load among the ranks that it touches */
 } step_t;
 
-static uint32_t *row_of(const state_t *state, uint32_t rank)
+static double pace_of(const skh_relief_t *state, uint32_t rank)
 {
-	return state->map + (size_t)rank * state->view->n_places;
+	return state->view.paces ? state->view.paces[rank] : 1.0;
 }
 
-static double part_of(const state_t *state, uint32_t expert)
+static uint32_t *row_of(const skh_relief_t *state, uint32_t rank)
 {
-	return state->view->shares[expert] / (double)MAX(state->count[expert], 1);
+	return state->map + (size_t)rank * state->view.n_places;
 }
 
-static bool holds(const state_t *state, uint32_t rank, uint32_t expert)
+static double part_of(const skh_relief_t *state, uint32_t expert)
+{
+	return state->view.shares[expert] / (double)MAX(state->count[expert], 1);
+}
+
+static bool holds(const skh_relief_t *state, uint32_t rank, uint32_t expert)
 {
 	const uint32_t *row = row_of(state, rank);
 
-	for (uint32_t i = 0; i < state->view->n_places; i++) {
+	for (uint32_t i = 0; i < state->view.n_places; i++) {
 		if (row[i] == expert + 1)
 			return true;
 	}
 	return false;
 }
 
-static void find_loads(state_t *state)
+static void count_holders(skh_relief_t *state)
 {
-	uint32_t n = state->view->n_ranks * state->view->n_places;
+	uint32_t n = state->view.n_ranks * state->view.n_places;
 
-	memset(state->count, 0, sizeof(uint32_t) * state->view->n_experts);
+	memset(state->count, 0, sizeof(uint32_t) * state->view.n_experts);
 	for (uint32_t i = 0; i < n; i++) {
 		if (state->map[i] > 0)
 			state->count[state->map[i] - 1]++;
 	}
-	for (uint32_t rank = 0; rank < state->view->n_ranks; rank++) {
+}
+
+static void find_highest(skh_relief_t *state)
+{
+	memset(state->highest, 0, sizeof(double) * state->view.n_experts);
+	for (uint32_t rank = 0; rank < state->view.n_ranks; rank++) {
+		const uint32_t *row = row_of(state, rank);
+
+		for (uint32_t i = 0; i < state->view.n_places; i++) {
+			if (row[i] > 0 && state->load[rank] > state->highest[row[i] - 1])
+				state->highest[row[i] - 1] = state->load[rank];
+		}
+	}
+}
+
+static void sum_up(skh_relief_t *state)
+{
+	state->full = 0;
+	state->roughness = 0.0;
+	for (uint32_t rank = 0; rank < state->view.n_ranks; rank++) {
+		state->roughness += state->load[rank] * state->load[rank];
+		if (state->load[rank] > state->load[state->full])
+			state->full = rank;
+	}
+}
+
+static void find_loads(skh_relief_t *state)
+{
+	count_holders(state);
+	for (uint32_t rank = 0; rank < state->view.n_ranks; rank++) {
 		const uint32_t *row = row_of(state, rank);
 
 		state->load[rank] = 0.0;
-		for (uint32_t i = 0; i < state->view->n_places; i++) {
+		for (uint32_t i = 0; i < state->view.n_places; i++) {
 			if (row[i] > 0)
 				state->load[rank] += part_of(state, row[i] - 1);
 		}
+		state->load[rank] *= pace_of(state, rank);
 	}
-	memset(state->highest, 0, sizeof(double) * state->view->n_experts);
-	for (uint32_t rank = 0; rank < state->view->n_ranks; rank++) {
-		const uint32_t *row = row_of(state, rank);
+	sum_up(state);
+	find_highest(state);
+}
 
-		for (uint32_t i = 0; i < state->view->n_places; i++) {
-			if (row[i] > 0 && state->load[rank] > state->highest[row[i] - 1])
-				state->highest[row[i] - 1] = state->load[rank];
-		}
+/* One more holder of @expert, @rank, or one less: the others' parts change. */
+static void change_holders(skh_relief_t *state, uint32_t rank, uint32_t expert, bool more)
+{
+	double before = part_of(state, expert);
+	double change;
+
+	state->count[expert] = more ? state->count[expert] + 1 : state->count[expert] - 1;
+	change = part_of(state, expert) - before;
+	for (uint32_t i = 0; i < state->view.n_ranks; i++) {
+		if (i != rank && holds(state, i, expert))
+			state->load[i] += change * pace_of(state, i);
 	}
+	state->load[rank] += (more ? before + change : -before) * pace_of(state, rank);
 }
 
-static uint32_t fullest(const state_t *state)
+/* Puts @content into @cell of @rank. */
+static void put(skh_relief_t *state, uint32_t rank, uint32_t *cell, uint32_t content)
 {
-	uint32_t best = 0;
+	uint32_t before = *cell;
 
-	for (uint32_t rank = 1; rank < state->view->n_ranks; rank++) {
-		if (state->load[rank] > state->load[best])
-			best = rank;
-	}
-	return best;
+	*cell = 0;
+	if (before > 0)
+		change_holders(state, rank, before - 1, false);
+	*cell = content;
+	if (content > 0)
+		change_holders(state, rank, content - 1, true);
+	sum_up(state);
 }
 
 /* What its other holders get when a replica of @expert goes. */
-static double burden_of(const state_t *state, uint32_t expert)
+static double burden_of(const skh_relief_t *state, uint32_t expert)
 {
 	uint32_t count = state->count[expert];
 
-	return state->view->shares[expert] / (double)(count - 1) - part_of(state, expert);
+	return state->view.shares[expert] / (double)(count - 1) - part_of(state, expert);
 }
 
 /*
  * The place of @rank that is given up most easily; false when there is none.
  * @others: load of the fullest rank that gets what the place gave up
  */
-static bool find_place(const state_t *state, uint32_t rank, uint32_t *place, double *freed,
+static bool find_place(const skh_relief_t *state, uint32_t rank, uint32_t *place, double *freed,
 		       double *others)
 {
 	const uint32_t *row = row_of(state, rank);
 	bool found = false;
 
-	for (uint32_t i = 0; i < state->view->n_places; i++) {
+	for (uint32_t i = 0; i < state->view.n_places; i++) {
 		double load;
 
 		if (row[i] == 0) {
@@ -123,20 +173,22 @@
 }
 
 /* Where one more replica of @expert weighs least. */
-static bool find_step(const state_t *state, uint32_t expert, step_t *best)
+static bool find_step(const skh_relief_t *state, uint32_t expert, step_t *best)
 {
-	double part = state->view->shares[expert] / (double)(state->count[expert] + 1);
+	double part = state->view.shares[expert] / (double)(state->count[expert] + 1);
 	bool found = false;
 
-	for (uint32_t rank = 0; rank < state->view->n_ranks; rank++) {
+	for (uint32_t rank = 0; rank < state->view.n_ranks; rank++) {
 		step_t step = { .rank = rank, .expert = expert };
 		double freed = 0.0;
 		double others = 0.0;
 
-		if (state->loads_left[rank] == 0 || holds(state, rank, expert) ||
+		if (state->loads_left[rank] == 0 || state->spare_left[rank] == 0 ||
+		    holds(state, rank, expert) ||
 		    !find_place(state, rank, &step.place, &freed, &others))
 			continue;
-		step.height = MAX(state->load[rank] - freed + part, others);
+		step.height =
+			MAX(state->load[rank] + (part - freed) * pace_of(state, rank), others);
 		if (found && step.height >= best->height)
 			continue;
 		*best = step;
@@ -145,68 +197,92 @@
 	return found;
 }
 
-static uint32_t heaviest_on(const state_t *state, uint32_t rank, double below)
+static uint32_t heaviest_on(const skh_relief_t *state, uint32_t rank, double below)
 {
 	const uint32_t *row = row_of(state, rank);
-	uint32_t heaviest = state->view->n_experts;
+	uint32_t heaviest = state->view.n_experts;
 
-	for (uint32_t i = 0; i < state->view->n_places; i++) {
+	for (uint32_t i = 0; i < state->view.n_places; i++) {
 		if (row[i] == 0 || part_of(state, row[i] - 1) >= below)
 			continue;
-		if (heaviest == state->view->n_experts ||
+		if (heaviest == state->view.n_experts ||
 		    part_of(state, row[i] - 1) > part_of(state, heaviest))
 			heaviest = row[i] - 1;
 	}
 	return heaviest;
 }
 
-static double height(const state_t *state)
-{
-	return state->load[fullest(state)];
-}
-
-/* Sum of squares: falls when any full rank is relieved, though another is as full. */
-static double roughness(const state_t *state)
+static double height(const skh_relief_t *state)
 {
-	double sum = 0.0;
-
-	for (uint32_t rank = 0; rank < state->view->n_ranks; rank++)
-		sum += state->load[rank] * state->load[rank];
-	return sum;
+	return state->load[state->full];
 }
 
-/* Does @step if that is for the better. */
-static bool try_step(state_t *state, const step_t *step)
+/* Puts @content into @cell if that is for the better. */
+static bool try_content(skh_relief_t *state, uint32_t rank, uint32_t *cell, uint32_t content)
 {
-	uint32_t *cell = row_of(state, step->rank) + step->place;
 	uint32_t before = *cell;
 	double height_before = height(state);
-	double rough_before = roughness(state);
-	double least = state->view->least_gain / (double)state->view->n_ranks;
+	double rough_before = state->roughness;
+	double least = state->view.least_gain / (double)state->view.n_ranks;
 
-	*cell = step->expert + 1;
-	find_loads(state);
+	put(state, rank, cell, content);
 	if (height(state) < height_before - least ||
-	    (height(state) <= height_before && roughness(state) < rough_before - least * least)) {
-		state->loads_left[step->rank]--;
+	    (height(state) <= height_before && state->roughness < rough_before - least * least)) {
+		find_highest(state);
 		return true;
 	}
-	*cell = before;
-	find_loads(state);
+	put(state, rank, cell, before);
 	return false;
 }
 
-/* One load that relieves the fullest rank, by its heaviest expert or the next. */
-static bool relieve(state_t *state)
+static bool try_step(skh_relief_t *state, const step_t *step)
+{
+	if (!try_content(state, step->rank, row_of(state, step->rank) + step->place,
+			 step->expert + 1))
+		return false;
+	state->loads_left[step->rank]--;
+	state->spare_left[step->rank]--;
+	return true;
+}
+
+/* A replica on the fullest rank is given up: its other holders take its part. */
+static bool give_up(skh_relief_t *state, uint32_t full)
 {
-	uint32_t full = fullest(state);
+	uint32_t *row = row_of(state, full);
+	double best_height = state->load[full];
+	uint32_t best = state->view.n_places;
+
+	for (uint32_t i = 0; i < state->view.n_places; i++) {
+		double left;
+		double others;
+
+		if (row[i] == 0 || state->count[row[i] - 1] < 2)
+			continue;
+		left = state->load[full] - part_of(state, row[i] - 1) * pace_of(state, full);
+		others = state->highest[row[i] - 1] < state->load[full]
+				 ? state->highest[row[i] - 1] + burden_of(state, row[i] - 1)
+				 : 0.0;
+		if (MAX(left, others) < best_height) {
+			best_height = MAX(left, others);
+			best = i;
+		}
+	}
+	return best < state->view.n_places && try_content(state, full, row + best, 0);
+}
+
+/* Relieves the fullest rank: without a load, or by one of its heaviest expert or the next. */
+bool skh_relief_step(skh_relief_t *state)
+{
+	uint32_t full = state->full;
 	double below = 2.0;
 
-	for (uint32_t i = 0; i < state->view->n_places; i++) {
+	if (give_up(state, full))
+		return true;
+	for (uint32_t i = 0; i < state->view.n_places; i++) {
 		uint32_t expert = heaviest_on(state, full, below);
 		step_t step;
 
-		if (expert == state->view->n_experts)
+		if (expert == state->view.n_experts)
 			return false;
 		if (find_step(state, expert, &step) && step.height < state->load[full] &&
 		    try_step(state, &step))
@@ -216,35 +292,30 @@
 	return false;
 }
 
-static state_t open_state(const skh_relief_view_t *view, uint32_t *map, uint32_t *loads_left)
+skh_relief_t *skh_relief_new(const skh_relief_view_t *view, uint32_t *map, uint32_t spare,
+			     uint32_t *loads_left)
 {
-	state_t state = { .view = view, .map = map, .loads_left = loads_left };
-
-	state.count = g_new(uint32_t, view->n_experts);
-	state.highest = g_new(double, view->n_experts);
-	find_loads(&state);
-	return state;
+	skh_relief_t *relief = g_new0(skh_relief_t, 1);
+
+	relief->view = *view;
+	relief->map = map;
+	relief->loads_left = loads_left;
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++)
+		relief->spare_left[rank] = spare;
+	relief->count = g_new(uint32_t, view->n_experts);
+	relief->highest = g_new(double, view->n_experts);
+	find_loads(relief);
+	return relief;
 }
 
-uint32_t skh_relief_make(const skh_relief_view_t *view, uint32_t *map, uint32_t *loads_left)
+void skh_relief_free(skh_relief_t *relief)
 {
-	state_t state = open_state(view, map, loads_left);
-	uint32_t most = view->n_ranks * view->n_places;
-	uint32_t n = 0;
-
-	while (n < most && height(&state) * (double)view->n_ranks > view->target && relieve(&state))
-		n++;
-	g_free(state.count);
-	g_free(state.highest);
-	return n;
+	g_free(relief->count);
+	g_free(relief->highest);
+	g_free(relief);
 }
 
-double skh_relief_skew(const skh_relief_view_t *view, const uint32_t *map)
+double skh_relief_skew(const skh_relief_t *relief)
 {
-	state_t state = open_state(view, (uint32_t *)map, NULL);
-	double skew = height(&state) * (double)view->n_ranks;
-
-	g_free(state.count);
-	g_free(state.highest);
-	return skew;
+	return height(relief) * (double)relief->view.n_ranks;
 }
--- a/src/relief.h
+++ b/src/relief.h
@@ -9,8 +9,13 @@
  * the fullest rank where they help most, one load at a time, until nothing more
  * is gained. It looks at far less than balance.h and costs a small part of it,
  * so that it fits a group of 63 ranks into a small share of a core.
+ *
+ * And a rank that turns slow, for which all others wait: its work counts as many
+ * times as it takes longer, so that its experts come to stand elsewhere. A replica
+ * is given up without a load where the other ranks can bear its part.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -25,20 +30,28 @@
 	uint32_t n_places;
 	uint32_t n_experts;
 	const double *shares; /* of tokens, [@n_experts], sum 1 */
-	double target;	      /* skew that is good enough */
+	const double *paces;  /* time that a rank takes, 1 is usual, [@n_ranks]; NULL for all 1 */
 	double least_gain;    /* skew that a load must bring */
 } skh_relief_view_t;
 
+typedef struct skh_relief skh_relief_t;
+
 /**
- * skh_relief_make() - change @map for the better
- * @map: expert + 1 in each place, 0 for none, [ranks][places]
- * @loads_left: loads that each rank may still get; lowered by those made
- * Return: number of loads.
+ * skh_relief_new() - work on one set
+ * @view: copied; what it points to must outlive the relief
+ * @map: changed for the better; expert + 1 in each place, 0 for none, [ranks][places]
+ * @spare: loads that each rank may get in this set
+ * @loads_left: loads that each rank may still get in all sets; lowered by those made
  */
-uint32_t skh_relief_make(const skh_relief_view_t *view, uint32_t *map, uint32_t *loads_left);
+skh_relief_t *skh_relief_new(const skh_relief_view_t *view, uint32_t *map, uint32_t spare,
+			     uint32_t *loads_left);
+void skh_relief_free(skh_relief_t *relief);
+
+/** skh_relief_step() - relieve the fullest rank once; false when nothing more is gained */
+bool skh_relief_step(skh_relief_t *relief);
 
-/** skh_relief_skew() - greatest rank load over the mean */
-double skh_relief_skew(const skh_relief_view_t *view, const uint32_t *map);
+/** skh_relief_skew() - greatest rank load, in its own time, over the mean at usual pace */
+double skh_relief_skew(const skh_relief_t *relief);
 
 #ifdef __cplusplus
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2236,7 +2236,7 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[22] =
 {
   {
     "service",
@@ -2490,6 +2490,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
   9,   /* field[9] = armed */
@@ -2505,6 +2517,7 @@
   17,   /* field[17] = n_counts */
   11,   /* field[11] = number */
   4,   /* field[4] = open */
+  21,   /* field[21] = pace */
   6,   /* field[6] = pass */
   8,   /* field[8] = prepared */
   2,   /* field[2] = rank */
@@ -2517,7 +2530,7 @@
 static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor skh__rank_report__descriptor =
 {
@@ -2527,7 +2540,7 @@
   "Skh__RankReport",
   "skh",
   sizeof(Skh__RankReport),
-  21,
+  22,
   skh__rank_report__field_descriptors,
   skh__rank_report__field_indices_by_name,
   1,  skh__rank_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -438,13 +438,17 @@
 	char *relay;
 	int64_t from_pass;
 	int64_t to_pass;
+	/*
+   * time that the rank takes, 1 is usual
+   */
+	double pace;
 };
 #define SKH__RANK_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_report__descriptor)                             \
 		, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, \
 			0, 0, 0, 0, 0, 0, { 0, NULL }, 0, NULL, 0, 0, 0,                           \
-			(char *)protobuf_c_empty_string, 0, 0                                      \
+			(char *)protobuf_c_empty_string, 0, 0, 0                                   \
 	}
 
 /*
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -66,6 +66,20 @@
 		EXPECT_EQ(t.pick(), "after");
 }
 
+// What a coordinator tells holds for servers that are listed later, too, until it is taken back.
+TEST(Backends, ASlowRankIsKnownByItsAddress)
+{
+	Backends t;
+
+	t.list("a", "10.0.0.1", 1);
+	skh_backends_set_paces(t.backends, "110.0.0.1:80 9.0\n10.0.0.2:80 4.5\n");
+	t.list("b", "10.0.0.2", 1);
+	EXPECT_EQ(skh_backends_target(t.backends, "a")->pace, 1.0);
+	EXPECT_EQ(skh_backends_target(t.backends, "b")->pace, 4.5);
+	skh_backends_set_paces(t.backends, "");
+	EXPECT_EQ(skh_backends_target(t.backends, "b")->pace, 1.0);
+}
+
 TEST(Backends, TheOrderOfTheListDoesNotMatter)
 {
 	Backends t;
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -276,6 +276,32 @@
 	EXPECT_LE(range.second->running - range.first->running, 1U);
 }
 
+// A rank that takes five times as long gets nothing while others have room; one that takes
+// a little longer gets less.
+TEST(Pick, ASlowRankGetsLessThanTheOthers)
+{
+	std::vector<skh_candidate_t> list(12);
+	std::mt19937 random(5);
+
+	for (auto &candidate : list)
+		candidate.slots = 12;
+	list[3].pace = 5.0;
+	list[7].pace = 1.5;
+	for (int i = 0; i < 80; i++) {
+		skh_pick_view_t view = { list.data(), 12, true, 0, random(), kS };
+
+		list[skh_pick_server(&view)].running++;
+	}
+	EXPECT_EQ(list[3].running, 0U);
+	EXPECT_GT(list[7].running, 0U);
+	EXPECT_LT(list[7].running, list[0].running);
+	for (auto &candidate : list)
+		candidate.running = 12;
+	list[3].running = 0;
+	skh_pick_view_t view = { list.data(), 12, true, 0, 0, kS };
+	EXPECT_EQ(skh_pick_server(&view), 3);
+}
+
 TEST(Pick, FullLeavingAndDeadServersGetNothing)
 {
 	std::vector<skh_candidate_t> list(3);
