Begin a map change with what matters; send callers of a cut-off gateway elsewhere

They now refuse with 10 ms, and from 2.6 s without the store on each answer ends its connection and the gateway is not ready. (2) 63 ranks asked a lost store each 120 ms, 1,748 priced calls of 3,700: they now back off to a second. (3) A first change down to a skew of 1.08 told 190 loads; 40 reach 1.45 in 0.15 s instead of 0.2 s, and passes below that are short enough for every stream. A plan is made from 50 choices an expert. (4) A rank's late report of before a change brought its old map back: 'Plan is no map', or whole maps of 5 KB each (0.7 s a change).

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -30,7 +30,7 @@
 
 # fleet_config VERSION [KEYS [EXTRA_ROUTE]]: the operator's document
 fleet_config() {
-	local engine='{"slots":8,"stride":4,"link-mbps":180000.0,"step_ms":4.5,"per_seq_ms":0.9,"sets":2,"experts":'$((RANKS * 2))',"placements":4,"spare":3,"expert-mb":100.0,"expert-share":0.85}'
+	local engine='{"slots":8,"stride":4,"link-mbps":180000.0,"step_ms":2.0,"per_seq_ms":0.4,"sets":2,"experts":'$((RANKS * 2))',"placements":4,"spare":3,"expert-mb":100.0,"expert-share":0.85}'
 	printf '{"version":%s,"routes":[%s,%s,%s%s],"services":[{"name":"model","health-path":"/health","max-connections":100,"engine":%s},{"name":"ledger","health-path":"/health","max-connections":100}],"limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"acme","api-keys":[%s],"priority":1}]}' \
 		"$1" "$(fleet_route stream streaming model ',"stream-resume":true,"gap-goal-ms":120')" \
 		"$(fleet_route once non_idempotent ledger)" "$(fleet_route often idempotent ledger)" \
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -179,7 +179,7 @@
         with self.lock:
             self.version += 1
             version = self.version
-        engine = {"slots": 8, "stride": 4, "link-mbps": 180000.0, "step_ms": 4.5, "per_seq_ms": 0.9,
+        engine = {"slots": 8, "stride": 4, "link-mbps": 180000.0, "step_ms": 2.0, "per_seq_ms": 0.4,
                   "sets": 2, "experts": self.options.ranks * 2, "placements": 4, "spare": 3,
                   "expert-mb": 100.0, "expert-share": 0.85}
         document = {
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -27,9 +27,11 @@
  */
 #define LEAST_GAIN	0.15
 #define LEAST_GAIN_IDLE 0.9
-/* Skew of a set that quick relief leaves alone, in the same two cases. */
-#define RELIEF_TARGET	   1.08
-#define RELIEF_TARGET_IDLE 1.6
+/* Skew of a set that a plan leaves alone, in the same two cases ... */
+#define SKEW_TARGET	 1.08
+#define SKEW_TARGET_IDLE 1.6
+/* ... and that a first change after a shift does: each load of more takes longer to tell. */
+#define RELIEF_TARGET 1.45
 /* Passes are short below this part of a pass with every slot in use. */
 #define SHORT_PASS_PART 0.75
 /* Copies make passes longer: so much of a set's skew is one of them worth. */
@@ -471,7 +473,9 @@
 	skew = skh_mapplan_skew(&view->shape, view->n_ranks, shares, coordinator->paces, view->map);
 	relief = skew > RELIEF_SKEW;
 	weights = (skh_mapplan_weights_t){
-		.quick_target = idle ? RELIEF_TARGET_IDLE : RELIEF_TARGET,
+		.quick_target = idle	 ? SKEW_TARGET_IDLE
+				: relief ? RELIEF_TARGET
+					 : SKEW_TARGET,
 		.skew_weight = coordinator->options.skew_weight,
 		.cost_weight = coordinator->options.cost_weight,
 		.load_cost = LOAD_COST,
@@ -563,11 +567,13 @@
 	coordinator->repair = !done && change->held_since_us != 0;
 	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
 		"version=%" PRId64 " took_ms=%" PRId64 " prepare_ms=%" PRId64 " copy_ms=%" PRId64
-		" hold_ms=%" PRId64 " arm_ms=%" PRId64 " settle_ms=%" PRId64 " reason=%s",
+		" hold_ms=%" PRId64 " arm_ms=%" PRId64 " go_ms=%" PRId64 " settle_ms=%" PRId64
+		" reason=%s",
 		change->version, (now_us - coordinator->change_since_us) / SKH_US_PER_MS,
 		spent_ms(change, SKH_CHANGE_PREPARE), spent_ms(change, SKH_CHANGE_COPY),
 		spent_ms(change, SKH_CHANGE_HOLD), spent_ms(change, SKH_CHANGE_ARM),
-		spent_ms(change, SKH_CHANGE_SETTLE), done ? "-" : change->why);
+		spent_ms(change, SKH_CHANGE_GO), spent_ms(change, SKH_CHANGE_SETTLE),
+		done ? "-" : change->why);
 	skh_metrics_add(done ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
--- a/src/demand.c
+++ b/src/demand.c
@@ -29,10 +29,10 @@
 /* Choices an expert that are remembered; then older ones fade by half. */
 #define MEMORY_PER_EXPERT 800.0
 /* Choices an expert that a map is planned by at once ... */
-#define KNOWN_PER_EXPERT 100.0
+#define KNOWN_PER_EXPERT 50.0
 /* ... or, when no more have come for a while after the shift, by so few. */
 #define ROUGH_PER_EXPERT 20.0
-#define ROUGH_AFTER_US	 (60 * SKH_US_PER_MS)
+#define ROUGH_AFTER_US	 (40 * SKH_US_PER_MS)
 /* An expert that was never seen may be asked for any moment. */
 #define UNSEEN_COUNT 0.5
 
--- a/src/downstream.c
+++ b/src/downstream.c
@@ -32,6 +32,7 @@
 	skh_caller_limits_t limits;
 	GQueue connections;
 	bool retiring;
+	bool away; /* callers are to come back elsewhere */
 	bool closed;
 };
 
@@ -160,7 +161,7 @@
 {
 	skh_buffer_t out = SKH_BUFFER_INIT;
 
-	conn->keep = conn->keep && !conn->listener->retiring;
+	conn->keep = conn->keep && !conn->listener->retiring && !conn->listener->away;
 	conn->chunked = head->chunked && !head->no_body;
 	skh_buffer_printf(&out, "HTTP/1.1 %" PRId32 " %s\r\n%s", head->status, head->reason,
 			  head->headers);
@@ -450,6 +451,11 @@
 	}
 }
 
+void skh_listener_turn_away(skh_listener_t *listener, bool away)
+{
+	listener->away = away;
+}
+
 void skh_listener_stop_accepting(skh_listener_t *listener)
 {
 	if (!uv_is_closing((uv_handle_t *)&listener->tcp))
--- a/src/downstream.h
+++ b/src/downstream.h
@@ -41,6 +41,9 @@
 /** skh_listener_retire() - answers end their connections; idle ones are closed */
 void skh_listener_retire(skh_listener_t *listener);
 
+/** skh_listener_turn_away() - while @away, answers end their connections: others serve better */
+void skh_listener_turn_away(skh_listener_t *listener, bool away);
+
 /** skh_listener_stop_accepting() - new connections are refused; open ones go on */
 void skh_listener_stop_accepting(skh_listener_t *listener);
 
--- a/src/election.c
+++ b/src/election.c
@@ -16,7 +16,9 @@
 #define MARGIN_US (200 * SKH_US_PER_MS)
 #define WATCH_MS  20000
 #define PAUSE_US  (120 * SKH_US_PER_MS)
-#define START_US  (600 * SKH_US_PER_MS)
+/* Each failed call is paid for, by all ranks: they ask less and less often. */
+#define PAUSE_MOST_US (1 * SKH_US_PER_S)
+#define START_US      (600 * SKH_US_PER_MS)
 /* A renewal that takes longer is worth a line. */
 #define SLOW_US (150 * SKH_US_PER_MS)
 /* The list is read no more often while it is wanted. */
@@ -34,6 +36,7 @@
 	char *notice;		  /* to be told; under the lock */
 	bool wants_servers;
 	/* Of the thread alone: */
+	int64_t pause_us; /* after the next failure to follow */
 	int64_t lease;
 	int64_t revision;   /* of the store, as last read */
 	int64_t servers_us; /* when they were read */
@@ -193,11 +196,14 @@
 		done = read_holder(election, taken, &err) && (*taken || take_lease(election, &err));
 		*known = false;
 	}
-	if (!done) {
-		fail("Lease not followed.", &err);
-		*known = false;
-		pause_thread(election, PAUSE_US);
+	if (done) {
+		election->pause_us = PAUSE_US;
+		return;
 	}
+	fail("Lease not followed.", &err);
+	*known = false;
+	pause_thread(election, election->pause_us);
+	election->pause_us = MIN(election->pause_us * 2, PAUSE_MOST_US);
 }
 
 static bool wants_servers(skh_election_t *election)
@@ -344,6 +350,7 @@
 
 	election->options = *options;
 	election->servers = g_ptr_array_new_with_free_func(g_free);
+	election->pause_us = PAUSE_US;
 	election->notice = g_strdup("");
 	election->told = g_strdup("");
 	election->key = g_strconcat(options->prefix, "coordinator", NULL);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -25,6 +25,8 @@
 #define RETRY_AFTER_PART 3
 #define RETRY_LEAST_MS	 100
 #define RETRY_SPREAD_MS	 400
+/* When another gateway can serve now. */
+#define RETRY_ELSEWHERE_MS 10
 /*
  * All streams of a group wait for its slowest rank. Beyond this pace those that it has
  * cost the others more than they lose by being read again elsewhere.
@@ -477,8 +479,8 @@
 					   exchange->request->target->str);
 	if ((!exchange->route || exchange->route->needs_key) &&
 	    !skh_gateway_keys_hold(gateway, now_us)) {
-		skh_exchange_refuse(exchange, SKH_STALE,
-				    skh_exchange_retry_after_ms(exchange, SKH_RETRY_DEFAULT_MS),
+		/* Other gateways hold the keys: they are asked next, on a new connection. */
+		skh_exchange_refuse(exchange, SKH_STALE, RETRY_ELSEWHERE_MS,
 				    "the configuration may be out of date");
 		return false;
 	}
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -17,6 +17,8 @@
 #define TICK_MS 20
 /* The balancer asks each second and needs two refusals to turn callers elsewhere. */
 #define LAME_DUCK_US (2600 * SKH_US_PER_MS)
+/* Without the store for longer; a poll without news takes a second, and vouches for its beginning. */
+#define READY_US (2600 * SKH_US_PER_MS)
 /* A connection that was not made by then is tried at another server. */
 #define CONNECT_TIMEOUT_US (350 * SKH_US_PER_MS)
 /* A server that acknowledges nothing for this long is lost. */
@@ -137,11 +139,15 @@
 	skh_exchange_follow_paces(&shell->gateway);
 }
 
+/*
+ * A gateway that has lost the store turns callers away well before its keys end: the
+ * balancer needs two seconds to send them elsewhere, and kept connections stay.
+ */
 static void update_ready(shell_t *shell, int64_t now_us)
 {
 	skh_gateway_t *gateway = &shell->gateway;
-	bool ready = shell->leave_us == 0 && gateway->routing && gateway->roster &&
-		     skh_gateway_keys_hold(gateway, now_us);
+	bool fresh = skh_gateway_fresh_age_us(gateway, now_us) < READY_US;
+	bool ready = shell->leave_us == 0 && gateway->routing && gateway->roster && fresh;
 
 	if (ready != (g_atomic_int_get(&shell->ready) != 0))
 		skh_log(SKH_LOG_INFO, PART, ready ? "Ready." : "Not ready.",
@@ -149,6 +155,7 @@
 			skh_gateway_fresh_age_us(gateway, now_us) / SKH_US_PER_MS,
 			shell->leave_us != 0);
 	g_atomic_int_set(&shell->ready, ready);
+	skh_listener_turn_away(gateway->listener, !fresh);
 }
 
 static void begin_stop(shell_t *shell, int64_t now_us)
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -142,8 +142,11 @@
 static void take_map(skh_groupview_t *view, uint32_t rank, const Skh__RankReport *message)
 {
 	size_t n = (size_t)view->shape.sets * view->shape.placements;
+	const skh_engine_report_t *report = &view->ranks[rank].report;
 
-	if (message->map_known && message->n_map == n)
+	/* It may be that of before a change, which is passed over. */
+	if (message->map_known && message->n_map == n && message->epoch == report->epoch &&
+	    message->map_version == report->map_version)
 		place_map(view, rank, message->map);
 }
 
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -180,8 +180,8 @@
 static void relieve_sets(const skh_engine_shape_t *shape, uint32_t ranks,
 			 const skh_mapplan_weights_t *weights, const double *shares, uint32_t *map)
 {
-	g_autofree skh_relief_t **reliefs = g_new0(skh_relief_t *, shape->sets);
-	g_autofree bool *done = g_new0(bool, shape->sets);
+	skh_relief_t **reliefs = g_new0(skh_relief_t *, shape->sets);
+	bool *done = g_new0(bool, shape->sets);
 	uint32_t loads_left[SKH_BALANCE_MAX_RANKS];
 	skh_relief_t *next;
 	uint32_t at = 0;
@@ -199,6 +199,8 @@
 		done[at] = !skh_relief_step(next);
 	for (uint32_t set = 0; set < shape->sets; set++)
 		skh_relief_free(reliefs[set]);
+	g_free(reliefs);
+	g_free(done);
 }
 
 static void search_set(const skh_engine_shape_t *shape, uint32_t ranks,
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -209,7 +209,7 @@
 	};
 	/* What stands for the same version may be of another size. */
 	if (status == STATUS_OK && message->op == SKH_ENGINE_PREPARE &&
-	    (uint64_t)order->sets * order->ranks * order->places != map->places)
+	    (!map || (uint64_t)order->sets * order->ranks * order->places != map->places))
 		status = STATUS_BAD;
 	skh__rank_order__free_unpacked(message, NULL);
 	return status;
--- a/src/stages.c
+++ b/src/stages.c
@@ -65,7 +65,7 @@
 	g_autofree uint32_t *placement =
 		g_memdup2(view->placement, view->n_ranks * view->n_slots * sizeof(uint32_t));
 	/* An expert may stand in two slots of a rank in turn: hosts alone don't tell which. */
-	g_autofree uint32_t *earliest = g_new0(uint32_t, view->n_ranks * view->n_slots);
+	uint32_t *earliest = g_new0(uint32_t, view->n_ranks * view->n_slots);
 	schedule_t schedule = { view->n_experts, plan->n_moves + 1, NULL };
 
 	schedule.hosts = g_new(uint64_t, (size_t)schedule.n_stages * view->n_experts);
@@ -86,5 +86,6 @@
 		plan->n_stages = MAX(plan->n_stages, move->stage + 1);
 	}
 	g_free(schedule.hosts);
+	g_free(earliest);
 	qsort(plan->moves, plan->n_moves, sizeof(skh_move_t), by_stage);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -58,9 +58,6 @@
 /** skh_pool_drop_idle() - close idle connections: they may be dead without a sign */
 void skh_pool_drop_idle(skh_pool_t *pool);
 
-/** skh_pool_drop_idle() - close idle connections: they may be dead without a sign */
-void skh_pool_drop_idle(skh_pool_t *pool);
-
 /** struct skh_send - one request for a server */
 typedef struct skh_send {
 	skh_chunk_t bytes;	/* copied */
