Let callers wait while a group forms; probe with another request each time

Now a rank's new start in the list says that the group forms: callers wait up to their patience; probes go round; a closed group's refusals don't count as tries. Ruled out: waiting whenever the group refuses (servers that crash stay away for seconds). The length of passes is taken since the last change only; a second change waits for it. Tests: GroupGate.CallersWaitWhileTheGroupForms, WaitLine.ProbesAreTakenInTurn.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -368,7 +368,7 @@
 		.repeat = exchange->route->repeat,
 		.runs = exchange->runs + ran,
 		.max_attempts = exchange->route->max_attempts,
-		.sends = exchange->sends,
+		.sends = exchange->sends - exchange->probes,
 		.may_repeat = skh_retryshare_has_room(&exchange->front->share,
 						      &gateway->retry_bounds, now_us),
 		.is_suspect = skh_culprits_is_held(gateway->culprits, exchange->content, now_us),
@@ -398,11 +398,14 @@
 
 	if (end == SKH_END_CUT && exchange->stage != SKH_EXCHANGE_ANSWERING)
 		end = SKH_END_LOST;
+	if (end == SKH_END_NOT_RUN && exchange->front->lock_step &&
+	    exchange->attempt_status == 503) {
+		exchange->probes += skh_groupgate_is_closed(&exchange->front->gate);
+		skh_groupgate_refused(&exchange->front->gate, now_us);
+	}
 	verdict = verdict_on(exchange, end, now_us, &view);
 	exchange->runs = view.runs;
 	skh_groupgate_failed(&exchange->front->gate);
-	if (end == SKH_END_NOT_RUN && exchange->front->lock_step && exchange->attempt_status == 503)
-		skh_groupgate_refused(&exchange->front->gate, now_us);
 	log_failure(exchange, &view, verdict);
 	if (verdict == SKH_VERDICT_PASS) {
 		conclude(exchange, verdict);
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -50,7 +50,8 @@
 	skh_target_t *target;
 	skh_upstream_t *upstream;
 	uint32_t sends;
-	uint32_t runs; /* attempts that may have run */
+	uint32_t runs;	 /* attempts that may have run */
+	uint32_t probes; /* sends that a closed group has refused */
 	bool paused;
 	skh_buffer_t body; /* of an answer that is kept whole */
 	GString *answer_headers;
--- a/src/backends.c
+++ b/src/backends.c
@@ -176,6 +176,7 @@
 	target->listed = true;
 	follow_pace(target, backends->paces);
 	g_ptr_array_add(target->front->targets, target);
+	skh_groupgate_joined(&target->front->gate, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
 	g_hash_table_foreach(backends->targets, note_address, target);
 	skh_log(SKH_LOG_INFO, PART, "Server listed.", "server=%s service=%s address=%s:%u",
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -485,6 +485,9 @@
 		.paces = coordinator->paces,
 	};
 
+	/* Whether more pays depends on how long passes are now. */
+	if (!relief && view->pass_us == 0)
+		return;
 	if (skew - 1.0 < (idle ? LEAST_GAIN_IDLE : LEAST_GAIN))
 		return;
 	skh_mapplan_make(&view->shape, view->n_ranks, &weights, shares, view->next,
@@ -562,7 +565,7 @@
 		return;
 	coordinator->changing = false;
 	if (done)
-		skh_groupview_switched(&coordinator->view, change->pass);
+		skh_groupview_switched(&coordinator->view, change->pass, now_us);
 	/* A rank may be left armed or holding. */
 	coordinator->repair = !done && change->held_since_us != 0;
 	skh_log(SKH_LOG_INFO, PART, done ? "Map changed." : "Map change failed.",
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -25,6 +25,8 @@
 #define RETRY_AFTER_PART 3
 #define RETRY_LEAST_MS	 100
 #define RETRY_SPREAD_MS	 400
+/* A gateway that has just started knows the configuration within this. */
+#define RETRY_READY_MS 150
 /* When another gateway can serve now. */
 #define RETRY_ELSEWHERE_MS 10
 /*
@@ -171,7 +173,8 @@
 {
 	int64_t left_ms = (exchange->until_us - skh_clock_boot_us()) / SKH_US_PER_MS;
 	int64_t most_ms = left_ms / RETRY_AFTER_PART;
-	int64_t spread_ms = (int64_t)(skh_random_u64() % RETRY_SPREAD_MS);
+	int64_t spread_ms =
+		(int64_t)(skh_random_u64() % (uint64_t)CLAMP(wanted_ms, 1, RETRY_SPREAD_MS));
 
 	return MAX(MIN(MAX(wanted_ms, RETRY_LEAST_MS) + spread_ms, most_ms), 1);
 }
@@ -194,6 +197,7 @@
 	int64_t gives_up_us = exchange->received_us + patience_us(exchange);
 
 	exchange->waiter = (skh_waiter_t){
+		.probed = exchange->probes > 0,
 		.priority = skh_exchange_priority(exchange),
 		.since_us = now_us,
 		.goal_us = exchange->received_us + exchange->route->goal_us - first_us,
@@ -222,13 +226,19 @@
 	return (int64_t)((double)(ahead + 1) / rate * (double)SKH_US_PER_S);
 }
 
+static skh_waiter_t *next_of(const skh_front_t *front, int64_t now_us)
+{
+	return skh_groupgate_is_closed(&front->gate) ? skh_waitline_probe(front->line, now_us)
+						     : skh_waitline_next(front->line, now_us);
+}
+
 static void dispatch_front(skh_front_t *front, void *context)
 {
 	int64_t now_us = skh_clock_boot_us();
 	skh_waiter_t *waiter;
 
 	(void)context;
-	while ((waiter = skh_waitline_next(front->line, now_us)) != NULL) {
+	while ((waiter = next_of(front, now_us)) != NULL) {
 		skh_exchange_t *exchange = exchange_of(waiter);
 		skh_target_t *target;
 
@@ -471,7 +481,7 @@
 	exchange->routing = skh_board_routing(gateway->board);
 	if (!exchange->routing || !gateway->roster) {
 		skh_exchange_refuse(exchange, SKH_NOT_READY,
-				    skh_exchange_retry_after_ms(exchange, SKH_RETRY_DEFAULT_MS),
+				    skh_exchange_retry_after_ms(exchange, RETRY_READY_MS),
 				    "no configuration is known yet");
 		return false;
 	}
@@ -528,7 +538,7 @@
 	if (skh_waitline_length(exchange->front->line) == 0)
 		return true;
 	/* Those who wait already are enough to see when it opens. */
-	if (skh_groupgate_is_closed(&exchange->front->gate, now_us)) {
+	if (skh_groupgate_is_down(&exchange->front->gate, now_us)) {
 		skh_exchange_refuse(exchange, SKH_NO_BACKEND,
 				    skh_exchange_retry_after_ms(exchange, GROUP_DOWN_MS),
 				    "the group of servers is down");
--- a/src/groupgate.c
+++ b/src/groupgate.c
@@ -5,6 +5,9 @@
 /* A refusal or two may be one rank's; after this the group is taken for broken. */
 #define CLOSED_US ((int64_t)500000)
 
+/* From a rank's start to passes: 0.6 s to form, and others may start a little later. */
+#define FORMING_US ((int64_t)1500000)
+
 /* No event of any stream for so long is no pass of the group: those last 0.05 to 0.2 s. */
 #define SILENT_US ((int64_t)400000)
 /* Streams that are open show by themselves when it goes on; a probe serves when none is. */
@@ -50,7 +53,19 @@
 	gate->sent_us = now_us;
 }
 
-bool skh_groupgate_is_closed(const skh_groupgate_t *gate, int64_t now_us)
+void skh_groupgate_joined(skh_groupgate_t *gate, int64_t now_us)
+{
+	gate->joined_us = now_us;
+}
+
+bool skh_groupgate_is_closed(const skh_groupgate_t *gate)
 {
-	return gate->closed_since_us != 0 && now_us - gate->closed_since_us > CLOSED_US;
+	return gate->closed_since_us != 0;
+}
+
+bool skh_groupgate_is_down(const skh_groupgate_t *gate, int64_t now_us)
+{
+	bool forms = gate->joined_us != 0 && now_us - gate->joined_us < FORMING_US;
+
+	return gate->closed_since_us != 0 && now_us - gate->closed_since_us > CLOSED_US && !forms;
 }
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -15,8 +15,8 @@
 #define STALE_US (2500 * SKH_US_PER_MS)
 /* Entries of others may name addresses where nobody answers. */
 #define OFFER_TIMEOUT_US (100 * SKH_US_PER_MS)
-/* Time over which the length of passes is taken. */
-#define PASS_SPAN_US (600 * SKH_US_PER_MS)
+/* Time over which the length of passes is taken, since the last change of the map. */
+#define PASS_SPAN_US (250 * SKH_US_PER_MS)
 /* A hold that nobody seems to want is looked into after this. */
 #define HELD_US	    (250 * SKH_US_PER_MS)
 #define COMPLAIN_US (500 * SKH_US_PER_MS)
@@ -113,9 +113,13 @@
 	view->options.on_state(view->options.context, rank, asked_us, now_us);
 }
 
-void skh_groupview_switched(skh_groupview_t *view, int64_t pass)
+void skh_groupview_switched(skh_groupview_t *view, int64_t pass, int64_t now_us)
 {
 	view->switched_pass = pass;
+	/* Passes of before say nothing of those to come. */
+	view->pass_us = 0;
+	view->pass_seen = pass;
+	view->pass_seen_us = now_us;
 	memcpy(view->map, view->next, skh_groupview_map_size(view) * sizeof(uint32_t));
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		skh_engine_report_t *report = &view->ranks[rank].report;
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -52,7 +52,7 @@
 	uint32_t n_ranks;
 	uint32_t own; /* the rank beside this process */
 	bool has_own;
-	int64_t pass_us; /* length of a pass of late; 0 when unknown */
+	int64_t pass_us; /* length of a pass under the map in use; 0 when unknown */
 	uint32_t *map;	 /* in use, [sets][ranks][placements] */
 	/* The coordinator's: a rank that says it uses this version has this map. */
 	uint32_t *next;
@@ -91,7 +91,7 @@
 void skh_groupview_ask(skh_groupview_t *view, uint32_t rank, int64_t now_us);
 
 /** skh_groupview_switched() - the group has changed to the next map, all ranks in @pass */
-void skh_groupview_switched(skh_groupview_t *view, int64_t pass);
+void skh_groupview_switched(skh_groupview_t *view, int64_t pass, int64_t now_us);
 
 /** skh_groupview_is_whole() - all that a decision needs is known of all ranks, and fits together */
 bool skh_groupview_is_whole(skh_groupview_t *view, int64_t now_us);
--- a/src/waitline.c
+++ b/src/waitline.c
@@ -60,19 +60,33 @@
 	return a->until_us < b->until_us;
 }
 
-skh_waiter_t *skh_waitline_next(const skh_waitline_t *line, int64_t now_us)
+static skh_waiter_t *first_of(const skh_waitline_t *line, bool probed_too, int64_t now_us)
 {
 	skh_waiter_t *first = NULL;
 
 	for (guint i = 0; i < line->waiters->len; i++) {
 		skh_waiter_t *waiter = g_ptr_array_index(line->waiters, i);
 
+		if (waiter->probed && !probed_too)
+			continue;
 		if (!first || goes_before(waiter, first, now_us))
 			first = waiter;
 	}
 	return first;
 }
 
+skh_waiter_t *skh_waitline_next(const skh_waitline_t *line, int64_t now_us)
+{
+	return first_of(line, true, now_us);
+}
+
+skh_waiter_t *skh_waitline_probe(const skh_waitline_t *line, int64_t now_us)
+{
+	skh_waiter_t *first = first_of(line, false, now_us);
+
+	return first ? first : first_of(line, true, now_us);
+}
+
 skh_waiter_t *skh_waitline_hopeless(const skh_waitline_t *line, int64_t now_us)
 {
 	for (guint i = 0; i < line->waiters->len; i++) {
--- a/src/waitline.h
+++ b/src/waitline.h
@@ -26,6 +26,7 @@
 	int64_t goal_us;  /* it must be handed to a server by then to be in time */
 	int64_t until_us; /* it is hopeless after that */
 	int32_t index;	  /* in the line; -1 outside */
+	bool probed;	  /* a closed group has refused it */
 } skh_waiter_t;
 
 typedef struct skh_waitline skh_waitline_t;
@@ -40,6 +41,9 @@
 /** skh_waitline_next() - who is served next; it stays in the line. NULL when empty */
 skh_waiter_t *skh_waitline_next(const skh_waitline_t *line, int64_t now_us);
 
+/** skh_waitline_probe() - who goes first to a group that may refuse: one that was not refused yet */
+skh_waiter_t *skh_waitline_probe(const skh_waitline_t *line, int64_t now_us);
+
 /** skh_waitline_hopeless() - one that can't be served any more, or NULL */
 skh_waiter_t *skh_waitline_hopeless(const skh_waitline_t *line, int64_t now_us);
 
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -207,7 +207,7 @@
 		if (arrives && next < waiters.size()) {
 			skh_waiter_t &waiter = waiters[next++];
 
-			waiter = { 1, now, now + 400 * kMs, now + 1800 * kMs, -1 };
+			waiter = { 1, now, now + 400 * kMs, now + 1800 * kMs, -1, false };
 			if (naive)
 				waiter.goal_us = now + 100 * kS; // order of arrival
 			skh_waitline_add(line, &waiter);
@@ -237,9 +237,9 @@
 TEST(WaitLine, AnUrgentClassGoesBeforeALessUrgentOne)
 {
 	skh_waitline_t *line = skh_waitline_new();
-	skh_waiter_t plain = { 2, 0, kS, 2 * kS, -1 };
-	skh_waiter_t urgent = { 1, 5, 2 * kS, 3 * kS, -1 };
-	skh_waiter_t newcomer = { 2, 6, 3 * kS, 4 * kS, -1 };
+	skh_waiter_t plain = { 2, 0, kS, 2 * kS, -1, false };
+	skh_waiter_t urgent = { 1, 5, 2 * kS, 3 * kS, -1, false };
+	skh_waiter_t newcomer = { 2, 6, 3 * kS, 4 * kS, -1, false };
 
 	skh_waitline_add(line, &plain);
 	skh_waitline_add(line, &urgent);
@@ -614,7 +614,44 @@
 	}
 	EXPECT_LE(sent, 40); // 250 arrivals, 1,000 attempts without the gate
 	EXPECT_LE(opened, 6 * kS + 200 * kMs);
-	EXPECT_FALSE(skh_groupgate_is_closed(&gate, 7 * kS));
+	EXPECT_FALSE(skh_groupgate_is_closed(&gate));
+}
+
+// All instances lose power; the ranks are back after a second, and the group 0.6 s later.
+TEST(GroupGate, CallersWaitWhileTheGroupForms)
+{
+	skh_groupgate_t gate = {};
+
+	for (int64_t now = kS; now < 4 * kS; now += 150 * kMs)
+		skh_groupgate_refused(&gate, now);
+	EXPECT_TRUE(skh_groupgate_is_down(&gate, 4 * kS));
+	skh_groupgate_joined(&gate, 4 * kS);
+	EXPECT_FALSE(skh_groupgate_is_down(&gate, 4 * kS + 600 * kMs));
+	EXPECT_TRUE(skh_groupgate_is_closed(&gate));
+	EXPECT_TRUE(skh_groupgate_is_down(&gate, 6 * kS));
+	skh_groupgate_answered(&gate);
+	EXPECT_FALSE(skh_groupgate_is_down(&gate, 6 * kS));
+}
+
+// The first in the line must not be the probe each time: its tries would be used up.
+TEST(WaitLine, ProbesAreTakenInTurn)
+{
+	skh_waitline_t *line = skh_waitline_new();
+	skh_waiter_t first = {};
+	skh_waiter_t second = {};
+
+	first.goal_us = 2 * kS;
+	second.goal_us = 3 * kS;
+	first.index = second.index = -1;
+	skh_waitline_add(line, &first);
+	skh_waitline_add(line, &second);
+	EXPECT_EQ(skh_waitline_probe(line, kS), &first);
+	first.probed = true;
+	EXPECT_EQ(skh_waitline_probe(line, kS), &second);
+	EXPECT_EQ(skh_waitline_next(line, kS), &first);
+	second.probed = true;
+	EXPECT_EQ(skh_waitline_probe(line, kS), &first);
+	skh_waitline_free(line);
 }
 
 // One rank freezes for 4 s and the others wait for it: 10 requests a second come in.
