Size group state by the group instead of by 64 ranks

Change: mapchange, groupview, coordinator, greedy_rebalance, mapplan and layout size their arrays by the group; a change of the group's size ends the change in progress; a report out of bounds is logged and counted. The search of rebalance.h keeps 64 ranks (bits of a word), and larger groups get a greedy plan. A replaced engine client no longer leaves its rank marked as being polled.

--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -75,6 +75,9 @@
 	bool needs_complete_map; /* the relay lacks the map that differences refer to */
 } order_route_t;
 
+/* Bits of an order's tag that hold the rank; more than SKH_GROUPVIEW_MAX_RANKS needs. */
+#define TAG_RANK_BITS 16
+
 /* Only a rank whose process has sent a report within this time is selected as proxy. */
 #define PROXY_MAX_SILENCE_US (300 * SKH_US_PER_MS)
 
@@ -83,8 +86,9 @@
 	skh_groupview_t view;
 	skh_demand_t *demand;
 	double *counts;				   /* decoded from one report, [sets][experts] */
-	double slowdowns[SKH_MAPCHANGE_MAX_RANKS]; /* used by the last plan */
-	order_route_t routes[SKH_MAPCHANGE_MAX_RANKS];
+	double *slowdowns;	 /* used by the last plan, [@n_ranks] */
+	order_route_t *routes;	 /* [@n_ranks] */
+	uint32_t n_ranks;	 /* ranks that the arrays have room for */
 	bool bypass_proxy;	  /* the proxy did not respond to the last hold order */
 	uint32_t last_proxy_rank; /* proxy of the last change */
 	skh_mapchange_t change;
@@ -104,10 +108,35 @@
 
 static void send_orders(skh_coordinator_t *coordinator, int64_t now_us);
 
+/* A change in progress is for a group that no longer exists, so it ends. */
+static void adapt_to_group_size(skh_coordinator_t *coordinator)
+{
+	uint32_t n_ranks = coordinator->view.n_ranks;
+
+	if (n_ranks == coordinator->n_ranks)
+		return;
+	if (coordinator->is_changing)
+		skh_log(SKH_LOG_INFO, PART, "Map change abandoned because the group size changed.",
+			"version=%" PRId64 " ranks=%u before=%u", coordinator->change.version,
+			n_ranks, coordinator->n_ranks);
+	coordinator->needs_repair = coordinator->needs_repair ||
+				    (coordinator->is_changing &&
+				     coordinator->change.held_since_us != 0);
+	coordinator->is_changing = false;
+	coordinator->n_ranks = n_ranks;
+	g_free(coordinator->slowdowns);
+	g_free(coordinator->routes);
+	coordinator->routes = g_new0(order_route_t, n_ranks);
+	coordinator->slowdowns = g_new(double, n_ranks);
+	for (uint32_t rank = 0; rank < n_ranks; rank++)
+		coordinator->slowdowns[rank] = 1.0;
+}
+
 static void on_rank_state(void *context, uint32_t rank, int64_t poll_started_us, int64_t now_us)
 {
 	skh_coordinator_t *coordinator = context;
 
+	adapt_to_group_size(coordinator);
 	if (!coordinator->is_changing)
 		return;
 	if (poll_started_us > 0 && rank == coordinator->change.proxy_rank)
@@ -130,8 +159,6 @@
 	};
 
 	coordinator->options = *options;
-	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++)
-		coordinator->slowdowns[rank] = 1.0;
 	coordinator->demand = skh_demand_new(engine_spec);
 	coordinator->counts =
 		g_new0(double, (size_t)engine_spec->expert_sets * engine_spec->experts_per_set);
@@ -142,6 +169,9 @@
 void skh_coordinator_free(skh_coordinator_t *coordinator)
 {
 	skh_groupview_clear(&coordinator->view);
+	skh_mapchange_clear(&coordinator->change);
+	g_free(coordinator->slowdowns);
+	g_free(coordinator->routes);
 	skh_demand_free(coordinator->demand);
 	g_free(coordinator->counts);
 	g_free(coordinator);
@@ -197,8 +227,10 @@
 void skh_coordinator_record_report(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 				   bool is_own_rank, int64_t now_us)
 {
-	if (skh_groupview_record_report(&coordinator->view, message, is_own_rank, now_us))
-		decode_counts(coordinator, message, now_us);
+	if (!skh_groupview_record_report(&coordinator->view, message, is_own_rank, now_us))
+		return;
+	adapt_to_group_size(coordinator);
+	decode_counts(coordinator, message, now_us);
 }
 
 bool skh_coordinator_is_changing_map(const skh_coordinator_t *coordinator)
@@ -279,7 +311,7 @@
  */
 static uint32_t order_tag(const skh_coordinator_t *coordinator, uint32_t rank)
 {
-	return coordinator->change_number * SKH_MAPCHANGE_MAX_RANKS + rank;
+	return coordinator->change_number << TAG_RANK_BITS | rank;
 }
 
 static void on_order_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
@@ -287,10 +319,10 @@
 	skh_coordinator_t *coordinator = context;
 	int64_t now_us = skh_clock_boot_us();
 	skh_mapchange_order_result_t result = order_result_from_status(status);
-	uint32_t rank = tag % SKH_MAPCHANGE_MAX_RANKS;
+	uint32_t rank = tag & ((1U << TAG_RANK_BITS) - 1);
 
 	(void)body;
-	if (tag != order_tag(coordinator, rank))
+	if (tag != order_tag(coordinator, rank) || rank >= coordinator->n_ranks)
 		return;
 	update_route(coordinator, rank, status);
 	if (result != SKH_MAPCHANGE_ORDER_ACCEPTED)
--- a/src/greedy_rebalance.c
+++ b/src/greedy_rebalance.c
@@ -8,10 +8,10 @@
 	skh_greedy_rebalance_input_t input;
 	uint32_t *map;
 	uint32_t *copies_left; /* per rank, for all sets together; borrowed */
-	uint32_t set_copies_left[SKH_GREEDY_REBALANCE_MAX_RANKS]; /* per rank in this set */
+	uint32_t *set_copies_left; /* per rank in this set */
 	uint32_t *replica_count; /* per expert: ranks that hold it */
 	double *max_host_load;	 /* per expert: greatest load among those ranks */
-	double load[SKH_GREEDY_REBALANCE_MAX_RANKS];
+	double *load;		 /* per rank */
 	/* Derived from @load by update_totals(): */
 	uint32_t bottleneck; /* the most loaded rank */
 	/* sum of squared loads: also falls if one of several bottlenecks is relieved */
@@ -331,6 +331,8 @@
 	state->input = *input;
 	state->map = map;
 	state->copies_left = copies_left;
+	state->set_copies_left = g_new(uint32_t, input->n_ranks);
+	state->load = g_new(double, input->n_ranks);
 	for (uint32_t rank = 0; rank < input->n_ranks; rank++)
 		state->set_copies_left[rank] = max_set_copies;
 	state->replica_count = g_new(uint32_t, input->n_experts);
@@ -341,6 +343,8 @@
 
 void skh_greedy_rebalance_free(skh_greedy_rebalance_t *state)
 {
+	g_free(state->set_copies_left);
+	g_free(state->load);
 	g_free(state->replica_count);
 	g_free(state->max_host_load);
 	g_free(state);
--- a/src/greedy_rebalance.h
+++ b/src/greedy_rebalance.h
@@ -14,7 +14,7 @@
  * the heaviest experts of the most loaded rank, on the rank for which the resulting
  * maximum load is lowest. A replica is dropped without a copy where the other ranks
  * can take its share. The search evaluates far fewer changes than rebalance.h, so
- * that planning for a group of 63 ranks takes a small fraction of a core's time.
+ * that planning for a group of a hundred ranks takes a small fraction of a core's time.
  *
  * It also handles a rank that becomes slow, which delays all others in lock-step:
  * the rank's load is multiplied by its slowdown, so that its experts move to
@@ -28,11 +28,9 @@
 extern "C" {
 #endif
 
-#define SKH_GREEDY_REBALANCE_MAX_RANKS 64
-
 /**
  * struct skh_greedy_rebalance_input - input for one set of layers; arrays are borrowed
- * @n_ranks: ranks of the group, at most SKH_GREEDY_REBALANCE_MAX_RANKS
+ * @n_ranks: ranks of the group
  * @slots_per_rank: slots of each rank
  * @n_experts: experts of the set
  * @shares: share of tokens of each expert, [@n_experts], sum 1
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "metrics.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -27,14 +28,19 @@
 	*view = (skh_groupview_t){ .options = *options, .engine_spec = *engine_spec };
 }
 
+static void free_clients(const skh_groupview_rank_t *state)
+{
+	if (state->engine)
+		skh_engine_client_free(state->engine);
+	if (state->relay)
+		skh_engine_client_free(state->relay);
+}
+
 void skh_groupview_clear(skh_groupview_t *view)
 {
-	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++) {
-		if (view->ranks[rank].engine)
-			skh_engine_client_free(view->ranks[rank].engine);
-		if (view->ranks[rank].relay)
-			skh_engine_client_free(view->ranks[rank].relay);
-	}
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++)
+		free_clients(&view->ranks[rank]);
+	g_free(view->ranks);
 	if (view->probe_client)
 		skh_engine_client_free(view->probe_client);
 	g_free(view->map);
@@ -51,24 +57,39 @@
 
 static void resize_group(skh_groupview_t *view, uint32_t n_ranks)
 {
-	if (n_ranks == view->n_ranks)
+	uint32_t n_before = view->n_ranks;
+
+	if (n_ranks == n_before)
 		return;
+	for (uint32_t rank = n_ranks; rank < n_before; rank++)
+		free_clients(&view->ranks[rank]);
+	view->ranks = g_renew(skh_groupview_rank_t, view->ranks, n_ranks);
+	for (uint32_t rank = n_before; rank < n_ranks; rank++)
+		view->ranks[rank] = (skh_groupview_rank_t){ 0 };
+	/* The rank beside this process may have another number now; its next report tells. */
+	view->has_own_rank = view->has_own_rank && view->own_rank < n_ranks;
 	view->n_ranks = n_ranks;
+	skh_log(SKH_LOG_INFO, PART, "Group size is known; its state is collected anew.",
+		"ranks=%u before=%u sets=%u experts=%u slots=%u", n_ranks, n_before,
+		view->engine_spec.expert_sets, view->engine_spec.experts_per_set,
+		view->engine_spec.slots_per_rank);
 	g_free(view->map);
 	g_free(view->next_map);
 	view->map = g_new0(uint32_t, skh_groupview_map_size(view) + 1);
 	view->next_map = g_new0(uint32_t, skh_groupview_map_size(view) + 1);
-	for (uint32_t rank = 0; rank < SKH_MAPCHANGE_MAX_RANKS; rank++)
+	for (uint32_t rank = 0; rank < n_ranks; rank++)
 		view->ranks[rank].has_map = false;
 }
 
-static void set_client(skh_groupview_t *view, skh_engine_client_t **client, const char *address)
+/* Returns whether the client was replaced, which cancels its calls without a callback. */
+static bool set_client(skh_groupview_t *view, skh_engine_client_t **client, const char *address)
 {
 	if (*client && strcmp(skh_engine_client_address(*client), address) == 0)
-		return;
+		return false;
 	if (*client)
 		skh_engine_client_free(*client);
 	*client = skh_engine_client_new(view->options.loop, address, view->options.pool_options);
+	return true;
 }
 
 /* A rank that reports the coordinator's latest map version needs no poll of its map. */
@@ -168,6 +189,17 @@
 	view->last_pass_us = now_us;
 }
 
+static void reject_report(skh_groupview_t *view, const Skh__RankReport *message, int64_t now_us)
+{
+	skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
+	if (now_us - view->last_logged_us <= LOG_INTERVAL_US)
+		return;
+	view->last_logged_us = now_us;
+	skh_log(SKH_LOG_WARNING, PART, "Rank's report is out of bounds and ignored.",
+		"rank=%u size=%u max_size=%u engine=%s", message->rank, message->size,
+		SKH_GROUPVIEW_MAX_RANKS, message->engine);
+}
+
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
 				 bool is_own_rank, int64_t now_us)
 {
@@ -186,18 +218,20 @@
 	};
 	skh_groupview_rank_t *state;
 
-	if (message->size == 0 || message->size > SKH_MAPCHANGE_MAX_RANKS ||
-	    message->rank >= message->size)
+	if (message->rank >= message->size || message->size > SKH_GROUPVIEW_MAX_RANKS) {
+		reject_report(view, message, now_us);
 		return false;
+	}
+	resize_group(view, message->size);
 	state = &view->ranks[message->rank];
 	/* Datagrams may arrive out of order. */
 	if (message->sender == state->sender_id && message->number <= state->sequence)
 		return false;
 	state->sender_id = message->sender;
 	state->sequence = message->number;
-	resize_group(view, message->size);
-	set_client(view, &state->engine, message->engine);
-	set_client(view, &state->relay, message->relay);
+	if (set_client(view, &state->engine, message->engine))
+		state->is_poll_pending = false;
+	(void)set_client(view, &state->relay, message->relay);
 	if (is_own_rank) {
 		view->own_rank = message->rank;
 		view->has_own_rank = true;
@@ -294,7 +328,7 @@
 	    report.group_size != view->n_ranks || report.rank >= view->n_ranks ||
 	    view->ranks[report.rank].engine)
 		return;
-	set_client(view, &view->ranks[report.rank].engine,
+	(void)set_client(view, &view->ranks[report.rank].engine,
 		   skh_engine_client_address(view->probe_client));
 	update_state(view, report.rank, &report, 0, skh_clock_boot_us());
 }
@@ -306,7 +340,7 @@
 	if (view->probe_started_us != 0)
 		return false;
 	view->probe_started_us = now_us;
-	set_client(view, &view->probe_client, address);
+	(void)set_client(view, &view->probe_client, address);
 	skh_engine_client_get(view->probe_client, view->options.dialect->report_path,
 			      PROBE_TIMEOUT_US, 0, on_probe_response, view);
 	return true;
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -19,6 +19,9 @@
 extern "C" {
 #endif
 
+/* Largest group size accepted from a datagram; bounds the memory that a wrong one can claim. */
+#define SKH_GROUPVIEW_MAX_RANKS 16384
+
 /** struct skh_groupview_rank - last known state of one rank */
 typedef struct skh_groupview_rank {
 	skh_engine_client_t *engine; /* NULL while the address is unknown */
@@ -56,7 +59,7 @@
 typedef struct skh_groupview {
 	skh_groupview_options_t options;
 	skh_engine_spec_t engine_spec;
-	skh_groupview_rank_t ranks[SKH_MAPCHANGE_MAX_RANKS];
+	skh_groupview_rank_t *ranks; /* [@n_ranks] */
 	uint32_t n_ranks;
 	uint32_t own_rank; /* the rank beside this process */
 	bool has_own_rank;
--- a/src/layout.c
+++ b/src/layout.c
@@ -43,7 +43,7 @@
 static void compute_loads(const skh_rebalance_input_t *input, const uint64_t *hosts,
 			  const double *shares, double *load)
 {
-	memset(load, 0, SKH_REBALANCE_MAX_RANKS * sizeof(*load));
+	memset(load, 0, input->n_ranks * sizeof(*load));
 	for (uint32_t expert = 0; expert < input->n_experts; expert++) {
 		uint64_t remaining = hosts[expert];
 		double replica_work =
@@ -73,7 +73,7 @@
 double skh_layout_compute_skew(const skh_rebalance_input_t *input, const uint64_t *hosts,
 			       const double *shares)
 {
-	double load[SKH_REBALANCE_MAX_RANKS];
+	g_autofree double *load = g_new(double, input->n_ranks);
 	double max_load = 0.0;
 
 	compute_loads(input, hosts, shares, load);
@@ -193,6 +193,10 @@
 	layout->replica_work = g_new0(double, input->n_experts);
 	layout->replica_count = g_new0(uint32_t, input->n_experts);
 	layout->redundant_slots = g_new0(skh_rank_slot_t, total_slots);
+	layout->inverse_speed = g_new0(double, input->n_ranks);
+	layout->load = g_new0(double, input->n_ranks);
+	layout->norm_term = g_new0(double, input->n_ranks);
+	layout->copies_left = g_new0(uint32_t, input->n_ranks);
 	layout->inverse_mean_load = 1.0 / compute_mean_load(input, input->forecast_shares);
 	for (uint32_t rank = 0; rank < input->n_ranks; rank++) {
 		layout->n_live_ranks += skh_layout_is_rank_live(input, rank);
@@ -220,6 +224,11 @@
 	layout->redundant_slots =
 		g_memdup2(source->redundant_slots,
 			  input->n_ranks * input->slots_per_rank * sizeof(skh_rank_slot_t));
+	layout->inverse_speed =
+		g_memdup2(source->inverse_speed, input->n_ranks * sizeof(double));
+	layout->load = g_memdup2(source->load, input->n_ranks * sizeof(double));
+	layout->norm_term = g_memdup2(source->norm_term, input->n_ranks * sizeof(double));
+	layout->copies_left = g_memdup2(source->copies_left, input->n_ranks * sizeof(uint32_t));
 	return layout;
 }
 
@@ -230,5 +239,9 @@
 	g_free(layout->replica_work);
 	g_free(layout->replica_count);
 	g_free(layout->redundant_slots);
+	g_free(layout->inverse_speed);
+	g_free(layout->load);
+	g_free(layout->norm_term);
+	g_free(layout->copies_left);
 	g_free(layout);
 }
--- a/src/layout.h
+++ b/src/layout.h
@@ -38,20 +38,20 @@
 	double *replica_work;		  /* work of one replica of each expert */
 	skh_rank_slot_t *redundant_slots; /* slots whose expert has another live replica */
 	uint32_t n_redundant_slots;
-	double inverse_speed[SKH_REBALANCE_MAX_RANKS]; /* 0 for a lost rank; from @input */
-	double load[SKH_REBALANCE_MAX_RANKS];
-	double norm_term[SKH_REBALANCE_MAX_RANKS]; /* (load / mean load)^16 */
-	double norm;				   /* sum of norm_term over the live ranks */
-	double inverse_mean_load;		   /* total speed / total work; from @input */
-	uint32_t n_live_ranks;			   /* from @input */
+	double *inverse_speed;		  /* of each rank, 0 for a lost one; from @input */
+	double *load;			  /* of each rank */
+	double *norm_term;		  /* of each rank: (load / mean load)^16 */
+	double norm;			  /* sum of norm_term over the live ranks */
+	double inverse_mean_load;	  /* total speed / total work; from @input */
+	uint32_t n_live_ranks;		  /* from @input */
 	/* Copies that may still be planned to each rank; UINT32_MAX without a limit. */
-	uint32_t copies_left[SKH_REBALANCE_MAX_RANKS];
+	uint32_t *copies_left;
 } skh_layout_t;
 
 /** struct skh_layout_trial - rank loads after a change that has not been made */
 typedef struct skh_layout_trial {
-	double load[SKH_REBALANCE_MAX_RANKS]; /* valid only for @changed_ranks */
-	uint64_t changed_ranks;		      /* as bits */
+	double load[8 * sizeof(uint64_t)]; /* valid only for @changed_ranks */
+	uint64_t changed_ranks;		   /* as bits */
 } skh_layout_trial_t;
 
 static inline bool skh_layout_is_rank_live(const skh_rebalance_input_t *input, uint32_t rank)
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -36,6 +36,7 @@
 void skh_mapchange_init(skh_mapchange_t *change, const skh_mapchange_options_t *options,
 			int64_t now_us)
 {
+	g_free(change->ranks);
 	*change = (skh_mapchange_t){
 		.phase = SKH_MAPCHANGE_PREPARE,
 		.n_ranks = options->n_ranks,
@@ -45,9 +46,16 @@
 		.version = options->version,
 		.fence = options->fence,
 		.phase_since_us = now_us,
+		.ranks = g_new0(skh_mapchange_rank_t, options->n_ranks),
 	};
 }
 
+void skh_mapchange_clear(skh_mapchange_t *change)
+{
+	g_free(change->ranks);
+	*change = (skh_mapchange_t){ 0 };
+}
+
 static void enter_phase(skh_mapchange_t *change, skh_mapchange_phase_t phase, int64_t now_us)
 {
 	change->spent_us[change->phase] += now_us - change->phase_since_us;
@@ -196,10 +204,11 @@
 void skh_mapchange_record_report(skh_mapchange_t *change, uint32_t rank,
 				 const skh_engine_report_t *report, int64_t now_us)
 {
-	skh_mapchange_rank_t *state = &change->ranks[rank];
+	skh_mapchange_rank_t *state;
 
 	if (has_ended(change) || rank >= change->n_ranks)
 		return;
+	state = &change->ranks[rank];
 	if (report->epoch != change->epoch) {
 		fail(change, "the group was formed again under another epoch", now_us);
 		return;
@@ -246,13 +255,14 @@
 				 skh_mapchange_order_t *order)
 {
 	const skh_mapchange_rank_t *state = &change->ranks[rank];
-	uint32_t holder = find_holder(change);
+	uint32_t holder;
 
 	if (state->has_prepared || !all_ranks(change, has_reported))
 		return false;
 	order->op = SKH_ENGINE_PREPARE;
 	if (state->report.armed_version == 0 || !state->has_responded)
 		return true;
+	holder = find_holder(change);
 	if (!all_ranks(change, has_responded) ||
 	    (holder < change->n_ranks && holder != rank && !change->ranks[holder].has_prepared))
 		return false;
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -50,7 +50,6 @@
 extern "C" {
 #endif
 
-#define SKH_MAPCHANGE_MAX_RANKS 64
 /* Fences that one change can use: its own, and the next one to undo the change. */
 #define SKH_MAPCHANGE_MAX_FENCES 2
 
@@ -92,7 +91,7 @@
 	int64_t next_order_us; /* earliest time of the next order, after a failed one */
 } skh_mapchange_rank_t;
 
-/** struct skh_mapchange - one change; initialised by skh_mapchange_init() */
+/** struct skh_mapchange - one change; zeroed before its first skh_mapchange_init() */
 typedef struct skh_mapchange {
 	skh_mapchange_phase_t phase;
 	uint32_t n_ranks;
@@ -108,7 +107,7 @@
 	int64_t proxy_probe_us; /* send time of the newest probe that the proxy rank responded to */
 	int64_t others_armed_since_us; /* when all ranks but the proxy rank were armed; 0 if not */
 	const char *cause;	       /* cause of a failure; static text, NULL without one */
-	skh_mapchange_rank_t ranks[SKH_MAPCHANGE_MAX_RANKS];
+	skh_mapchange_rank_t *ranks;   /* [@n_ranks] */
 } skh_mapchange_t;
 
 /** struct skh_mapchange_options - parameters of a change; see struct skh_mapchange */
@@ -123,13 +122,16 @@
 
 /**
  * skh_mapchange_init() - start a change
- * @change: receives the initial state
+ * @change: replaced by the initial state; free with skh_mapchange_clear()
  * @options: parameters; the fence must be higher than any that was used before
  * @now_us: current monotonic time
  */
 void skh_mapchange_init(skh_mapchange_t *change, const skh_mapchange_options_t *options,
 			int64_t now_us);
 
+/** skh_mapchange_clear() - free what @change owns */
+void skh_mapchange_clear(skh_mapchange_t *change);
+
 /** skh_mapchange_record_report() - process a newer engine report of @rank */
 void skh_mapchange_record_report(skh_mapchange_t *change, uint32_t rank,
 				 const skh_engine_report_t *report, int64_t now_us);
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -13,8 +13,8 @@
 	uint32_t n_filler_experts; /* experts without tokens that occupy the empty slots */
 	uint32_t *placement;
 	double *shares;
-	double speed[SKH_REBALANCE_MAX_RANKS];
-	uint32_t failure_domain[SKH_REBALANCE_MAX_RANKS];
+	double *speed;
+	uint32_t *failure_domain;
 } set_input_t;
 
 /*
@@ -67,6 +67,8 @@
 	set_input->n_ranks = n_ranks;
 	set_input->n_filler_experts = find_max_empty_slots(engine_spec, n_ranks, map);
 	set_input->placement = g_new(uint32_t, n_ranks * engine_spec->slots_per_rank);
+	set_input->speed = g_new(double, n_ranks);
+	set_input->failure_domain = g_new(uint32_t, n_ranks);
 	set_input->shares =
 		g_new(double, engine_spec->experts_per_set + set_input->n_filler_experts);
 	fill_set_input(set_input, shares, slowdowns, map);
@@ -76,6 +78,8 @@
 {
 	g_free(set_input->placement);
 	g_free(set_input->shares);
+	g_free(set_input->speed);
+	g_free(set_input->failure_domain);
 }
 
 static skh_rebalance_input_t make_rebalance_input(const set_input_t *set_input,
@@ -205,7 +209,7 @@
 	skh_greedy_rebalance_t **rebalances =
 		g_new0(skh_greedy_rebalance_t *, engine_spec->expert_sets);
 	bool *is_exhausted = g_new0(bool, engine_spec->expert_sets);
-	uint32_t copies_left[SKH_REBALANCE_MAX_RANKS];
+	g_autofree uint32_t *copies_left = g_new(uint32_t, n_ranks);
 	skh_greedy_rebalance_t *next;
 	uint32_t set_index = 0;
 
@@ -238,7 +242,7 @@
 	g_autofree skh_rebalance_plan_t *plan = g_new0(skh_rebalance_plan_t, 1);
 	set_input_t set_input;
 	skh_rebalance_input_t input;
-	uint32_t max_rank_copies[SKH_REBALANCE_MAX_RANKS];
+	g_autofree uint32_t *max_rank_copies = g_new(uint32_t, n_ranks);
 
 	for (uint32_t rank = 0; rank < n_ranks; rank++)
 		max_rank_copies[rank] = MIN(engine_spec->max_new_experts,
@@ -255,7 +259,7 @@
 			   uint32_t *map)
 {
 	size_t set_size = (size_t)n_ranks * engine_spec->slots_per_rank;
-	uint32_t n_new_so_far[SKH_REBALANCE_MAX_RANKS] = { 0 };
+	g_autofree uint32_t *n_new_so_far = g_new0(uint32_t, n_ranks);
 
 	for (uint32_t set = 0; set < engine_spec->expert_sets; set++) {
 		uint32_t *set_map = map + set * set_size;
@@ -275,7 +279,7 @@
 double skh_mapplan_skew(const skh_engine_spec_t *engine_spec, uint32_t n_ranks,
 			const double *shares, const double *slowdowns, const uint32_t *map)
 {
-	uint32_t no_copies[SKH_REBALANCE_MAX_RANKS] = { 0 };
+	g_autofree uint32_t *no_copies = g_new0(uint32_t, n_ranks);
 	double sum = 0.0;
 
 	for (uint32_t set = 0; set < engine_spec->expert_sets; set++) {
@@ -340,7 +344,7 @@
 		.skew_before =
 			skh_mapplan_skew(engine_spec, n_ranks, shares, options->slowdowns, map),
 	};
-	if (options->greedy_only)
+	if (options->greedy_only || n_ranks > SKH_REBALANCE_MAX_RANKS)
 		rebalance_sets_greedily(engine_spec, n_ranks, options, shares, map);
 	else
 		rebalance_sets(engine_spec, n_ranks, options, shares, map);
--- a/src/mapplan.h
+++ b/src/mapplan.h
@@ -5,7 +5,8 @@
  * DOC: Planning of a group's next expert map
  *
  * Computes the next expert map of a group from the map in use and the expected share
- * of tokens of each expert, set by set, with rebalance.h or greedy_rebalance.h. The
+ * of tokens of each expert, set by set, with rebalance.h or greedy_rebalance.h; groups of
+ * more than SKH_REBALANCE_MAX_RANKS ranks always get a greedy plan. The
  * number of new experts per rank is limited, because passes take longer while
  * experts are copied. Keeps no state and does no I/O; safe to call from any thread
  * as long as nobody else uses the arguments. A skew is the maximum rank load, with
--- a/src/rebalance.h
+++ b/src/rebalance.h
@@ -27,6 +27,7 @@
 extern "C" {
 #endif
 
+/* Ranks that hold an expert are bits of one 64-bit word; greedy_rebalance.h has no such limit. */
 #define SKH_REBALANCE_MAX_RANKS	 64
 #define SKH_REBALANCE_MAX_COPIES 512
 
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -69,6 +69,14 @@
 	std::vector<bool> has_reported;
 	std::vector<uint64_t> pending_ids;
 	int64_t done = 0;
+
+	Coordinator() = default;
+	Coordinator(const Coordinator &) = delete;
+	Coordinator &operator=(const Coordinator &) = delete;
+	~Coordinator()
+	{
+		skh_mapchange_clear(&change);
+	}
 };
 
 class Simulation
