Accept fractional bounds and never end for one that cannot be used

Change: a section [bounds] of the settings takes these values, scales and rounds them to the safe side; one that cannot be used is logged with its key, and the default stays. The retry ratio comes from the platform, and keys are trusted for a second less than a revocation may take.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -60,7 +60,7 @@
 bool skh_gateway_can_trust_keys(const skh_gateway_t *gateway, int64_t now_us)
 {
 	return skh_gateway_config_age_us(gateway, now_us) <
-	       gateway->settings->key_trust_ms * SKH_US_PER_MS;
+	       skh_settings_key_trust_ms(gateway->settings) * SKH_US_PER_MS;
 }
 
 static bool is_ready(void *context)
--- a/src/instances.c
+++ b/src/instances.c
@@ -22,7 +22,7 @@
 #define TEXT_FIELD(key, required)                                                                  \
 	{                                                                                          \
 #key, SKH_FIELD_TEXT, required, offsetof(instance_fields_t, key), 0,               \
-			MAX_TEXT_BYTES, NULL                                                       \
+			MAX_TEXT_BYTES, NULL, SKH_ROUNDING_NONE, 0                                 \
 	}
 
 static const skh_field_t instance_schema[] = {
@@ -30,8 +30,8 @@
 	TEXT_FIELD(link, false),
 	TEXT_FIELD(admin, false),
 	TEXT_FIELD(failure_domain, true),
-	{ "state", SKH_FIELD_CHOICE, true, offsetof(instance_fields_t, state), 0, 0,
-	  state_choices },
+	{ "state", SKH_FIELD_CHOICE, true, offsetof(instance_fields_t, state), 0, 0, state_choices,
+	  SKH_ROUNDING_NONE, 0 },
 };
 
 static bool parse_instance(const char *id, const char *value, skh_instance_t *instance)
--- a/src/manifest.c
+++ b/src/manifest.c
@@ -26,15 +26,17 @@
 #define TEXT(key, struct_type, member, required)                                                   \
 	{                                                                                          \
 		key, SKH_FIELD_TEXT, required, offsetof(struct_type, member), 1, MAX_NAME_BYTES,   \
-			NULL                                                                       \
+			NULL, SKH_ROUNDING_NONE, 0                                                 \
 	}
 #define TEXTS(key, struct_type, member, required)                                                  \
 	{                                                                                          \
-		key, SKH_FIELD_TEXT_ARRAY, required, offsetof(struct_type, member), 0, 0, NULL     \
+		key, SKH_FIELD_TEXT_ARRAY, required, offsetof(struct_type, member), 0, 0, NULL,    \
+			SKH_ROUNDING_NONE, 0                                                       \
 	}
 #define NUMBER(key, field_type, struct_type, member, required, min, max)                           \
 	{                                                                                          \
-		key, field_type, required, offsetof(struct_type, member), min, max, NULL           \
+		key, field_type, required, offsetof(struct_type, member), min, max, NULL,          \
+			SKH_ROUNDING_NONE, 0                                                       \
 	}
 
 static const char *const service_kinds[] = { "model", "plain", NULL };
@@ -43,7 +45,8 @@
 
 static const skh_field_t change_fields[] = {
 	TEXT("by", skh_manifest_t, author, true),
-	{ "reason", SKH_FIELD_TEXT, true, offsetof(skh_manifest_t, reason), 1, 500, NULL },
+	{ "reason", SKH_FIELD_TEXT, true, offsetof(skh_manifest_t, reason), 1, 500, NULL,
+	  SKH_ROUNDING_NONE, 0 },
 };
 static const skh_field_t balance_fields[] = {
 	NUMBER("skew_weight", SKH_FIELD_REAL, skh_manifest_t, skew_weight, false, 0, 1000),
@@ -61,7 +64,8 @@
 };
 static const skh_field_t service_fields[] = {
 	TEXT("name", skh_service_t, name, true),
-	{ "kind", SKH_FIELD_CHOICE, true, offsetof(skh_service_t, kind), 0, 0, service_kinds },
+	{ "kind", SKH_FIELD_CHOICE, true, offsetof(skh_service_t, kind), 0, 0, service_kinds,
+	  SKH_ROUNDING_NONE, 0 },
 	TEXT("model", skh_service_t, model, false),
 	TEXTS("idempotent_methods", skh_service_t, idempotent_methods, false),
 	NUMBER("max_deadline_ms", SKH_FIELD_INTEGER, skh_service_t, max_deadline_ms, false, 1,
@@ -83,7 +87,8 @@
 static const skh_field_t operator_fields[] = {
 	TEXT("name", skh_operator_t, name, true),
 	TEXTS("key_sha256", skh_operator_t, key_sha256, true),
-	{ "role", SKH_FIELD_CHOICE, true, offsetof(skh_operator_t, role), 0, 0, operator_roles },
+	{ "role", SKH_FIELD_CHOICE, true, offsetof(skh_operator_t, role), 0, 0, operator_roles,
+	  SKH_ROUNDING_NONE, 0 },
 	TEXT("team", skh_operator_t, team, false),
 };
 static const skh_field_t group_fields[] = {
@@ -91,7 +96,8 @@
 	TEXT("service", skh_group_t, service, true),
 	NUMBER("ranks", SKH_FIELD_INTEGER, skh_group_t, ranks, true, 1, 1024),
 	NUMBER("slots_per_rank", SKH_FIELD_INTEGER, skh_group_t, slots_per_rank, true, 1, 4096),
-	{ "placement", SKH_FIELD_ARRAY, true, offsetof(skh_group_t, placement), 0, 0, NULL },
+	{ "placement", SKH_FIELD_ARRAY, true, offsetof(skh_group_t, placement), 0, 0, NULL,
+	  SKH_ROUNDING_NONE, 0 },
 };
 
 static const skh_model_t model_default = { .version = "", .experts_per_layer = 1, .layers = 1 };
--- a/src/process.c
+++ b/src/process.c
@@ -21,6 +21,7 @@
 	skh_log_setup((skh_log_level_t)settings->log_level, settings->log_format == 1);
 	if (settings->log_output == 1)
 		skh_log_to_stdout();
+	skh_settings_log_warnings(settings);
 	(void)sigaction(SIGTERM, &action, NULL);
 	(void)sigaction(SIGINT, &action, NULL);
 	(void)sigaction(SIGHUP, &action, NULL);
--- a/src/schema.c
+++ b/src/schema.c
@@ -1,6 +1,7 @@
 #include "schema.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 struct skh_validation_errors {
@@ -84,17 +85,20 @@
 				  skh_doc_node_type_name(skh_doc_node_type(reader->node)));
 }
 
-static void check_range(const field_reader_t *reader, double value, const char *quantity)
+/* Limits are stated in the unit of the key, which @scale converts to that of the member. */
+static bool is_in_range(const field_reader_t *reader, double value, const char *quantity)
 {
 	const skh_field_t *field = reader->field;
+	int64_t scale = MAX(field->scale, 1);
 
 	if (field->min == 0 && field->max == 0)
-		return;
+		return true;
 	if (value >= (double)field->min && value <= (double)field->max)
-		return;
+		return true;
 	skh_validation_errors_add(reader->errors, skh_doc_node_line(reader->node), reader->key,
-				  "%s must be from %" PRId64 " to %" PRId64, quantity, field->min,
-				  field->max);
+				  "%s must be from %" PRId64 " to %" PRId64, quantity,
+				  field->min / scale, field->max / scale);
+	return false;
 }
 
 static void read_text(const field_reader_t *reader, void *target)
@@ -103,8 +107,8 @@
 		add_type_error(reader, "text");
 		return;
 	}
-	*(const char **)target = skh_doc_node_text(reader->node);
-	check_range(reader, (double)strlen(skh_doc_node_text(reader->node)), "length");
+	if (is_in_range(reader, (double)strlen(skh_doc_node_text(reader->node)), "length"))
+		*(const char **)target = skh_doc_node_text(reader->node);
 }
 
 static void read_text_array(const field_reader_t *reader, void *target)
@@ -143,22 +147,36 @@
 				  skh_doc_node_text(reader->node));
 }
 
-static void read_number(const field_reader_t *reader, void *target)
+static void read_integer(const field_reader_t *reader, void *target)
 {
-	skh_doc_node_type_t type = skh_doc_node_type(reader->node);
+	const skh_field_t *field = reader->field;
+	int64_t scale = MAX(field->scale, 1);
+	double value;
 
-	if (reader->field->type == SKH_FIELD_INTEGER && type != SKH_DOC_NODE_INTEGER) {
-		add_type_error(reader, "integer");
+	if (skh_doc_node_type(reader->node) == SKH_DOC_NODE_INTEGER && scale == 1) {
+		if (is_in_range(reader, skh_doc_node_real(reader->node), "value"))
+			*(int64_t *)target = skh_doc_node_integer(reader->node);
 		return;
 	}
-	if (type != SKH_DOC_NODE_INTEGER && type != SKH_DOC_NODE_REAL) {
-		add_type_error(reader, "number");
+	value = skh_doc_node_real(reader->node) * (double)scale;
+	/* Also rejects "nan", which every comparison fails for. */
+	if (!is_in_range(reader, value, "value"))
 		return;
-	}
-	check_range(reader, skh_doc_node_real(reader->node), "value");
-	if (reader->field->type == SKH_FIELD_INTEGER)
-		*(int64_t *)target = skh_doc_node_integer(reader->node);
-	else
+	*(int64_t *)target =
+		(int64_t)(field->rounding == SKH_ROUNDING_UP ? ceil(value) : floor(value));
+}
+
+static void read_number(const field_reader_t *reader, void *target)
+{
+	skh_doc_node_type_t type = skh_doc_node_type(reader->node);
+	bool is_integer = reader->field->type == SKH_FIELD_INTEGER;
+	bool accepts_fraction = !is_integer || reader->field->rounding != SKH_ROUNDING_NONE;
+
+	if (type != SKH_DOC_NODE_INTEGER && (type != SKH_DOC_NODE_REAL || !accepts_fraction))
+		add_type_error(reader, accepts_fraction ? "number" : "integer");
+	else if (is_integer)
+		read_integer(reader, target);
+	else if (is_in_range(reader, skh_doc_node_real(reader->node), "value"))
 		*(double *)target = skh_doc_node_real(reader->node);
 }
 
--- a/src/schema.h
+++ b/src/schema.h
@@ -66,6 +66,13 @@
 	SKH_FIELD_ARRAY	      /* const skh_doc_node_t *; the caller validates the items */
 } skh_field_type_t;
 
+/** enum skh_rounding - how a fraction is stored in an integer member */
+typedef enum skh_rounding {
+	SKH_ROUNDING_NONE, /* a fraction is an error */
+	SKH_ROUNDING_DOWN,
+	SKH_ROUNDING_UP
+} skh_rounding_t;
+
 /**
  * struct skh_field - schema of one key of a table
  * @key: key without the path of the table
@@ -75,6 +82,8 @@
  * @min: minimum value of a number, or minimum length of a text in bytes
  * @max: maximum value or length; @min and @max both 0 disable the check
  * @choices: NULL-terminated texts that SKH_FIELD_CHOICE accepts
+ * @rounding: applies to SKH_FIELD_INTEGER
+ * @scale: a SKH_FIELD_INTEGER is multiplied by this before the range check; 0 counts as 1
  */
 typedef struct skh_field {
 	const char *key;
@@ -84,6 +93,8 @@
 	int64_t min;
 	int64_t max;
 	const char *const *choices;
+	skh_rounding_t rounding;
+	int64_t scale;
 } skh_field_t;
 
 /**
@@ -93,8 +104,7 @@
  * @line: line of a missing table
  * @fields: schema of the table
  * @n_fields: length of @fields
- * @base: struct to fill; a member keeps its value when its key is absent or the value has the wrong
- *	type or is an unknown choice, but receives an out-of-range value
+ * @base: struct to fill; a member keeps its value when its key is absent or the value is invalid
  * @errors: receives the validation errors
  */
 void skh_schema_read(const skh_doc_node_t *table, const char *path, uint32_t line,
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,21 +1,36 @@
 #include "settings.h"
 
+#include "log.h"
+
+#include <inttypes.h>
 #include <string.h>
 
+#define PART "settings"
+/* Time from a store response to the last use of a key, for requests on their way to a server. */
+#define KEY_TRUST_MARGIN_MS  1000
+#define MIN_KEY_TRUST_MS     100
 #define FIELD_OFFSET(member) offsetof(skh_settings_t, member)
 #define MAX_TEXT_BYTES	     255
 #define Z85_KEY_CHARS	     40
 #define TEXT(key, member, required)                                                                \
 	{                                                                                          \
-		key, SKH_FIELD_TEXT, required, FIELD_OFFSET(member), 1, MAX_TEXT_BYTES, NULL       \
+		key, SKH_FIELD_TEXT, required, FIELD_OFFSET(member), 1, MAX_TEXT_BYTES, NULL,      \
+			SKH_ROUNDING_NONE, 0                                                       \
 	}
 #define INTEGER(key, member, min, max)                                                             \
 	{                                                                                          \
-		key, SKH_FIELD_INTEGER, false, FIELD_OFFSET(member), min, max, NULL                \
+		key, SKH_FIELD_INTEGER, false, FIELD_OFFSET(member), min, max, NULL,               \
+			SKH_ROUNDING_NONE, 0                                                       \
+	}
+#define BOUND(key, member, min, max, rounding, scale)                                              \
+	{                                                                                          \
+		key, SKH_FIELD_INTEGER, false, FIELD_OFFSET(member), min, max, NULL, rounding,     \
+			scale                                                                      \
 	}
 #define CHOICE(key, member, required, choices)                                                     \
 	{                                                                                          \
-		key, SKH_FIELD_CHOICE, required, FIELD_OFFSET(member), 0, 0, choices               \
+		key, SKH_FIELD_CHOICE, required, FIELD_OFFSET(member), 0, 0, choices,              \
+			SKH_ROUNDING_NONE, 0                                                       \
 	}
 
 static const char *const backend_kind_choices[] = { "engine", "plain", NULL };
@@ -42,12 +57,13 @@
 };
 static const skh_field_t security_fields[] = {
 	{ "link_public_key", SKH_FIELD_TEXT, true, FIELD_OFFSET(link_public_key), Z85_KEY_CHARS,
-	  Z85_KEY_CHARS, NULL },
+	  Z85_KEY_CHARS, NULL, SKH_ROUNDING_NONE, 0 },
 	{ "link_secret_key", SKH_FIELD_TEXT, true, FIELD_OFFSET(link_secret_key), Z85_KEY_CHARS,
-	  Z85_KEY_CHARS, NULL },
+	  Z85_KEY_CHARS, NULL, SKH_ROUNDING_NONE, 0 },
 };
 static const skh_field_t store_fields[] = {
-	{ "endpoints", SKH_FIELD_TEXT_ARRAY, true, FIELD_OFFSET(store_endpoints), 0, 0, NULL },
+	{ "endpoints", SKH_FIELD_TEXT_ARRAY, true, FIELD_OFFSET(store_endpoints), 0, 0, NULL,
+	  SKH_ROUNDING_NONE, 0 },
 	TEXT("prefix", store_prefix, false),
 	TEXT("instances_prefix", instances_prefix, false),
 	INTEGER("timeout_ms", store_timeout_ms, 50, 60000),
@@ -83,6 +99,17 @@
 static const skh_field_t stop_fields[] = {
 	INTEGER("drain_ms", drain_ms, 0, 3600000),
 };
+/*
+ * Limits that the platform states, as whole numbers or fractions. Each is rounded to the side on
+ * which the promise behind it still holds: budgets and grace times down, the window of a budget up.
+ */
+static const skh_field_t bounds_fields[] = {
+	BOUND("retry_budget_ratio", retry_percent, 0, 1000, SKH_ROUNDING_DOWN, 100),
+	BOUND("retry_budget_minimum", min_retries, 0, 1000000, SKH_ROUNDING_DOWN, 1),
+	BOUND("retry_budget_window_s", retry_window_ms, 100, 600000, SKH_ROUNDING_UP, 1000),
+	BOUND("revocation_ms", revocation_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
+	BOUND("stop_grace_s", drain_ms, 0, 3600000, SKH_ROUNDING_DOWN, 1000),
+};
 static const skh_field_t log_fields[] = {
 	CHOICE("level", log_level, false, log_level_choices),
 	CHOICE("format", log_format, false, log_format_choices),
@@ -119,6 +146,9 @@
 	{ "log", log_fields, G_N_ELEMENTS(log_fields), ALL_ROLES, false },
 };
 
+static const section_t bounds_section = { "bounds", bounds_fields, G_N_ELEMENTS(bounds_fields),
+					  ROLE_BIT(SKH_ROLE_GATEWAY), true };
+
 static void set_defaults(skh_settings_t *settings)
 {
 	settings->http_threads = 640;
@@ -149,7 +179,8 @@
 {
 	for (size_t i = 0; i < skh_doc_node_count(document); i++) {
 		const skh_doc_node_t *child = skh_doc_node_at(document, i);
-		bool known = false;
+		bool known = strcmp(bounds_section.name, skh_doc_node_key(child)) == 0 &&
+			     bounds_section.role_bits & ROLE_BIT(role);
 
 		for (size_t s = 0; s < G_N_ELEMENTS(sections); s++) {
 			if (strcmp(sections[s].name, skh_doc_node_key(child)) == 0)
@@ -170,6 +201,7 @@
 	uint32_t line = 0;
 
 	settings->role = role;
+	settings->warnings = skh_validation_errors_new();
 	set_defaults(settings);
 	settings->document = skh_doc_node_from_toml(text, &line, &err);
 	if (!settings->document) {
@@ -186,6 +218,10 @@
 		skh_schema_read(table, sections[s].name, 1, sections[s].fields,
 				sections[s].n_fields, settings, errors);
 	}
+	if (bounds_section.role_bits & ROLE_BIT(role))
+		skh_schema_read(skh_doc_node_find(settings->document, bounds_section.name),
+				bounds_section.name, 1, bounds_section.fields,
+				bounds_section.n_fields, settings, settings->warnings);
 	if (settings->store_endpoints && skh_doc_node_count(settings->store_endpoints) == 0)
 		skh_validation_errors_add(errors, skh_doc_node_line(settings->store_endpoints),
 					  "store.endpoints", "at least one address is needed");
@@ -215,10 +251,30 @@
 	if (!settings)
 		return;
 	skh_doc_node_free(settings->document);
+	skh_validation_errors_free(settings->warnings);
 	g_free(settings->path);
 	g_free(settings);
 }
 
+int64_t skh_settings_key_trust_ms(const skh_settings_t *settings)
+{
+	int64_t limit_ms = MAX(settings->revocation_ms - KEY_TRUST_MARGIN_MS, MIN_KEY_TRUST_MS);
+
+	return settings->revocation_ms > 0 ? MIN(settings->key_trust_ms, limit_ms)
+					   : settings->key_trust_ms;
+}
+
+void skh_settings_log_warnings(const skh_settings_t *settings)
+{
+	for (size_t i = 0; i < skh_validation_errors_count(settings->warnings); i++) {
+		const skh_validation_error_t *warning =
+			skh_validation_errors_at(settings->warnings, i);
+
+		skh_log(SKH_LOG_WARNING, PART, "Setting cannot be used; the default is in force.",
+			"key=%s line=%u reason=%s", warning->key, warning->line, warning->reason);
+	}
+}
+
 const char *skh_settings_store_endpoint(const skh_settings_t *settings, size_t index)
 {
 	size_t n = skh_doc_node_count(settings->store_endpoints);
--- a/src/settings.h
+++ b/src/settings.h
@@ -77,6 +77,11 @@
 	int64_t retry_percent; /* retries per 100 requests, for all gateways together */
 	int64_t min_retries;   /* retries always allowed in a window, for all gateways together */
 	int64_t retry_window_ms;
+	/*
+	 * [bounds] sets these too, from limits that the platform states. A value that cannot be used
+	 * is a warning, and the default stays in force.
+	 */
+	int64_t revocation_ms; /* revoked keys must be rejected within this time; 0 if not stated */
 	/*
 	 * [balancer]: runs beside a rank and takes part in placing its group's experts.
 	 * The weights are those of the objective that rebalance.h minimizes.
@@ -91,7 +96,8 @@
 	int32_t log_format; /* 0: text, 1: JSON */
 	int32_t log_output; /* 0: standard error, 1: standard output */
 	skh_role_t role;
-	char *path; /* path of the file; NULL when parsed from memory */
+	skh_validation_errors_t *warnings; /* see [bounds] */
+	char *path;			   /* path of the file; NULL when parsed from memory */
 	skh_doc_node_t *document;
 } skh_settings_t;
 
@@ -121,6 +127,16 @@
 /** skh_settings_free() - free @settings; NULL is allowed */
 void skh_settings_free(skh_settings_t *settings);
 
+/**
+ * skh_settings_key_trust_ms() - how long keys stay valid after the last response of the store
+ *
+ * The setting, or less where the platform states a shorter time for revocations.
+ */
+int64_t skh_settings_key_trust_ms(const skh_settings_t *settings);
+
+/** skh_settings_log_warnings() - log each value of [bounds] that is not used */
+void skh_settings_log_warnings(const skh_settings_t *settings);
+
 /**
  * skh_settings_store_endpoint() - address of an endpoint of the store
  * @settings: valid settings
--- a/src/settings_watcher.c
+++ b/src/settings_watcher.c
@@ -61,6 +61,7 @@
 		new_settings = NULL;
 	} else {
 		skh_log(SKH_LOG_INFO, PART, "Settings reloaded.", "bytes=%" PRId64, watcher->size);
+		skh_settings_log_warnings(new_settings);
 		watcher->settings = new_settings;
 	}
 	skh_validation_errors_free(errors);
--- /dev/null
+++ b/test/settings_test.cc
@@ -0,0 +1,128 @@
+// Settings that the platform fills in: each bound whole, fractional, huge, negative, of a wrong type
+// or missing. Guards against processes that do not start because of the form of a number.
+#include "settings.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const char *const kGateway = "[instance]\nid = \"g\"\nfailure_domain = \"a\"\n"
+			     "[http]\nlisten = \"127.0.0.1:1\"\n[admin]\nlisten = \"127.0.0.1:2\"\n"
+			     "[store]\nendpoints = [\"127.0.0.1:3\"]\n"
+			     "[gateway]\ndialect = \"fleet\"\ngossip_listen = \"127.0.0.1:4\"\n";
+
+struct Parsed {
+	explicit Parsed(const std::string &text) : errors(skh_validation_errors_new())
+	{
+		settings = skh_settings_parse(skh_chunk_make(text.data(), text.size()),
+					      SKH_ROLE_GATEWAY, errors);
+	}
+	~Parsed()
+	{
+		skh_settings_free(settings);
+		skh_validation_errors_free(errors);
+	}
+	Parsed(const Parsed &) = delete;
+	Parsed &operator=(const Parsed &) = delete;
+
+	skh_validation_errors_t *errors;
+	skh_settings_t *settings;
+};
+
+struct BoundRow {
+	const char *key;
+	const char *value;
+	int64_t skh_settings_t::*member;
+	int64_t expected; // kDefault: the value is not used
+};
+
+constexpr int64_t kDefault = -1;
+
+const BoundRow kRows[] = {
+	{ "retry_budget_ratio", "0.2", &skh_settings_t::retry_percent, 20 },
+	{ "retry_budget_ratio", "1", &skh_settings_t::retry_percent, 100 },
+	{ "retry_budget_ratio", "0.119", &skh_settings_t::retry_percent, 11 },
+	{ "retry_budget_ratio", "-0.1", &skh_settings_t::retry_percent, kDefault },
+	{ "retry_budget_ratio", "true", &skh_settings_t::retry_percent, kDefault },
+	{ "retry_budget_ratio", "nan", &skh_settings_t::retry_percent, kDefault },
+	{ "retry_budget_minimum", "264", &skh_settings_t::min_retries, 264 },
+	{ "retry_budget_minimum", "26.9", &skh_settings_t::min_retries, 26 },
+	{ "retry_budget_minimum", "0", &skh_settings_t::min_retries, 0 },
+	{ "retry_budget_minimum", "1e30", &skh_settings_t::min_retries, kDefault },
+	{ "retry_budget_minimum", "9223372036854775807", &skh_settings_t::min_retries, kDefault },
+	{ "retry_budget_minimum", "\"90\"", &skh_settings_t::min_retries, kDefault },
+	{ "retry_budget_window_s", "10", &skh_settings_t::retry_window_ms, 10000 },
+	{ "retry_budget_window_s", "2.5", &skh_settings_t::retry_window_ms, 2500 },
+	{ "retry_budget_window_s", "2.50001", &skh_settings_t::retry_window_ms, 2501 },
+	{ "retry_budget_window_s", "0", &skh_settings_t::retry_window_ms, kDefault },
+	{ "retry_budget_window_s", "inf", &skh_settings_t::retry_window_ms, kDefault },
+	{ "retry_budget_window_s", "[10]", &skh_settings_t::retry_window_ms, kDefault },
+	{ "revocation_ms", "5000", &skh_settings_t::revocation_ms, 5000 },
+	{ "revocation_ms", "2500.75", &skh_settings_t::revocation_ms, 2500 },
+	{ "revocation_ms", "-1", &skh_settings_t::revocation_ms, kDefault },
+	{ "stop_grace_s", "8", &skh_settings_t::drain_ms, 8000 },
+	{ "stop_grace_s", "7.5", &skh_settings_t::drain_ms, 7500 },
+	{ "stop_grace_s", "false", &skh_settings_t::drain_ms, kDefault },
+	{ "stop_grace_s", "1e12", &skh_settings_t::drain_ms, kDefault },
+};
+
+std::string with_bound(const std::string &key, const std::string &value)
+{
+	return std::string(kGateway) + "[bounds]\n" + key + " = " + value + "\n";
+}
+
+} // namespace
+
+TEST(Settings, BoundsTakeEachFormOfANumber)
+{
+	const Parsed defaults(kGateway);
+
+	ASSERT_EQ(skh_validation_errors_count(defaults.errors), 0U);
+	for (const BoundRow &row : kRows) {
+		const Parsed parsed(with_bound(row.key, row.value));
+		bool is_used = row.expected != kDefault;
+
+		EXPECT_EQ(skh_validation_errors_count(parsed.errors), 0U)
+			<< row.key << " = " << row.value;
+		EXPECT_EQ(parsed.settings->*row.member,
+			  is_used ? row.expected : defaults.settings->*row.member)
+			<< row.key << " = " << row.value;
+		EXPECT_EQ(skh_validation_errors_count(parsed.settings->warnings), is_used ? 0U : 1U)
+			<< row.key << " = " << row.value;
+	}
+}
+
+TEST(Settings, AnUnknownBoundIsAWarning)
+{
+	const Parsed parsed(with_bound("new_limit", "3.5"));
+
+	EXPECT_EQ(skh_validation_errors_count(parsed.errors), 0U);
+	ASSERT_EQ(skh_validation_errors_count(parsed.settings->warnings), 1U);
+	EXPECT_STREQ(skh_validation_errors_at(parsed.settings->warnings, 0)->key,
+		     "bounds.new_limit");
+}
+
+TEST(Settings, KeysAreTrustedForLessThanARevocationTakes)
+{
+	EXPECT_EQ(skh_settings_key_trust_ms(Parsed(kGateway).settings), 4000);
+	EXPECT_EQ(skh_settings_key_trust_ms(Parsed(with_bound("revocation_ms", "9000")).settings),
+		  4000);
+	EXPECT_EQ(skh_settings_key_trust_ms(Parsed(with_bound("revocation_ms", "3000")).settings),
+		  2000);
+	EXPECT_EQ(skh_settings_key_trust_ms(Parsed(with_bound("revocation_ms", "200")).settings),
+		  100);
+}
+
+// An instance's own keys stay strict: there a wrong value is a mistake of its operator.
+TEST(Settings, OwnKeysRejectFractionsAndKeepTheirDefault)
+{
+	const Parsed parsed(std::string(kGateway) + "retry_least = 26.4\nretry_percent = 2000\n");
+
+	EXPECT_EQ(skh_validation_errors_count(parsed.errors), 2U);
+	EXPECT_EQ(parsed.settings->min_retries, 40);
+	EXPECT_EQ(parsed.settings->retry_percent, 20);
+}
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -43,7 +43,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define MAX_SERVERS	      32
+#define MAX_SERVERS	      82
 #define PLAIN_PORT_OFFSET     80
 #define N_PLAIN		      2
 #define N_SETS		      2
