Obey leaving servers, servers' pauses and a store that comes back from a copy

A server says in each response that it leaves; a server that rejects a request may ask for a pause; the store may come back from a copy some seconds old, with revisions and leases given out again. Change: the gateway stops sending to a server that says it leaves, whatever the list says, and to one that asked for a pause; requests that would expire before any server accepts them are rejected at once with the time to come back. Stores tell their era: in a new one the feed reads everything again, keeps the newer configuration and ignores older entries of servers; a coordinator's lease is void, and fences rise.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -126,6 +126,23 @@
 					skh_exchange_header_name(exchange, SKH_HEADER_NOT_RUN)));
 }
 
+/* Records what the server says about itself, whatever becomes of the response. */
+static void record_server_state(const skh_exchange_t *exchange, const skh_http_message_t *response,
+				int64_t now_us)
+{
+	const char *leaving = skh_http_message_header(
+		response, skh_exchange_header_name(exchange, SKH_HEADER_LEAVING));
+	const char *retry_after = skh_http_message_header(response, "Retry-After");
+
+	/* Another instance at the server's address speaks for itself. */
+	if (response->parser.status_code == 421)
+		return;
+	if (leaving && strcmp(leaving, "1") == 0)
+		skh_target_record_leaving(exchange->target);
+	if (retry_after && response->parser.status_code == 503)
+		skh_target_record_retry_after(exchange->target, retry_after, now_us);
+}
+
 /*
  * Stores the head for the caller; a stream that resumes at another server keeps the head of its
  * first response. Rejects a successful response that has no signature or has a Content-Encoding.
@@ -136,6 +153,7 @@
 	bool is_success = response->parser.status_code / 100 == 2;
 
 	exchange->target->last_received_us = skh_clock_boot_us();
+	record_server_state(exchange, response, exchange->target->last_received_us);
 	exchange->attempt_status = (int32_t)response->parser.status_code;
 	exchange->reported_not_run = is_reported_not_run(exchange, response);
 	exchange->response_is_signed =
--- a/src/backends.c
+++ b/src/backends.c
@@ -18,6 +18,8 @@
 /* The roster holds a stopped server until its entry expires after three missed heartbeats. */
 #define WRONG_INSTANCE_PAUSE_US (4 * SKH_US_PER_S)
 #define RATE_SLOT_US		(500 * SKH_US_PER_MS)
+/* Longest pause that a server can ask for, so that a garbled header does not end its use. */
+#define MAX_RETRY_AFTER_S 600.0
 /*
  * Requests sent beyond the slots of a server, or of a rank of a lock-step group: a slot is free at
  * the server before its last response arrives at the gateway.
@@ -244,6 +246,12 @@
 	}
 }
 
+/* A server that never gets new requests again. */
+static bool is_retired(const skh_target_t *target)
+{
+	return target->server->is_leaving || target->has_announced_leaving || target->is_superseded;
+}
+
 static bool is_excluded(const GPtrArray *excluded_targets, const skh_target_t *target)
 {
 	return excluded_targets && g_ptr_array_find((GPtrArray *)excluded_targets, target, NULL);
@@ -274,8 +282,9 @@
 			.failure_ratio = target->failure_ratio,
 			.avoid_until_us = target->avoid_until_us,
 			.full_until_us = target->full_until_us,
-			.is_excluded = target->server->is_leaving || target->is_superseded ||
+			.is_excluded = is_retired(target) ||
 				       now_us < target->wrong_instance_until_us ||
+				       now_us < target->rejects_until_us ||
 				       is_excluded(excluded_targets, target),
 		};
 	}
@@ -287,14 +296,25 @@
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool)
 {
 	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		if (!target->server->is_leaving && !target->is_superseded)
+		if (!is_retired(g_ptr_array_index(pool->targets, i)))
 			return true;
 	}
 	return false;
 }
 
+int64_t skh_target_pool_accepts_from_us(const skh_target_pool_t *pool, int64_t now_us)
+{
+	int64_t earliest_us = INT64_MAX;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		if (!is_retired(target))
+			earliest_us = MIN(earliest_us, target->rejects_until_us);
+	}
+	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
+}
+
 static void advance_rate_slots(skh_target_pool_t *pool, int64_t now_us)
 {
 	int64_t slot = now_us / RATE_SLOT_US;
@@ -368,6 +388,32 @@
 		target->avoid_until_us = now_us + (AVOID_BASE_US << doublings);
 }
 
+void skh_target_record_leaving(skh_target_t *target)
+{
+	if (target->has_announced_leaving)
+		return;
+	target->has_announced_leaving = true;
+	skh_log(SKH_LOG_INFO, PART, "Server says that it is leaving and gets no new requests.",
+		"server=%s listed_as_leaving=%d", target->server->id, target->server->is_leaving);
+}
+
+void skh_target_record_retry_after(skh_target_t *target, const char *retry_after, int64_t now_us)
+{
+	char *end = NULL;
+	double wait_s = g_ascii_strtod(retry_after, &end);
+
+	if (end == retry_after || *end != '\0' || !(wait_s > 0.0)) {
+		skh_log(SKH_LOG_DEBUG, PART, "Server's Retry-After is not a number of seconds.",
+			"server=%s value=%.32s", target->server->id, retry_after);
+		return;
+	}
+	wait_s = MIN(wait_s, MAX_RETRY_AFTER_S);
+	target->rejects_until_us =
+		MAX(target->rejects_until_us, now_us + (int64_t)(wait_s * (double)SKH_US_PER_S));
+	skh_log(SKH_LOG_INFO, PART, "Server rejects requests for a while and gets none.",
+		"server=%s wait_ms=%.0f", target->server->id, wait_s * (double)SKH_MS_PER_S);
+}
+
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us)
 {
 	record_failure(target, SKH_TARGET_OUTCOME_UNREACHABLE, now_us);
--- a/src/backends.h
+++ b/src/backends.h
@@ -49,6 +49,8 @@
 	uint32_t consecutive_failures;
 	int64_t avoid_until_us;
 	int64_t full_until_us;
+	int64_t rejects_until_us;   /* the server wants no requests of this gateway until then */
+	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
 };
@@ -112,6 +114,12 @@
 /** skh_target_pool_has_servers() - true when a server is neither leaving nor superseded */
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool);
 
+/**
+ * skh_target_pool_accepts_from_us() - when a server that asked for a pause accepts requests again
+ * Return: the earliest such time; 0 if a server accepts requests now, or if there is no server.
+ */
+int64_t skh_target_pool_accepts_from_us(const skh_target_pool_t *pool, int64_t now_us);
+
 /** skh_target_pool_completion_rate() - returns successful requests per second; 0 when unknown */
 double skh_target_pool_completion_rate(const skh_target_pool_t *pool, int64_t now_us);
 
@@ -150,6 +158,22 @@
 void skh_target_end_attempt(skh_target_t *target, const skh_target_result_t *result,
 			    int64_t now_us);
 
+/**
+ * skh_target_record_leaving() - record that the server has said that it is leaving
+ *
+ * It gets no new requests from then on, whatever the roster says, until it starts again.
+ */
+void skh_target_record_leaving(skh_target_t *target);
+
+/**
+ * skh_target_record_retry_after() - record that the server has rejected a request for a while
+ * @retry_after: value of the Retry-After header in seconds, may have a fraction; other forms are
+ *	ignored
+ *
+ * The server gets no requests of this gateway during that time.
+ */
+void skh_target_record_retry_after(skh_target_t *target, const char *retry_after, int64_t now_us);
+
 /** skh_target_mark_unreachable() - counts a failure and avoids the server for a back-off time */
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us);
 /** skh_target_unref() - drops a reference; the last one frees @target and its connections */
--- a/src/election.c
+++ b/src/election.c
@@ -1,6 +1,7 @@
 #include "election.h"
 
 #include "clock.h"
+#include "fence.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -42,6 +43,7 @@
 	int64_t retry_delay_us; /* delay after the next failure to follow the lease */
 	int64_t lease_id;
 	int64_t revision;	 /* store revision that was read last */
+	int64_t era;		 /* of the store when it was read last; -1 before */
 	int64_t servers_read_us; /* time of the last read of the server list */
 	char *published_notice;	 /* notice in the store under this lease, or "" */
 };
@@ -81,8 +83,15 @@
 	g_mutex_unlock(&election->lock);
 }
 
-static void set_lease_state(skh_election_t *election, int64_t fence, int64_t lease_deadline_us)
+/* @lease_revision is 0 if the lease is not held. */
+static void set_lease_state(skh_election_t *election, int64_t lease_revision,
+			    int64_t lease_deadline_us)
 {
+	int64_t fence = lease_revision == 0
+				? 0
+				: skh_fence_of_lease(skh_store_era(election->options.store),
+						     lease_revision);
+
 	g_mutex_lock(&election->lock);
 	if (election->view.is_holder != (fence != 0))
 		skh_log(SKH_LOG_INFO, PART,
@@ -90,6 +99,7 @@
 			"fence=%" PRId64, fence ? fence : election->view.fence);
 	election->view.is_holder = fence != 0;
 	election->view.fence = fence;
+	election->view.lease_revision = lease_revision;
 	election->view.lease_deadline_us = lease_deadline_us;
 	g_mutex_unlock(&election->lock);
 }
@@ -174,6 +184,26 @@
 	return true;
 }
 
+/*
+ * In a new era of the store, revisions and lease ids are given out again: a lease of the old era is
+ * lost even if the store renews it, as it may now be that of another process.
+ */
+static bool has_era_changed(skh_election_t *election)
+{
+	int64_t era = skh_store_era(election->options.store);
+	bool has_changed = election->era >= 0 && era != election->era;
+
+	election->era = era;
+	if (!has_changed)
+		return false;
+	skh_log(SKH_LOG_WARNING, PART, "Store came back from an older copy; its leases are void.",
+		"era=%" PRId64 " revision=%" PRId64, era, election->revision);
+	election->lease_id = 0;
+	election->revision = 0;
+	set_lease_state(election, 0, 0);
+	return true;
+}
+
 /* Waits for a change of the holder with a long poll, so that an expiry is noticed soon. */
 static bool watch_holder(skh_election_t *election, bool *is_held, skh_error_t *err)
 {
@@ -288,11 +318,11 @@
 }
 
 /* Writes the notice if it has changed; the next renewal retries after a lost response. */
-static void publish_notice(skh_election_t *election, int64_t fence)
+static void publish_notice(skh_election_t *election, int64_t lease_revision)
 {
 	skh_store_t *store = election->options.store;
 	g_autofree char *notice = copy_notice(election);
-	const skh_txn_compare_t holder_compare = { election->key, fence };
+	const skh_txn_compare_t holder_compare = { election->key, lease_revision };
 	const skh_txn_op_t op = { *notice ? SKH_TXN_OP_PUT : SKH_TXN_OP_DELETE,
 				  (char *)election->options.slow_ranks_key, notice,
 				  election->lease_id };
@@ -312,10 +342,11 @@
 	g_free(election->published_notice);
 	election->published_notice = g_steal_pointer(&notice);
 	skh_log(SKH_LOG_INFO, PART, "Published the notice to gateways.",
-		"fence=%" PRId64 " bytes=%zu", fence, strlen(election->published_notice));
+		"lease_revision=%" PRId64 " bytes=%zu", lease_revision,
+		strlen(election->published_notice));
 }
 
-static void renew_lease(skh_election_t *election, int64_t fence)
+static void renew_lease(skh_election_t *election, int64_t lease_revision)
 {
 	skh_store_t *store = election->options.store;
 	int64_t sent_us = skh_clock_boot_us();
@@ -327,6 +358,8 @@
 		sleep_with_jitter(election, RETRY_DELAY_US);
 		return;
 	}
+	if (has_era_changed(election))
+		return;
 	if (ttl_s <= 0) {
 		set_lease_state(election, 0, 0);
 		return;
@@ -337,7 +370,7 @@
 	g_mutex_lock(&election->lock);
 	election->view.lease_deadline_us = sent_us + ttl_s * SKH_US_PER_S - LEASE_MARGIN_US;
 	g_mutex_unlock(&election->lock);
-	publish_notice(election, fence);
+	publish_notice(election, lease_revision);
 	if (is_server_read_due(election))
 		read_servers(election);
 	else
@@ -361,9 +394,11 @@
 		    skh_clock_boot_us() > view.lease_deadline_us + LEASE_TTL_S * SKH_US_PER_S)
 			set_lease_state(election, 0, 0);
 		else if (view.is_holder)
-			renew_lease(election, view.fence);
+			renew_lease(election, view.lease_revision);
 		else
 			follow_lease(election, &is_holder_known, &is_held);
+		if (has_era_changed(election))
+			is_holder_known = false;
 	}
 	return NULL;
 }
@@ -373,6 +408,7 @@
 	skh_election_t *election = g_new0(skh_election_t, 1);
 
 	election->options = *options;
+	election->era = -1;
 	election->servers = g_ptr_array_new_with_free_func(g_free);
 	election->retry_delay_us = RETRY_DELAY_US;
 	election->notice = g_strdup("");
@@ -400,8 +436,8 @@
 	skh_election_get_view(election, &view);
 	if (!view.is_holder)
 		return;
-	/* Comparing with the fence ensures that the key is deleted only if this process holds it. */
-	holder_compare.mod_revision = view.fence;
+	/* Comparing with the revision ensures that the key is deleted only if this process holds it. */
+	holder_compare.mod_revision = view.lease_revision;
 	if (store->ops->txn(store, &txn, &result, &err))
 		skh_kv_pairs_clear(&result.pairs);
 	else
--- a/src/election.h
+++ b/src/election.h
@@ -32,6 +32,7 @@
 typedef struct skh_election_view {
 	bool is_holder;
 	int64_t fence;		      /* fencing token of this process's lease */
+	int64_t lease_revision;	      /* store revision at which the lease was acquired */
 	int64_t lease_deadline_us;    /* boot clock; the holder must not act later */
 	char coordinator_address[64]; /* "address:port" of the lease holder, "" if unknown */
 	bool has_engine_spec;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -271,9 +271,9 @@
 	gateway->is_dispatching = false;
 }
 
-static void end_expired(skh_exchange_t *exchange, int64_t now_us)
+static void end_expired(skh_exchange_t *exchange, int64_t accepts_from_us, int64_t now_us)
 {
-	int64_t wait_us = expected_wait_us(exchange, now_us);
+	int64_t wait_us = MAX(expected_wait_us(exchange, now_us), accepts_from_us - now_us);
 
 	if (exchange->state == SKH_EXCHANGE_RESPONDING) {
 		skh_exchange_log_end(exchange, "cut", exchange->response_status,
@@ -296,15 +296,18 @@
 static void end_expired_in_pool(skh_target_pool_t *pool, void *context)
 {
 	int64_t now_us = skh_clock_boot_us();
+	int64_t accepts_from_us = skh_target_pool_accepts_from_us(pool, now_us);
 	skh_queued_request_t *queued_request;
 
 	(void)context;
-	while ((queued_request = skh_request_queue_find_expired(pool->queue, now_us)) != NULL) {
+	/* A request that expires before any server accepts one is not kept until then. */
+	while ((queued_request = skh_request_queue_find_expired(
+			pool->queue, MAX(now_us, accepts_from_us))) != NULL) {
 		skh_exchange_t *exchange = exchange_from_queued(queued_request);
 
 		skh_request_queue_remove(pool->queue, queued_request);
 		exchange->queue_duration_us += now_us - queued_request->enqueued_us;
-		end_expired(exchange, now_us);
+		end_expired(exchange, accepts_from_us, now_us);
 	}
 }
 
@@ -551,6 +554,7 @@
  */
 static bool admit(skh_exchange_t *exchange, int64_t now_us)
 {
+	int64_t accepts_from_us;
 	int64_t wait_us;
 
 	if (skh_crash_suspects_is_rejected(exchange->gateway->crash_suspects,
@@ -567,6 +571,14 @@
 		return false;
 	}
 	init_queued_request(exchange, now_us);
+	accepts_from_us = skh_target_pool_accepts_from_us(exchange->target_pool, now_us);
+	if (accepts_from_us > exchange->queued_request.expires_us) {
+		skh_exchange_reject(exchange, SKH_OVERLOADED,
+				    skh_exchange_retry_after_ms(
+					    exchange, (accepts_from_us - now_us) / SKH_US_PER_MS),
+				    "all servers of the service have asked for a pause");
+		return false;
+	}
 	if (skh_request_queue_length(exchange->target_pool->queue) == 0)
 		return true;
 	/* The requests that are already queued are enough to probe whether the group recovers. */
--- a/src/feed.c
+++ b/src/feed.c
@@ -30,6 +30,8 @@
 	skh_roster_builder_t *builder;
 	int64_t read_revision; /* revision read so far; 0 when a full read is due */
 	int64_t config_revision;
+	int64_t config_version;	  /* of the configuration in force */
+	int64_t era;		  /* of the store when it was read last; -1 before */
 	int64_t last_response_us; /* boot clock; 0 before the first response */
 	int64_t recovered_us;	  /* end of the store's last outage; 0 for none */
 	int64_t backoff_us;
@@ -100,8 +102,19 @@
 			"revision=%" G_GINT64_FORMAT " reason=%s", revision, err.text);
 		return;
 	}
-	routing->revision = revision;
 	feed->config_revision = revision;
+	/* A store that came back from an older copy gets the newer version again from the operator. */
+	if (routing->version < feed->config_version) {
+		skh_log(SKH_LOG_WARNING, PART,
+			"Store has an older configuration; the newer one stays in force.",
+			"version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT
+			" revision=%" G_GINT64_FORMAT,
+			routing->version, feed->config_version, revision);
+		skh_routing_free(routing);
+		return;
+	}
+	routing->revision = revision;
+	feed->config_version = routing->version;
 	skh_metrics_add(SKH_COUNT_CONFIG_ADOPTED, 1);
 	skh_log(SKH_LOG_INFO, PART, "Configuration is in force.",
 		"version=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT " routes=%u",
@@ -215,6 +228,36 @@
 	g_mutex_unlock(&feed->lock);
 }
 
+/*
+ * Revisions and the registration's lease are of the old era and may now belong to others. Server
+ * entries that the store has lost are written again.
+ */
+static void begin_era(skh_feed_t *feed, int64_t era)
+{
+	skh_log(SKH_LOG_WARNING, PART,
+		"Store came back from an older copy; reading the full state.",
+		"era=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
+		era, feed->era, feed->read_revision);
+	skh_roster_builder_begin_era(feed->builder);
+	feed->recovered_us = skh_clock_boot_us();
+	feed->read_revision = 0;
+	feed->config_revision = 0;
+	feed->lease = 0;
+	feed->next_renew_us = 0;
+}
+
+/* Whether the last response was the first of a new era; what it says is then not used. */
+static bool has_era_changed(skh_feed_t *feed)
+{
+	int64_t era = skh_store_era(feed->options.store);
+	bool has_changed = feed->era >= 0 && era != feed->era;
+
+	if (has_changed)
+		begin_era(feed, era);
+	feed->era = era;
+	return has_changed;
+}
+
 /* Reads all keys, at the start and when the store has compacted its history. */
 static bool read_all(skh_feed_t *feed, skh_error_t *err)
 {
@@ -226,6 +269,8 @@
 	if (!read_config(feed, &revision, err))
 		return false;
 	record_response(feed);
+	if (has_era_changed(feed))
+		return true;
 	if (!read_prefix(feed, feed->options.dialect->servers_prefix, &servers, err))
 		return false;
 	remove_unlisted(feed, &servers);
@@ -237,6 +282,8 @@
 	if (!read_prefix(feed, SKH_SLOW_RANKS_PREFIX, &notices, err))
 		return false;
 	skh_kv_pairs_clear(&notices);
+	if (has_era_changed(feed))
+		return true;
 	feed->read_revision = revision;
 	feed->has_roster = true;
 	feed->roster_changed = true;
@@ -273,13 +320,16 @@
 				"revision=%" G_GINT64_FORMAT, feed->read_revision);
 			feed->read_revision = 0;
 			record_response(feed);
+			(void)has_era_changed(feed);
 			return true;
 		}
 		return false;
 	}
 	record_response(feed);
-	apply_changes(feed, &changes);
-	feed->read_revision = MAX(feed->read_revision, changes.store_revision);
+	if (!has_era_changed(feed)) {
+		apply_changes(feed, &changes);
+		feed->read_revision = MAX(feed->read_revision, changes.store_revision);
+	}
 	skh_kv_changes_clear(&changes);
 	return true;
 }
@@ -375,6 +425,7 @@
 	skh_feed_t *feed = g_new0(skh_feed_t, 1);
 
 	feed->options = *options;
+	feed->era = -1;
 	feed->builder = skh_roster_builder_new();
 	feed->gateway_changes = 1;
 	feed->gateways = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/roster.c
+++ b/src/roster.c
@@ -2,8 +2,23 @@
 
 #include <string.h>
 
+/* Last known entry of a server that was removed. */
+typedef struct removed_server {
+	int64_t started_unix_ms;
+	int64_t sequence;
+	int64_t forget_us;
+} removed_server_t;
+
+/*
+ * Removed servers are remembered for this long: longer than the age of a copy that the store comes
+ * back from, plus the time until the copy's entries of such servers expire.
+ */
+#define REMEMBER_REMOVED_US ((int64_t)120 * 1000000)
+
 struct skh_roster_builder {
-	GHashTable *servers; /* id -> skh_server_t */
+	GHashTable *servers;   /* id -> skh_server_t */
+	GHashTable *removed;   /* id -> removed_server_t */
+	bool checks_for_older; /* the store came back from a copy */
 };
 
 void skh_server_free(skh_server_t *server)
@@ -39,12 +54,14 @@
 	skh_roster_builder_t *builder = g_new0(skh_roster_builder_t, 1);
 
 	builder->servers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
+	builder->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return builder;
 }
 
 void skh_roster_builder_free(skh_roster_builder_t *builder)
 {
 	g_hash_table_unref(builder->servers);
+	g_hash_table_unref(builder->removed);
 	g_free(builder);
 }
 
@@ -57,10 +74,49 @@
 	       a->grace_expires_us == b->grace_expires_us;
 }
 
+void skh_roster_builder_begin_era(skh_roster_builder_t *builder)
+{
+	builder->checks_for_older = true;
+}
+
+/* Whether the entry was written before the one that is, or was, known of the same instance. */
+static bool is_older(const skh_roster_builder_t *builder, const skh_server_t *old,
+		     const skh_server_t *server)
+{
+	const removed_server_t *removed = g_hash_table_lookup(builder->removed, server->id);
+
+	if (!builder->checks_for_older)
+		return false;
+	if (old)
+		return server->started_unix_ms < old->started_unix_ms ||
+		       (server->started_unix_ms == old->started_unix_ms &&
+			server->sequence < old->sequence);
+	return removed && (server->started_unix_ms < removed->started_unix_ms ||
+			   (server->started_unix_ms == removed->started_unix_ms &&
+			    server->sequence <= removed->sequence));
+}
+
+static void remember_removed(skh_roster_builder_t *builder, const skh_server_t *server,
+			     int64_t now_us)
+{
+	removed_server_t *removed = g_new(removed_server_t, 1);
+
+	*removed = (removed_server_t){ server->started_unix_ms, server->sequence,
+				       now_us + REMEMBER_REMOVED_US };
+	(void)g_hash_table_replace(builder->removed, g_strdup(server->id), removed);
+}
+
 bool skh_roster_builder_put(skh_roster_builder_t *builder, skh_server_t *server)
 {
-	const skh_server_t *old = g_hash_table_lookup(builder->servers, server->id);
+	skh_server_t *old = g_hash_table_lookup(builder->servers, server->id);
 
+	if (is_older(builder, old, server)) {
+		/* It is listed, so its removal is no longer due. */
+		if (old)
+			old->grace_expires_us = 0;
+		skh_server_free(server);
+		return false;
+	}
 	if (old && is_equal(old, server)) {
 		skh_server_free(server);
 		return false;
@@ -78,6 +134,7 @@
 		return false;
 	/* A server that was leaving is not expected to register again. */
 	if (!may_have_expired || server->is_leaving) {
+		remember_removed(builder, server, now_us);
 		(void)g_hash_table_remove(builder->servers, id);
 		return true;
 	}
@@ -100,6 +157,12 @@
 	return changed;
 }
 
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer context)
+{
+	(void)key;
+	return *(const int64_t *)context >= ((const removed_server_t *)value)->forget_us;
+}
+
 static gboolean is_expired(gpointer key, gpointer value, gpointer context)
 {
 	const skh_server_t *server = value;
@@ -111,6 +174,7 @@
 
 bool skh_roster_builder_expire(skh_roster_builder_t *builder, int64_t now_us)
 {
+	(void)g_hash_table_foreach_remove(builder->removed, is_forgotten, &now_us);
 	return g_hash_table_foreach_remove(builder->servers, is_expired, &now_us) > 0;
 }
 
--- a/src/roster.h
+++ b/src/roster.h
@@ -13,6 +13,9 @@
  * the store is unavailable and servers can't renew them; a server whose entry
  * may have expired that way is kept for SKH_ROSTER_GRACE_US, so that it can
  * register again.
+ *
+ * After the store has come back from an older copy, entries of servers that had left
+ * or were leaving may be listed in an earlier state. They are told by their sequence.
  */
 
 #include <glib.h>
@@ -33,6 +36,7 @@
 	uint32_t slots;		  /* maximum number of concurrent requests */
 	bool is_leaving;	  /* gets no new requests */
 	int64_t started_unix_ms;  /* Unix time of the server's start; 0 when unknown */
+	int64_t sequence;	  /* rises with each entry that the server writes */
 	int64_t grace_expires_us; /* removal time of an unlisted server; 0 while listed */
 } skh_server_t;
 
@@ -51,6 +55,13 @@
 skh_roster_builder_t *skh_roster_builder_new(void);
 void skh_roster_builder_free(skh_roster_builder_t *builder);
 
+/**
+ * skh_roster_builder_begin_era() - the store has come back from an older copy
+ *
+ * From now on entries that are older than what was read before are ignored.
+ */
+void skh_roster_builder_begin_era(skh_roster_builder_t *builder);
+
 /**
  * skh_roster_builder_put() - adds @server or replaces the one with its id
  * @server: ownership passes to the function
--- a/src/store.h
+++ b/src/store.h
@@ -158,8 +158,23 @@
 /** struct skh_store - a store; first member of the struct of each implementation */
 struct skh_store {
 	const skh_store_ops_t *ops;
+	int64_t era; /* see skh_store_era(); atomic */
 };
 
+/**
+ * skh_store_era() - how often the store has come back from an older copy
+ *
+ * As of the last response. In a new era the store lacks its latest changes and leases, and gives
+ * out their revisions and lease ids again, so none of an earlier era may be compared with or
+ * renewed. Safe to call from any thread.
+ *
+ * Return: the era, which only rises; 0 if the store does not tell.
+ */
+static inline int64_t skh_store_era(const skh_store_t *store)
+{
+	return __atomic_load_n(&store->era, __ATOMIC_ACQUIRE);
+}
+
 /**
  * skh_store_open_etcd() - open a store that uses the JSON gateway of etcd v3 over HTTP
  * @endpoints: base URLs, NULL-terminated; copied
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -114,4 +114,84 @@
 	skh_target_unref(target);
 }
 
+// The server's own word comes before the list shows it, and the list may show an older state.
+TEST(Backends, AServerThatSaysItIsLeavingGetsNoRequestsUntilItStartsAgain)
+{
+	Backends t;
+
+	t.add_to_list("one", "127.0.0.1", 1000);
+	t.add_to_list("two", "127.0.0.2", 1000);
+	skh_target_record_leaving(skh_backends_find_target(t.backends, "one"));
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.select(), "two");
+	skh_backends_sync(t.backends, &t.roster, nullptr);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.select(), "two");
+	skh_target_record_leaving(skh_backends_find_target(t.backends, "two"));
+	EXPECT_EQ(t.select(), "-");
+	EXPECT_FALSE(skh_target_pool_has_servers(skh_backends_get_or_create_pool(t.backends, "s")));
+	static_cast<skh_server_t *>(g_ptr_array_index(t.roster.servers, 0))->started_unix_ms = 2000;
+	skh_backends_sync(t.backends, &t.roster, nullptr);
+	EXPECT_EQ(t.select(), "one");
+}
+
+TEST(Backends, AServerThatAskedForAPauseGetsNoRequestsDuringIt)
+{
+	struct {
+		const char *header;
+		int64_t wait_us;
+	} const rows[] = {
+		{ "2", 2 * kSecondUs },
+		{ "0.25", kSecondUs / 4 },
+		{ "1e9", 600 * kSecondUs },
+		{ "0", 0 },
+		{ "-3", 0 },
+		{ "soon", 0 },
+		{ "", 0 },
+		{ "Wed, 21 Oct 2026 07:28:00 GMT", 0 },
+		{ "nan", 0 },
+		{ "2 s", 0 },
+	};
+
+	for (const auto &row : rows) {
+		Backends t;
+		int64_t now_us = skh_clock_boot_us();
+
+		t.add_to_list("one", "127.0.0.1", 1000);
+		skh_target_t *target = skh_backends_find_target(t.backends, "one");
+		skh_target_pool_t *pool = target->target_pool;
+
+		skh_target_record_retry_after(target, row.header, now_us);
+		EXPECT_EQ(skh_target_pool_accepts_from_us(pool, now_us),
+			  row.wait_us > 0 ? now_us + row.wait_us : 0)
+			<< row.header;
+		EXPECT_EQ(skh_target_pool_select(pool, nullptr, now_us + row.wait_us - 1) !=
+				  nullptr,
+			  row.wait_us == 0)
+			<< row.header;
+		EXPECT_TRUE(skh_target_pool_select(pool, nullptr, now_us + row.wait_us));
+		/* A shorter pause asked for later does not end the longer one. */
+		skh_target_record_retry_after(target, "0.001", now_us);
+		EXPECT_GE(target->rejects_until_us, now_us + row.wait_us);
+	}
+}
+
+TEST(Backends, APoolAcceptsRequestsAsSoonAsOneServerDoes)
+{
+	Backends t;
+	int64_t now_us = skh_clock_boot_us();
+
+	t.add_to_list("one", "127.0.0.1", 1000);
+	t.add_to_list("two", "127.0.0.2", 1000);
+	t.add_to_list("gone", "127.0.0.3", 1000);
+	skh_target_pool_t *pool = skh_backends_get_or_create_pool(t.backends, "s");
+
+	skh_target_record_leaving(skh_backends_find_target(t.backends, "gone"));
+	skh_target_record_retry_after(skh_backends_find_target(t.backends, "one"), "5", now_us);
+	EXPECT_EQ(skh_target_pool_accepts_from_us(pool, now_us), 0);
+	skh_target_record_retry_after(skh_backends_find_target(t.backends, "two"), "3", now_us);
+	EXPECT_EQ(skh_target_pool_accepts_from_us(pool, now_us), now_us + 3 * kSecondUs);
+	EXPECT_EQ(skh_target_pool_accepts_from_us(pool, now_us + 3 * kSecondUs), 0);
+}
+
 } // namespace
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -378,6 +378,70 @@
 	skh_roster_builder_free(builder);
 }
 
+// The store lists entries from its copy again: of a server that had left, of one that was leaving,
+// and of one that has started again since.
+TEST(Roster, OlderEntriesOfANewEraBringNoServerBack)
+{
+	skh_roster_builder_t *builder = skh_roster_builder_new();
+	const auto put = [builder](const char *id, int64_t started_ms, int64_t sequence,
+				   bool is_leaving) {
+		skh_server_t *server = make_server(id);
+
+		server->started_unix_ms = started_ms;
+		server->sequence = sequence;
+		server->is_leaving = is_leaving;
+		return skh_roster_builder_put(builder, server);
+	};
+	const auto is_leaving = [builder](const char *id) {
+		skh_roster_t *roster = skh_roster_builder_snapshot(builder, 1);
+		bool result = skh_roster_find(roster, id)->is_leaving;
+
+		skh_roster_free(roster);
+		return result;
+	};
+
+	(void)put("gone", 1000, 5, false);
+	(void)put("leaving", 1000, 5, true);
+	(void)put("restarted", 2000, 1, false);
+	(void)put("alive", 1000, 5, false);
+	(void)skh_roster_builder_remove(builder, "gone", false, kS);
+	skh_roster_builder_begin_era(builder);
+
+	EXPECT_FALSE(put("gone", 1000, 4, false));
+	EXPECT_FALSE(put("gone", 1000, 5, false));
+	EXPECT_FALSE(is_listed(builder, "gone"));
+	EXPECT_FALSE(put("leaving", 1000, 4, false));
+	EXPECT_TRUE(is_leaving("leaving"));
+	EXPECT_FALSE(put("restarted", 1000, 90, true));
+	EXPECT_FALSE(is_leaving("restarted"));
+	EXPECT_FALSE(put("alive", 1000, 3, true));
+	EXPECT_FALSE(is_leaving("alive"));
+
+	// What the servers have written since counts.
+	EXPECT_TRUE(put("gone", 3000, 1, false)) << "a new start";
+	EXPECT_TRUE(put("alive", 1000, 6, true));
+	EXPECT_TRUE(is_leaving("alive"));
+	skh_roster_builder_free(builder);
+}
+
+// Entries lapse while the store is away; the copy lists a server, so it is kept.
+TEST(Roster, AServerThatAnOlderEntryListsIsNotRemoved)
+{
+	skh_roster_builder_t *builder = skh_roster_builder_new();
+	skh_server_t *server = make_server("a");
+	skh_server_t *older = make_server("a");
+
+	server->sequence = 5;
+	older->sequence = 4;
+	(void)skh_roster_builder_put(builder, server);
+	(void)skh_roster_builder_remove(builder, "a", true, kS);
+	skh_roster_builder_begin_era(builder);
+	EXPECT_FALSE(skh_roster_builder_put(builder, older));
+	EXPECT_FALSE(skh_roster_builder_expire(builder, 100 * kS));
+	EXPECT_TRUE(is_listed(builder, "a"));
+	skh_roster_builder_free(builder);
+}
+
 // --- Crash suspects ---
 
 TEST(CrashSuspects, ALostConnectionAloneIsNotACrash)
--- a/test/greedy_rebalance_test.cc
+++ b/test/greedy_rebalance_test.cc
@@ -248,6 +248,27 @@
 	EXPECT_GT(skh_fence_reserve(&fence, 8, 1), skh_fence_reserve(&fence, 7, 1));
 }
 
+// Each era begins some thousand revisions before the end of the one before.
+TEST(Fence, RisesWithTheEraAlthoughRevisionsGoBack)
+{
+	skh_fence_counter_t fences = {};
+	int64_t revision = 7;
+	int64_t last = 0;
+
+	for (int64_t era = 0; era < 100; era++) {
+		for (int64_t lease = 0; lease < 50; lease++) {
+			int64_t fence =
+				skh_fence_reserve(&fences, skh_fence_of_lease(era, revision), 2);
+
+			ASSERT_GT(fence, last) << "era " << era << " revision " << revision;
+			last = fence + 1;
+			revision += 20000;
+		}
+		revision -= SKH_FENCE_REVISIONS_PER_ERA - 1;
+	}
+	EXPECT_LT(last, (int64_t)1 << 53);
+}
+
 TEST(CountCodec, KeepsProportions)
 {
 	std::vector<double> counts = { 0, 1, 7, 80, 900, 100000, 55000, 3 };
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -66,6 +66,7 @@
 	char id[32];
 	bool is_draining;
 	bool is_gone;
+	int n_writes;	 /* entries written to the store so far */
 	int64_t left_us; /* time of draining or removal; 0 if neither */
 	char fault[16];
 	int64_t n_faults;
@@ -134,7 +135,7 @@
 	(void)curl_easy_perform(curl);
 }
 
-static void register_server(CURL *curl, const server_t *server)
+static void register_server(CURL *curl, server_t *server)
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
 	g_autofree char *address =
@@ -143,7 +144,7 @@
 				   server->is_engine ? "model" : "ledger", "address", address,
 				   "zone", "a", "version", "v1", "slots", 8, "state",
 				   server->is_draining ? "draining" : "ready", "cold-remaining-ms",
-				   0, "sequence", 1);
+				   0, "sequence", ++server->n_writes);
 	char *value = json_dumps(record, JSON_COMPACT);
 	json_t *request = json_pack("{s:s, s:s}", "key", key, "value", value);
 	char *body = json_dumps(request, JSON_COMPACT);
--- a/test/standin/fleet_store.c
+++ b/test/standin/fleet_store.c
@@ -14,6 +14,8 @@
  *     "drop"      close the connection without executing the call
  *     "silent"    wait SILENT_DELAY_US, then close the connection without executing the call
  *     "forget"    discard the history at once, so that a watch from an older revision fails
+ *   POST /copy                              keep a copy of the present state
+ *   POST /restore                           come back from that copy, in the next era
  */
 #define _GNU_SOURCE
 #include "standin.h"
@@ -53,6 +55,10 @@
 static int64_t next_lease = 100;
 static int64_t compacted_revision; /* history up to this revision is discarded */
 static int64_t n_calls;
+static GTree *copied_items;
+static int64_t copied_revision;
+static int64_t copied_next_lease;
+static int64_t era = 1;
 static char fault_mode[16];
 static char fault_only[32];
 static int64_t n_faults;
@@ -242,7 +248,7 @@
 	json_t *list = NULL;
 
 	for (;;) {
-		if (after < compacted_revision) {
+		if (after < compacted_revision || after > revision) {
 			*status = STATUS_GONE;
 			return json_object();
 		}
@@ -338,6 +344,48 @@
 	return json_pack("{s:I}", "revision", (json_int_t)revision);
 }
 
+static gboolean copy_item(gpointer key, gpointer value, gpointer copy)
+{
+	item_t *item = g_memdup2(value, sizeof(item_t));
+
+	item->value = g_strdup(item->value);
+	g_tree_replace(copy, g_strdup(key), item);
+	return FALSE;
+}
+
+static GTree *copy_items(GTree *source)
+{
+	GTree *copy = g_tree_new_full(compare_keys, NULL, g_free, free_item);
+
+	g_tree_foreach(source, copy_item, copy);
+	return copy;
+}
+
+static json_t *make_copy(void)
+{
+	if (copied_items)
+		g_tree_unref(copied_items);
+	copied_items = copy_items(items);
+	copied_revision = revision;
+	copied_next_lease = next_lease;
+	return json_object();
+}
+
+/* Revisions and lease ids that were given out since the copy are given out again. */
+static json_t *restore_copy(void)
+{
+	if (!copied_items)
+		return json_object();
+	g_tree_unref(items);
+	items = copy_items(copied_items);
+	revision = copied_revision;
+	next_lease = copied_next_lease;
+	compacted_revision = revision;
+	g_array_set_size(history, 0);
+	standin_set_header("Store-Era", ++era);
+	return json_pack("{s:I}", "era", (json_int_t)era);
+}
+
 static json_t *set_fault(const json_t *request)
 {
 	const char *mode = json_string_value(json_object_get(request, "mode"));
@@ -362,6 +410,10 @@
 		return put_by_operator(connection, request);
 	if (strcmp(path, "/fault") == 0)
 		return set_fault(request);
+	if (strcmp(path, "/copy") == 0)
+		return make_copy();
+	if (strcmp(path, "/restore") == 0)
+		return restore_copy();
 	if (strcmp(path, "/counts") == 0)
 		return json_pack("{s:I, s:I}", "calls", (json_int_t)n_calls, "revision",
 				 (json_int_t)revision);
@@ -441,5 +493,6 @@
 	history = g_array_new(FALSE, FALSE, sizeof(event_t));
 	leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	lease_ttls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	standin_set_header("Store-Era", era);
 	return standin_serve(argv[1], handle_request);
 }
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -65,13 +65,22 @@
 	return json ? json : json_object();
 }
 
+/* Header of all responses; "" for none. Set while the caller serves no request. */
+static char extra_header[128];
+
+void standin_set_header(const char *name, int64_t value)
+{
+	(void)g_snprintf(extra_header, sizeof(extra_header), "%s: %" G_GINT64_FORMAT "\r\n", name,
+			 value);
+}
+
 int standin_respond(struct mg_connection *connection, int status, json_t *json)
 {
 	char *body = json_dumps(json, JSON_COMPACT);
 	g_autofree char *response =
 		g_strdup_printf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-				"Content-Length: %zu\r\n\r\n%s",
-				status, strlen(body), body);
+				"Content-Length: %zu\r\n%s\r\n%s",
+				status, strlen(body), extra_header, body);
 
 	(void)mg_write(connection, response, strlen(response));
 	free(body);
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -39,6 +39,11 @@
  */
 int standin_respond(struct mg_connection *connection, int status, json_t *json);
 
+/**
+ * standin_set_header() - add a header to all later responses
+ */
+void standin_set_header(const char *name, int64_t value);
+
 /**
  * standin_close_connection() - close the connection without a response
  * @connection: connection of the request
