Send differences from the first map, and nothing after the beginning of a stream

Change: differences refer to the engines' first map, which each relay computes; its hash is checked as before. The retry policy closes a stream that has begun, whatever ended the last attempt. A response over 16 MiB counts as lost, not as complete.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 #define PART "request"
-/* Limit for a response that is buffered before it is forwarded; pieces that don't fit are lost. */
+/* Limit for a response that is buffered before it is forwarded; a larger one counts as lost. */
 #define MAX_BUFFERED_RESPONSE_BYTES (16U << 20)
 
 void skh_attempt_release(skh_exchange_t *exchange, skh_target_outcome_t outcome, int64_t latency_us)
@@ -212,6 +212,14 @@
 		finish_attempt(exchange, SKH_END_STREAM_BROKEN);
 }
 
+static void reject_oversized_response(skh_exchange_t *exchange)
+{
+	skh_log(SKH_LOG_WARNING, PART, "Response is too large to forward and counts as lost.",
+		"id=%s server=%s max_bytes=%u", exchange->attempt_id, exchange->target->server->id,
+		MAX_BUFFERED_RESPONSE_BYTES);
+	finish_attempt(exchange, SKH_END_LOST);
+}
+
 static void on_body(void *context, skh_chunk_t bytes)
 {
 	skh_exchange_t *exchange = context;
@@ -220,6 +228,8 @@
 		forward_events(exchange, bytes);
 	else if (exchange->response_body.len + bytes.len <= MAX_BUFFERED_RESPONSE_BYTES)
 		skh_buffer_append(&exchange->response_body, bytes);
+	else
+		reject_oversized_response(exchange);
 }
 
 static void record_completion(const skh_exchange_t *exchange)
@@ -408,6 +418,7 @@
 							     &gateway->retry_limits, now_us),
 		.is_retry_blocked = skh_crash_suspects_is_retry_blocked(
 			gateway->crash_suspects, exchange->content_hash, now_us),
+		.has_response_begun = exchange->state == SKH_EXCHANGE_RESPONDING,
 		.now_us = now_us,
 		.deadline_us = exchange->deadline_us,
 	};
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -301,7 +301,8 @@
 	 * Without a response the next order takes the other route: an exited or frozen relay must
 	 * not keep orders from its engine.
 	 */
-	route->needs_complete_map = status == SKH_RANKRELAY_STATUS_NO_BASE;
+	/* A relay of an older release rejects differences from the first map as a bad request. */
+	route->needs_complete_map = status == SKH_RANKRELAY_STATUS_NO_BASE || status == 400;
 	route->is_direct = has_no_response && !route->needs_complete_map && !route->is_direct;
 }
 
@@ -363,6 +364,7 @@
 					   skh_groupview_map_size(view), view->map };
 
 	skh_rankrelay_pack(order, coordinator->routes[rank].needs_complete_map ? NULL : &base,
+			   view->engine_spec.experts_per_set,
 			   relay_rank == rank ? NULL
 					      : skh_engine_client_address(view->ranks[rank].engine),
 			   &body);
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -58,11 +58,13 @@
 }
 
 static void pack_map_differences(const skh_mapchange_order_t *order,
-				 const skh_versioned_map_t *base, Skh__RankOrder *message)
+				 const skh_versioned_map_t *base, uint32_t n_experts,
+				 Skh__RankOrder *message)
 {
 	size_t last_slot = 0;
 
 	message->base_version = base->version;
+	message->n_first_experts = base->version == SKH_RANKRELAY_FIRST_MAP ? n_experts : 0;
 	message->changed = g_new(uint32_t, base->n_slots + 1);
 	message->experts = g_new(uint32_t, base->n_slots + 1);
 	for (size_t i = 0; i < base->n_slots; i++) {
@@ -75,7 +77,7 @@
 }
 
 void skh_rankrelay_pack(const skh_mapchange_order_t *order, const skh_versioned_map_t *base,
-			const char *engine, skh_buffer_t *out)
+			uint32_t n_experts, const char *engine, skh_buffer_t *out)
 {
 	Skh__RankOrder message = SKH__RANK_ORDER__INIT;
 	size_t n_slots = (size_t)order->n_sets * order->n_ranks * order->n_slots;
@@ -91,8 +93,8 @@
 		message.ranks = order->n_ranks;
 		message.places = order->n_slots;
 		message.map_hash = compute_map_hash(order->map, n_slots);
-		if (base && base->map && base->n_slots == n_slots && base->version != 0)
-			pack_map_differences(order, base, &message);
+		if (base && base->map && base->n_slots == n_slots)
+			pack_map_differences(order, base, n_experts, &message);
 		else
 			pack_complete_map(order, n_slots, &message);
 	}
@@ -161,18 +163,58 @@
 	*entry = (skh_versioned_map_t){ version, n_slots, map };
 }
 
+/* Returns the number of slots of the order's map; 0 if it is out of bounds. */
+static size_t count_slots(const Skh__RankOrder *message)
+{
+	uint64_t n_slots = (uint64_t)message->sets * message->ranks;
+
+	if (n_slots > MAX_SLOTS || message->places > MAX_SLOTS)
+		return 0;
+	n_slots *= message->places;
+	return n_slots > MAX_SLOTS ? 0 : (size_t)n_slots;
+}
+
+/* Experts are on the ranks in turn; NULL if they don't fit. */
+static uint32_t *make_first_map(const Skh__RankOrder *message, size_t n_slots)
+{
+	uint32_t n_experts = message->n_first_experts;
+	uint32_t *map;
+
+	if (n_experts > (uint64_t)message->ranks * message->places)
+		return NULL;
+	map = g_new0(uint32_t, n_slots + 1);
+	for (uint32_t set = 0; set < message->sets; set++) {
+		for (uint32_t expert = 0; expert < n_experts; expert++)
+			map[((size_t)set * message->ranks + expert % message->ranks) *
+				    message->places +
+			    expert / message->ranks] = expert + 1;
+	}
+	return map;
+}
+
+static uint32_t *unpack_first_map_differences(const Skh__RankOrder *message, size_t n_slots)
+{
+	g_autofree uint32_t *first_map = make_first_map(message, n_slots);
+	const skh_versioned_map_t base = { SKH_RANKRELAY_FIRST_MAP, n_slots, first_map };
+
+	return first_map ? unpack_map_differences(message, &base, n_slots) : NULL;
+}
+
 static int32_t unpack_map(const Skh__RankOrder *message, skh_map_cache_t *cache)
 {
-	uint64_t n_slots = (uint64_t)message->sets * message->ranks * message->places;
-	bool is_complete = message->base_version == 0;
+	size_t n_slots = count_slots(message);
+	bool is_complete = message->base_version == 0 && message->n_first_experts == 0;
 	uint32_t *map;
 
-	if (n_slots == 0 || n_slots > MAX_SLOTS)
+	if (n_slots == 0)
 		return STATUS_BAD_REQUEST;
-	map = is_complete ? unpack_complete_map(message, n_slots)
-			  : unpack_map_differences(message,
-						   skh_map_cache_find(cache, message->base_version),
-						   n_slots);
+	if (is_complete)
+		map = unpack_complete_map(message, n_slots);
+	else if (message->n_first_experts > 0)
+		map = unpack_first_map_differences(message, n_slots);
+	else
+		map = unpack_map_differences(
+			message, skh_map_cache_find(cache, message->base_version), n_slots);
 	if (!map || compute_map_hash(map, n_slots) != message->map_hash) {
 		g_free(map);
 		return is_complete ? STATUS_BAD_REQUEST : SKH_RANKRELAY_STATUS_NO_BASE;
--- a/src/rankrelay.h
+++ b/src/rankrelay.h
@@ -45,6 +45,9 @@
 /* Status of an order whose map is encoded as differences from a map that is not cached. */
 #define SKH_RANKRELAY_STATUS_NO_BASE 428
 
+/* Version of the map that an engine starts with: experts on the ranks in turn. */
+#define SKH_RANKRELAY_FIRST_MAP 0
+
 /** struct skh_versioned_map - a complete map and its version */
 typedef struct skh_versioned_map {
 	int64_t version;
@@ -70,11 +73,13 @@
 
 /**
  * skh_rankrelay_pack() - append @order to @out in the relay's wire format
- * @base: map that the relay has, so that only differences are sent; NULL for a complete map
+ * @base: map that the relay has, so that only differences are sent; NULL for a complete map. Every
+ *	relay can compute the map SKH_RANKRELAY_FIRST_MAP
+ * @n_experts: experts of each set
  * @engine: "address:port" of the engine that gets the order; NULL for the one beside the relay
  */
 void skh_rankrelay_pack(const skh_mapchange_order_t *order, const skh_versioned_map_t *base,
-			const char *engine, skh_buffer_t *out);
+			uint32_t n_experts, const char *engine, skh_buffer_t *out);
 
 /**
  * skh_rankrelay_unpack() - decode the order in @bytes
--- a/src/retry_policy.c
+++ b/src/retry_policy.c
@@ -28,7 +28,8 @@
 {
 	if (can_retry(view))
 		return SKH_RETRY_DECISION_RETRY;
-	if (view->end == SKH_END_STREAM_BROKEN)
+	/* Nothing else can follow the part that the caller has, whatever ended the last attempt. */
+	if (view->end == SKH_END_STREAM_BROKEN || view->has_response_begun)
 		return SKH_RETRY_DECISION_CLOSE_STREAM;
 	if (view->end == SKH_END_ERROR)
 		return SKH_RETRY_DECISION_FORWARD_RESPONSE;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2547,7 +2547,7 @@
   (ProtobufCMessageInit) skh__rank_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[14] =
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[15] =
 {
   {
     "op",
@@ -2717,6 +2717,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "n_first_experts",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, n_first_experts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_order__field_indices_by_name[] = {
   9,   /* field[9] = base_version */
@@ -2727,6 +2739,7 @@
   4,   /* field[4] = fence */
   8,   /* field[8] = map */
   12,   /* field[12] = map_hash */
+  14,   /* field[14] = n_first_experts */
   0,   /* field[0] = op */
   2,   /* field[2] = pass */
   7,   /* field[7] = places */
@@ -2737,7 +2750,7 @@
 static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor skh__rank_order__descriptor =
 {
@@ -2747,7 +2760,7 @@
   "Skh__RankOrder",
   "skh",
   sizeof(Skh__RankOrder),
-  14,
+  15,
   skh__rank_order__field_descriptors,
   skh__rank_order__field_indices_by_name,
   1,  skh__rank_order__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -576,12 +576,17 @@
    * engine that receives the order; the rank's own when empty
    */
 	char *engine;
+	/*
+   * With base_version 0 the base is the engines' first map: so many experts of each set, placed on
+   * the ranks in turn.
+   */
+	uint32_t n_first_experts;
 };
 #define SKH__RANK_ORDER__INIT                                                                      \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_order__descriptor)                              \
 		, 0, 0, 0, 0, 0, 0, 0, 0, { 0, NULL }, 0, 0, NULL, 0, NULL, 0,                     \
-			(char *)protobuf_c_empty_string                                            \
+			(char *)protobuf_c_empty_string, 0                                         \
 	}
 
 /* Skh__Frame methods */
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -119,6 +119,25 @@
 	EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_CLOSE_STREAM);
 }
 
+// A broken stream was sent to another server, which rejected it: the caller has a part of the stream,
+// so a response of the gateway's own would end up in the middle of it.
+TEST(RetryPolicy, NoOtherResponseFollowsTheBeginningOfAStream)
+{
+	for (int end = SKH_END_UNREACHABLE; end <= SKH_END_STREAM_BROKEN; end++) {
+		for (uint32_t possible_runs = 0; possible_runs < 3; possible_runs++) {
+			skh_retry_policy_input_t view =
+				make_lost_view(SKH_RETRY_MODE_RESUME_STREAM);
+
+			view.end = static_cast<skh_attempt_end_t>(end);
+			view.possible_runs = possible_runs;
+			view.has_response_begun = true;
+			view.n_attempts = SKH_RETRY_POLICY_MAX_ATTEMPTS;
+			EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_CLOSE_STREAM)
+				<< "end " << end << " runs " << possible_runs;
+		}
+	}
+}
+
 // Reference rule: a request that may have run is retried only if its retry mode allows that.
 TEST(RetryPolicy, NeverRetriesMoreThanTheReferenceRuleAllows)
 {
--- a/test/greedy_rebalance_test.cc
+++ b/test/greedy_rebalance_test.cc
@@ -301,7 +301,7 @@
 	order.n_slots = 3;
 	order.map_version = 5;
 	order.map = first.data();
-	skh_rankrelay_pack(&order, nullptr, nullptr, &packed);
+	skh_rankrelay_pack(&order, nullptr, 0, nullptr, &packed);
 	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
 	EXPECT_EQ(engine, nullptr);
 	second[2] = 7;
@@ -309,7 +309,7 @@
 	order.map_version = 6;
 	order.map = second.data();
 	skh_buffer_clear(&packed);
-	skh_rankrelay_pack(&order, &base, "10.0.0.7:80", &packed);
+	skh_rankrelay_pack(&order, &base, 0, "10.0.0.7:80", &packed);
 	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
 	EXPECT_TRUE(std::equal(second.begin(), second.end(), unpacked.map));
 	EXPECT_EQ(unpacked.map_version, 6);
@@ -334,3 +334,48 @@
 	skh_map_cache_clear(&cache);
 	skh_map_cache_clear(&other_cache);
 }
+
+// The relay of a new group has no map yet: differences from the engines' first map need none.
+TEST(RankRelay, FirstMapNeedsNoBase)
+{
+	std::vector<uint32_t> first = make_round_robin_map(16, 129, 3, 258);
+	std::vector<uint32_t> next = first;
+	skh_map_cache_t cache = {};
+	skh_mapchange_order_t order = {};
+	skh_mapchange_order_t unpacked = {};
+	skh_buffer_t packed = SKH_BUFFER_INIT;
+	char *engine = nullptr;
+	const skh_versioned_map_t base = { SKH_RANKRELAY_FIRST_MAP, first.size(), first.data() };
+
+	order.op = SKH_ENGINE_PREPARE;
+	order.n_sets = 16;
+	order.n_ranks = 129;
+	order.n_slots = 3;
+	order.map_version = 6;
+	for (size_t i = 2; i < next.size(); i += 30)
+		next[i] = 1 + static_cast<uint32_t>(i % 258);
+	order.map = next.data();
+	skh_rankrelay_pack(&order, &base, 258, nullptr, &packed);
+	EXPECT_LT(packed.len, 1000U) << "a complete map takes 12 KB";
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
+	EXPECT_TRUE(std::equal(next.begin(), next.end(), unpacked.map));
+	skh_map_cache_clear(&cache);
+	// Engines with another first map: the hash shows it.
+	skh_buffer_clear(&packed);
+	skh_rankrelay_pack(&order, &base, 257, nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine),
+		  SKH_RANKRELAY_STATUS_NO_BASE);
+	skh_buffer_clear(&packed);
+	skh_rankrelay_pack(&order, &base, 388, nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine),
+		  SKH_RANKRELAY_STATUS_NO_BASE);
+	// Numbers whose product wraps are out of bounds.
+	order.n_sets = 1U << 31;
+	order.n_ranks = 2;
+	order.n_slots = 0;
+	skh_buffer_clear(&packed);
+	skh_rankrelay_pack(&order, nullptr, 0, nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 400);
+	skh_buffer_free(&packed);
+	skh_map_cache_clear(&cache);
+}
