Give each of many gateways its share of the servers

Reports between 52 gateways are a second old, as old as a request, and all gateways chose the least loaded server by the same old counts. Servers left out of a report of over 400 are counted.

--- a/src/backends.c
+++ b/src/backends.c
@@ -226,6 +226,22 @@
 	return TRUE;
 }
 
+static gint compare_target_ids(gconstpointer left, gconstpointer right)
+{
+	const skh_target_t *const *a = left;
+	const skh_target_t *const *b = right;
+
+	return strcmp((*a)->server->id, (*b)->server->id);
+}
+
+/* Gateways divide the servers into shares by their position. */
+static void sort_targets(gpointer name, gpointer value, gpointer context)
+{
+	(void)name;
+	(void)context;
+	g_ptr_array_sort(((skh_target_pool_t *)value)->targets, compare_target_ids);
+}
+
 void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
 		       const skh_routing_t *routing)
 {
@@ -233,6 +249,8 @@
 		update_server(backends, g_ptr_array_index(roster->servers, i));
 	if (roster)
 		(void)g_hash_table_foreach_remove(backends->targets, is_unlisted, (gpointer)roster);
+	if (roster)
+		g_hash_table_foreach(backends->pools, sort_targets, NULL);
 	for (guint i = 0; routing && i < routing->services->len; i++) {
 		const skh_service_info_t *service = skh_routing_get_service(routing, i);
 		skh_target_pool_t *pool = skh_backends_get_or_create_pool(backends, service->name);
@@ -258,7 +276,7 @@
 }
 
 skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
-				     int64_t now_us)
+				     skh_server_share_t share, int64_t now_us)
 {
 	g_autofree skh_candidate_t *candidates = g_new0(skh_candidate_t, pool->targets->len + 1);
 	skh_selection_input_t view = { .candidates = candidates,
@@ -267,7 +285,8 @@
 				       .overcommit = pool->is_lock_step ? OVERCOMMIT_RANK_REQUESTS
 									: OVERCOMMIT_PLAIN_REQUESTS,
 				       .random = skh_random_u64() >> 1,
-				       .now_us = now_us };
+				       .now_us = now_us,
+				       .share = share };
 	int32_t selected;
 
 	for (guint i = 0; i < pool->targets->len; i++) {
@@ -275,7 +294,8 @@
 
 		candidates[i] = (skh_candidate_t){
 			.slots = target->server->slots,
-			.running = target->own_in_flight + target->peers_running,
+			.running = target->own_in_flight +
+				   (share.count == 0 ? target->peers_running : 0),
 			.expected_tokens = target->expected_tokens,
 			.mean_latency_ms = target->mean_latency_ms,
 			.slowdown = target->slowdown,
--- a/src/backends.h
+++ b/src/backends.h
@@ -60,7 +60,7 @@
 /** struct skh_target_pool - one service: its backend servers and its queued requests */
 struct skh_target_pool {
 	char *service;
-	GPtrArray *targets; /* skh_target_t of listed servers, not owned */
+	GPtrArray *targets; /* skh_target_t of listed servers by id, not owned */
 	skh_request_queue_t *queue;
 	skh_retry_share_t retry_share;
 	bool is_lock_step;
@@ -100,10 +100,11 @@
 /**
  * skh_target_pool_select() - selects the server for a request
  * @excluded_targets: skh_target_t of servers that must not be selected, or NULL
+ * @share: servers that this gateway prefers
  * Return: a borrowed target; NULL when all servers are full or excluded.
  */
 skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
-				     int64_t now_us);
+				     skh_server_share_t share, int64_t now_us);
 
 /**
  * skh_backends_set_slowdowns() - sets the slowdown of all servers, also of those listed later
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -255,7 +255,9 @@
 
 		if (pool->is_lock_step && !skh_group_breaker_can_send(&pool->breaker, now_us))
 			return;
-		target = skh_target_pool_select(pool, exchange->excluded_targets, now_us);
+		target = skh_target_pool_select(pool, exchange->excluded_targets,
+						skh_gossip_get_share(exchange->gateway->gossip),
+						now_us);
 		if (!target)
 			return;
 		skh_attempt_send(exchange, target, now_us);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -20,12 +20,17 @@
  * Age at which a report is dropped: its sender has stopped, or the requests that it counted have
  * ended. A running gateway sends a report at least every MAX_INTERVAL_US.
  */
-#define REPORT_EXPIRY_US   (2500 * SKH_US_PER_MS)
-#define MAX_SERVERS	   400
-#define MAX_CRASH_SUSPECTS 16
-#define SUSPECT_REPORTS	   8   /* maximum for one suspect; repeated as reports may be lost */
-#define MAX_RUNNING	   255 /* one byte per server in the report */
-#define MAX_REPORT_BYTES   4096
+#define REPORT_EXPIRY_US (2500 * SKH_US_PER_MS)
+/*
+ * Reports at this interval or longer are too old to choose servers by: a request takes about a
+ * second, and all gateways together start several requests for each server in that time.
+ */
+#define MAX_CURRENT_INTERVAL_US (300 * SKH_US_PER_MS)
+#define MAX_SERVERS		400
+#define MAX_CRASH_SUSPECTS	16
+#define SUSPECT_REPORTS		8   /* maximum for one suspect; repeated as reports may be lost */
+#define MAX_RUNNING		255 /* one byte per server in the report */
+#define MAX_REPORT_BYTES	4096
 
 typedef struct peer_report {
 	uint64_t number; /* sequence number of the report */
@@ -46,9 +51,12 @@
 	uint64_t number;     /* sequence number of the last report sent */
 	GArray *peers;	     /* struct sockaddr_in */
 	GHashTable *reports; /* sender -> peer_report_t */
+	struct sockaddr_in own_address;
+	skh_server_share_t share; /* of this gateway among all gateways, by address */
 	int64_t next_send_us;
 	uint64_t last_sent_hash; /* see hash_report() */
 	int64_t last_sent_us;
+	int64_t interval_us; /* between the last report and the next */
 	crash_suspect_t suspects[MAX_CRASH_SUSPECTS];
 };
 
@@ -163,6 +171,7 @@
 	int status = skh_address_parse(address, &own_address) ? 0 : UV_EINVAL;
 
 	gossip->gateway = gateway;
+	gossip->own_address = own_address;
 	gossip->sender = skh_random_u64();
 	gossip->peers = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
 	gossip->reports = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_report);
@@ -180,6 +189,22 @@
 	return NULL;
 }
 
+static bool is_address_before(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	uint32_t host_a = ntohl(a->sin_addr.s_addr);
+	uint32_t host_b = ntohl(b->sin_addr.s_addr);
+
+	return host_a != host_b ? host_a < host_b : ntohs(a->sin_port) < ntohs(b->sin_port);
+}
+
+static void update_share(skh_gossip_t *gossip)
+{
+	gossip->share = (skh_server_share_t){ 0, gossip->peers->len + 1 };
+	for (guint i = 0; i < gossip->peers->len; i++)
+		gossip->share.index += is_address_before(
+			&g_array_index(gossip->peers, struct sockaddr_in, i), &gossip->own_address);
+}
+
 void skh_gossip_set_peers(skh_gossip_t *gossip, GPtrArray *peers)
 {
 	g_array_set_size(gossip->peers, 0);
@@ -194,6 +219,14 @@
 				"address=%s", address);
 	}
 	g_ptr_array_unref(peers);
+	update_share(gossip);
+}
+
+skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip)
+{
+	const skh_server_share_t all = { 0, 0 };
+
+	return gossip->interval_us < MAX_CURRENT_INTERVAL_US ? all : gossip->share;
 }
 
 uint32_t skh_gossip_count_peers(const skh_gossip_t *gossip)
@@ -232,8 +265,12 @@
 {
 	outgoing_report_t *outgoing = context;
 
-	if (target->own_in_flight == 0 || outgoing->n_servers == MAX_SERVERS)
+	if (target->own_in_flight == 0)
 		return;
+	if (outgoing->n_servers == MAX_SERVERS) {
+		skh_metrics_add(SKH_COUNT_GOSSIP_OMITTED, 1);
+		return;
+	}
 	outgoing->servers[outgoing->n_servers] = hash_server_id(target->server->id);
 	outgoing->running[outgoing->n_servers++] = (uint8_t)MIN(target->own_in_flight, MAX_RUNNING);
 }
@@ -313,8 +350,9 @@
 	sent_bytes = send_report(gossip, &outgoing) * gossip->peers->len;
 	gossip->last_sent_hash = hash;
 	gossip->last_sent_us = now_us;
-	gossip->next_send_us = now_us + CLAMP((int64_t)sent_bytes * SKH_US_PER_S / SEND_BYTES_PER_S,
-					      MIN_INTERVAL_US, MAX_INTERVAL_US);
+	gossip->interval_us = CLAMP((int64_t)sent_bytes * SKH_US_PER_S / SEND_BYTES_PER_S,
+				    MIN_INTERVAL_US, MAX_INTERVAL_US);
+	gossip->next_send_us = now_us + gossip->interval_us;
 }
 
 void skh_gossip_add_crash_suspect(skh_gossip_t *gossip, uint64_t content_hash, uint64_t crash_id)
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -28,6 +28,8 @@
 	[SKH_COUNT_UNKNOWN] = { "unknown", "Requests whose outcome is unknown" },
 	[SKH_COUNT_LATE_FRAMES] = { "late_frames", "Frames of abandoned attempts dropped" },
 	[SKH_COUNT_BAD_FRAMES] = { "bad_frames", "Frames that could not be read" },
+	[SKH_COUNT_GOSSIP_OMITTED] = { "gossip_omitted",
+				       "Servers left out of a report to other gateways" },
 	[SKH_COUNT_CANCELS] = { "cancels", "Attempts cancelled" },
 	[SKH_COUNT_STREAM_EVENTS] = { "stream_events", "Stream events relayed" },
 	[SKH_COUNT_FRAMES_IN] = { "frames_in", "Frames received" },
--- a/src/server_selection.h
+++ b/src/server_selection.h
@@ -12,6 +12,13 @@
  * a period, and afterwards its load counts as higher in proportion to its failure
  * ratio; if all eligible servers are avoided, avoided ones are used.
  *
+ * Load pattern: dozens of gateways in front of a hundred servers with a few slots each. What
+ * a gateway knows of the others' requests is then about as old as a request takes. Gateways
+ * that all select the least loaded server by the same old counts send it more than it can
+ * take. Instead each one counts only its own requests and prefers its share of the servers:
+ * disjoint shares spread the load without a message, and requests that a share has no room
+ * for go to other servers.
+ *
  * Pure functions without state; any thread may call them. Times are in microseconds
  * on one monotonic clock.
  */
@@ -25,10 +32,30 @@
 
 #define SKH_SELECTION_NONE (-1)
 
+/**
+ * struct skh_server_share - part of a service's servers that one gateway prefers
+ * @index: position of the gateway among all gateways, from 0
+ * @count: number of gateways; 0 if the servers are not divided
+ */
+typedef struct skh_server_share {
+	uint32_t index;
+	uint32_t count;
+} skh_server_share_t;
+
+/**
+ * skh_server_share_contains() - whether the share has a server
+ * @position: position of the server among the @n_servers of its service, in an order that all
+ *	gateways use
+ *
+ * With more gateways than servers, several gateways share a server.
+ */
+bool skh_server_share_contains(const skh_server_share_t *share, uint32_t position,
+			       uint32_t n_servers);
+
 /** struct skh_candidate - state of one server, as input of the selection */
 typedef struct skh_candidate {
 	uint32_t slots;
-	uint32_t running;	/* requests in flight at the server, from all gateways */
+	uint32_t running;	/* requests in flight, with a share only this gateway's */
 	double expected_tokens; /* expected tokens of this gateway's requests in flight */
 	double mean_latency_ms; /* mean response time of recent requests; 0 if unknown */
 	double slowdown;	/* time that a rank takes relative to normal; 1 is normal */
@@ -46,6 +73,7 @@
 	uint32_t overcommit; /* requests that a server may get in excess of its slots */
 	uint64_t random;     /* random number, breaks ties */
 	int64_t now_us;
+	skh_server_share_t share; /* if used, candidates are in the order of positions */
 } skh_selection_input_t;
 
 /**
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -50,7 +50,8 @@
 	std::string select()
 	{
 		skh_target_pool_t *pool = skh_backends_get_or_create_pool(backends, "s");
-		skh_target_t *target = skh_target_pool_select(pool, nullptr, skh_clock_boot_us());
+		skh_target_t *target =
+			skh_target_pool_select(pool, nullptr, {}, skh_clock_boot_us());
 
 		return target ? target->server->id : "-";
 	}
@@ -109,7 +110,7 @@
 	skh_target_end_attempt(target, &result, skh_clock_boot_us());
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ(t.select(), "two");
-	EXPECT_TRUE(skh_target_pool_select(target->target_pool, nullptr,
+	EXPECT_TRUE(skh_target_pool_select(target->target_pool, nullptr, {},
 					   skh_clock_boot_us() + 60 * kSecondUs));
 	skh_target_unref(target);
 }
@@ -165,11 +166,11 @@
 		EXPECT_EQ(skh_target_pool_accepts_from_us(pool, now_us),
 			  row.wait_us > 0 ? now_us + row.wait_us : 0)
 			<< row.header;
-		EXPECT_EQ(skh_target_pool_select(pool, nullptr, now_us + row.wait_us - 1) !=
+		EXPECT_EQ(skh_target_pool_select(pool, nullptr, {}, now_us + row.wait_us - 1) !=
 				  nullptr,
 			  row.wait_us == 0)
 			<< row.header;
-		EXPECT_TRUE(skh_target_pool_select(pool, nullptr, now_us + row.wait_us));
+		EXPECT_TRUE(skh_target_pool_select(pool, nullptr, {}, now_us + row.wait_us));
 		/* A shorter pause asked for later does not end the longer one. */
 		skh_target_record_retry_after(target, "0.001", now_us);
 		EXPECT_GE(target->rejects_until_us, now_us + row.wait_us);
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -283,7 +283,7 @@
 	for (auto &candidate : candidates)
 		candidate.slots = 12;
 	for (int i = 0; i < 100; i++) {
-		skh_selection_input_t view = { candidates.data(), 12, true, 0, random(), kS };
+		skh_selection_input_t view = { candidates.data(), 12, true, 0, random(), kS, {} };
 		int32_t selected = skh_select_server(&view);
 
 		ASSERT_GE(selected, 0);
@@ -309,7 +309,7 @@
 	candidates[3].slowdown = 5.0;
 	candidates[7].slowdown = 1.5;
 	for (int i = 0; i < 80; i++) {
-		skh_selection_input_t view = { candidates.data(), 12, true, 0, random(), kS };
+		skh_selection_input_t view = { candidates.data(), 12, true, 0, random(), kS, {} };
 
 		candidates[skh_select_server(&view)].running++;
 	}
@@ -319,14 +319,14 @@
 	for (auto &candidate : candidates)
 		candidate.running = 12;
 	candidates[3].running = 0;
-	skh_selection_input_t view = { candidates.data(), 12, true, 0, 0, kS };
+	skh_selection_input_t view = { candidates.data(), 12, true, 0, 0, kS, {} };
 	EXPECT_EQ(skh_select_server(&view), 3);
 }
 
 TEST(ServerSelection, FullAndExcludedServersAreNotSelected)
 {
 	std::vector<skh_candidate_t> candidates(3);
-	skh_selection_input_t view = { candidates.data(), 3, false, 0, 0, kS };
+	skh_selection_input_t view = { candidates.data(), 3, false, 0, 0, kS, {} };
 
 	for (auto &candidate : candidates)
 		candidate.slots = 2;
@@ -348,7 +348,7 @@
 TEST(ServerSelection, AServerThatFailsHalfOfItsRequestsIsSelectedLast)
 {
 	std::vector<skh_candidate_t> candidates(3);
-	skh_selection_input_t view = { candidates.data(), 3, false, 0, 0, kS };
+	skh_selection_input_t view = { candidates.data(), 3, false, 0, 0, kS, {} };
 
 	for (auto &candidate : candidates) {
 		candidate.slots = 6;
