--- a/src/balancer.c
+++ b/src/balancer.c
@@ -35,9 +35,11 @@
 /* A report is sent to the coordinator at least this often, even if nothing has changed. */
 #define HEARTBEAT_INTERVAL_US (500 * SKH_US_PER_MS)
 #define MAX_DATAGRAM_BYTES    16384
-#define CONNECT_TIMEOUT_US    (300 * SKH_US_PER_MS)
-#define UNACKED_TIMEOUT_US    (1 * SKH_US_PER_S)
-#define IDLE_TIMEOUT_US	      (4 * SKH_US_PER_S)
+/* Part of a report that is not counts: addresses, state and the rank's part of the map. */
+#define MAX_STATE_BYTES	   4096
+#define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
+#define UNACKED_TIMEOUT_US (1 * SKH_US_PER_S)
+#define IDLE_TIMEOUT_US	   (4 * SKH_US_PER_S)
 
 typedef struct balancer {
 	const skh_settings_t *settings;
@@ -62,7 +64,8 @@
 	uint64_t report_number;
 	skh_count_reporter_t *count_reporter; /* NULL until the engine spec is known */
 	int64_t last_report_us;
-	bool report_now;      /* the rank's state or the coordinator has changed */
+	bool report_now; /* the rank's state or the coordinator has changed */
+	bool has_logged_counts_too_large;
 	bool is_changing_map; /* this rank prepares a map, or this process coordinates a change */
 	char last_coordinator[64];
 	bool is_stopping;
@@ -88,6 +91,26 @@
 
 static const skh_admin_ops_t admin_ops = { .is_ready = is_ready, .get_status = get_status };
 
+/* A report with counts must fit into a datagram of MAX_DATAGRAM_BYTES. */
+static bool can_report_counts(balancer_t *balancer)
+{
+	const skh_engine_spec_t *spec = &balancer->election_view.engine_spec;
+	size_t n_counts = (size_t)spec->expert_sets * spec->experts_per_set;
+	size_t max_bytes = MAX_DATAGRAM_BYTES - MAX_STATE_BYTES;
+
+	if (!balancer->count_reporter)
+		return false;
+	if (skh_count_codec_encoded_size(n_counts) <= max_bytes)
+		return true;
+	if (!balancer->has_logged_counts_too_large)
+		skh_log(SKH_LOG_ERROR, PART,
+			"Expert counts do not fit into a datagram; the map cannot follow demand.",
+			"sets=%u experts=%u bytes=%zu max_bytes=%zu", spec->expert_sets,
+			spec->experts_per_set, skh_count_codec_encoded_size(n_counts), max_bytes);
+	balancer->has_logged_counts_too_large = true;
+	return false;
+}
+
 static bool has_valid_lease(const balancer_t *balancer, int64_t now_us)
 {
 	return balancer->election_view.is_holder &&
@@ -178,7 +201,7 @@
 static void report_if_due(balancer_t *balancer, int64_t now_us)
 {
 	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(balancer->poller);
-	bool with_counts = balancer->count_reporter &&
+	bool with_counts = can_report_counts(balancer) &&
 			   skh_count_reporter_is_due(balancer->count_reporter, now_us);
 	Skh__RankReport message = SKH__RANK_REPORT__INIT;
 	size_t n_sent_bytes;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -278,7 +278,7 @@
 	skh_feed_options_t options = {
 		.dialect = process->gateway.dialect,
 		.board = process->gateway.board,
-		.poll_interval_us = settings->poll_interval_ms * SKH_US_PER_MS,
+		.poll_interval_us = skh_settings_poll_interval_ms(settings) * SKH_US_PER_MS,
 		.poll_timeout_ms = settings->poll_timeout_ms,
 		.gateways_prefix = settings->gateways_prefix,
 		.own_id = settings->id,
--- a/src/settings.c
+++ b/src/settings.c
@@ -7,8 +7,14 @@
 
 #define PART "settings"
 /* Time from a store response to the last use of a key, for requests on their way to a server. */
-#define KEY_TRUST_MARGIN_MS  1000
-#define MIN_KEY_TRUST_MS     100
+#define KEY_TRUST_MARGIN_MS 1000
+#define MIN_KEY_TRUST_MS    100
+/*
+ * Polls within the shortest time in which a change must take effect. Each poll of each gateway is a
+ * call to the store; this many allow for two that fail and for the time to apply the change.
+ */
+#define POLLS_PER_BOUND	     5
+#define MAX_POLL_INTERVAL_MS 2000
 #define FIELD_OFFSET(member) offsetof(skh_settings_t, member)
 #define MAX_TEXT_BYTES	     255
 #define Z85_KEY_CHARS	     40
@@ -107,6 +113,8 @@
 	BOUND("retry_budget_ratio", retry_percent, 0, 1000, SKH_ROUNDING_DOWN, 100),
 	BOUND("retry_budget_minimum", min_retries, 0, 1000000, SKH_ROUNDING_DOWN, 1),
 	BOUND("retry_budget_window_s", retry_window_ms, 100, 600000, SKH_ROUNDING_UP, 1000),
+	BOUND("config_apply_ms", config_apply_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
+	BOUND("drain_notice_ms", drain_notice_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("revocation_ms", revocation_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("stop_grace_s", drain_ms, 0, 3600000, SKH_ROUNDING_DOWN, 1000),
 };
@@ -264,6 +272,17 @@
 					   : settings->key_trust_ms;
 }
 
+int64_t skh_settings_poll_interval_ms(const skh_settings_t *settings)
+{
+	int64_t bound_ms = settings->config_apply_ms;
+
+	if (settings->drain_notice_ms > 0 &&
+	    (bound_ms == 0 || settings->drain_notice_ms < bound_ms))
+		bound_ms = settings->drain_notice_ms;
+	return bound_ms == 0 ? settings->poll_interval_ms
+			     : CLAMP(bound_ms / POLLS_PER_BOUND, 1, MAX_POLL_INTERVAL_MS);
+}
+
 void skh_settings_log_warnings(const skh_settings_t *settings)
 {
 	for (size_t i = 0; i < skh_validation_errors_count(settings->warnings); i++) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -81,6 +81,8 @@
 	 * [bounds] sets these too, from limits that the platform states. A value that cannot be used
 	 * is a warning, and the default stays in force.
 	 */
+	int64_t config_apply_ms; /* configurations must be in force within this time; 0: not stated */
+	int64_t drain_notice_ms; /* leaving servers must get no requests after it; 0: not stated */
 	int64_t revocation_ms; /* revoked keys must be rejected within this time; 0 if not stated */
 	/*
 	 * [balancer]: runs beside a rank and takes part in placing its group's experts.
@@ -134,6 +136,13 @@
  */
 int64_t skh_settings_key_trust_ms(const skh_settings_t *settings);
 
+/**
+ * skh_settings_poll_interval_ms() - interval between two polls of the store
+ *
+ * The setting, or as long as the platform's bounds for changes allow.
+ */
+int64_t skh_settings_poll_interval_ms(const skh_settings_t *settings);
+
 /** skh_settings_log_warnings() - log each value of [bounds] that is not used */
 void skh_settings_log_warnings(const skh_settings_t *settings);
 
--- a/test/group_size_test.cc
+++ b/test/group_size_test.cc
@@ -1,5 +1,6 @@
 // Groups of 1 to 1,024 ranks: planning, map changes, the coordinator's view and the relay's maps are
 // sized by the group. Guards against groups that are ignored because of their size.
+#include "count_reporter.h"
 #include "dialect.h"
 #include "groupview.h"
 #include "mapchange.h"
@@ -328,6 +329,32 @@
 	}
 }
 
+// A report of 32 sets of 512 experts takes 8 KB, more than the budget usually holds.
+TEST(GroupSize, CountsOfManyExpertsAreReportedAgainAndAgain)
+{
+	skh_engine_spec_t spec = make_spec(256);
+
+	spec.expert_sets = 32;
+	spec.experts_per_set = 512;
+	std::vector<double> counts(32 * 512, 1.0);
+	skh_count_reporter_t *reporter = skh_count_reporter_new(&spec, 1500, 1);
+	int n_reports = 0;
+
+	for (int64_t now_us = 1000 * kMs; now_us < 61000 * kMs; now_us += 100 * kMs) {
+		const skh_demand_sample_t sample = { counts.data(), 1, now_us / kMs - 100,
+						     now_us / kMs };
+
+		(void)skh_count_reporter_add_sample(reporter, &sample, now_us);
+		if (!skh_count_reporter_is_due(reporter, now_us))
+			continue;
+		skh_count_reporter_record_sent(reporter, 8400, true, now_us);
+		n_reports++;
+	}
+	EXPECT_GE(n_reports, 9); // one each 5.6 s within 1,500 B/s
+	EXPECT_LE(n_reports, 12);
+	skh_count_reporter_free(reporter);
+}
+
 TEST(GroupSize, ReportsOutOfBoundsAreIgnored)
 {
 	const skh_engine_spec_t spec = make_spec(4);
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -106,6 +106,29 @@
 		     "bounds.new_limit");
 }
 
+TEST(Settings, TheStoreIsPolledAsOftenAsTheBoundsNeed)
+{
+	struct {
+		const char *bounds;
+		int64_t interval_ms;
+	} const rows[] = {
+		{ "", 400 },
+		{ "config_apply_ms = 2000\n", 400 },
+		{ "config_apply_ms = 4000\ndrain_notice_ms = 4000\n", 800 },
+		{ "config_apply_ms = 4000\ndrain_notice_ms = 1500.5\n", 300 },
+		{ "drain_notice_ms = 1000000\n", 2000 },
+		{ "config_apply_ms = 3\n", 1 },
+		{ "config_apply_ms = true\n", 400 },
+	};
+
+	for (const auto &row : rows)
+		EXPECT_EQ(
+			skh_settings_poll_interval_ms(
+				Parsed(std::string(kGateway) + "[bounds]\n" + row.bounds).settings),
+			row.interval_ms)
+			<< row.bounds;
+}
+
 TEST(Settings, KeysAreTrustedForLessThanARevocationTakes)
 {
 	EXPECT_EQ(skh_settings_key_trust_ms(Parsed(kGateway).settings), 4000);
