--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -5,6 +5,7 @@
  */
 #include "event_stream.h"
 #include "http_message.h"
+#include "order_batch.h"
 #include "rankrelay.h"
 
 #include <stdlib.h>
@@ -63,6 +64,17 @@
 	skh_event_stream_clear(&events);
 }
 
+static void check_order_batch(skh_chunk_t bytes)
+{
+	GBytes *order;
+	char **relays;
+
+	if (!skh_order_batch_unpack(bytes, &order, &relays))
+		return;
+	g_bytes_unref(order);
+	g_strfreev(relays);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	skh_chunk_t bytes;
@@ -86,6 +98,7 @@
 		(void)skh_rankrelay_unpack(bytes, &map_cache, &order, &engine);
 		g_free(engine);
 		skh_map_cache_clear(&map_cache);
+		check_order_batch(bytes);
 	}
 	return 0;
 }
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -254,7 +254,7 @@
 static void send_orders(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	uint32_t n_ranks = coordinator->is_changing ? coordinator->n_ranks : 0;
-	g_autofree skh_rank_order_t *orders = NULL;
+	skh_rank_order_t *orders = NULL;
 	uint32_t n_orders = 0;
 
 	for (uint32_t rank = 0; rank < n_ranks; rank++) {
@@ -269,6 +269,7 @@
 	}
 	if (n_orders > 0)
 		skh_order_sender_send(coordinator->sender, orders, n_orders);
+	g_free(orders);
 	if (coordinator->is_changing && skh_mapchange_is_proxy_probe_due(&coordinator->change))
 		skh_groupview_poll_rank(&coordinator->view, coordinator->change.proxy_rank, now_us);
 }
--- a/src/greedy_rebalance.c
+++ b/src/greedy_rebalance.c
@@ -7,11 +7,11 @@
 struct skh_greedy_rebalance {
 	skh_greedy_rebalance_input_t input;
 	uint32_t *map;
-	uint32_t *copies_left; /* per rank, for all sets together; borrowed */
+	uint32_t *copies_left;	   /* per rank, for all sets together; borrowed */
 	uint32_t *set_copies_left; /* per rank in this set */
-	uint32_t *replica_count; /* per expert: ranks that hold it */
-	double *max_host_load;	 /* per expert: greatest load among those ranks */
-	double *load;		 /* per rank */
+	uint32_t *replica_count;   /* per expert: ranks that hold it */
+	double *max_host_load;	   /* per expert: greatest load among those ranks */
+	double *load;		   /* per rank */
 	/* Derived from @load by update_totals(): */
 	uint32_t bottleneck; /* the most loaded rank */
 	/* sum of squared loads: also falls if one of several bottlenecks is relieved */
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -329,7 +329,7 @@
 	    view->ranks[report.rank].engine)
 		return;
 	(void)set_client(view, &view->ranks[report.rank].engine,
-		   skh_engine_client_address(view->probe_client));
+			 skh_engine_client_address(view->probe_client));
 	update_state(view, report.rank, &report, 0, skh_clock_boot_us());
 }
 
--- a/src/layout.c
+++ b/src/layout.c
@@ -224,8 +224,7 @@
 	layout->redundant_slots =
 		g_memdup2(source->redundant_slots,
 			  input->n_ranks * input->slots_per_rank * sizeof(skh_rank_slot_t));
-	layout->inverse_speed =
-		g_memdup2(source->inverse_speed, input->n_ranks * sizeof(double));
+	layout->inverse_speed = g_memdup2(source->inverse_speed, input->n_ranks * sizeof(double));
 	layout->load = g_memdup2(source->load, input->n_ranks * sizeof(double));
 	layout->norm_term = g_memdup2(source->norm_term, input->n_ranks * sizeof(double));
 	layout->copies_left = g_memdup2(source->copies_left, input->n_ranks * sizeof(uint32_t));
--- a/src/layout.h
+++ b/src/layout.h
@@ -38,12 +38,12 @@
 	double *replica_work;		  /* work of one replica of each expert */
 	skh_rank_slot_t *redundant_slots; /* slots whose expert has another live replica */
 	uint32_t n_redundant_slots;
-	double *inverse_speed;		  /* of each rank, 0 for a lost one; from @input */
-	double *load;			  /* of each rank */
-	double *norm_term;		  /* of each rank: (load / mean load)^16 */
-	double norm;			  /* sum of norm_term over the live ranks */
-	double inverse_mean_load;	  /* total speed / total work; from @input */
-	uint32_t n_live_ranks;		  /* from @input */
+	double *inverse_speed;	  /* of each rank, 0 for a lost one; from @input */
+	double *load;		  /* of each rank */
+	double *norm_term;	  /* of each rank: (load / mean load)^16 */
+	double norm;		  /* sum of norm_term over the live ranks */
+	double inverse_mean_load; /* total speed / total work; from @input */
+	uint32_t n_live_ranks;	  /* from @input */
 	/* Copies that may still be planned to each rank; UINT32_MAX without a limit. */
 	uint32_t *copies_left;
 } skh_layout_t;
--- a/src/mapplan.c
+++ b/src/mapplan.c
@@ -209,7 +209,7 @@
 	skh_greedy_rebalance_t **rebalances =
 		g_new0(skh_greedy_rebalance_t *, engine_spec->expert_sets);
 	bool *is_exhausted = g_new0(bool, engine_spec->expert_sets);
-	g_autofree uint32_t *copies_left = g_new(uint32_t, n_ranks);
+	uint32_t *copies_left = g_new(uint32_t, n_ranks);
 	skh_greedy_rebalance_t *next;
 	uint32_t set_index = 0;
 
@@ -231,6 +231,7 @@
 		skh_greedy_rebalance_free(rebalances[set]);
 	g_free(rebalances);
 	g_free(is_exhausted);
+	g_free(copies_left);
 }
 
 static void rebalance_set(const skh_engine_spec_t *engine_spec, uint32_t n_ranks,
@@ -259,7 +260,7 @@
 			   uint32_t *map)
 {
 	size_t set_size = (size_t)n_ranks * engine_spec->slots_per_rank;
-	g_autofree uint32_t *n_new_so_far = g_new0(uint32_t, n_ranks);
+	uint32_t *n_new_so_far = g_new0(uint32_t, n_ranks);
 
 	for (uint32_t set = 0; set < engine_spec->expert_sets; set++) {
 		uint32_t *set_map = map + set * set_size;
@@ -274,12 +275,13 @@
 						  set_map + rank * engine_spec->slots_per_rank,
 						  engine_spec->slots_per_rank);
 	}
+	g_free(n_new_so_far);
 }
 
 double skh_mapplan_skew(const skh_engine_spec_t *engine_spec, uint32_t n_ranks,
 			const double *shares, const double *slowdowns, const uint32_t *map)
 {
-	g_autofree uint32_t *no_copies = g_new0(uint32_t, n_ranks);
+	uint32_t *no_copies = g_new0(uint32_t, n_ranks);
 	double sum = 0.0;
 
 	for (uint32_t set = 0; set < engine_spec->expert_sets; set++) {
@@ -294,6 +296,7 @@
 		sum += skh_greedy_rebalance_skew(rebalance);
 		skh_greedy_rebalance_free(rebalance);
 	}
+	g_free(no_copies);
 	return sum / (double)engine_spec->expert_sets;
 }
 
--- a/src/order_sender.c
+++ b/src/order_sender.c
@@ -184,7 +184,7 @@
 	batch_t *batch = context;
 	skh_order_sender_t *sender = batch->sender;
 	bool is_current = batch->change_number == sender->change_number;
-	g_autofree uint32_t *statuses = g_new0(uint32_t, batch->n_ranks);
+	uint32_t *statuses = g_new0(uint32_t, batch->n_ranks);
 	bool has_statuses =
 		status == 200 && skh_order_batch_unpack_statuses(body, statuses, batch->n_ranks);
 
@@ -208,6 +208,7 @@
 		    batch->ranks[i] < sender->n_ranks)
 			report_result(sender, batch->ranks[i], (int32_t)statuses[i]);
 	}
+	g_free(statuses);
 	(void)g_ptr_array_remove_fast(sender->batches, batch);
 }
 
@@ -369,7 +370,7 @@
 void skh_order_sender_send(skh_order_sender_t *sender, const skh_rank_order_t *orders,
 			   uint32_t n_orders)
 {
-	g_autofree uint32_t *batched = g_new(uint32_t, n_orders + 1);
+	uint32_t *batched = g_new(uint32_t, n_orders + 1);
 	uint32_t n_batched = 0;
 	uint32_t n_batches;
 
@@ -384,4 +385,5 @@
 	}
 	if (n_batches > 0)
 		send_batches(sender, batched, n_batched, n_batches, &orders[0].order);
+	g_free(batched);
 }
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -213,10 +213,12 @@
 
 static uint32_t *unpack_first_map_differences(const Skh__RankOrder *message, size_t n_slots)
 {
-	g_autofree uint32_t *first_map = make_first_map(message, n_slots);
+	uint32_t *first_map = make_first_map(message, n_slots);
 	const skh_versioned_map_t base = { SKH_RANKRELAY_FIRST_MAP, n_slots, first_map };
+	uint32_t *map = first_map ? unpack_map_differences(message, &base, n_slots) : NULL;
 
-	return first_map ? unpack_map_differences(message, &base, n_slots) : NULL;
+	g_free(first_map);
+	return map;
 }
 
 static int32_t unpack_map(const Skh__RankOrder *message, skh_map_cache_t *cache)
--- a/src/retry_policy.h
+++ b/src/retry_policy.h
@@ -31,11 +31,11 @@
 typedef struct skh_retry_policy_input {
 	skh_attempt_end_t end;
 	skh_retry_mode_t retry_mode;
-	uint32_t possible_runs; /* attempts that may have run, the failed one included */
-	uint32_t max_runs;	/* the route's limit of @possible_runs */
-	uint32_t n_attempts;	/* attempts so far, whether run or not */
-	bool has_retry_budget;	/* the retry budget has room */
-	bool is_retry_blocked;	/* the request is a crash suspect */
+	uint32_t possible_runs;	 /* attempts that may have run, the failed one included */
+	uint32_t max_runs;	 /* the route's limit of @possible_runs */
+	uint32_t n_attempts;	 /* attempts so far, whether run or not */
+	bool has_retry_budget;	 /* the retry budget has room */
+	bool is_retry_blocked;	 /* the request is a crash suspect */
 	bool has_response_begun; /* the caller has received a part of a response */
 	int64_t now_us;
 	int64_t deadline_us; /* the caller's deadline or the route's timeout */
