--- a/src/count_reporter.c
+++ b/src/count_reporter.c
@@ -111,7 +111,7 @@
 	double refill_bytes = reporter->bytes_per_s *
 			      (double)(now_us - reporter->budget_updated_us) / (double)SKH_US_PER_S;
 
-	/* A report of a group with many experts is larger; it must fit, or it would never be sent. */
+	/* A report of many experts may exceed the capacity and would then never be sent. */
 	return MIN(reporter->budget_bytes + refill_bytes,
 		   MAX(BUDGET_CAPACITY_BYTES, reporter->last_report_bytes));
 }
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -66,7 +66,7 @@
 	view->ranks = g_renew(skh_groupview_rank_t, view->ranks, n_ranks);
 	for (uint32_t rank = n_before; rank < n_ranks; rank++)
 		view->ranks[rank] = (skh_groupview_rank_t){ 0 };
-	/* The rank beside this process may have another number now; its next report tells. */
+	/* The rank beside this process may have another number in the new group. */
 	view->has_own_rank = view->has_own_rank && view->own_rank < n_ranks;
 	view->n_ranks = n_ranks;
 	skh_log(SKH_LOG_INFO, PART, "Group size is known; its state is collected anew.",
--- a/src/order_sender.c
+++ b/src/order_sender.c
@@ -193,7 +193,7 @@
 		skh_log(SKH_LOG_INFO, PART,
 			"Relay did not pass on a batch; its ranks get their orders one by one.",
 			"rank=%u status=%d ranks=%u", batch->ranks[0], status, batch->n_ranks);
-	/* What a batch without statuses says of the other ranks' own relays is nothing. */
+	/* Without statuses, nothing is known about the relays of the other ranks. */
 	for (uint32_t i = 0; is_current && i < batch->n_ranks; i++) {
 		uint32_t rank = batch->ranks[i];
 
--- a/src/roster.h
+++ b/src/roster.h
@@ -15,7 +15,7 @@
  * register again.
  *
  * After the store has come back from an older copy, entries of servers that had left
- * or were leaving may be listed in an earlier state. They are told by their sequence.
+ * or were leaving may be listed in an earlier state. Their sequence tells them apart.
  */
 
 #include <glib.h>
--- a/src/settings.h
+++ b/src/settings.h
@@ -78,8 +78,8 @@
 	int64_t min_retries;   /* retries always allowed in a window, for all gateways together */
 	int64_t retry_window_ms;
 	/*
-	 * [bounds] sets these too, from limits that the platform states. A value that cannot be used
-	 * is a warning, and the default stays in force.
+	 * [bounds]: limits that the platform states; they replace @retry_percent, @min_retries,
+	 * @retry_window_ms and @drain_ms, too. An unusable value is a warning, not an error.
 	 */
 	int64_t config_apply_ms; /* configurations must be in force within this time; 0: not stated */
 	int64_t drain_notice_ms; /* leaving servers must get no requests after it; 0: not stated */
--- a/src/store.h
+++ b/src/store.h
@@ -168,7 +168,7 @@
  * out their revisions and lease ids again, so none of an earlier era may be compared with or
  * renewed. Safe to call from any thread.
  *
- * Return: the era, which only rises; 0 if the store does not tell.
+ * Return: the era, which only rises; 0 if the store does not report one.
  */
 static inline int64_t skh_store_era(const skh_store_t *store)
 {
