Log content and prompt parts of failed attempts

Change: the shared parts of a prompt are parsed (prompt_parts.c) and logged with the content hash when an attempt fails. No decision uses them yet. Measured: build only.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -428,11 +428,15 @@
 static void log_failure(const skh_exchange_t *exchange, const skh_retry_policy_input_t *view,
 			skh_retry_decision_t decision)
 {
+	g_autofree char *parts = skh_prompt_parts_format(&exchange->prompt_parts);
+
 	skh_log(SKH_LOG_INFO, PART, "Attempt failed.",
-		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d",
+		"id=%s server=%s end=%s status=%" PRId32 " runs=%u budget=%d suspect=%d again=%d"
+		" content=%016" PRIx64 " parts=%s",
 		exchange->attempt_id, exchange->target->server->id, attempt_end_name(view->end),
 		exchange->attempt_status, view->possible_runs, view->has_retry_budget,
-		view->is_retry_blocked, decision == SKH_RETRY_DECISION_RETRY);
+		view->is_retry_blocked, decision == SKH_RETRY_DECISION_RETRY,
+		exchange->content_hash, *parts ? parts : "-");
 }
 
 static void finish_attempt(skh_exchange_t *exchange, skh_attempt_end_t end)
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -11,6 +11,7 @@
 
 #include "event_stream.h"
 #include "exchange.h"
+#include "prompt_parts.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -40,6 +41,7 @@
 	skh_target_pool_t *target_pool;
 	char attempt_id[80];
 	uint64_t content_hash; /* hash of request target, customer and body */
+	skh_prompt_parts_t prompt_parts;
 	int64_t received_us;
 	int64_t deadline_us;	   /* earlier of the caller's deadline and the route's timeout */
 	int64_t sent_us;	   /* start of the current attempt */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -35,6 +35,7 @@
 	SKH_HEADER_FAULTY_SERVER,     /* faulty server of a group */
 	SKH_HEADER_PRIORITY,	      /* priority of a request at an engine */
 	SKH_HEADER_TOKENS,	      /* prompt tokens and maximum output tokens */
+	SKH_HEADER_PROMPT_PARTS,      /* parts of the prompt, see prompt_parts.h */
 	SKH_HEADER_LENGTH_HINT,	      /* the caller's estimate of the output tokens */
 	SKH_HEADER_COUNT
 } skh_header_name_t;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -85,6 +85,7 @@
 	(void)g_string_free(exchange->response_headers, TRUE);
 	skh_buffer_free(&exchange->response_body);
 	skh_event_stream_clear(&exchange->event_stream);
+	skh_prompt_parts_clear(&exchange->prompt_parts);
 	g_free(exchange);
 }
 
@@ -612,6 +613,8 @@
 		return;
 	select_service(exchange);
 	exchange->content_hash = hash_content(exchange);
+	exchange->prompt_parts = skh_prompt_parts_parse(
+		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
 	exchange->expected_tokens = estimate_tokens(exchange);
 	if (!admit(exchange, now_us))
 		return;
