--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -26,6 +26,9 @@
  *       "unframed"               send a body without a length, then close
  *       "cut"                    close a stream within its third event
  *       "mute"                   wait MUTE_DELAY_US, then close
+ *     {"crash_part":ID}          from now on every rank that begins a stream whose prompt has this part
+ *                                crashes: it closes all its connections, leaves the store and comes
+ *                                back after RESTART_DELAY_US under another id
  *     {"order":F,"count":N}      on a rank, apply a fault to the next N orders, then close the
  *                                connection without a response:
  *       "lose"                   execute the order
@@ -57,6 +60,7 @@
 #define LEAVE_GRACE_US	      (2 * 1000 * 1000)
 #define LATE_ORDER_DELAY_US   (700 * 1000)
 #define MUTE_DELAY_US	      (3 * 1000 * 1000)
+#define RESTART_DELAY_US      (700 * 1000)
 #define MAX_EXPERT_COUNTS     (N_SETS * MAX_SERVERS * N_SLOTS)
 
 typedef struct server {
@@ -64,6 +68,9 @@
 	bool is_engine;
 	int rank;
 	char id[32];
+	int64_t born_unix_ms;
+	int n_crashes;
+	int64_t restarts_us; /* monotonic time of the start after a crash; 0 while it runs */
 	bool is_draining;
 	bool is_gone;
 	int n_writes;	 /* entries written to the store so far */
@@ -97,6 +104,9 @@
 static int64_t n_runs_after_leaving;
 static int64_t n_mixed_maps;
 static int64_t n_map_changes;
+static int64_t n_crashes;
+static int64_t n_crash_part_requests;
+static char crash_part[32];
 static double expert_counts[MAX_EXPERT_COUNTS];
 static GHashTable *once_attempts; /* attempt ids of requests under /once/ */
 static GHashTable *all_attempts;  /* attempt ids of all requests that ran */
@@ -140,11 +150,12 @@
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
 	g_autofree char *address =
 		g_strdup_printf("127.0.0.1:%d", server->port + registered_port_offset);
-	json_t *record = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
-				   server->is_engine ? "model" : "ledger", "address", address,
-				   "zone", "a", "version", "v1", "slots", 8, "state",
-				   server->is_draining ? "draining" : "ready", "cold-remaining-ms",
-				   0, "sequence", ++server->n_writes);
+	json_t *record =
+		json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+			  server->is_engine ? "model" : "ledger", "address", address, "zone", "a",
+			  "version", "v1", "slots", 8, "state",
+			  server->is_draining ? "draining" : "ready", "cold-remaining-ms", 0,
+			  "sequence", ++server->n_writes, "born", (json_int_t)server->born_unix_ms);
 	char *value = json_dumps(record, JSON_COMPACT);
 	json_t *request = json_pack("{s:s, s:s}", "key", key, "value", value);
 	char *body = json_dumps(request, JSON_COMPACT);
@@ -156,16 +167,42 @@
 	json_decref(record);
 }
 
+static bool is_down(const server_t *server)
+{
+	return server->restarts_us != 0;
+}
+
+/* Starts crashed servers again whose time has come, as new instances. */
+static void restart_crashed(CURL *curl)
+{
+	for (int i = 0; i < n_servers; i++) {
+		g_autofree char *path = g_strdup_printf("/put?key=servers/%s", servers[i].id);
+
+		if (!is_down(&servers[i]) || g_get_monotonic_time() < servers[i].restarts_us)
+			continue;
+		call_store(curl, "DELETE", path, "");
+		g_mutex_lock(&lock);
+		(void)g_snprintf(servers[i].id, sizeof(servers[i].id), "m%d-%d", i,
+				 servers[i].n_crashes);
+		servers[i].born_unix_ms = g_get_real_time() / US_PER_MS;
+		servers[i].restarts_us = 0;
+		g_mutex_unlock(&lock);
+	}
+}
+
 static void *run_heartbeat(void *unused)
 {
 	CURL *curl = curl_easy_init();
 
 	(void)unused;
 	for (;;) {
+		restart_crashed(curl);
 		for (int i = 0; i < n_servers; i++) {
 			g_autofree char *path =
 				g_strdup_printf("/put?key=servers/%s", servers[i].id);
 
+			if (is_down(&servers[i]))
+				continue;
 			if (servers[i].is_gone)
 				call_store(curl, "DELETE", path, "");
 			else
@@ -406,9 +443,30 @@
 	write_text(connection, text);
 }
 
-static int send_stream(struct mg_connection *connection, const server_t *server,
-		       const char *attempt, bool should_close)
+static bool has_crash_part(struct mg_connection *connection)
+{
+	const char *parts = mg_get_header(connection, "Skylarkhead-Prompt-Prefix");
+	g_autofree char *entry = g_strconcat(crash_part, ":", NULL);
+
+	return *crash_part && parts && strstr(parts, entry);
+}
+
+static void crash(server_t *server)
 {
+	g_mutex_lock(&lock);
+	if (!is_down(server)) {
+		n_crashes++;
+		server->n_crashes++;
+		server->restarts_us = g_get_monotonic_time() + RESTART_DELAY_US;
+	}
+	g_mutex_unlock(&lock);
+}
+
+static int send_stream(struct mg_connection *connection, server_t *server, const char *attempt,
+		       bool should_close)
+{
+	const int crashes_before = server->n_crashes;
+	bool is_crashing = has_crash_part(connection);
 	g_autofree char *head = make_head(server, attempt, 200);
 	const char *last_event_id = mg_get_header(connection, "Last-Event-Id");
 	int first_event = last_event_id ? atoi(last_event_id) + 1 : 0;
@@ -421,6 +479,10 @@
 		g_autofree char *text = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
 		(void)usleep(EVENT_INTERVAL_US);
+		if (is_crashing && i == first_event + 1)
+			crash(server);
+		if (server->n_crashes != crashes_before)
+			return standin_close_connection(connection);
 		write_text(connection, text);
 		if (should_close && i == first_event + 1) {
 			write_text(connection, "10\r\nid: 9\nda");
@@ -486,6 +548,13 @@
 	g_autofree char *body = standin_read_body(connection);
 	char fault[sizeof(server->fault)] = "";
 
+	if (has_crash_part(connection)) {
+		g_mutex_lock(&lock);
+		n_crash_part_requests++;
+		g_mutex_unlock(&lock);
+	}
+	if (is_down(server))
+		return standin_close_connection(connection);
 	if (expected && strcmp(expected, server->id) != 0) {
 		write_text(connection, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
 		return 421;
@@ -517,6 +586,7 @@
 {
 	json_t *json = standin_read_json(connection);
 	const char *fault = json_string_value(json_object_get(json, "fault"));
+	const char *part = json_string_value(json_object_get(json, "crash_part"));
 	const char *order_fault = json_string_value(json_object_get(json, "order"));
 
 	if (json_is_true(json_object_get(json, "draining")))
@@ -534,6 +604,8 @@
 		(void)g_strlcpy(server->fault, fault, sizeof(server->fault));
 		server->n_faults = get_integer(json, "count");
 	}
+	if (part)
+		(void)g_strlcpy(crash_part, part, sizeof(crash_part));
 	if (order_fault) {
 		(void)g_strlcpy(server->order_fault, order_fault, sizeof(server->order_fault));
 		server->n_order_faults = get_integer(json, "count");
@@ -544,11 +616,13 @@
 
 static json_t *counters_to_json(void)
 {
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs", (json_int_t)n_runs, "twice",
-			 (json_int_t)n_repeated_runs, "unasked", (json_int_t)n_bad_headers,
-			 "after_leaving", (json_int_t)n_runs_after_leaving, "mixed_maps",
-			 (json_int_t)n_mixed_maps, "passes", (json_int_t)pass, "map_changes",
-			 (json_int_t)n_map_changes);
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
+			 (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs, "unasked",
+			 (json_int_t)n_bad_headers, "after_leaving",
+			 (json_int_t)n_runs_after_leaving, "mixed_maps", (json_int_t)n_mixed_maps,
+			 "passes", (json_int_t)pass, "map_changes", (json_int_t)n_map_changes,
+			 "crashes", (json_int_t)n_crashes, "crash_part_requests",
+			 (json_int_t)n_crash_part_requests);
 }
 
 static json_t *attempts_to_json(void)
@@ -592,6 +666,7 @@
 	server_t *server = &servers[n_servers];
 
 	server->port = port;
+	server->born_unix_ms = g_get_real_time() / US_PER_MS;
 	server->is_engine = is_engine;
 	server->rank = n_servers;
 	(void)g_snprintf(server->id, sizeof(server->id), "%s%d", is_engine ? "m" : "p", n_servers);
