Recognise prompt parts that crash servers, at all gateways together

Cause: crashes were counted for the content of a request, under an id that each gateway made up, told to the gateways that happened to run and kept nowhere; queued requests were not checked. Change: crash records by trait (content or shared prompt part) and server instance, merged by gossip and kept in the store. Parts that survive are cleared; crashes that a rejected part explains do not count against others. Requests are checked again when they leave the queue. Why it works: the guilty part is the only one that never survives, and records are the same set at all gateways whatever the order, repetition and time of their arrival.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -15,8 +15,80 @@
 /* Limit for a response that is buffered before it is forwarded; a larger one counts as lost. */
 #define MAX_BUFFERED_RESPONSE_BYTES (16U << 20)
 
+skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange)
+{
+	return (skh_request_traits_t){ exchange->content_hash, &exchange->prompt_parts };
+}
+
+/* --- Crash suspects --- */
+
+static void log_crash(const skh_server_t *server, uint32_t n_records)
+{
+	if (n_records == 0)
+		return;
+	skh_metrics_add(SKH_COUNT_CRASHES_RECORDED, n_records);
+	skh_log(SKH_LOG_WARNING, PART,
+		"Server has crashed; contents and prompt parts of the requests lost there are "
+		"suspects.",
+		"server=%s crash=%016" PRIx64 " suspects=%u", server->id,
+		skh_server_instance_hash(server), n_records);
+}
+
+void skh_attempt_on_server_lost(void *gateway, const skh_server_t *server)
+{
+	log_crash(server, skh_crash_suspects_record_crash(
+				  ((skh_gateway_t *)gateway)->crash_suspects,
+				  skh_server_instance_hash(server), skh_clock_boot_us()));
+}
+
+static void record_survival(skh_exchange_t *exchange)
+{
+	const skh_request_traits_t traits = skh_exchange_traits(exchange);
+
+	exchange->has_survived = true;
+	skh_crash_suspects_record_survival(exchange->gateway->crash_suspects, &traits,
+					   skh_clock_boot_us());
+}
+
+/*
+ * The connection was seen open at the last tick. A later time does not count: this process may have
+ * been suspended since.
+ */
+static void check_survival(skh_exchange_t *exchange)
+{
+	if (!exchange->has_survived && exchange->response_begun_us != 0 &&
+	    exchange->gateway->last_tick_us - exchange->response_begun_us >=
+		    SKH_CRASH_SUSPECTS_SURVIVAL_US)
+		record_survival(exchange);
+}
+
+static void record_loss(skh_exchange_t *exchange)
+{
+	const skh_request_traits_t traits = skh_exchange_traits(exchange);
+
+	check_survival(exchange);
+	if (exchange->has_survived)
+		return;
+	exchange->target->has_losses = true;
+	skh_crash_suspects_record_loss(exchange->gateway->crash_suspects, &traits,
+				       skh_server_instance_hash(exchange->target->server),
+				       skh_clock_boot_us());
+}
+
+static void record_alive(skh_exchange_t *exchange)
+{
+	if (!exchange->target->has_losses)
+		return;
+	exchange->target->has_losses = false;
+	skh_crash_suspects_record_alive(exchange->gateway->crash_suspects,
+					skh_server_instance_hash(exchange->target->server),
+					skh_clock_boot_us());
+}
+
 void skh_attempt_release(skh_exchange_t *exchange, skh_target_outcome_t outcome, int64_t latency_us)
 {
+	check_survival(exchange);
+	exchange->response_begun_us = 0;
 	if (exchange->upstream) {
 		skh_upstream_cancel(exchange->upstream);
 		exchange->upstream = NULL;
@@ -72,6 +144,8 @@
 	exchange->target = target;
 	exchange->sent_us = now_us;
 	exchange->reported_not_run = false;
+	exchange->response_begun_us = 0;
+	exchange->has_survived = false;
 	exchange->attempt_status = 0;
 	skh_buffer_clear(&exchange->response_body);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
@@ -162,6 +236,8 @@
 	if (is_success && (!exchange->response_is_signed ||
 			   skh_http_message_header(response, "Content-Encoding")))
 		return false;
+	if (is_success)
+		record_alive(exchange);
 	if (exchange->state == SKH_EXCHANGE_RESPONDING)
 		return true;
 	store_response_head(exchange, response);
@@ -224,6 +300,9 @@
 {
 	skh_exchange_t *exchange = context;
 
+	if (exchange->response_begun_us == 0)
+		exchange->response_begun_us = skh_clock_boot_us();
+	check_survival(exchange);
 	if (is_streaming_response(exchange))
 		forward_events(exchange, bytes);
 	else if (exchange->response_body.len + bytes.len <= MAX_BUFFERED_RESPONSE_BYTES)
@@ -232,10 +311,13 @@
 		reject_oversized_response(exchange);
 }
 
-static void record_completion(const skh_exchange_t *exchange)
+static void record_completion(skh_exchange_t *exchange)
 {
 	skh_metrics_add(SKH_COUNT_ANSWERS_WHOLE, 1);
-	skh_crash_suspects_clear(exchange->gateway->crash_suspects, exchange->content_hash);
+	if (exchange->response_is_framed)
+		record_survival(exchange);
+	else
+		record_loss(exchange);
 	skh_metrics_observe(SKH_HIST_ANSWER, skh_exchange_customer(exchange), exchange->route->name,
 			    skh_clock_boot_us() - exchange->received_us);
 }
@@ -283,6 +365,8 @@
 	uint32_t status = response->parser.status_code;
 
 	exchange->upstream = NULL;
+	/* The end of the connection may also be a crash. */
+	exchange->response_is_framed = skh_http_message_is_framed(response);
 	if (exchange->reported_not_run) {
 		finish_attempt(exchange, SKH_END_NOT_RUN);
 		return;
@@ -303,30 +387,19 @@
 		forward_response(exchange);
 }
 
-static void report_crash_suspect(void *context, uint64_t content_hash, uint64_t crash_id)
-{
-	skh_log(SKH_LOG_WARNING, PART, "Request was lost in a server crash.",
-		"content=%016" PRIx64 " crash=%016" PRIx64, content_hash, crash_id);
-	skh_gossip_add_crash_suspect(context, content_hash, crash_id);
-}
-
 static void on_error(void *context, skh_upstream_error_t error, bool request_written)
 {
 	skh_exchange_t *exchange = context;
-	skh_gateway_t *gateway = exchange->gateway;
 
 	exchange->upstream = NULL;
 	if (!request_written) {
 		/* A failed connect is counted as a server crash for each request recently lost there. */
-		skh_crash_suspects_record_crash(gateway->crash_suspects,
-						exchange->target->server->id, skh_clock_boot_us(),
-						report_crash_suspect, gateway->gossip);
+		skh_attempt_on_server_lost(exchange->gateway, exchange->target->server);
 		finish_attempt(exchange, SKH_END_UNREACHABLE);
 		return;
 	}
 	if (error == SKH_UPSTREAM_ERROR_CONNECTION_CLOSED)
-		skh_crash_suspects_record_loss(gateway->crash_suspects, exchange->content_hash,
-					       exchange->target->server->id, skh_clock_boot_us());
+		record_loss(exchange);
 	finish_attempt(exchange, SKH_END_STREAM_BROKEN);
 }
 
@@ -405,6 +478,7 @@
 					 int64_t now_us, skh_retry_policy_input_t *view)
 {
 	const skh_gateway_t *gateway = exchange->gateway;
+	const skh_request_traits_t traits = skh_exchange_traits(exchange);
 	bool may_have_run =
 		end == SKH_END_ERROR || end == SKH_END_LOST || end == SKH_END_STREAM_BROKEN;
 
@@ -416,8 +490,8 @@
 		.n_attempts = exchange->n_attempts - exchange->rejected_probes,
 		.has_retry_budget = skh_retry_share_has_room(&exchange->target_pool->retry_share,
 							     &gateway->retry_limits, now_us),
-		.is_retry_blocked = skh_crash_suspects_is_retry_blocked(
-			gateway->crash_suspects, exchange->content_hash, now_us),
+		.is_retry_blocked = skh_crash_suspects_is_retry_blocked(gateway->crash_suspects,
+									&traits, now_us),
 		.has_response_begun = exchange->state == SKH_EXCHANGE_RESPONDING,
 		.now_us = now_us,
 		.deadline_us = exchange->deadline_us,
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -9,9 +9,9 @@
  * caller and the queue. Runs on the event loop's thread.
  */
 
+#include "crash_suspects.h"
 #include "event_stream.h"
 #include "exchange.h"
-#include "prompt_parts.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -42,6 +42,9 @@
 	char attempt_id[80];
 	uint64_t content_hash; /* hash of request target, customer and body */
 	skh_prompt_parts_t prompt_parts;
+	int64_t response_begun_us; /* first body byte of the current attempt; 0 before */
+	bool is_crash_test;	   /* tests a suspected prompt part */
+	bool has_survived;	   /* the current attempt has, see crash_suspects.h */
 	int64_t received_us;
 	int64_t deadline_us;	   /* earlier of the caller's deadline and the route's timeout */
 	int64_t sent_us;	   /* start of the current attempt */
@@ -63,13 +66,23 @@
 	bool attempt_is_streaming; /* current attempt has delivered an event */
 	char response_reason[64];
 	bool response_is_signed;
-	bool reported_not_run; /* server reported that it did not run the request */
+	bool response_is_framed; /* did not end with its connection */
+	bool reported_not_run;	 /* server reported that it did not run the request */
 	skh_event_stream_t event_stream;
 	uv_timer_t timer; /* deadline */
 } skh_exchange_t;
 
 /* --- attempt.c --- */
 
+/**
+ * skh_attempt_on_server_lost() - a server has disappeared without leaving
+ * @gateway: skh_gateway_t
+ */
+void skh_attempt_on_server_lost(void *gateway, const skh_server_t *server);
+
+/** skh_exchange_traits() - what identifies the request if it crashes servers; borrowed */
+skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange);
+
 /** skh_attempt_send() - dequeue the request and send it to @target */
 void skh_attempt_send(skh_exchange_t *exchange, skh_target_t *target, int64_t now_us);
 
--- a/src/backends.c
+++ b/src/backends.c
@@ -33,9 +33,11 @@
 struct skh_backends {
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *options;
-	GHashTable *targets; /* id -> skh_target_t */
-	GHashTable *pools;   /* service -> skh_target_pool_t */
-	char *slowdowns;     /* "\naddress slowdown" for each slow rank */
+	GHashTable *targets;	    /* id -> skh_target_t */
+	GHashTable *pools;	    /* service -> skh_target_pool_t */
+	char *slowdowns;	    /* "\naddress slowdown" for each slow rank */
+	skh_server_lost_fn on_lost; /* may be NULL */
+	void *on_lost_context;
 };
 
 static void free_pool(gpointer data)
@@ -57,6 +59,19 @@
 	skh_target_unref(target);
 }
 
+void skh_backends_set_lost_fn(skh_backends_t *backends, skh_server_lost_fn fn, void *context)
+{
+	backends->on_lost = fn;
+	backends->on_lost_context = context;
+}
+
+/* A server that leaves ends as planned. */
+static void report_lost(const skh_backends_t *backends, const skh_target_t *target)
+{
+	if (backends->on_lost && !target->server->is_leaving && !target->has_announced_leaving)
+		backends->on_lost(backends->on_lost_context, target->server);
+}
+
 skh_backends_t *skh_backends_new(uv_loop_t *loop, const skh_upstream_pool_options_t *options)
 {
 	skh_backends_t *backends = g_new0(skh_backends_t, 1);
@@ -123,11 +138,18 @@
 	       a->started_unix_ms == b->started_unix_ms && strcmp(a->service, b->service) == 0;
 }
 
+/* Context of mark_superseded() */
+typedef struct added_target {
+	const skh_backends_t *backends;
+	skh_target_t *target;
+} added_target_t;
+
 /* After a crash the old entry stays listed for a while beside the one of the new instance. */
 static void mark_superseded(gpointer key, gpointer value, gpointer context)
 {
+	const added_target_t *addition = context;
 	skh_target_t *other = value;
-	skh_target_t *added = context;
+	skh_target_t *added = addition->target;
 	bool is_added_newer = added->server->started_unix_ms > other->server->started_unix_ms;
 
 	(void)key;
@@ -135,6 +157,8 @@
 	    strcmp(other->server->host, added->server->host) != 0 ||
 	    added->server->started_unix_ms == other->server->started_unix_ms)
 		return;
+	if (is_added_newer && !other->is_superseded)
+		report_lost(addition->backends, other);
 	other->is_superseded = other->is_superseded || is_added_newer;
 	added->is_superseded = added->is_superseded || !is_added_newer;
 	skh_log(SKH_LOG_INFO, PART,
@@ -189,7 +213,8 @@
 	g_ptr_array_add(target->target_pool->targets, target);
 	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
-	g_hash_table_foreach(backends->targets, mark_superseded, target);
+	g_hash_table_foreach(backends->targets, mark_superseded,
+			     &(added_target_t){ .backends = backends, .target = target });
 	skh_log(SKH_LOG_INFO, PART, "Server is listed.", "server=%s service=%s address=%s:%u",
 		server->id, server->service, server->host, server->port);
 }
@@ -202,6 +227,7 @@
 		skh_log(SKH_LOG_INFO, PART,
 			"Server has started again; its connections and statistics are reset.",
 			"server=%s", server->id);
+		report_lost(backends, target);
 		(void)g_hash_table_remove(backends->targets, server->id);
 		target = NULL;
 	}
@@ -216,11 +242,19 @@
 	target->server->slots = server->slots;
 }
 
+/* Context of is_unlisted(). */
+typedef struct unlisted_search {
+	const skh_backends_t *backends;
+	const skh_roster_t *roster;
+} unlisted_search_t;
+
 static gboolean is_unlisted(gpointer id, gpointer value, gpointer context)
 {
-	(void)value;
-	if (skh_roster_find(context, id))
+	const unlisted_search_t *search = context;
+
+	if (skh_roster_find(search->roster, id))
 		return FALSE;
+	report_lost(search->backends, value);
 	skh_log(SKH_LOG_INFO, PART, "Server is no longer listed and gets no new requests.",
 		"server=%s", (const char *)id);
 	return TRUE;
@@ -248,7 +282,9 @@
 	for (guint i = 0; roster && i < roster->servers->len; i++)
 		update_server(backends, g_ptr_array_index(roster->servers, i));
 	if (roster)
-		(void)g_hash_table_foreach_remove(backends->targets, is_unlisted, (gpointer)roster);
+		(void)g_hash_table_foreach_remove(
+			backends->targets, is_unlisted,
+			&(unlisted_search_t){ .backends = backends, .roster = roster });
 	if (roster)
 		g_hash_table_foreach(backends->pools, sort_targets, NULL);
 	for (guint i = 0; routing && i < routing->services->len; i++) {
--- a/src/backends.h
+++ b/src/backends.h
@@ -50,6 +50,7 @@
 	int64_t avoid_until_us;
 	int64_t full_until_us;
 	int64_t rejects_until_us;   /* the server wants no requests of this gateway until then */
+	bool has_losses;	    /* requests were lost there since its last response */
 	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
@@ -77,6 +78,16 @@
 skh_backends_t *skh_backends_new(uv_loop_t *loop, const skh_upstream_pool_options_t *options);
 void skh_backends_free(skh_backends_t *backends);
 
+typedef void (*skh_server_lost_fn)(void *context, const skh_server_t *server);
+
+/**
+ * skh_backends_set_lost_fn() - set the callback for servers that disappear without leaving
+ * @fn: called when a server instance is no longer listed, or is replaced by a newer one at its
+ *	address, and had not announced that it leaves
+ * @context: first argument of @fn
+ */
+void skh_backends_set_lost_fn(skh_backends_t *backends, skh_server_lost_fn fn, void *context);
+
 /**
  * skh_backends_sync() - applies the roster to the servers and the routing table to the services
  * @roster: listed servers; NULL leaves the servers as they are
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -187,6 +187,24 @@
 	return MAX(MIN(MAX(wanted_ms, MIN_RETRY_AFTER_MS) + jitter_ms, max_ms), 1);
 }
 
+/*
+ * Ends a request that is not sent to a server again. @kind and @retry_after_ms apply if no attempt
+ * can have run.
+ */
+static void end_unserved(skh_exchange_t *exchange, skh_error_kind_t kind, int64_t retry_after_ms,
+			 const char *reason)
+{
+	if (exchange->state == SKH_EXCHANGE_RESPONDING) {
+		skh_exchange_log_end(exchange, "cut", exchange->response_status, reason);
+		skh_exchange_end(exchange);
+		skh_caller_conn_abort(exchange->conn);
+	} else if (exchange->possible_runs > 0) {
+		skh_exchange_reject(exchange, SKH_OUTCOME_UNKNOWN, 0, reason);
+	} else {
+		skh_exchange_reject(exchange, kind, retry_after_ms, reason);
+	}
+}
+
 /* --- Queueing --- */
 
 static int64_t caller_timeout_us(const skh_exchange_t *exchange)
@@ -237,6 +255,26 @@
 	return (int64_t)((double)(ahead + 1) / completions_per_s * (double)SKH_US_PER_S);
 }
 
+/* A request that tests a suspected part keeps this role until it ends. */
+static bool is_crash_suspect(skh_exchange_t *exchange, int64_t now_us)
+{
+	const skh_request_traits_t traits = skh_exchange_traits(exchange);
+	skh_crash_verdict_t verdict;
+
+	if (exchange->is_crash_test)
+		return false;
+	verdict = skh_crash_suspects_judge(exchange->gateway->crash_suspects, &traits, now_us);
+	exchange->is_crash_test = verdict == SKH_CRASH_VERDICT_TEST;
+	return verdict == SKH_CRASH_VERDICT_REJECTED;
+}
+
+static void reject_crash_suspect(skh_exchange_t *exchange)
+{
+	skh_metrics_add(SKH_COUNT_QUARANTINED, 1);
+	end_unserved(exchange, SKH_LIMITED, 0,
+		     "requests with this content or prompt part have crashed several servers");
+}
+
 static skh_queued_request_t *peek_next(const skh_target_pool_t *pool, int64_t now_us)
 {
 	return skh_group_breaker_is_tripped(&pool->breaker)
@@ -254,6 +292,12 @@
 		skh_exchange_t *exchange = exchange_from_queued(queued_request);
 		skh_target_t *target;
 
+		/* The crashes may have become known while the request was queued. */
+		if (is_crash_suspect(exchange, now_us)) {
+			skh_request_queue_remove(pool->queue, queued_request);
+			reject_crash_suspect(exchange);
+			continue;
+		}
 		if (pool->is_lock_step && !skh_group_breaker_can_send(&pool->breaker, now_us))
 			return;
 		target = skh_target_pool_select(pool, exchange->excluded_targets,
@@ -278,22 +322,10 @@
 {
 	int64_t wait_us = MAX(expected_wait_us(exchange, now_us), accepts_from_us - now_us);
 
-	if (exchange->state == SKH_EXCHANGE_RESPONDING) {
-		skh_exchange_log_end(exchange, "cut", exchange->response_status,
-				     "no server was available to resume the stream");
-		skh_exchange_end(exchange);
-		skh_caller_conn_abort(exchange->conn);
-		return;
-	}
-	if (exchange->possible_runs > 0) {
-		skh_exchange_reject(exchange, SKH_OUTCOME_UNKNOWN, 0,
-				    "an attempt was lost and no server was available for a retry");
-		return;
-	}
-	skh_exchange_reject(exchange, SKH_OVERLOADED,
-			    skh_exchange_retry_after_ms(exchange, MAX(wait_us / SKH_US_PER_MS,
-								      SKH_DEFAULT_RETRY_AFTER_MS)),
-			    "no server had capacity in time");
+	end_unserved(exchange, SKH_OVERLOADED,
+		     skh_exchange_retry_after_ms(
+			     exchange, MAX(wait_us / SKH_US_PER_MS, SKH_DEFAULT_RETRY_AFTER_MS)),
+		     "no server had capacity in time");
 }
 
 static void end_expired_in_pool(skh_target_pool_t *pool, void *context)
@@ -560,10 +592,8 @@
 	int64_t accepts_from_us;
 	int64_t wait_us;
 
-	if (skh_crash_suspects_is_rejected(exchange->gateway->crash_suspects,
-					   exchange->content_hash, now_us)) {
-		skh_exchange_reject(exchange, SKH_LIMITED, 0,
-				    "this request has crashed several servers");
+	if (is_crash_suspect(exchange, now_us)) {
+		reject_crash_suspect(exchange);
 		return false;
 	}
 	if (!skh_target_pool_has_servers(exchange->target_pool)) {
--- a/src/feed.c
+++ b/src/feed.c
@@ -15,6 +15,12 @@
 #define UNAVAILABLE_AFTER_US (1500 * SKH_US_PER_MS)
 #define REGISTRATION_TTL_S   12
 #define RENEW_INTERVAL_US    (4 * SKH_US_PER_S)
+/* The longest that the store grants; records count for as long, see crash_suspects.h. */
+#define CRASH_LEASE_TTL_S 600
+/* A lease is used for new records until then, so that they last for at least half its time. */
+#define CRASH_LEASE_USE_US (CRASH_LEASE_TTL_S / 2 * SKH_US_PER_S)
+#define MAX_RECORDS_A_TXN  32 /* the store's limit for one transaction */
+#define MAX_UNREAD_RECORDS 4096
 
 struct skh_feed {
 	skh_feed_options_t options;
@@ -22,10 +28,12 @@
 	bool stop;
 	int64_t fresh_as_of_us; /* atomic */
 	GMutex lock;
-	GHashTable *gateways;	  /* id -> address; guarded by the lock */
-	uint64_t gateway_changes; /* counted from 1; guarded by the lock */
-	GHashTable *rank_notices; /* service -> text; guarded by the lock */
-	uint64_t notice_changes;  /* counted from 1; guarded by the lock */
+	GHashTable *gateways;	   /* id -> address; guarded by the lock */
+	uint64_t gateway_changes;  /* counted from 1; guarded by the lock */
+	GHashTable *rank_notices;  /* service -> text; guarded by the lock */
+	uint64_t notice_changes;   /* counted from 1; guarded by the lock */
+	GArray *read_records;	   /* skh_crash_record_t; guarded by the lock */
+	GArray *unwritten_records; /* skh_crash_record_t; guarded by the lock */
 	/* Used by the feed's thread alone: */
 	skh_roster_builder_t *builder;
 	int64_t read_revision; /* revision read so far; 0 when a full read is due */
@@ -38,6 +46,8 @@
 	bool is_unavailable;
 	int64_t lease;
 	int64_t next_renew_us;
+	int64_t crash_lease; /* of crash records; 0 for none */
+	int64_t crash_lease_expires_us;
 	bool roster_changed;
 	bool has_roster;
 };
@@ -164,6 +174,48 @@
 	g_mutex_unlock(&feed->lock);
 }
 
+static const char *const finding_names[] = {
+	[SKH_CRASH_FINDING_SUSPECTED] = "suspected",
+	[SKH_CRASH_FINDING_CONFIRMED] = "confirmed",
+	[SKH_CRASH_FINDING_CLEARED] = "cleared",
+};
+
+static bool parse_finding(const char *name, skh_crash_finding_t *finding)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(finding_names); i++) {
+		if (strcmp(name, finding_names[i]) != 0)
+			continue;
+		*finding = (skh_crash_finding_t)i;
+		return true;
+	}
+	return false;
+}
+
+/* Other writers may use the prefix, too; records that can't be read are ignored. */
+static bool parse_crash_record(const char *key, const char *value, skh_crash_record_t *record)
+{
+	char *end;
+
+	record->trait = g_ascii_strtoull(key, &end, 16);
+	if (*end != '-')
+		return false;
+	record->crash = g_ascii_strtoull(end + 1, &end, 16);
+	return *end == '\0' && parse_finding(value, &record->finding);
+}
+
+/* Deletions are ignored: records expire in the gateway. */
+static void apply_crash_record(skh_feed_t *feed, const char *key, const char *value)
+{
+	skh_crash_record_t record;
+
+	if (!value || !parse_crash_record(key, value, &record))
+		return;
+	g_mutex_lock(&feed->lock);
+	if (feed->read_records->len < MAX_UNREAD_RECORDS)
+		g_array_append_val(feed->read_records, record);
+	g_mutex_unlock(&feed->lock);
+}
+
 /* Applies one change of a key; @value is NULL for a deletion. */
 static void apply_change(skh_feed_t *feed, const char *key, const char *value, int64_t revision)
 {
@@ -178,6 +230,8 @@
 		apply_gateway(feed, key + strlen(gateways_prefix), value);
 	else if (g_str_has_prefix(key, SKH_SLOW_RANKS_PREFIX))
 		apply_rank_notice(feed, key + strlen(SKH_SLOW_RANKS_PREFIX), value);
+	else if (g_str_has_prefix(key, SKH_CRASH_RECORDS_PREFIX))
+		apply_crash_record(feed, key + strlen(SKH_CRASH_RECORDS_PREFIX), value);
 }
 
 static bool read_config(skh_feed_t *feed, int64_t *revision, skh_error_t *err)
@@ -244,6 +298,7 @@
 	feed->config_revision = 0;
 	feed->lease = 0;
 	feed->next_renew_us = 0;
+	feed->crash_lease = 0;
 }
 
 /* Whether the last response was the first of a new era; what it says is then not used. */
@@ -264,6 +319,7 @@
 	skh_kv_pairs_t servers;
 	skh_kv_pairs_t gateways;
 	skh_kv_pairs_t notices;
+	skh_kv_pairs_t records;
 	int64_t revision;
 
 	if (!read_config(feed, &revision, err))
@@ -282,6 +338,9 @@
 	if (!read_prefix(feed, SKH_SLOW_RANKS_PREFIX, &notices, err))
 		return false;
 	skh_kv_pairs_clear(&notices);
+	if (!read_prefix(feed, SKH_CRASH_RECORDS_PREFIX, &records, err))
+		return false;
+	skh_kv_pairs_clear(&records);
 	if (has_era_changed(feed))
 		return true;
 	feed->read_revision = revision;
@@ -392,6 +451,78 @@
 			"reason=%s", err.text);
 }
 
+/* Returns copies of the first unwritten records, which stay in the list. */
+static guint peek_unwritten(skh_feed_t *feed, skh_crash_record_t *records)
+{
+	guint n;
+
+	g_mutex_lock(&feed->lock);
+	n = MIN(feed->unwritten_records->len, MAX_RECORDS_A_TXN);
+	if (n > 0)
+		memcpy(records, feed->unwritten_records->data, n * sizeof(records[0]));
+	g_mutex_unlock(&feed->lock);
+	return n;
+}
+
+static bool grant_crash_lease(skh_feed_t *feed, skh_error_t *err)
+{
+	skh_store_t *store = feed->options.store;
+	int64_t now_us = skh_clock_boot_us();
+
+	if (feed->crash_lease != 0 && now_us < feed->crash_lease_expires_us)
+		return true;
+	feed->crash_lease = 0;
+	if (!store->ops->lease_grant(store, CRASH_LEASE_TTL_S, &feed->crash_lease, err))
+		return false;
+	feed->crash_lease_expires_us = now_us + CRASH_LEASE_USE_US;
+	return true;
+}
+
+static bool put_records(skh_feed_t *feed, const skh_crash_record_t *records, guint n,
+			skh_error_t *err)
+{
+	skh_store_t *store = feed->options.store;
+	skh_txn_op_t puts[MAX_RECORDS_A_TXN];
+	g_autoptr(GPtrArray) keys = g_ptr_array_new_with_free_func(g_free);
+	const skh_txn_t txn = { .ops = puts, .n_ops = n };
+	skh_txn_result_t result;
+
+	for (guint i = 0; i < n; i++) {
+		char *key = g_strdup_printf(SKH_CRASH_RECORDS_PREFIX "%016" G_GINT64_MODIFIER
+								     "x-%016" G_GINT64_MODIFIER "x",
+					    records[i].trait, records[i].crash);
+
+		g_ptr_array_add(keys, key);
+		puts[i] = (skh_txn_op_t){ SKH_TXN_OP_PUT, key, finding_names[records[i].finding],
+					  feed->crash_lease };
+	}
+	if (!store->ops->txn(store, &txn, &result, err))
+		return false;
+	skh_kv_pairs_clear(&result.pairs);
+	return true;
+}
+
+/* Writes need no condition: the finding of a record only rises, and a lost update is made up for by gossip. */
+static void write_crash_records(skh_feed_t *feed)
+{
+	skh_crash_record_t records[MAX_RECORDS_A_TXN];
+	guint n = peek_unwritten(feed, records);
+	skh_error_t err;
+
+	if (n == 0)
+		return;
+	if (!grant_crash_lease(feed, &err) || !put_records(feed, records, n, &err)) {
+		feed->crash_lease = 0;
+		skh_log(SKH_LOG_INFO, PART, "Crash records were not stored; retrying later.",
+			"records=%u reason=%s", n, err.text);
+		return;
+	}
+	g_mutex_lock(&feed->lock);
+	(void)g_array_remove_range(feed->unwritten_records, 0, n);
+	g_mutex_unlock(&feed->lock);
+	skh_log(SKH_LOG_INFO, PART, "Crash records were stored.", "records=%u", n);
+}
+
 static void *run_feed(void *argument)
 {
 	skh_feed_t *feed = argument;
@@ -412,6 +543,7 @@
 		if (feed->read_revision != 0)
 			__atomic_store_n(&feed->fresh_as_of_us, poll_started_us, __ATOMIC_RELEASE);
 		renew_registration(feed);
+		write_crash_records(feed);
 		if (feed->read_revision != 0)
 			skh_clock_sleep(poll_started_us + feed->options.poll_interval_us -
 						skh_clock_boot_us(),
@@ -431,6 +563,8 @@
 	feed->gateways = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	feed->notice_changes = 1;
 	feed->rank_notices = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	feed->read_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
+	feed->unwritten_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	g_mutex_init(&feed->lock);
 	(void)pthread_create(&feed->thread, NULL, run_feed, feed);
 	return feed;
@@ -443,6 +577,8 @@
 	skh_roster_builder_free(feed->builder);
 	g_hash_table_unref(feed->gateways);
 	g_hash_table_unref(feed->rank_notices);
+	g_array_unref(feed->read_records);
+	g_array_unref(feed->unwritten_records);
 	g_mutex_clear(&feed->lock);
 	g_free(feed);
 }
@@ -497,3 +633,23 @@
 	g_mutex_unlock(&feed->lock);
 	return lines ? g_string_free(lines, FALSE) : NULL;
 }
+
+GArray *skh_feed_take_crash_records(skh_feed_t *feed)
+{
+	GArray *records = NULL;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->read_records->len > 0) {
+		records = feed->read_records;
+		feed->read_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
+	}
+	g_mutex_unlock(&feed->lock);
+	return records;
+}
+
+void skh_feed_put_crash_records(skh_feed_t *feed, const skh_crash_record_t *records, uint32_t n)
+{
+	g_mutex_lock(&feed->lock);
+	g_array_append_vals(feed->unwritten_records, records, n);
+	g_mutex_unlock(&feed->lock);
+}
--- a/src/feed.h
+++ b/src/feed.h
@@ -17,6 +17,7 @@
  */
 
 #include "board.h"
+#include "crash_suspects.h"
 #include "dialect.h"
 
 #ifdef __cplusplus
@@ -29,6 +30,12 @@
  */
 #define SKH_SLOW_RANKS_PREFIX "skylarkhead/slow/"
 
+/*
+ * Prefix of the keys of crash records (crash_suspects.h): trait and crash in hexadecimal, joined by
+ * a hyphen. The value says whether the record is cleared.
+ */
+#define SKH_CRASH_RECORDS_PREFIX "skylarkhead/crash/"
+
 /** struct skh_feed_options - all pointers are borrowed and must outlive the feed */
 typedef struct skh_feed_options {
 	skh_store_t *store; /* used by the feed alone */
@@ -72,6 +79,15 @@
  */
 char *skh_feed_get_slow_ranks(skh_feed_t *feed, uint64_t *last_change);
 
+/**
+ * skh_feed_take_crash_records() - returns the crash records read since the last call
+ * Return: skh_crash_record_t, to be freed with g_array_unref(); NULL for none.
+ */
+GArray *skh_feed_take_crash_records(skh_feed_t *feed);
+
+/** skh_feed_put_crash_records() - has @records written to the store; repeated until it succeeds */
+void skh_feed_put_crash_records(skh_feed_t *feed, const skh_crash_record_t *records, uint32_t n);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "admin.h"
+#include "attempt.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "exchange.h"
@@ -33,6 +34,8 @@
 #define MAX_IDLE_CONNECTIONS 24
 /* Lower bound for the number of gateways that share the retry budget. */
 #define MIN_GATEWAYS 4
+/* Crash records that are passed to the feed at a time. */
+#define MAX_STORED_RECORDS_A_TICK 32
 
 typedef struct gateway_process {
 	skh_gateway_t gateway;
@@ -42,6 +45,7 @@
 	skh_admin_t *admin;
 	skh_store_t *store;
 	skh_settings_watcher_t *settings_watcher;
+	int64_t store_era;	      /* in which the crash records were stored */
 	uint64_t last_peers_change;   /* newest change that skh_feed_get_gateways() returned */
 	uint64_t last_notices_change; /* newest change that skh_feed_get_slow_ranks() returned */
 	gint is_ready;		      /* atomic; read by the administration listener's threads */
@@ -230,11 +234,35 @@
 		apply_settings(&process->gateway, settings);
 }
 
+/* Exchanges crash records with the store; the other gateways also get them by gossip. */
+static void sync_crash_records(gateway_process_t *process, int64_t now_us)
+{
+	skh_gateway_t *gateway = &process->gateway;
+	skh_crash_record_t unstored[MAX_STORED_RECORDS_A_TICK];
+	uint32_t n;
+	g_autoptr(GArray) read = skh_feed_take_crash_records(gateway->feed);
+
+	for (guint i = 0; read && i < read->len; i++)
+		skh_crash_suspects_merge_stored(gateway->crash_suspects,
+						&g_array_index(read, skh_crash_record_t, i),
+						now_us);
+	if (skh_store_era(process->store) != process->store_era) {
+		process->store_era = skh_store_era(process->store);
+		skh_crash_suspects_store_again(gateway->crash_suspects);
+	}
+	n = skh_crash_suspects_take_unstored(gateway->crash_suspects, unstored,
+					     MAX_STORED_RECORDS_A_TICK, now_us);
+	if (n > 0)
+		skh_feed_put_crash_records(gateway->feed, unstored, n);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_process_t *process = timer->data;
 	int64_t now_us = skh_clock_boot_us();
 
+	process->gateway.last_tick_us = now_us;
+	sync_crash_records(process, now_us);
 	reload_settings(process, now_us);
 	update_peers(process);
 	update_slowdowns(process);
@@ -255,7 +283,7 @@
 	gateway->retry_limits.gateways = MIN_GATEWAYS;
 	process->settings_watcher = skh_settings_watcher_new(settings);
 	gateway->board = skh_board_new();
-	gateway->crash_suspects = skh_crash_suspects_new();
+	gateway->crash_suspects = skh_crash_suspects_new(skh_random_u64());
 	g_queue_init(&gateway->exchanges);
 	process->pool_options = (skh_upstream_pool_options_t){
 		.attempt_id_header = gateway->dialect->headers[SKH_HEADER_ATTEMPT_ID],
@@ -270,6 +298,7 @@
 	(void)uv_timer_init(&gateway->loop, &process->tick_timer);
 	process->tick_timer.data = process;
 	gateway->backends = skh_backends_new(&gateway->loop, &process->pool_options);
+	skh_backends_set_lost_fn(gateway->backends, skh_attempt_on_server_lost, gateway);
 }
 
 static void start_feed(gateway_process_t *process)
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -27,23 +27,17 @@
  */
 #define MAX_CURRENT_INTERVAL_US (300 * SKH_US_PER_MS)
 #define MAX_SERVERS		400
-#define MAX_CRASH_SUSPECTS	16
-#define SUSPECT_REPORTS		8   /* maximum for one suspect; repeated as reports may be lost */
+#define MAX_CRASH_RECORDS	16  /* in one report */
 #define MAX_RUNNING		255 /* one byte per server in the report */
 #define MAX_REPORT_BYTES	4096
 
 typedef struct peer_report {
-	uint64_t number; /* sequence number of the report */
+	uint64_t number;    /* sequence number of the report */
+	uint64_t survivals; /* as last reported */
 	int64_t received_us;
 	GHashTable *running; /* hash of the server id -> requests in flight */
 } peer_report_t;
 
-typedef struct crash_suspect {
-	uint64_t content_hash;
-	uint64_t crash_id;
-	uint32_t reports_left; /* maximum number of further reports with this suspect */
-} crash_suspect_t;
-
 struct skh_gossip {
 	skh_gateway_t *gateway;
 	uv_udp_t udp;
@@ -57,7 +51,6 @@
 	uint64_t last_sent_hash; /* see hash_report() */
 	int64_t last_sent_us;
 	int64_t interval_us; /* between the last report and the next */
-	crash_suspect_t suspects[MAX_CRASH_SUSPECTS];
 };
 
 static uint32_t hash_server_id(const char *id)
@@ -94,6 +87,29 @@
 	skh_backends_for_each_target(gossip->gateway->backends, sum_peers_running, gossip);
 }
 
+static void merge_crash_records(skh_gossip_t *gossip, const Skh__LoadReport *message,
+				int64_t now_us)
+{
+	skh_crash_suspects_t *suspects = gossip->gateway->crash_suspects;
+
+	for (size_t i = 0; i < message->n_culprits && i < message->n_crashes; i++) {
+		bool is_confirmed = i < message->confirmed.len && message->confirmed.data[i] == 1;
+
+		skh_crash_suspects_merge(
+			suspects,
+			&(skh_crash_record_t){ message->culprits[i], message->crashes[i],
+					       is_confirmed ? SKH_CRASH_FINDING_CONFIRMED
+							    : SKH_CRASH_FINDING_SUSPECTED },
+			now_us);
+	}
+	for (size_t i = 0; i < message->n_cleared && i < message->n_cleared_of; i++)
+		skh_crash_suspects_merge(suspects,
+					 &(skh_crash_record_t){ message->cleared[i],
+								message->cleared_of[i],
+								SKH_CRASH_FINDING_CLEARED },
+					 now_us);
+}
+
 static void store_report(skh_gossip_t *gossip, const Skh__LoadReport *message)
 {
 	const int64_t sender = (int64_t)message->sender;
@@ -107,17 +123,17 @@
 		report->running = g_hash_table_new(NULL, NULL);
 		(void)g_hash_table_insert(gossip->reports, g_memdup2(&sender, sizeof(sender)),
 					  report);
-	}
+	} else
+		skh_crash_suspects_add_survivals(gossip->gateway->crash_suspects,
+						 message->survivals - report->survivals);
 	report->number = message->number;
+	report->survivals = message->survivals;
 	report->received_us = now_us;
 	g_hash_table_remove_all(report->running);
 	for (size_t i = 0; i < message->n_servers && i < message->running.len; i++)
 		(void)g_hash_table_insert(report->running, GUINT_TO_POINTER(message->servers[i]),
 					  GUINT_TO_POINTER(message->running.data[i]));
-	for (size_t i = 0; i < message->n_culprits && i < message->n_crashes; i++)
-		skh_crash_suspects_add_remote_crash(gossip->gateway->crash_suspects,
-						    message->culprits[i], message->crashes[i],
-						    now_us);
+	merge_crash_records(gossip, message, now_us);
 	update_peers_running(gossip);
 }
 
@@ -255,10 +271,7 @@
 typedef struct outgoing_report {
 	uint32_t servers[MAX_SERVERS];
 	uint8_t running[MAX_SERVERS];
-	uint64_t suspects[MAX_CRASH_SUSPECTS];
-	uint64_t crashes[MAX_CRASH_SUSPECTS];
 	size_t n_servers;
-	size_t n_suspects;
 } outgoing_report_t;
 
 static void add_target(skh_target_t *target, void *context)
@@ -275,38 +288,58 @@
 	outgoing->running[outgoing->n_servers++] = (uint8_t)MIN(target->own_in_flight, MAX_RUNNING);
 }
 
-static void add_crash_suspects(skh_gossip_t *gossip, outgoing_report_t *outgoing)
-{
-	for (uint32_t i = 0; i < MAX_CRASH_SUSPECTS; i++) {
-		crash_suspect_t *suspect = &gossip->suspects[i];
-
-		if (suspect->reports_left == 0)
-			continue;
-		suspect->reports_left--;
-		outgoing->suspects[outgoing->n_suspects] = suspect->content_hash;
-		outgoing->crashes[outgoing->n_suspects++] = suspect->crash_id;
-	}
-}
-
 /*
- * Hashes the servers, their counts and the number of crash suspects. Unless this hash changes, the
- * next report is sent only after MAX_INTERVAL_US.
+ * Hashes the servers and their counts. Unless this hash changes or crash records are new, the next
+ * report is sent only after MAX_INTERVAL_US.
  */
 static uint64_t hash_report(const outgoing_report_t *outgoing)
 {
 	uint64_t hash =
 		skh_chunk_hash(skh_chunk_make(outgoing->servers,
 					      outgoing->n_servers * sizeof(outgoing->servers[0])),
-			       outgoing->n_suspects);
+			       0);
 
 	return skh_chunk_hash(skh_chunk_make(outgoing->running, outgoing->n_servers), hash);
 }
 
+/* Crash records of one report; the message borrows the arrays. */
+typedef struct outgoing_records {
+	uint64_t suspected[2][MAX_CRASH_RECORDS]; /* traits, then crashes */
+	uint64_t cleared[2][MAX_CRASH_RECORDS];
+	uint8_t confirmed[MAX_CRASH_RECORDS];
+} outgoing_records_t;
+
+static void add_crash_records(skh_gossip_t *gossip, Skh__LoadReport *message,
+			      outgoing_records_t *out)
+{
+	skh_crash_record_t records[MAX_CRASH_RECORDS];
+	uint32_t n = skh_crash_suspects_take_news(gossip->gateway->crash_suspects, records,
+						  MAX_CRASH_RECORDS, skh_clock_boot_us());
+
+	message->culprits = out->suspected[0];
+	message->crashes = out->suspected[1];
+	message->cleared = out->cleared[0];
+	message->cleared_of = out->cleared[1];
+	message->confirmed.data = out->confirmed;
+	for (uint32_t i = 0; i < n; i++) {
+		if (records[i].finding == SKH_CRASH_FINDING_CLEARED) {
+			message->cleared[message->n_cleared++] = records[i].trait;
+			message->cleared_of[message->n_cleared_of++] = records[i].crash;
+		} else {
+			message->confirmed.data[message->confirmed.len++] =
+				records[i].finding == SKH_CRASH_FINDING_CONFIRMED;
+			message->culprits[message->n_culprits++] = records[i].trait;
+			message->crashes[message->n_crashes++] = records[i].crash;
+		}
+	}
+}
+
 /* Returns the bytes sent to each peer, with headers. */
 static size_t send_report(skh_gossip_t *gossip, outgoing_report_t *outgoing)
 {
 	uint8_t packed[MAX_REPORT_BYTES];
 	Skh__LoadReport message = SKH__LOAD_REPORT__INIT;
+	outgoing_records_t records;
 	uv_buf_t buffer;
 	size_t len;
 
@@ -315,10 +348,8 @@
 	message.n_servers = outgoing->n_servers;
 	message.servers = outgoing->servers;
 	message.running = (ProtobufCBinaryData){ outgoing->n_servers, outgoing->running };
-	message.n_culprits = outgoing->n_suspects;
-	message.culprits = outgoing->suspects;
-	message.n_crashes = outgoing->n_suspects;
-	message.crashes = outgoing->crashes;
+	message.survivals = skh_crash_suspects_own_survivals(gossip->gateway->crash_suspects);
+	add_crash_records(gossip, &message, &records);
 	len = skh__load_report__pack(&message, packed);
 	buffer = uv_buf_init((char *)packed, (unsigned int)len);
 	for (guint i = 0; i < gossip->peers->len; i++) {
@@ -338,14 +369,16 @@
 	outgoing_report_t outgoing = { .n_servers = 0 };
 	uint64_t hash;
 	size_t sent_bytes;
+	bool has_news;
 
 	expire_reports(gossip, now_us);
 	if (now_us < gossip->next_send_us || gossip->peers->len == 0)
 		return;
 	skh_backends_for_each_target(gossip->gateway->backends, add_target, &outgoing);
-	add_crash_suspects(gossip, &outgoing);
+	has_news = skh_crash_suspects_update(gossip->gateway->crash_suspects, now_us);
 	hash = hash_report(&outgoing);
-	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US)
+	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US &&
+	    !has_news)
 		return;
 	sent_bytes = send_report(gossip, &outgoing) * gossip->peers->len;
 	gossip->last_sent_hash = hash;
@@ -355,17 +388,6 @@
 	gossip->next_send_us = now_us + gossip->interval_us;
 }
 
-void skh_gossip_add_crash_suspect(skh_gossip_t *gossip, uint64_t content_hash, uint64_t crash_id)
-{
-	crash_suspect_t *replaced = &gossip->suspects[0];
-
-	for (uint32_t i = 1; i < MAX_CRASH_SUSPECTS; i++) {
-		if (gossip->suspects[i].reports_left < replaced->reports_left)
-			replaced = &gossip->suspects[i];
-	}
-	*replaced = (crash_suspect_t){ content_hash, crash_id, SUSPECT_REPORTS };
-}
-
 void skh_gossip_close(skh_gossip_t *gossip)
 {
 	if (!uv_is_closing((uv_handle_t *)&gossip->udp))
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -5,8 +5,8 @@
  * DOC: Gossip reports between gateways
  *
  * Over UDP, each gateway reports to all others how many requests it has
- * in flight at each backend server and which requests are suspected of crashing
- * servers. Owns the UDP socket, the addresses of the other gateways and the
+ * in flight at each backend server, and its records of crashes (crash_suspects.h).
+ * Owns the UDP socket, the addresses of the other gateways and the
  * newest report of each. Runs on the gateway's event loop thread.
  *
  * The send rate is limited to a fixed number of bytes per second. Datagrams may
@@ -47,13 +47,6 @@
 /** skh_gossip_tick() - sends a report when one is due and drops reports that are too old */
 void skh_gossip_tick(skh_gossip_t *gossip);
 
-/**
- * skh_gossip_add_crash_suspect() - adds a suspect to the next few reports
- * @content_hash: hash of the request's content
- * @crash_id: id of the server crash
- */
-void skh_gossip_add_crash_suspect(skh_gossip_t *gossip, uint64_t content_hash, uint64_t crash_id);
-
 /** skh_gossip_close() - closes the socket; the event loop must run before skh_gossip_free() */
 void skh_gossip_close(skh_gossip_t *gossip);
 void skh_gossip_free(skh_gossip_t *gossip);
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -167,6 +167,11 @@
 	message->error_kind = SKH_OK;
 }
 
+bool skh_http_message_is_framed(const skh_http_message_t *message)
+{
+	return (message->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+}
+
 void skh_http_message_free(skh_http_message_t *message)
 {
 	if (!message->headers)
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -73,6 +73,9 @@
 void skh_http_message_reset(skh_http_message_t *message, enum http_parser_type type,
 			    const skh_http_message_ops_t *ops, void *context);
 
+/** skh_http_message_is_framed() - whether a length or chunks say where the body ends */
+bool skh_http_message_is_framed(const skh_http_message_t *message);
+
 /** skh_http_message_free() - release what @message owns and zero it; a zeroed message is allowed */
 void skh_http_message_free(skh_http_message_t *message);
 
--- a/src/roster.c
+++ b/src/roster.c
@@ -1,5 +1,7 @@
 #include "roster.h"
 
+#include "buffer.h"
+
 #include <string.h>
 
 /* Last known entry of a server that was removed. */
@@ -32,6 +34,11 @@
 	g_free(server);
 }
 
+uint64_t skh_server_instance_hash(const skh_server_t *server)
+{
+	return skh_chunk_hash(skh_chunk_from_string(server->id), (uint64_t)server->started_unix_ms);
+}
+
 skh_server_t *skh_server_copy(const skh_server_t *server)
 {
 	skh_server_t *copy = g_new(skh_server_t, 1);
--- a/src/roster.h
+++ b/src/roster.h
@@ -96,6 +96,8 @@
 /** skh_roster_builder_snapshot() - returns a copy for readers; free with skh_roster_free() */
 skh_roster_t *skh_roster_builder_snapshot(const skh_roster_builder_t *builder, int64_t revision);
 
+/** skh_server_instance_hash() - identifies one start of a server; the same on all hosts */
+uint64_t skh_server_instance_hash(const skh_server_t *server);
 skh_server_t *skh_server_copy(const skh_server_t *server);
 void skh_server_free(skh_server_t *server);
 /** skh_roster_clear() - frees what @roster owns, not @roster itself */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[10] =
 {
   {
     "sender",
@@ -2297,19 +2297,71 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_cleared),
+    offsetof(Skh__LoadReport, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_of",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_cleared_of),
+    offsetof(Skh__LoadReport, cleared_of),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "survivals",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, survivals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
+  6,   /* field[6] = cleared */
+  7,   /* field[7] = cleared_of */
+  8,   /* field[8] = confirmed */
   5,   /* field[5] = crashes */
   4,   /* field[4] = culprits */
   1,   /* field[1] = number */
   3,   /* field[3] = running */
   0,   /* field[0] = sender */
   2,   /* field[2] = servers */
+  9,   /* field[9] = survivals */
 };
 static const ProtobufCIntRange skh__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor skh__load_report__descriptor =
 {
@@ -2319,7 +2371,7 @@
   "Skh__LoadReport",
   "skh",
   sizeof(Skh__LoadReport),
-  6,
+  10,
   skh__load_report__field_descriptors,
   skh__load_report__field_indices_by_name,
   1,  skh__load_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -408,20 +408,38 @@
    */
 	ProtobufCBinaryData running;
 	/*
-   * crash suspects
+   * traits of requests that may crash servers
    */
 	size_t n_culprits;
 	uint64_t *culprits;
 	/*
-   * crash ID of each crash suspect
+   * crashed server instance of each such trait
    */
 	size_t n_crashes;
 	uint64_t *crashes;
+	/*
+   * traits that are not the cause of a crash
+   */
+	size_t n_cleared;
+	uint64_t *cleared;
+	/*
+   * crashed server instance of each such trait
+   */
+	size_t n_cleared_of;
+	uint64_t *cleared_of;
+	/*
+   * one byte for each of `culprits`: 1 if a gateway rejects the trait
+   */
+	ProtobufCBinaryData confirmed;
+	/*
+   * requests that their servers survived, since the process start
+   */
+	uint64_t survivals;
 };
 #define SKH__LOAD_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__load_report__descriptor)                             \
-		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL                                     \
+		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0   \
 	}
 
 /*
