--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -26,6 +26,7 @@
  *       "unframed"               send a body without a length, then close
  *       "cut"                    close a stream within its third event
  *       "mute"                   wait MUTE_DELAY_US, then close
+ *     {"limit":R}                name a limit of R requests a second in all responses; 0 ends it
  *     {"crash_part":ID}          from now on every rank that begins a stream whose prompt has this part
  *                                crashes: it closes all its connections, leaves the store and comes
  *                                back after RESTART_DELAY_US under another id
@@ -61,7 +62,13 @@
 #define LATE_ORDER_DELAY_US   (700 * 1000)
 #define MUTE_DELAY_US	      (3 * 1000 * 1000)
 #define RESTART_DELAY_US      (700 * 1000)
-#define MAX_EXPERT_COUNTS     (N_SETS * MAX_SERVERS * N_SLOTS)
+/* A server that has named a limit for a while gets at most 1.5 times as many and a few more. */
+#define LIMIT_NOTICE_US	  (3 * 1000 * 1000)
+#define LIMIT_WINDOW_US	  (4 * 1000 * 1000)
+#define LIMIT_TOLERANCE	  1.5
+#define LIMIT_EXTRA	  5
+#define MAX_ARRIVALS	  4096
+#define MAX_EXPERT_COUNTS (N_SETS * MAX_SERVERS * N_SLOTS)
 
 typedef struct server {
 	int port;
@@ -71,6 +78,10 @@
 	int64_t born_unix_ms;
 	int n_crashes;
 	int64_t restarts_us; /* monotonic time of the start after a crash; 0 while it runs */
+	double limit;	     /* requests a second that the server names; 0 for none */
+	int64_t limited_since_us;
+	int64_t arrivals_us[MAX_ARRIVALS]; /* ring buffer of the latest */
+	int64_t n_arrivals;
 	bool is_draining;
 	bool is_gone;
 	int n_writes;	 /* entries written to the store so far */
@@ -106,6 +117,7 @@
 static int64_t n_map_changes;
 static int64_t n_crashes;
 static int64_t n_crash_part_requests;
+static int64_t n_over_limit;
 static char crash_part[32];
 static double expert_counts[MAX_EXPERT_COUNTS];
 static GHashTable *once_attempts; /* attempt ids of requests under /once/ */
@@ -427,10 +439,14 @@
 
 static char *make_head(const server_t *server, const char *attempt, int status)
 {
+	g_autofree char *limit = server->limit > 0.0
+					 ? g_strdup_printf("Server-Limit: %.1f\r\n", server->limit)
+					 : g_strdup("");
+
 	return g_strdup_printf("HTTP/1.1 %d X\r\nSkylarkhead-Attempt-Id: %s\r\n"
 			       "Skylarkhead-Response-Signature: sig-%s\r\n"
-			       "Skylarkhead-Server-Load: 1,0,8\r\n",
-			       status, attempt, server->id);
+			       "Skylarkhead-Server-Load: 1,0,8\r\n%s",
+			       status, attempt, server->id, limit);
 }
 
 static void send_response(struct mg_connection *connection, const server_t *server,
@@ -539,6 +555,25 @@
 		n_repeated_runs++;
 }
 
+/* Called with the lock held. */
+static void check_limit(server_t *server)
+{
+	int64_t now_us = g_get_monotonic_time();
+	int64_t count = 0;
+
+	server->arrivals_us[server->n_arrivals++ % MAX_ARRIVALS] = now_us;
+	for (int64_t i = server->n_arrivals - 1; i >= MAX(0, server->n_arrivals - MAX_ARRIVALS);
+	     i--) {
+		if (server->arrivals_us[i % MAX_ARRIVALS] < now_us - LIMIT_WINDOW_US)
+			break;
+		count++;
+	}
+	if (server->limit > 0.0 &&
+	    now_us - server->limited_since_us > LIMIT_NOTICE_US + LIMIT_WINDOW_US &&
+	    (double)count > LIMIT_TOLERANCE * server->limit * LIMIT_WINDOW_US / 1e6 + LIMIT_EXTRA)
+		n_over_limit++;
+}
+
 static int handle_request(struct mg_connection *connection, server_t *server)
 {
 	const char *path = mg_get_request_info(connection)->local_uri;
@@ -561,6 +596,7 @@
 	}
 	attempt = attempt ? attempt : "-";
 	g_mutex_lock(&lock);
+	check_limit(server);
 	if (server->n_faults > 0) {
 		server->n_faults--;
 		(void)g_strlcpy(fault, server->fault, sizeof(fault));
@@ -604,6 +640,10 @@
 		(void)g_strlcpy(server->fault, fault, sizeof(server->fault));
 		server->n_faults = get_integer(json, "count");
 	}
+	if (json_object_get(json, "limit")) {
+		server->limit = json_number_value(json_object_get(json, "limit"));
+		server->limited_since_us = g_get_monotonic_time();
+	}
 	if (part)
 		(void)g_strlcpy(crash_part, part, sizeof(crash_part));
 	if (order_fault) {
@@ -616,13 +656,13 @@
 
 static json_t *counters_to_json(void)
 {
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
 			 (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs, "unasked",
 			 (json_int_t)n_bad_headers, "after_leaving",
 			 (json_int_t)n_runs_after_leaving, "mixed_maps", (json_int_t)n_mixed_maps,
 			 "passes", (json_int_t)pass, "map_changes", (json_int_t)n_map_changes,
 			 "crashes", (json_int_t)n_crashes, "crash_part_requests",
-			 (json_int_t)n_crash_part_requests);
+			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit);
 }
 
 static json_t *attempts_to_json(void)
