Keep to the limits that servers name, all gateways together

Cause: no gateway read the limit; and there was no means to keep a bound over all gateways. What servers say goes to the other gateways with its age; the newest statement holds.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -200,6 +200,12 @@
 					skh_exchange_header_name(exchange, SKH_HEADER_NOT_RUN)));
 }
 
+static bool is_signed(const skh_exchange_t *exchange, const skh_http_message_t *response)
+{
+	return skh_http_message_header(
+		       response, skh_exchange_header_name(exchange, SKH_HEADER_SIGNATURE)) != NULL;
+}
+
 /* Records what the server says about itself, whatever becomes of the response. */
 static void record_server_state(const skh_exchange_t *exchange, const skh_http_message_t *response,
 				int64_t now_us)
@@ -207,12 +213,17 @@
 	const char *leaving = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LEAVING));
 	const char *retry_after = skh_http_message_header(response, "Retry-After");
+	const char *limit = skh_http_message_header(
+		response, skh_exchange_header_name(exchange, SKH_HEADER_LIMIT));
 
 	/* Another instance at the server's address speaks for itself. */
 	if (response->parser.status_code == 421)
 		return;
 	if (leaving && strcmp(leaving, "1") == 0)
 		skh_target_record_leaving(exchange->target);
+	/* What ends a limit has to come from the server itself, not from something before it. */
+	if (limit || (response->parser.status_code / 100 == 2 && is_signed(exchange, response)))
+		skh_target_record_limit(exchange->target, limit, now_us);
 	if (retry_after && response->parser.status_code == 503)
 		skh_target_record_retry_after(exchange->target, retry_after, now_us);
 }
@@ -230,9 +241,7 @@
 	record_server_state(exchange, response, exchange->target->last_received_us);
 	exchange->attempt_status = (int32_t)response->parser.status_code;
 	exchange->reported_not_run = is_reported_not_run(exchange, response);
-	exchange->response_is_signed =
-		skh_http_message_header(
-			response, skh_exchange_header_name(exchange, SKH_HEADER_SIGNATURE)) != NULL;
+	exchange->response_is_signed = is_signed(exchange, response);
 	if (is_success && (!exchange->response_is_signed ||
 			   skh_http_message_header(response, "Content-Encoding")))
 		return false;
--- a/src/backends.c
+++ b/src/backends.c
@@ -311,6 +311,12 @@
 	return excluded_targets && g_ptr_array_find((GPtrArray *)excluded_targets, target, NULL);
 }
 
+/* Time until which the server wants no request of this gateway. */
+static int64_t get_accepts_from_us(const skh_target_t *target, int64_t now_us)
+{
+	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
+}
+
 skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
 				     skh_server_share_t share, int64_t now_us)
 {
@@ -340,7 +346,7 @@
 			.full_until_us = target->full_until_us,
 			.is_excluded = is_retired(target) ||
 				       now_us < target->wrong_instance_until_us ||
-				       now_us < target->rejects_until_us ||
+				       now_us < get_accepts_from_us(target, now_us) ||
 				       is_excluded(excluded_targets, target),
 		};
 	}
@@ -366,7 +372,7 @@
 		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
 
 		if (!is_retired(target))
-			earliest_us = MIN(earliest_us, target->rejects_until_us);
+			earliest_us = MIN(earliest_us, get_accepts_from_us(target, now_us));
 	}
 	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
 }
@@ -425,6 +431,7 @@
 {
 	if (target->own_in_flight == 0)
 		target->busy_since_us = now_us;
+	skh_server_limit_take(&target->limit, now_us);
 	target->references++;
 	target->own_in_flight++;
 	target->expected_tokens += expected_tokens;
@@ -470,6 +477,27 @@
 		"server=%s wait_ms=%.0f", target->server->id, wait_s * (double)SKH_MS_PER_S);
 }
 
+void skh_target_record_limit(skh_target_t *target, const char *per_s, int64_t now_us)
+{
+	char *end = NULL;
+	double limit_per_s = per_s ? g_ascii_strtod(per_s, &end) : 0.0;
+	bool was_limited = target->limit.per_s > 0.0;
+
+	if (per_s && (end == per_s || *end != '\0' || !(limit_per_s >= 0.0))) {
+		skh_log(SKH_LOG_DEBUG, PART, "Server's limit is not a number of requests a second.",
+			"server=%s value=%.32s", target->server->id, per_s);
+		return;
+	}
+	if (per_s)
+		limit_per_s = MAX(limit_per_s, SKH_SERVER_LIMIT_MIN_PER_S);
+	skh_server_limit_name(&target->limit, limit_per_s, now_us, true);
+	if (was_limited != (target->limit.per_s > 0.0))
+		skh_log(SKH_LOG_INFO, PART,
+			was_limited ? "Server no longer names a limit."
+				    : "Server names a limit; it gets fewer requests.",
+			"server=%s per_s=%.2f", target->server->id, limit_per_s);
+}
+
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us)
 {
 	record_failure(target, SKH_TARGET_OUTCOME_UNREACHABLE, now_us);
--- a/src/backends.h
+++ b/src/backends.h
@@ -15,6 +15,7 @@
 #include "retry_share.h"
 #include "roster.h"
 #include "routing.h"
+#include "server_limit.h"
 #include "server_selection.h"
 #include "upstream.h"
 
@@ -49,6 +50,7 @@
 	uint32_t consecutive_failures;
 	int64_t avoid_until_us;
 	int64_t full_until_us;
+	skh_server_limit_t limit;
 	int64_t rejects_until_us;   /* the server wants no requests of this gateway until then */
 	bool has_losses;	    /* requests were lost there since its last response */
 	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
@@ -186,6 +188,12 @@
  */
 void skh_target_record_retry_after(skh_target_t *target, const char *retry_after, int64_t now_us);
 
+/**
+ * skh_target_record_limit() - record the limit that the server named in a response
+ * @per_s: value of the header, requests a second; NULL if it named none; other forms are ignored
+ */
+void skh_target_record_limit(skh_target_t *target, const char *per_s, int64_t now_us);
+
 /** skh_target_mark_unreachable() - counts a failure and avoids the server for a back-off time */
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us);
 /** skh_target_unref() - drops a reference; the last one frees @target and its connections */
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -26,10 +26,13 @@
  * second, and all gateways together start several requests for each server in that time.
  */
 #define MAX_CURRENT_INTERVAL_US (300 * SKH_US_PER_MS)
-#define MAX_SERVERS		400
-#define MAX_CRASH_RECORDS	16  /* in one report */
-#define MAX_RUNNING		255 /* one byte per server in the report */
-#define MAX_REPORT_BYTES	4096
+/* Statements of servers that are older have been reported before. */
+#define LIMIT_REPORT_AGE_US (2500 * SKH_US_PER_MS)
+#define MAX_SERVERS	    400
+#define MAX_CRASH_RECORDS   16	/* in one report */
+#define MAX_RUNNING	    255 /* one byte per server in the report */
+#define MAX_LIMITS	    128 /* in one report */
+#define MAX_REPORT_BYTES    8192
 
 typedef struct peer_report {
 	uint64_t number;    /* sequence number of the report */
@@ -48,6 +51,8 @@
 	struct sockaddr_in own_address;
 	skh_server_share_t share; /* of this gateway among all gateways, by address */
 	int64_t next_send_us;
+	uint64_t list_version;	 /* of the peers; counted from 1 */
+	GArray *peer_hashes;	 /* uint64_t, see hash_gateway() */
 	uint64_t last_sent_hash; /* see hash_report() */
 	int64_t last_sent_us;
 	int64_t interval_us; /* between the last report and the next */
@@ -110,6 +115,28 @@
 					 now_us);
 }
 
+/* Context of merge_limit() */
+typedef struct received_limits {
+	const Skh__LoadReport *message;
+	int64_t now_us;
+} received_limits_t;
+
+static void merge_limit(skh_target_t *target, void *context)
+{
+	const received_limits_t *received = context;
+	const Skh__LoadReport *message = received->message;
+	uint32_t hash = hash_server_id(target->server->id);
+
+	for (size_t i = 0;
+	     i < message->n_limited && i < message->n_limit_mhz && i < message->n_limit_age_ms;
+	     i++) {
+		if (message->limited[i] == hash)
+			skh_server_limit_name(
+				&target->limit, message->limit_mhz[i] / 1000.0,
+				received->now_us - message->limit_age_ms[i] * SKH_US_PER_MS, false);
+	}
+}
+
 static void store_report(skh_gossip_t *gossip, const Skh__LoadReport *message)
 {
 	const int64_t sender = (int64_t)message->sender;
@@ -134,6 +161,10 @@
 		(void)g_hash_table_insert(report->running, GUINT_TO_POINTER(message->servers[i]),
 					  GUINT_TO_POINTER(message->running.data[i]));
 	merge_crash_records(gossip, message, now_us);
+	if (message->n_limited > 0)
+		skh_backends_for_each_target(
+			gossip->gateway->backends, merge_limit,
+			&(received_limits_t){ .message = message, .now_us = now_us });
 	update_peers_running(gossip);
 }
 
@@ -190,6 +221,8 @@
 	gossip->own_address = own_address;
 	gossip->sender = skh_random_u64();
 	gossip->peers = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	gossip->list_version = 1;
+	gossip->peer_hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	gossip->reports = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_report);
 	(void)uv_udp_init(&gateway->loop, &gossip->udp);
 	gossip->udp.data = gossip;
@@ -213,6 +246,15 @@
 	return host_a != host_b ? host_a < host_b : ntohs(a->sin_port) < ntohs(b->sin_port);
 }
 
+/* Identifies a gateway by its address, as all gateways list it. */
+static uint64_t hash_gateway(const struct sockaddr_in *address)
+{
+	const uint64_t identity =
+		((uint64_t)ntohl(address->sin_addr.s_addr) << 16) | ntohs(address->sin_port);
+
+	return skh_chunk_hash(skh_chunk_make(&identity, sizeof(identity)), 0);
+}
+
 static void update_share(skh_gossip_t *gossip)
 {
 	gossip->share = (skh_server_share_t){ 0, gossip->peers->len + 1 };
@@ -224,15 +266,21 @@
 void skh_gossip_set_peers(skh_gossip_t *gossip, GPtrArray *peers)
 {
 	g_array_set_size(gossip->peers, 0);
+	g_array_set_size(gossip->peer_hashes, 0);
+	gossip->list_version++;
 	for (guint i = 0; i < peers->len; i++) {
 		const char *address = g_ptr_array_index(peers, i);
 		struct sockaddr_in peer;
 
-		if (skh_address_parse(address, &peer))
+		if (skh_address_parse(address, &peer)) {
+			const uint64_t hash = hash_gateway(&peer);
+
 			g_array_append_val(gossip->peers, peer);
-		else
+			g_array_append_val(gossip->peer_hashes, hash);
+		} else {
 			skh_log(SKH_LOG_WARNING, PART, "Gateway address is invalid and ignored.",
 				"address=%s", address);
+		}
 	}
 	g_ptr_array_unref(peers);
 	update_share(gossip);
@@ -267,11 +315,29 @@
 		update_peers_running(gossip);
 }
 
+/* --- Limits that servers name --- */
+
+static void update_limit(skh_target_t *target, void *context)
+{
+	const skh_gossip_t *gossip = context;
+	const skh_gateway_list_t others = { (const uint64_t *)(void *)gossip->peer_hashes->data,
+					    gossip->peer_hashes->len, gossip->list_version };
+
+	if (target->limit.named_us != 0)
+		skh_server_limit_update(&target->limit, skh_server_instance_hash(target->server),
+					hash_gateway(&gossip->own_address), &others,
+					skh_clock_boot_us());
+}
+
 /* Contents of a report before it is encoded. */
 typedef struct outgoing_report {
 	uint32_t servers[MAX_SERVERS];
 	uint8_t running[MAX_SERVERS];
 	size_t n_servers;
+	uint32_t limited[MAX_LIMITS];
+	uint32_t limit_mhz[MAX_LIMITS];
+	uint32_t limit_age_ms[MAX_LIMITS];
+	size_t n_limited;
 } outgoing_report_t;
 
 static void add_target(skh_target_t *target, void *context)
@@ -288,6 +354,21 @@
 	outgoing->running[outgoing->n_servers++] = (uint8_t)MIN(target->own_in_flight, MAX_RUNNING);
 }
 
+/* Adds what the server said to this gateway a short while ago. */
+static void add_limit(skh_target_t *target, void *context)
+{
+	outgoing_report_t *outgoing = context;
+	const skh_server_limit_t *limit = &target->limit;
+	int64_t age_us = skh_clock_boot_us() - limit->named_us;
+
+	if (limit->named_us == 0 || !limit->is_own || age_us > LIMIT_REPORT_AGE_US ||
+	    outgoing->n_limited == MAX_LIMITS)
+		return;
+	outgoing->limited[outgoing->n_limited] = hash_server_id(target->server->id);
+	outgoing->limit_mhz[outgoing->n_limited] = (uint32_t)MIN(limit->per_s * 1000.0, 1e9);
+	outgoing->limit_age_ms[outgoing->n_limited++] = (uint32_t)(age_us / SKH_US_PER_MS);
+}
+
 /*
  * Hashes the servers and their counts. Unless this hash changes or crash records are new, the next
  * report is sent only after MAX_INTERVAL_US.
@@ -348,6 +429,12 @@
 	message.n_servers = outgoing->n_servers;
 	message.servers = outgoing->servers;
 	message.running = (ProtobufCBinaryData){ outgoing->n_servers, outgoing->running };
+	message.n_limited = outgoing->n_limited;
+	message.limited = outgoing->limited;
+	message.n_limit_mhz = outgoing->n_limited;
+	message.limit_mhz = outgoing->limit_mhz;
+	message.n_limit_age_ms = outgoing->n_limited;
+	message.limit_age_ms = outgoing->limit_age_ms;
 	message.survivals = skh_crash_suspects_own_survivals(gossip->gateway->crash_suspects);
 	add_crash_records(gossip, &message, &records);
 	len = skh__load_report__pack(&message, packed);
@@ -372,9 +459,11 @@
 	bool has_news;
 
 	expire_reports(gossip, now_us);
+	skh_backends_for_each_target(gossip->gateway->backends, update_limit, gossip);
 	if (now_us < gossip->next_send_us || gossip->peers->len == 0)
 		return;
 	skh_backends_for_each_target(gossip->gateway->backends, add_target, &outgoing);
+	skh_backends_for_each_target(gossip->gateway->backends, add_limit, &outgoing);
 	has_news = skh_crash_suspects_update(gossip->gateway->crash_suspects, now_us);
 	hash = hash_report(&outgoing);
 	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US &&
@@ -397,6 +486,7 @@
 void skh_gossip_free(skh_gossip_t *gossip)
 {
 	(void)g_array_free(gossip->peers, TRUE);
+	(void)g_array_free(gossip->peer_hashes, TRUE);
 	g_hash_table_unref(gossip->reports);
 	g_free(gossip);
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[13] =
 {
   {
     "sender",
@@ -2345,6 +2345,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_limited),
+    offsetof(Skh__LoadReport, limited),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_mhz",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_limit_mhz),
+    offsetof(Skh__LoadReport, limit_mhz),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_limit_age_ms),
+    offsetof(Skh__LoadReport, limit_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
   6,   /* field[6] = cleared */
@@ -2352,6 +2388,9 @@
   8,   /* field[8] = confirmed */
   5,   /* field[5] = crashes */
   4,   /* field[4] = culprits */
+  12,   /* field[12] = limit_age_ms */
+  11,   /* field[11] = limit_mhz */
+  10,   /* field[10] = limited */
   1,   /* field[1] = number */
   3,   /* field[3] = running */
   0,   /* field[0] = sender */
@@ -2361,7 +2400,7 @@
 static const ProtobufCIntRange skh__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor skh__load_report__descriptor =
 {
@@ -2371,7 +2410,7 @@
   "Skh__LoadReport",
   "skh",
   sizeof(Skh__LoadReport),
-  10,
+  13,
   skh__load_report__field_descriptors,
   skh__load_report__field_indices_by_name,
   1,  skh__load_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -432,6 +432,21 @@
    */
 	ProtobufCBinaryData confirmed;
 	/*
+   * hash of the ID of a server that names a limit
+   */
+	size_t n_limited;
+	uint32_t *limited;
+	/*
+   * requests in 1000 s; 0: it no longer names one
+   */
+	size_t n_limit_mhz;
+	uint32_t *limit_mhz;
+	/*
+   * time since the server said so
+   */
+	size_t n_limit_age_ms;
+	uint32_t *limit_age_ms;
+	/*
    * requests that their servers survived, since the process start
    */
 	uint64_t survivals;
@@ -439,7 +454,8 @@
 #define SKH__LOAD_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__load_report__descriptor)                             \
-		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0   \
+		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0,  \
+			NULL, 0, NULL, 0, NULL, 0                                                  \
 	}
 
 /*
