Add the failing run of responses that never end

A head, a body or an event that a server sends without end makes a gateway keep it: its memory passes 64 MB within four seconds of six such events at each of two ranks.

--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -25,6 +25,9 @@
  *       "extra"                  send a second response after the first
  *       "unframed"               send a body without a length, then close
  *       "cut"                    close a stream within its third event
+ *       "endless_head"           send header lines until the caller closes
+ *       "endless_body"           send a body in chunks until the caller closes
+ *       "endless_event"          send an event that does not end until the caller closes
  *       "mute"                   wait MUTE_DELAY_US, then close
  *     {"limit":R}                name a limit of R requests a second in all responses; 0 ends it
  *     {"crash_part":ID}          from now on every rank that begins a stream whose prompt has this part
@@ -68,6 +71,7 @@
 #define LIMIT_TOLERANCE	  1.5
 #define LIMIT_EXTRA	  5
 #define MAX_ARRIVALS	  4096
+#define MAX_PIECES	  (256 * 1024) /* 1 GiB */
 #define MAX_EXPERT_COUNTS (N_SETS * MAX_SERVERS * N_SLOTS)
 
 typedef struct server {
@@ -509,11 +513,32 @@
 	return 200;
 }
 
+static int send_without_end(struct mg_connection *connection, const char *head, const char *fault)
+{
+	g_autofree char *filler = g_strnfill(4096, 'x');
+	g_autofree char *header = g_strdup_printf("X-Filler: %.1000s\r\n", filler);
+	g_autofree char *chunk = g_strdup_printf("1000\r\n%s\r\n", filler);
+	bool is_head = strcmp(fault, "endless_head") == 0;
+	const char *piece = is_head ? header : chunk;
+
+	write_text(connection, head);
+	if (!is_head)
+		write_text(connection, "Content-Type: text/event-stream\r\n"
+				       "Transfer-Encoding: chunked\r\n\r\n");
+	for (int i = 0; i < MAX_PIECES; i++) {
+		if (mg_write(connection, piece, strlen(piece)) <= 0)
+			break;
+	}
+	return standin_close_connection(connection);
+}
+
 static int apply_fault(struct mg_connection *connection, const server_t *server,
 		       const char *attempt, const char *fault)
 {
 	g_autofree char *head = make_head(server, attempt, 200);
 
+	if (g_str_has_prefix(fault, "endless_"))
+		return send_without_end(connection, head, fault);
 	if (strcmp(fault, "not_run") == 0) {
 		write_text(connection, "HTTP/1.1 503 X\r\nSkylarkhead-Not-Executed: 1\r\n"
 				       "Content-Length: 0\r\n\r\n");
