Bound what a gateway keeps of a response that never ends

What happened: a server that sends an event or a body without end fills the gateway's memory, and the process ends with all its requests (the limit is 160 MB on small machines). Cause: an incomplete event had no bound, and buffered bodies only one each. Change: an event of more than 256 KiB breaks its stream; all buffered responses together are limited to 32 MiB, beyond which only small ones may grow.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -14,6 +14,12 @@
 #define PART "request"
 /* Limit for a response that is buffered before it is forwarded; a larger one counts as lost. */
 #define MAX_BUFFERED_RESPONSE_BYTES (16U << 20)
+/*
+ * Limit for all responses that are buffered at a time, well below the memory of a small gateway.
+ * Beyond it only responses that are small themselves may grow.
+ */
+#define MAX_BUFFERED_BYTES   (32U << 20)
+#define SMALL_RESPONSE_BYTES (64U << 10)
 
 skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange)
 {
@@ -147,7 +153,7 @@
 	exchange->response_begun_us = 0;
 	exchange->has_survived = false;
 	exchange->attempt_status = 0;
-	skh_buffer_clear(&exchange->response_body);
+	skh_attempt_discard_body(exchange);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Request sent to a server.",
 		"id=%s server=%s send=%u queued_ms=%" PRId64 " running=%u peers=%u waiting=%u"
@@ -305,6 +311,27 @@
 	finish_attempt(exchange, SKH_END_LOST);
 }
 
+static bool has_room_to_buffer(const skh_exchange_t *exchange, size_t len)
+{
+	size_t size = exchange->response_body.len + len;
+
+	return size <= MAX_BUFFERED_RESPONSE_BYTES &&
+	       (size <= SMALL_RESPONSE_BYTES ||
+		exchange->gateway->buffered_bytes + len <= MAX_BUFFERED_BYTES);
+}
+
+static void buffer_body(skh_exchange_t *exchange, skh_chunk_t bytes)
+{
+	exchange->gateway->buffered_bytes += bytes.len;
+	skh_buffer_append(&exchange->response_body, bytes);
+}
+
+void skh_attempt_discard_body(skh_exchange_t *exchange)
+{
+	exchange->gateway->buffered_bytes -= exchange->response_body.len;
+	skh_buffer_free(&exchange->response_body);
+}
+
 static void on_body(void *context, skh_chunk_t bytes)
 {
 	skh_exchange_t *exchange = context;
@@ -314,8 +341,8 @@
 	check_survival(exchange);
 	if (is_streaming_response(exchange))
 		forward_events(exchange, bytes);
-	else if (exchange->response_body.len + bytes.len <= MAX_BUFFERED_RESPONSE_BYTES)
-		skh_buffer_append(&exchange->response_body, bytes);
+	else if (has_room_to_buffer(exchange, bytes.len))
+		buffer_body(exchange, bytes);
 	else
 		reject_oversized_response(exchange);
 }
@@ -548,6 +575,7 @@
 	}
 	target->references++; /* used after the attempt has released it */
 	skh_attempt_release(exchange, choose_outcome(exchange, end), 0);
+	skh_attempt_discard_body(exchange);
 	if (decision == SKH_RETRY_DECISION_RETRY)
 		enqueue_retry(exchange, target, end, now_us);
 	else
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -83,6 +83,9 @@
 /** skh_exchange_traits() - what identifies the request if it crashes servers; borrowed */
 skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange);
 
+/** skh_attempt_discard_body() - free what is buffered of the current attempt's response */
+void skh_attempt_discard_body(skh_exchange_t *exchange);
+
 /** skh_attempt_send() - dequeue the request and send it to @target */
 void skh_attempt_send(skh_exchange_t *exchange, skh_target_t *target, int64_t now_us);
 
--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -91,5 +91,5 @@
 	}
 	if (consumed > 0)
 		skh_buffer_consume(&events->pending, consumed);
-	return is_contiguous;
+	return is_contiguous && events->pending.len <= SKH_EVENT_STREAM_MAX_EVENT_BYTES;
 }
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -16,6 +16,9 @@
 extern "C" {
 #endif
 
+/* Largest event; one that is still incomplete at this size does not end. */
+#define SKH_EVENT_STREAM_MAX_EVENT_BYTES ((size_t)256 << 10)
+
 /** struct skh_event_stream - splitter state of one stream */
 typedef struct skh_event_stream {
 	skh_buffer_t pending;  /* bytes of the incomplete event at the end of the input */
@@ -42,8 +45,8 @@
  *
  * Events whose id is not above the last one are duplicates and are dropped. Events
  * without an id are always appended.
- * Return: false when an id is skipped: an event is missing and the stream must not
- * continue. Events before the gap are in @out.
+ * Return: false when an id is skipped, so that an event is missing, or when an event is too large:
+ * the stream must not continue. Events before that are in @out.
  */
 bool skh_event_stream_feed(skh_event_stream_t *events, skh_chunk_t bytes, skh_buffer_t *out);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -83,7 +83,7 @@
 		skh_target_unref(g_ptr_array_index(exchange->excluded_targets, i));
 	(void)g_ptr_array_free(exchange->excluded_targets, TRUE);
 	(void)g_string_free(exchange->response_headers, TRUE);
-	skh_buffer_free(&exchange->response_body);
+	skh_attempt_discard_body(exchange);
 	skh_event_stream_clear(&exchange->event_stream);
 	skh_prompt_parts_clear(&exchange->prompt_parts);
 	g_free(exchange);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -42,6 +42,7 @@
 	const skh_roster_t *roster;   /* counted reference; NULL before the first roster */
 	skh_retry_share_limits_t retry_limits;
 	int64_t last_tick_us;  /* the loop was running then; boot clock */
+	size_t buffered_bytes; /* of responses that are not streamed */
 	GQueue exchanges;      /* open exchanges */
 	bool is_dispatching;   /* skh_exchange_dispatch() is running */
 	bool rejects_requests; /* planned stop, after callers had time to move to other gateways */
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -484,6 +484,23 @@
 	skh_event_stream_clear(&events);
 }
 
+TEST(EventStream, AnEventThatNeverEndsIsRejected)
+{
+	const std::string piece(4096, 'x');
+	skh_event_stream_t events;
+	skh_buffer_t out = SKH_BUFFER_INIT;
+	size_t fed = 0;
+
+	skh_event_stream_init(&events);
+	while (fed <= 4 * SKH_EVENT_STREAM_MAX_EVENT_BYTES &&
+	       skh_event_stream_feed(&events, skh_chunk_make(piece.data(), piece.size()), &out))
+		fed += piece.size();
+	EXPECT_EQ(fed, SKH_EVENT_STREAM_MAX_EVENT_BYTES);
+	EXPECT_EQ(out.len, 0U);
+	skh_event_stream_clear(&events);
+	skh_buffer_free(&out);
+}
+
 TEST(EventStream, AnySplitOfTheInputGivesTheSameEvents)
 {
 	const std::string stream = "id: 0\ndata: x\n\nid: 1\ndata: y\n\nid: 2\ndata: z\n\n";
