Bound the incomplete event that a sidecar keeps

What happens: a server that sends an event without end fills the memory of its sidecar; the same cause as in the gateway, looked for elsewhere. Cause: an incomplete event had no bound in the engine protocol. Change: beyond 256 KiB the event is dropped, and the response counts as incomplete. Measured: Backend.AnEventThatNeverEndsIsNotKept fails without the change (the partial event passes 256 KiB) and passes with it.

--- a/src/backend.c
+++ b/src/backend.c
@@ -1,6 +1,7 @@
 #include "backend.h"
 
 #include "clock.h"
+#include "event_stream.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -85,8 +86,15 @@
 		return 0;
 	}
 	parser->is_stream = true;
+	if (parser->is_oversized)
+		return 0;
 	skh_buffer_append(&parser->partial_event, chunk);
 	complete_len = find_last_event_end(&parser->partial_event);
+	if (parser->partial_event.len - complete_len > SKH_EVENT_STREAM_MAX_EVENT_BYTES) {
+		parser->is_oversized = true;
+		skh_buffer_free(&parser->partial_event);
+		return 0;
+	}
 	if (complete_len == 0)
 		return 0;
 	events = count_events(parser, parser->partial_event.data, complete_len);
@@ -99,7 +107,8 @@
 {
 	if (!parser->is_stream)
 		return status != 0;
-	return status == HTTP_OK && parser->end_marker_seen && parser->partial_event.len == 0;
+	return status == HTTP_OK && parser->end_marker_seen && !parser->is_oversized &&
+	       parser->partial_event.len == 0;
 }
 
 static void engine_cancel(skh_backend_t *backend, skh_fetch_t *fetch, uint64_t attempt, uint64_t id,
--- a/src/backend.h
+++ b/src/backend.h
@@ -27,6 +27,7 @@
 typedef struct skh_response_parser {
 	bool is_stream;		    /* the response is an event stream */
 	bool end_marker_seen;	    /* the protocol's end marker has arrived */
+	bool is_oversized;	    /* an event was too large; the rest is dropped */
 	skh_buffer_t partial_event; /* start of an event that is not complete yet; owned */
 } skh_response_parser_t;
 
--- a/test/engine_test.cc
+++ b/test/engine_test.cc
@@ -1,6 +1,8 @@
 // Guards against wrong engine state from cache events with gaps or duplicates and from invalid
 // reports.
+#include "backend.h"
 #include "engine.h"
+#include "event_stream.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -61,3 +63,23 @@
 }
 
 } // namespace
+
+// A server that sends an event without end must not fill the sidecar's memory.
+TEST(Backend, AnEventThatNeverEndsIsNotKept)
+{
+	const std::string piece(4096, 'x');
+	skh_backend_t *backend = skh_backend_new_engine("http://127.0.0.1:1");
+	skh_response_parser_t parser = {};
+	skh_buffer_t out = SKH_BUFFER_INIT;
+
+	for (size_t fed = 0; fed <= 64 * SKH_EVENT_STREAM_MAX_EVENT_BYTES; fed += piece.size()) {
+		(void)backend->ops->parse_chunk(&parser, "text/event-stream",
+						skh_chunk_make(piece.data(), piece.size()), &out);
+		ASSERT_LE(parser.partial_event.len, SKH_EVENT_STREAM_MAX_EVENT_BYTES);
+	}
+	EXPECT_EQ(out.len, 0U);
+	EXPECT_FALSE(backend->ops->is_complete(&parser, 200));
+	skh_buffer_free(&parser.partial_event);
+	skh_buffer_free(&out);
+	skh_backend_free(backend);
+}
