--- a/src/attempt.c
+++ b/src/attempt.c
@@ -18,7 +18,7 @@
  * Limit for all responses that are buffered at a time, well below the memory of a small gateway.
  * Beyond it only responses that are small themselves may grow.
  */
-#define MAX_BUFFERED_BYTES   (32U << 20)
+#define MAX_BUFFERED_BYTES   (16U << 20)
 #define SMALL_RESPONSE_BYTES (64U << 10)
 
 skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange)
--- a/src/crash_suspects.c
+++ b/src/crash_suspects.c
@@ -1,5 +1,7 @@
 #include "crash_suspects.h"
 
+#include "buffer.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -25,8 +27,8 @@
 	uint64_t survivals_before; /* of all requests when it was learned */
 	uint32_t reports_left;
 	skh_crash_finding_t finding;
-	bool is_own; /* found by this gateway, which also has it stored */
-	bool is_cleared_here;
+	bool is_own;	      /* found by this gateway, which also has it stored */
+	bool is_cleared_here; /* by this gateway, which also has that stored */
 	bool is_stored;
 	skh_crash_finding_t stored_finding; /* if @is_stored */
 } record_t;
@@ -44,10 +46,9 @@
 struct skh_crash_suspects {
 	loss_t losses[MAX_LOSSES]; /* ring buffer; a new loss overwrites the oldest */
 	uint32_t next_loss;
-	uint64_t random;
-	GHashTable
-		*explained;   /* crash -> most crashes of a confirmed trait that it has, uint32_t */
-	GHashTable *by_trait; /* trait -> suspect_t */
+	uint64_t random;	  /* state of the generator */
+	GHashTable *explained;	  /* crash -> number of crashes of the confirmed trait behind it */
+	GHashTable *by_trait;	  /* trait -> suspect_t */
 	GHashTable *sound_parts;  /* part -> time of its last survival, int64_t */
 	uint64_t requests;	  /* with parts, so far */
 	uint64_t own_survivals;	  /* of requests with parts, so far */
@@ -166,9 +167,10 @@
 /* Tests of different gateways are spread, so that the first one's result reaches the others. */
 static int64_t choose_retest_us(skh_crash_suspects_t *suspects, int64_t now_us)
 {
-	suspects->random = suspects->random * 6364136223846793005U + 1442695040888963407U;
+	suspects->random = skh_chunk_hash(
+		skh_chunk_make(&suspects->random, sizeof(suspects->random)), (uint64_t)now_us);
 	return now_us + SKH_CRASH_SUSPECTS_RETEST_US +
-	       (int64_t)((suspects->random >> 33) % (uint64_t)SKH_CRASH_SUSPECTS_RETEST_US);
+	       (int64_t)(suspects->random % (uint64_t)SKH_CRASH_SUSPECTS_RETEST_US);
 }
 
 /* Returns the record if it is new or its finding has risen, or else NULL. */
