--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -95,7 +95,7 @@
 		skh_mapchange_order_t order;
 		char *engine;
 
-		(void)skh_rankrelay_unpack(bytes, &map_cache, &order, &engine);
+		(void)skh_rankrelay_unpack(bytes, &map_cache, "g0", &order, &engine);
 		g_free(engine);
 		skh_map_cache_clear(&map_cache);
 		check_order_batch(bytes);
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -7,7 +7,6 @@
 #include "count_codec.h"
 #include "count_reporter.h"
 #include "election.h"
-#include "feed.h"
 #include "log.h"
 #include "metrics.h"
 #include "process.h"
@@ -40,6 +39,38 @@
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define UNACKED_TIMEOUT_US (1 * SKH_US_PER_S)
 #define IDLE_TIMEOUT_US	   (4 * SKH_US_PER_S)
+/* Older states of the engine are not reported: it may have restarted in another group since. */
+#define MAX_SNAPSHOT_AGE_US (1 * SKH_US_PER_S)
+/*
+ * After a longer time without a tick the process was frozen, and its engine may be in another
+ * group. Ticks of processes with a small share of a core come up to 100 ms late.
+ */
+#define FROZEN_AFTER_US (300 * SKH_US_PER_MS)
+/* A coordinator goes on without its engine's response after this time, which is a poll's limit. */
+#define MAX_RESUME_US (400 * SKH_US_PER_MS)
+
+/* What the process keeps for the group of its rank; starts anew when the group changes. */
+typedef struct group {
+	char name[SKH_GROUP_NAME_SIZE];
+	uint32_t n_ranks;
+	skh_election_t *election;
+	skh_election_view_t election_view;    /* as last read */
+	skh_coordinator_t *coordinator;	      /* NULL until the engine spec is known */
+	skh_count_reporter_t *count_reporter; /* NULL until the engine spec is known */
+	guint next_probe_index; /* index of the server that is probed next for its rank */
+	char last_coordinator[64];
+	bool has_logged_counts_too_large;
+} group_t;
+
+/* Copy of what the status page shows, for the admin thread. */
+typedef struct status {
+	char group[SKH_GROUP_NAME_SIZE]; /* "" without a group */
+	uint32_t rank;
+	uint32_t n_ranks;
+	int64_t epoch;
+	int64_t map_version;
+	skh_election_view_t election;
+} status_t;
 
 typedef struct balancer {
 	const skh_settings_t *settings;
@@ -48,27 +79,24 @@
 	uv_timer_t tick;
 	uv_udp_t udp;
 	skh_upstream_pool_options_t pool_options;
-	skh_store_t *store;
 	skh_board_t *board;
 	skh_admin_t *admin;
-	skh_election_t *election;
+	skh_store_t *release_store;
 	skh_engine_client_t *engine;
 	skh_rank_poller_t *poller;
 	skh_rankrelay_t *relay;
 	skh_settings_watcher_t *settings_watcher;
-	char *notice_key;
-	skh_coordinator_t *coordinator;	   /* NULL until the engine spec is known */
-	skh_election_view_t election_view; /* as last read */
-	guint next_probe_index; /* index of the server that is probed next for its rank */
+	group_t *group; /* NULL while the engine names none */
 	uint64_t sender_id;
 	uint64_t report_number;
-	skh_count_reporter_t *count_reporter; /* NULL until the engine spec is known */
+	int64_t last_tick_us;
+	int64_t resumed_us; /* when the process ran again after it was frozen; 0 if it never was */
 	int64_t last_report_us;
-	bool report_now; /* the rank's state or the coordinator has changed */
-	bool has_logged_counts_too_large;
+	bool report_now;      /* the rank's state or the coordinator has changed */
 	bool is_changing_map; /* this rank prepares a map, or this process coordinates a change */
-	char last_coordinator[64];
 	bool is_stopping;
+	GMutex status_lock;
+	status_t status; /* protected by the lock */
 } balancer_t;
 
 static bool is_ready(void *context)
@@ -80,13 +108,36 @@
 static json_t *get_status(void *context)
 {
 	balancer_t *balancer = context;
-	skh_election_view_t view;
+	status_t status;
+
+	g_mutex_lock(&balancer->status_lock);
+	status = balancer->status;
+	g_mutex_unlock(&balancer->status_lock);
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s}", "id",
+			 balancer->settings->id, "role", "balancer", "failure_domain",
+			 balancer->settings->failure_domain, "group", status.group, "rank",
+			 (int)status.rank, "ranks", (int)status.n_ranks, "epoch",
+			 (json_int_t)status.epoch, "map", (json_int_t)status.map_version,
+			 "coordinates", status.election.is_holder, "fence",
+			 (json_int_t)status.election.fence, "coordinator",
+			 status.election.coordinator_address);
+}
 
-	skh_election_get_view(balancer->election, &view);
-	return json_pack("{s:s, s:s, s:s, s:b, s:I, s:s}", "id", balancer->settings->id, "role",
-			 "balancer", "failure_domain", balancer->settings->failure_domain,
-			 "coordinates", view.is_holder, "fence", (json_int_t)view.fence,
-			 "coordinator", view.coordinator_address);
+static void update_status(balancer_t *balancer)
+{
+	const skh_engine_report_t *report = &skh_rank_poller_snapshot(balancer->poller)->report;
+	status_t status = { .rank = report->rank,
+			    .epoch = report->epoch,
+			    .map_version = report->map_version };
+
+	if (balancer->group) {
+		(void)g_strlcpy(status.group, balancer->group->name, sizeof(status.group));
+		status.n_ranks = balancer->group->n_ranks;
+		status.election = balancer->group->election_view;
+	}
+	g_mutex_lock(&balancer->status_lock);
+	balancer->status = status;
+	g_mutex_unlock(&balancer->status_lock);
 }
 
 static const skh_admin_ops_t admin_ops = { .is_ready = is_ready, .get_status = get_status };
@@ -94,34 +145,36 @@
 /* A report with counts must fit into a datagram of MAX_DATAGRAM_BYTES. */
 static bool can_report_counts(balancer_t *balancer)
 {
-	const skh_engine_spec_t *spec = &balancer->election_view.engine_spec;
-	size_t n_counts = (size_t)spec->expert_sets * spec->experts_per_set;
+	const skh_engine_spec_t *spec;
+	size_t n_counts;
 	size_t max_bytes = MAX_DATAGRAM_BYTES - MAX_STATE_BYTES;
 
-	if (!balancer->count_reporter)
+	if (!balancer->group || !balancer->group->count_reporter)
 		return false;
+	spec = &balancer->group->election_view.engine_spec;
+	n_counts = (size_t)spec->expert_sets * spec->experts_per_set;
 	if (skh_count_codec_encoded_size(n_counts) <= max_bytes)
 		return true;
-	if (!balancer->has_logged_counts_too_large)
+	if (!balancer->group->has_logged_counts_too_large)
 		skh_log(SKH_LOG_ERROR, PART,
 			"Expert counts do not fit into a datagram; the map cannot follow demand.",
 			"sets=%u experts=%u bytes=%zu max_bytes=%zu", spec->expert_sets,
 			spec->experts_per_set, skh_count_codec_encoded_size(n_counts), max_bytes);
-	balancer->has_logged_counts_too_large = true;
+	balancer->group->has_logged_counts_too_large = true;
 	return false;
 }
 
 static bool has_valid_lease(const balancer_t *balancer, int64_t now_us)
 {
-	return balancer->election_view.is_holder &&
-	       now_us < balancer->election_view.lease_deadline_us;
+	return balancer->group->election_view.is_holder &&
+	       now_us < balancer->group->election_view.lease_deadline_us;
 }
 
 static void pack_counts(const balancer_t *balancer, Skh__RankReport *message)
 {
-	const skh_engine_spec_t *spec = &balancer->election_view.engine_spec;
+	const skh_engine_spec_t *spec = &balancer->group->election_view.engine_spec;
 	const skh_demand_sample_t *sample =
-		skh_count_reporter_pending_sample(balancer->count_reporter);
+		skh_count_reporter_pending_sample(balancer->group->count_reporter);
 	size_t n_counts = (size_t)spec->expert_sets * spec->experts_per_set;
 
 	message->counts.len = skh_count_codec_encoded_size(n_counts);
@@ -139,6 +192,7 @@
 	const skh_engine_report_t *report = &snapshot->report;
 
 	message->service = (char *)balancer->settings->backend_service;
+	message->group = (char *)report->group;
 	message->engine = (char *)balancer->settings->engine_address;
 	message->rank = report->rank;
 	message->size = report->group_size;
@@ -168,7 +222,7 @@
 	size_t len;
 
 	/* There is no coordinator, or its address is unknown. */
-	if (!skh_address_parse(balancer->election_view.coordinator_address, &destination))
+	if (!skh_address_parse(balancer->group->election_view.coordinator_address, &destination))
 		return 0;
 	packed = g_malloc(skh__rank_report__get_packed_size(message) + 1);
 	len = skh__rank_report__pack(message, packed);
@@ -182,7 +236,16 @@
 
 static bool is_coordinating(const balancer_t *balancer, int64_t now_us)
 {
-	return balancer->coordinator && has_valid_lease(balancer, now_us);
+	return balancer->group && balancer->group->coordinator && has_valid_lease(balancer, now_us);
+}
+
+/* Whether the engine has described its state recently, and after the process was last frozen. */
+static bool is_snapshot_current(const balancer_t *balancer, int64_t now_us)
+{
+	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(balancer->poller);
+
+	return snapshot->has_report && snapshot->requested_us >= balancer->resumed_us &&
+	       now_us - snapshot->requested_us < MAX_SNAPSHOT_AGE_US;
 }
 
 /* Passes the state of the rank beside this process to the coordinator in this process. */
@@ -191,10 +254,10 @@
 	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(balancer->poller);
 	Skh__RankReport message = SKH__RANK_REPORT__INIT;
 
-	if (!snapshot->has_report)
+	if (!is_snapshot_current(balancer, now_us))
 		return;
 	fill_report(balancer, snapshot, false, &message);
-	skh_coordinator_record_report(balancer->coordinator, &message, true, now_us);
+	skh_coordinator_record_report(balancer->group->coordinator, &message, true, now_us);
 }
 
 /* Sends the rank's report to the coordinator in another process if one is due. */
@@ -202,11 +265,12 @@
 {
 	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(balancer->poller);
 	bool with_counts = can_report_counts(balancer) &&
-			   skh_count_reporter_is_due(balancer->count_reporter, now_us);
+			   skh_count_reporter_is_due(balancer->group->count_reporter, now_us);
 	Skh__RankReport message = SKH__RANK_REPORT__INIT;
 	size_t n_sent_bytes;
 
-	if (!snapshot->has_report || is_coordinating(balancer, now_us) ||
+	if (!balancer->group || !is_snapshot_current(balancer, now_us) ||
+	    is_coordinating(balancer, now_us) ||
 	    (!with_counts && !balancer->report_now &&
 	     now_us - balancer->last_report_us < HEARTBEAT_INTERVAL_US))
 		return;
@@ -217,9 +281,9 @@
 		return;
 	balancer->report_now = false;
 	balancer->last_report_us = now_us;
-	if (balancer->count_reporter)
-		skh_count_reporter_record_sent(balancer->count_reporter, n_sent_bytes, with_counts,
-					       now_us);
+	if (balancer->group->count_reporter)
+		skh_count_reporter_record_sent(balancer->group->count_reporter, n_sent_bytes,
+					       with_counts, now_us);
 }
 
 static void on_rank_change(void *context)
@@ -240,16 +304,76 @@
 	int64_t now_us = skh_clock_boot_us();
 
 	if (is_coordinating(balancer, now_us))
-		skh_coordinator_record_sample(balancer->coordinator, sample, now_us);
+		skh_coordinator_record_sample(balancer->group->coordinator, sample, now_us);
 	/* Collected while coordinating too, for the next coordinator if the lease is lost. */
-	if (balancer->count_reporter)
-		(void)skh_count_reporter_add_sample(balancer->count_reporter, sample, now_us);
+	if (balancer->group && balancer->group->count_reporter)
+		(void)skh_count_reporter_add_sample(balancer->group->count_reporter, sample,
+						    now_us);
 	report_if_due(balancer, now_us);
 }
 
+static skh_election_t *start_election(balancer_t *balancer, const char *group)
+{
+	const skh_settings_t *settings = balancer->settings;
+	const skh_election_options_t options = {
+		/* The thread of the previous group's election may still be in a long poll. */
+		.store = balancer->dialect->open_store(skh_settings_store_endpoint(settings, 0),
+						       settings->store_timeout_ms),
+		.release_store = balancer->release_store,
+		.dialect = balancer->dialect,
+		.group = group,
+		.address = settings->gossip_listen,
+		.service = settings->backend_service,
+	};
+
+	return skh_election_start(&options);
+}
+
+static void leave_group(balancer_t *balancer)
+{
+	group_t *group = balancer->group;
+
+	if (!group)
+		return;
+	skh_log(SKH_LOG_INFO, PART, "Engine has left its group; its state is dropped.",
+		"ranks=%u coordinates=%d", group->n_ranks, group->election_view.is_holder);
+	skh_election_abandon(group->election);
+	if (group->coordinator)
+		skh_coordinator_free(group->coordinator);
+	if (group->count_reporter)
+		skh_count_reporter_free(group->count_reporter);
+	g_free(group);
+	balancer->group = NULL;
+}
+
+/* A group is known once the engine names it with its size; engines may name it before it is open. */
+static void join_group(balancer_t *balancer, const skh_engine_report_t *report)
+{
+	group_t *group;
+
+	if (!report->is_in_group || !*report->group || report->group_size == 0)
+		return;
+	group = g_new0(group_t, 1);
+	(void)g_strlcpy(group->name, report->group, sizeof(group->name));
+	group->n_ranks = report->group_size;
+	group->election = start_election(balancer, group->name);
+	balancer->group = group;
+	balancer->report_now = true;
+}
+
+static void on_group_change(void *context)
+{
+	balancer_t *balancer = context;
+
+	leave_group(balancer);
+	skh_rankrelay_reset(balancer->relay);
+	join_group(balancer, &skh_rank_poller_snapshot(balancer->poller)->report);
+}
+
 static const skh_rank_poller_ops_t poller_ops = {
 	.on_change = on_rank_change,
 	.on_counts = on_counts,
+	.on_group_change = on_group_change,
 };
 
 static void on_datagram(uv_udp_t *udp, ssize_t n_bytes, const uv_buf_t *buffer,
@@ -259,7 +383,7 @@
 	Skh__RankReport *message;
 
 	(void)flags;
-	if (n_bytes <= 0 || !from || !balancer->coordinator)
+	if (n_bytes <= 0 || !from || !balancer->group || !balancer->group->coordinator)
 		return;
 	skh_metrics_add(SKH_COUNT_CONTROL_BYTES_IN, (uint64_t)n_bytes);
 	message = skh__rank_report__unpack(NULL, (size_t)n_bytes, (const uint8_t *)buffer->base);
@@ -268,7 +392,7 @@
 		return;
 	}
 	if (strcmp(message->service, balancer->settings->backend_service) == 0)
-		skh_coordinator_record_report(balancer->coordinator, message, false,
+		skh_coordinator_record_report(balancer->group->coordinator, message, false,
 					      skh_clock_boot_us());
 	skh__rank_report__free_unpacked(message, NULL);
 }
@@ -288,34 +412,37 @@
 		.loop = &balancer->loop,
 		.dialect = balancer->dialect,
 		.pool_options = &balancer->pool_options,
+		.group = balancer->group->name,
 		.skew_weight = (double)balancer->settings->skew_weight,
 		.cost_weight = (double)balancer->settings->cost_weight,
 	};
 
-	if (balancer->coordinator || !balancer->election_view.has_engine_spec ||
-	    balancer->election_view.engine_spec.expert_sets == 0)
+	if (balancer->group->coordinator || !balancer->group->election_view.has_engine_spec ||
+	    balancer->group->election_view.engine_spec.expert_sets == 0)
 		return;
-	skh_rank_poller_set_engine_spec(balancer->poller, &balancer->election_view.engine_spec);
-	balancer->count_reporter = skh_count_reporter_new(&balancer->election_view.engine_spec,
-							  REPORT_BYTES_PER_S, skh_random_u64());
-	balancer->coordinator = skh_coordinator_new(&options, &balancer->election_view.engine_spec);
+	skh_rank_poller_set_engine_spec(balancer->poller,
+					&balancer->group->election_view.engine_spec);
+	balancer->group->count_reporter = skh_count_reporter_new(
+		&balancer->group->election_view.engine_spec, REPORT_BYTES_PER_S, skh_random_u64());
+	balancer->group->coordinator =
+		skh_coordinator_new(&options, &balancer->group->election_view.engine_spec);
 }
 
 /* Ranks whose own process has sent no report are found through the server list. */
 static void probe_unknown_ranks(balancer_t *balancer, int64_t now_us)
 {
-	bool probe_wanted = balancer->coordinator && has_valid_lease(balancer, now_us) &&
-			    skh_coordinator_has_unknown_ranks(balancer->coordinator);
-	GPtrArray *servers = skh_election_get_servers(balancer->election, probe_wanted);
+	bool probe_wanted = balancer->group->coordinator && has_valid_lease(balancer, now_us) &&
+			    skh_coordinator_has_unknown_ranks(balancer->group->coordinator);
+	GPtrArray *servers = skh_election_get_servers(balancer->group->election, probe_wanted);
 
 	/* Round-robin, so that an address that does not respond cannot block the others. */
 	for (guint i = 0; probe_wanted && i < servers->len; i++) {
-		guint index = balancer->next_probe_index % servers->len;
+		guint index = balancer->group->next_probe_index % servers->len;
 
-		if (!skh_coordinator_probe_engine(balancer->coordinator,
+		if (!skh_coordinator_probe_engine(balancer->group->coordinator,
 						  g_ptr_array_index(servers, index), now_us))
 			break;
-		balancer->next_probe_index = index + 1;
+		balancer->group->next_probe_index = index + 1;
 	}
 	g_ptr_array_unref(servers);
 }
@@ -323,21 +450,27 @@
 /* Gateways send fewer requests to a slow rank because all other ranks wait for it. */
 static void publish_slow_ranks(balancer_t *balancer)
 {
-	g_autofree char *text = skh_coordinator_format_slow_ranks(balancer->coordinator);
+	g_autofree char *text = skh_coordinator_format_slow_ranks(balancer->group->coordinator);
 
-	skh_election_set_slow_ranks(balancer->election, text);
+	skh_election_set_slow_ranks(balancer->group->election, text);
 }
 
 static void run_coordinator(balancer_t *balancer, int64_t now_us)
 {
-	int64_t fence = has_valid_lease(balancer, now_us) ? balancer->election_view.fence : 0;
+	int64_t fence =
+		has_valid_lease(balancer, now_us) ? balancer->group->election_view.fence : 0;
 
 	probe_unknown_ranks(balancer, now_us);
 
-	if (balancer->coordinator && !skh_coordinator_tick(balancer->coordinator, fence, now_us)) {
+	/* A process that was frozen first learns whether its engine is still in the group. */
+	if (skh_rank_poller_snapshot(balancer->poller)->requested_us < balancer->resumed_us &&
+	    now_us - balancer->resumed_us < MAX_RESUME_US)
+		return;
+	if (balancer->group->coordinator &&
+	    !skh_coordinator_tick(balancer->group->coordinator, fence, now_us)) {
 		skh_log(SKH_LOG_WARNING, PART, "A later coordinator exists; resigning the lease.",
 			"fence=%" PRId64, fence);
-		skh_election_resign(balancer->election);
+		skh_election_resign(balancer->group->election);
 	}
 	if (is_coordinating(balancer, now_us))
 		publish_slow_ranks(balancer);
@@ -346,7 +479,7 @@
 static void begin_stop(balancer_t *balancer)
 {
 	skh_log(SKH_LOG_INFO, PART, "Planned stop begins.", "coordinates=%d",
-		balancer->election_view.is_holder);
+		balancer->group && balancer->group->election_view.is_holder);
 	balancer->is_stopping = true;
 	uv_stop(&balancer->loop);
 }
@@ -359,22 +492,25 @@
 	if (!settings)
 		return;
 	balancer->settings = settings;
-	if (balancer->coordinator)
-		skh_coordinator_set_weights(balancer->coordinator, (double)settings->skew_weight,
+	if (balancer->group && balancer->group->coordinator)
+		skh_coordinator_set_weights(balancer->group->coordinator,
+					    (double)settings->skew_weight,
 					    (double)settings->cost_weight);
 }
 
 /* A new coordinator knows nothing about this rank, so the next report is sent at once. */
 static void update_election_view(balancer_t *balancer, int64_t now_us)
 {
-	skh_election_get_view(balancer->election, &balancer->election_view);
-	if (strcmp(balancer->last_coordinator, balancer->election_view.coordinator_address) == 0)
+	skh_election_get_view(balancer->group->election, &balancer->group->election_view);
+	if (strcmp(balancer->group->last_coordinator,
+		   balancer->group->election_view.coordinator_address) == 0)
 		return;
-	(void)g_strlcpy(balancer->last_coordinator, balancer->election_view.coordinator_address,
-			sizeof(balancer->last_coordinator));
+	(void)g_strlcpy(balancer->group->last_coordinator,
+			balancer->group->election_view.coordinator_address,
+			sizeof(balancer->group->last_coordinator));
 	balancer->report_now = true;
-	if (balancer->count_reporter)
-		skh_count_reporter_expedite(balancer->count_reporter, now_us);
+	if (balancer->group->count_reporter)
+		skh_count_reporter_expedite(balancer->group->count_reporter, now_us);
 }
 
 static void update_intervals(balancer_t *balancer, int64_t now_us)
@@ -386,7 +522,7 @@
 			    now_us - prepared_us < MAX_PREPARE_US;
 	bool is_changing_map =
 		is_preparing || (is_coordinating(balancer, now_us) &&
-				 skh_coordinator_is_changing_map(balancer->coordinator));
+				 skh_coordinator_is_changing_map(balancer->group->coordinator));
 
 	skh_rank_poller_set_report_period(
 		balancer->poller, is_changing_map ? MAP_CHANGE_POLL_INTERVAL_US : POLL_INTERVAL_US);
@@ -396,6 +532,30 @@
 	balancer->is_changing_map = is_changing_map;
 }
 
+static void run_group(balancer_t *balancer, int64_t now_us)
+{
+	update_election_view(balancer, now_us);
+	apply_engine_spec(balancer);
+	if (is_coordinating(balancer, now_us))
+		handle_own_report(balancer, now_us);
+	else
+		report_if_due(balancer, now_us);
+	run_coordinator(balancer, now_us);
+}
+
+static void note_freeze(balancer_t *balancer, int64_t now_us)
+{
+	int64_t pause_us = now_us - balancer->last_tick_us;
+
+	if (balancer->last_tick_us != 0 && pause_us > FROZEN_AFTER_US) {
+		balancer->resumed_us = now_us;
+		skh_rank_poller_poll_now(balancer->poller);
+		skh_log(SKH_LOG_INFO, PART, "Process was frozen; asking the engine for its state.",
+			"pause_ms=%" PRId64, pause_us / SKH_US_PER_MS);
+	}
+	balancer->last_tick_us = now_us;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	balancer_t *balancer = timer->data;
@@ -406,15 +566,12 @@
 		return;
 	}
 	apply_settings(balancer, now_us);
-	update_election_view(balancer, now_us);
-	apply_engine_spec(balancer);
+	note_freeze(balancer, now_us);
 	update_intervals(balancer, now_us);
 	skh_rank_poller_tick(balancer->poller, now_us);
-	if (is_coordinating(balancer, now_us))
-		handle_own_report(balancer, now_us);
-	else
-		report_if_due(balancer, now_us);
-	run_coordinator(balancer, now_us);
+	if (balancer->group)
+		run_group(balancer, now_us);
+	update_status(balancer);
 }
 
 static bool open_udp(balancer_t *balancer, skh_error_t *err)
@@ -434,30 +591,12 @@
 			     address, uv_strerror(result));
 }
 
-static void start_election(balancer_t *balancer, char *prefix)
-{
-	const skh_settings_t *settings = balancer->settings;
-
-	const skh_election_options_t options = {
-		.store = balancer->store,
-		.release_store = balancer->dialect->open_store(
-			skh_settings_store_endpoint(settings, 0), settings->store_timeout_ms),
-		.dialect = balancer->dialect,
-		.prefix = prefix,
-		.slow_ranks_key = balancer->notice_key,
-		.address = settings->gossip_listen,
-		.service = settings->backend_service,
-	};
-
-	balancer->election = skh_election_start(&options);
-}
-
-static bool start(balancer_t *balancer, char *prefix, skh_error_t *err)
+static bool start(balancer_t *balancer, skh_error_t *err)
 {
 	const skh_settings_t *settings = balancer->settings;
 
 	balancer->sender_id = skh_random_u64();
-	balancer->notice_key = g_strconcat(SKH_SLOW_RANKS_PREFIX, settings->backend_service, NULL);
+	g_mutex_init(&balancer->status_lock);
 	balancer->pool_options = (skh_upstream_pool_options_t){
 		.attempt_id_header = "",
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
@@ -472,9 +611,9 @@
 						 &balancer->pool_options);
 	balancer->poller =
 		skh_rank_poller_new(balancer->engine, balancer->dialect, &poller_ops, balancer);
-	balancer->relay =
-		skh_rankrelay_start(&balancer->loop, settings->gossip_listen, balancer->engine,
-				    balancer->dialect, &balancer->pool_options, err);
+	balancer->relay = skh_rankrelay_start(&balancer->loop, settings->gossip_listen,
+					      balancer->engine, balancer->poller, balancer->dialect,
+					      &balancer->pool_options, err);
 	if (!balancer->relay)
 		return false;
 	balancer->board = skh_board_new();
@@ -482,9 +621,8 @@
 					  balancer->board, NULL, err);
 	if (!balancer->admin)
 		return false;
-	balancer->store = balancer->dialect->open_store(skh_settings_store_endpoint(settings, 0),
-							settings->store_timeout_ms);
-	start_election(balancer, prefix);
+	balancer->release_store = balancer->dialect->open_store(
+		skh_settings_store_endpoint(settings, 0), settings->store_timeout_ms);
 	(void)uv_timer_init(&balancer->loop, &balancer->tick);
 	balancer->tick.data = balancer;
 	(void)uv_timer_start(&balancer->tick, on_tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS);
@@ -495,17 +633,16 @@
 
 static int run(balancer_t *balancer)
 {
-	g_autofree char *prefix =
-		g_strdup_printf("skylarkhead/groups/%s/", balancer->settings->backend_service);
 	skh_error_t err;
 
 	balancer->dialect = skh_dialect_find(balancer->settings->dialect, &err);
-	if (!balancer->dialect || !start(balancer, prefix, &err)) {
+	if (!balancer->dialect || !start(balancer, &err)) {
 		skh_log(SKH_LOG_ERROR, PART, "Start failed.", "reason=%s", err.text);
 		return 1;
 	}
 	(void)uv_run(&balancer->loop, UV_RUN_DEFAULT);
-	skh_election_stop(balancer->election);
+	if (balancer->group)
+		skh_election_stop(balancer->group->election);
 	skh_admin_stop(balancer->admin);
 	skh_log(SKH_LOG_INFO, PART, "Balancer stopped.", "id=%s", balancer->settings->id);
 	return 0;
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -127,6 +127,20 @@
 	send_orders(coordinator, now_us);
 }
 
+static void on_poll_done(void *context, uint32_t rank, int64_t now_us)
+{
+	skh_coordinator_t *coordinator = context;
+
+	skh_order_sender_record_poll(coordinator->sender, rank, now_us);
+}
+
+static void poll_engine(void *context, uint32_t rank)
+{
+	skh_coordinator_t *coordinator = context;
+
+	skh_groupview_poll_rank(&coordinator->view, rank, skh_clock_boot_us());
+}
+
 skh_coordinator_t *skh_coordinator_new(const skh_coordinator_options_t *options,
 				       const skh_engine_spec_t *engine_spec)
 {
@@ -135,13 +149,16 @@
 		.loop = options->loop,
 		.dialect = options->dialect,
 		.pool_options = options->pool_options,
+		.group = options->group,
 		.on_rank_state = on_rank_state,
+		.on_poll_done = on_poll_done,
 		.context = coordinator,
 	};
 	const skh_order_sender_options_t sender_options = {
 		.dialect = options->dialect,
 		.view = &coordinator->view,
 		.on_result = on_order_result,
+		.poll_engine = poll_engine,
 		.context = coordinator,
 	};
 
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -23,6 +23,7 @@
 	uv_loop_t *loop;
 	const skh_dialect_t *dialect;
 	const skh_upstream_pool_options_t *pool_options;
+	const char *group; /* name of the group; copied */
 	double skew_weight;
 	double cost_weight;
 } skh_coordinator_options_t;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -41,11 +41,14 @@
 	SKH_HEADER_COUNT
 } skh_header_name_t;
 
+/* Longest name of a group, with its terminating zero. */
+#define SKH_GROUP_NAME_SIZE 64
+
 /** struct skh_engine_report - state of an engine, as it reports it */
 typedef struct skh_engine_report {
 	bool is_in_group;
 	bool is_group_open;
-	char group[64];
+	char group[SKH_GROUP_NAME_SIZE];
 	uint32_t group_size;
 	uint32_t rank;
 	int64_t epoch;
--- a/src/election.c
+++ b/src/election.c
@@ -1,7 +1,9 @@
 #include "election.h"
 
 #include "clock.h"
+#include "feed.h"
 #include "fence.h"
+#include "group_id.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -30,10 +32,14 @@
 
 struct skh_election {
 	skh_election_options_t options;
+	char *service;
+	char *group;
 	char *key;
+	char *slow_ranks_key;
 	char *value; /* address and a random number that is unique to this process */
 	pthread_t thread;
 	bool stop_requested;
+	bool is_abandoned; /* set before @stop_requested */
 	GMutex lock;
 	skh_election_view_t view; /* protected by the lock */
 	GPtrArray *servers;	  /* "host:port" strings; protected by the lock */
@@ -122,7 +128,7 @@
 		routing = dialect->read_config(skh_chunk_from_string(pairs.list[0].value), &err);
 	skh_kv_pairs_clear(&pairs);
 	if (routing)
-		index = skh_routing_find_service(routing, election->options.service);
+		index = skh_routing_find_service(routing, election->service);
 	if (index >= 0) {
 		g_mutex_lock(&election->lock);
 		election->view.engine_spec =
@@ -284,7 +290,7 @@
 		skh_server_t *server = dialect->read_server(
 			pairs.list[i].key, skh_chunk_from_string(pairs.list[i].value), &err);
 
-		if (server && strcmp(server->service, election->options.service) == 0)
+		if (server && strcmp(server->service, election->service) == 0)
 			g_ptr_array_add(addresses,
 					g_strdup_printf("%s:%u", server->host, server->port));
 		skh_server_free(server);
@@ -324,8 +330,7 @@
 	g_autofree char *notice = copy_notice(election);
 	const skh_txn_compare_t holder_compare = { election->key, lease_revision };
 	const skh_txn_op_t op = { *notice ? SKH_TXN_OP_PUT : SKH_TXN_OP_DELETE,
-				  (char *)election->options.slow_ranks_key, notice,
-				  election->lease_id };
+				  election->slow_ranks_key, notice, election->lease_id };
 	const skh_txn_t txn = {
 		.compares = &holder_compare, .n_compares = 1, .ops = &op, .n_ops = 1
 	};
@@ -377,6 +382,44 @@
 		sleep_with_jitter(election, RENEW_INTERVAL_US);
 }
 
+/* Comparing with the revision ensures that the key is deleted only if this process holds it. */
+static void release_lease(skh_election_t *election, skh_store_t *store)
+{
+	const skh_txn_op_t delete_op = { SKH_TXN_OP_DELETE, election->key, NULL, 0 };
+	skh_election_view_t view;
+	skh_txn_compare_t holder_compare = { election->key, 0 };
+	skh_txn_t txn = {
+		.compares = &holder_compare, .n_compares = 1, .ops = &delete_op, .n_ops = 1
+	};
+	skh_txn_result_t result;
+	skh_error_t err;
+
+	skh_election_get_view(election, &view);
+	if (!view.is_holder)
+		return;
+	holder_compare.mod_revision = view.lease_revision;
+	if (store->ops->txn(store, &txn, &result, &err))
+		skh_kv_pairs_clear(&result.pairs);
+	else
+		record_store_failure("Could not release the coordinator lease; it will expire.",
+				     &err);
+}
+
+static void free_election(skh_election_t *election)
+{
+	election->options.store->ops->close(election->options.store);
+	g_ptr_array_unref(election->servers);
+	g_mutex_clear(&election->lock);
+	g_free(election->service);
+	g_free(election->group);
+	g_free(election->key);
+	g_free(election->slow_ranks_key);
+	g_free(election->value);
+	g_free(election->notice);
+	g_free(election->published_notice);
+	g_free(election);
+}
+
 static void *run_election(void *argument)
 {
 	skh_election_t *election = argument;
@@ -400,6 +443,10 @@
 		if (has_era_changed(election))
 			is_holder_known = false;
 	}
+	if (__atomic_load_n(&election->is_abandoned, __ATOMIC_ACQUIRE)) {
+		release_lease(election, election->options.store);
+		free_election(election);
+	}
 	return NULL;
 }
 
@@ -413,7 +460,12 @@
 	election->retry_delay_us = RETRY_DELAY_US;
 	election->notice = g_strdup("");
 	election->published_notice = g_strdup("");
-	election->key = g_strconcat(options->prefix, "coordinator", NULL);
+	election->service = g_strdup(options->service);
+	election->group = g_strdup(options->group);
+	election->key = skh_group_id_key(SKH_GROUP_ELECTION_PREFIX, options->service,
+					 options->group, "/coordinator");
+	election->slow_ranks_key =
+		skh_group_id_key(SKH_SLOW_RANKS_PREFIX, options->service, options->group, "");
 	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
 	g_mutex_init(&election->lock);
 	(void)pthread_create(&election->thread, NULL, run_election, election);
@@ -422,27 +474,16 @@
 
 void skh_election_stop(skh_election_t *election)
 {
-	skh_store_t *store = election->options.release_store;
-	const skh_txn_op_t delete_op = { SKH_TXN_OP_DELETE, election->key, NULL, 0 };
-	skh_election_view_t view;
-	skh_txn_compare_t holder_compare = { election->key, 0 };
-	skh_txn_t txn = {
-		.compares = &holder_compare, .n_compares = 1, .ops = &delete_op, .n_ops = 1
-	};
-	skh_txn_result_t result;
-	skh_error_t err;
+	__atomic_store_n(&election->stop_requested, true, __ATOMIC_RELEASE);
+	release_lease(election, election->options.release_store);
+}
 
+void skh_election_abandon(skh_election_t *election)
+{
+	(void)pthread_detach(election->thread);
+	__atomic_store_n(&election->is_abandoned, true, __ATOMIC_RELEASE);
+	/* The thread may free the election at once. */
 	__atomic_store_n(&election->stop_requested, true, __ATOMIC_RELEASE);
-	skh_election_get_view(election, &view);
-	if (!view.is_holder)
-		return;
-	/* Comparing with the revision ensures that the key is deleted only if this process holds it. */
-	holder_compare.mod_revision = view.lease_revision;
-	if (store->ops->txn(store, &txn, &result, &err))
-		skh_kv_pairs_clear(&result.pairs);
-	else
-		record_store_failure("Could not release the coordinator lease; it will expire.",
-				     &err);
 }
 
 void skh_election_get_view(skh_election_t *election, skh_election_view_t *view)
--- a/src/election.h
+++ b/src/election.h
@@ -19,13 +19,12 @@
 
 /** struct skh_election_options - copied, but what it points to must outlive the election */
 typedef struct skh_election_options {
-	skh_store_t *store;	    /* used by the election's thread only */
+	skh_store_t *store;	    /* owned by the election and used by its thread only */
 	skh_store_t *release_store; /* used on stop because a watch may occupy @store */
 	const skh_dialect_t *dialect;
-	const char *prefix;	    /* prefix of the group's keys; ends with a slash */
-	const char *slow_ranks_key; /* key of the notice to gateways */
-	const char *address;	    /* "address:port" where this process receives reports */
-	const char *service;	    /* service whose engines are coordinated */
+	const char *address; /* "address:port" where this process receives reports; copied */
+	const char *service; /* service of the group; copied */
+	const char *group;   /* name of the group; copied */
 } skh_election_options_t;
 
 /** struct skh_election_view - known state of the lease */
@@ -41,7 +40,11 @@
 
 typedef struct skh_election skh_election_t;
 
-/** skh_election_start() - start the thread; end it with skh_election_stop() */
+/**
+ * skh_election_start() - start the thread
+ *
+ * End it with skh_election_stop() or skh_election_abandon().
+ */
 skh_election_t *skh_election_start(const skh_election_options_t *options);
 
 /**
@@ -52,6 +55,14 @@
  */
 void skh_election_stop(skh_election_t *election);
 
+/**
+ * skh_election_abandon() - leave the election because this process belongs to another group now
+ *
+ * Returns at once. The thread, which may be in a long poll, releases the lease if it holds it,
+ * closes the store and frees the election. @election must not be used afterwards.
+ */
+void skh_election_abandon(skh_election_t *election);
+
 /** skh_election_get_view() - copy the known state to @view */
 void skh_election_get_view(skh_election_t *election, skh_election_view_t *view);
 
--- a/src/groupview.c
+++ b/src/groupview.c
@@ -21,11 +21,15 @@
 /* A hold that lasts longer than this is considered abandoned and makes a repair due. */
 #define MAX_HOLD_US	(250 * SKH_US_PER_MS)
 #define LOG_INTERVAL_US (500 * SKH_US_PER_MS)
+/* A rank that restarts takes longer than this to join another group. */
+#define MAX_CONFIRMATION_AGE_US (300 * SKH_US_PER_MS)
 
 void skh_groupview_init(skh_groupview_t *view, const skh_groupview_options_t *options,
 			const skh_engine_spec_t *engine_spec)
 {
 	*view = (skh_groupview_t){ .options = *options, .engine_spec = *engine_spec };
+	(void)g_strlcpy(view->group, options->group, sizeof(view->group));
+	view->options.group = NULL;
 }
 
 static void free_clients(const skh_groupview_rank_t *state)
@@ -200,6 +204,40 @@
 		SKH_GROUPVIEW_MAX_RANKS, message->engine);
 }
 
+/* A report without a group comes from a process whose engine is in none, or from an old release. */
+static void reject_foreign_report(skh_groupview_t *view, const Skh__RankReport *message,
+				  int64_t now_us)
+{
+	skh_metrics_add(SKH_COUNT_FOREIGN_REPORTS, 1);
+	if (now_us - view->last_logged_us <= LOG_INTERVAL_US)
+		return;
+	view->last_logged_us = now_us;
+	skh_log(SKH_LOG_INFO, PART, "Report of another group is ignored.",
+		"rank=%u engine=%s reported_bytes=%zu", message->rank, message->engine,
+		strlen(message->group));
+}
+
+static void finish_poll(skh_groupview_t *view, uint32_t rank)
+{
+	if (view->options.on_poll_done)
+		view->options.on_poll_done(view->options.context, rank, skh_clock_boot_us());
+}
+
+/* Sets the address of the engine of @rank. */
+static void set_engine(skh_groupview_t *view, uint32_t rank, const char *address)
+{
+	skh_groupview_rank_t *state = &view->ranks[rank];
+	bool was_poll_pending = state->is_poll_pending;
+
+	state->has_left = false;
+	if (!set_client(view, &state->engine, address))
+		return;
+	state->confirmed_us = 0;
+	state->is_poll_pending = false;
+	if (was_poll_pending)
+		finish_poll(view, rank);
+}
+
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
 				 bool is_own_rank, int64_t now_us)
 {
@@ -218,6 +256,10 @@
 	};
 	skh_groupview_rank_t *state;
 
+	if (!*message->group || strcmp(message->group, view->group) != 0) {
+		reject_foreign_report(view, message, now_us);
+		return false;
+	}
 	if (message->rank >= message->size || message->size > SKH_GROUPVIEW_MAX_RANKS) {
 		reject_report(view, message, now_us);
 		return false;
@@ -229,8 +271,7 @@
 		return false;
 	state->sender_id = message->sender;
 	state->sequence = message->number;
-	if (set_client(view, &state->engine, message->engine))
-		state->is_poll_pending = false;
+	set_engine(view, message->rank, message->engine);
 	(void)set_client(view, &state->relay, message->relay);
 	if (is_own_rank) {
 		view->own_rank = message->rank;
@@ -245,6 +286,37 @@
 
 /* --- Polls of engines --- */
 
+static bool is_in_group(const skh_groupview_t *view, const skh_engine_report_t *report)
+{
+	return report->is_in_group && strcmp(report->group, view->group) == 0;
+}
+
+bool skh_groupview_is_confirmed(const skh_groupview_t *view, uint32_t rank, int64_t epoch,
+				int64_t now_us)
+{
+	const skh_groupview_rank_t *state = &view->ranks[rank];
+
+	return state->confirmed_us != 0 && state->confirmed_epoch == epoch &&
+	       now_us - state->confirmed_us <= MAX_CONFIRMATION_AGE_US;
+}
+
+/* The engine's process will report to another coordinator, so nothing here may come from it. */
+static void forget_engine(skh_groupview_t *view, uint32_t rank, const skh_engine_report_t *report)
+{
+	skh_groupview_rank_t *state = &view->ranks[rank];
+
+	if (!state->has_left)
+		skh_log(SKH_LOG_INFO, PART, "Engine has left the group or changed its rank.",
+			"rank=%u engine=%s reported_rank=%u", rank,
+			skh_engine_client_address(state->engine), report->rank);
+	state->has_left = true;
+	state->has_report = false;
+	state->has_map = false;
+	state->confirmed_us = 0;
+	state->held_since_us = 0;
+	state->report = (skh_engine_report_t){ 0 };
+}
+
 static void on_map_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_groupview_t *view = context;
@@ -255,13 +327,14 @@
 	skh_error_t err;
 
 	view->ranks[tag].is_poll_pending = false;
-	if (status != 200)
+	finish_poll(view, tag);
+	if (status != 200 || tag >= view->n_ranks)
 		return;
 	map = g_new0(uint32_t, (size_t)n_sets * n_slots + 1);
 	if (!view->options.dialect->read_map(body, n_sets, n_slots, map, &version, &err))
 		skh_log(SKH_LOG_WARNING, PART, "Rank's expert map could not be parsed.",
 			"rank=%u reason=%s", tag, err.text);
-	else if (version == view->ranks[tag].report.map_version)
+	else if (view->ranks[tag].has_report && version == view->ranks[tag].report.map_version)
 		store_rank_map(view, tag, map);
 	g_free(map);
 }
@@ -275,13 +348,13 @@
 			      on_map_response, view);
 }
 
-static void on_poll_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+static void handle_poll_response(skh_groupview_t *view, uint32_t tag, int32_t status,
+				 skh_chunk_t body)
 {
-	skh_groupview_t *view = context;
+	skh_groupview_rank_t *state = &view->ranks[tag];
 	skh_engine_report_t report;
 	skh_error_t err;
 
-	view->ranks[tag].is_poll_pending = false;
 	if (status != 200)
 		return;
 	if (!view->options.dialect->read_report(body, &report, &err)) {
@@ -289,17 +362,31 @@
 			"rank=%u reason=%s", tag, err.text);
 		return;
 	}
-	if (report.rank != tag)
+	if (!is_in_group(view, &report) || report.rank != tag) {
+		forget_engine(view, tag, &report);
 		return;
-	update_state(view, tag, &report, view->ranks[tag].poll_started_us, skh_clock_boot_us());
+	}
+	state->has_left = false;
+	state->confirmed_us = state->poll_started_us;
+	state->confirmed_epoch = report.epoch;
+	update_state(view, tag, &report, state->poll_started_us, skh_clock_boot_us());
 	if (!view->ranks[tag].has_map)
 		request_map(view, tag);
 }
 
+static void on_poll_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	skh_groupview_t *view = context;
+
+	view->ranks[tag].is_poll_pending = false;
+	handle_poll_response(view, tag, status, body);
+	finish_poll(view, tag);
+}
+
 bool skh_groupview_has_unknown_ranks(const skh_groupview_t *view)
 {
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
-		if (!view->ranks[rank].engine)
+		if (!view->ranks[rank].engine || view->ranks[rank].has_left)
 			return true;
 	}
 	return false;
@@ -310,7 +397,8 @@
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		const skh_engine_client_t *client = view->ranks[rank].engine;
 
-		if (client && strcmp(skh_engine_client_address(client), address) == 0)
+		if (client && !view->ranks[rank].has_left &&
+		    strcmp(skh_engine_client_address(client), address) == 0)
 			return true;
 	}
 	return false;
@@ -325,11 +413,11 @@
 	(void)tag;
 	view->probe_started_us = 0;
 	if (status != 200 || !view->options.dialect->read_report(body, &report, &err) ||
-	    report.group_size != view->n_ranks || report.rank >= view->n_ranks ||
-	    view->ranks[report.rank].engine)
+	    !is_in_group(view, &report) || report.group_size != view->n_ranks ||
+	    report.rank >= view->n_ranks ||
+	    (view->ranks[report.rank].engine && !view->ranks[report.rank].has_left))
 		return;
-	(void)set_client(view, &view->ranks[report.rank].engine,
-			 skh_engine_client_address(view->probe_client));
+	set_engine(view, report.rank, skh_engine_client_address(view->probe_client));
 	update_state(view, report.rank, &report, 0, skh_clock_boot_us());
 }
 
--- a/src/groupview.h
+++ b/src/groupview.h
@@ -32,7 +32,11 @@
 	uint64_t sender_id;
 	uint64_t sequence;
 	skh_engine_report_t report;
-	bool has_map; /* the rank's part of the view's @map is known */
+	bool has_map;  /* the rank's part of the view's @map is known */
+	bool has_left; /* the engine has responded that it is in another group or another rank */
+	/* When the last poll was sent whose response named this group; 0 if none did. */
+	int64_t confirmed_us;
+	int64_t confirmed_epoch; /* epoch in that response */
 	bool is_poll_pending;
 	int64_t poll_started_us;
 	int64_t next_poll_us;  /* earliest time of the next poll */
@@ -44,9 +48,12 @@
 	uv_loop_t *loop;
 	const skh_dialect_t *dialect;
 	const skh_upstream_pool_options_t *pool_options;
+	const char *group; /* name of the group; copied; reports of other groups are ignored */
 	/* Called after an update of @rank's state; @poll_started_us is 0 unless a poll caused it. */
 	void (*on_rank_state)(void *context, uint32_t rank, int64_t poll_started_us,
 			      int64_t now_us);
+	/* Called after each poll of @rank, also one without a response; may be NULL. */
+	void (*on_poll_done)(void *context, uint32_t rank, int64_t now_us);
 	void *context;
 } skh_groupview_options_t;
 
@@ -58,6 +65,7 @@
  */
 typedef struct skh_groupview {
 	skh_groupview_options_t options;
+	char group[SKH_GROUP_NAME_SIZE];
 	skh_engine_spec_t engine_spec;
 	skh_groupview_rank_t *ranks; /* [@n_ranks] */
 	uint32_t n_ranks;
@@ -90,7 +98,7 @@
  * skh_groupview_record_report() - record the state and map in a rank's report
  * @message: borrowed
  * @is_own_rank: the report is from the rank beside this process
- * Return: false if the report is invalid or not newer than the last one of its sender.
+ * Return: false if the report is invalid, of another group or not newer than the last one of its sender.
  */
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
 				 bool is_own_rank, int64_t now_us);
@@ -101,6 +109,16 @@
 /** skh_groupview_probe_engine() - see skh_coordinator_probe_engine() */
 bool skh_groupview_probe_engine(skh_groupview_t *view, const char *address, int64_t now_us);
 
+/**
+ * skh_groupview_is_confirmed() - whether an order may be sent to the engine of @rank directly
+ *
+ * Without a relay, nobody beside the engine checks that it is still in the group.
+ *
+ * Return: true if a response of the engine that is at most 300 ms old names this group and @epoch.
+ */
+bool skh_groupview_is_confirmed(const skh_groupview_t *view, uint32_t rank, int64_t epoch,
+				int64_t now_us);
+
 /** skh_groupview_poll_silent_ranks() - poll engines of ranks that have not reported lately */
 void skh_groupview_poll_silent_ranks(skh_groupview_t *view, int64_t now_us);
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -54,6 +54,8 @@
 	SKH_COUNT_ENGINE_ORDERS,
 	SKH_COUNT_MAP_CHANGES,
 	SKH_COUNT_MAP_FAILURES,
+	SKH_COUNT_FOREIGN_REPORTS, /* rank reports of another group or of none */
+	SKH_COUNT_FOREIGN_ORDERS,  /* orders for a group that the engine is not in */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
 
--- a/src/order_sender.c
+++ b/src/order_sender.c
@@ -31,6 +31,8 @@
 	bool needs_complete_map; /* the relay lacks the map that differences refer to */
 	bool cannot_head;	 /* the relay did not respond to the last batch */
 	skh_engine_op_t last_op;
+	bool is_waiting; /* @waiting is sent once the engine has confirmed its group */
+	skh_mapchange_order_t waiting;
 } order_route_t;
 
 /* Batch in progress; the first of @ranks is its head. */
@@ -87,6 +89,8 @@
 	sender->change_number++;
 	sender->proxy_rank = proxy_rank;
 	sender->bypass_proxy = false;
+	for (uint32_t rank = 0; rank < sender->n_ranks; rank++)
+		sender->routes[rank].is_waiting = false;
 }
 
 static const char *op_name(skh_engine_op_t op)
@@ -214,7 +218,7 @@
 
 /* --- Sending --- */
 
-static void send_direct(skh_order_sender_t *sender, uint32_t rank,
+static void post_direct(skh_order_sender_t *sender, uint32_t rank,
 			const skh_mapchange_order_t *order)
 {
 	char *body = sender->options.dialect->write_order(order);
@@ -226,6 +230,37 @@
 	free(body);
 }
 
+/* No relay checks that the engine is still in the group, so its own recent word is needed. */
+static void send_direct(skh_order_sender_t *sender, uint32_t rank,
+			const skh_mapchange_order_t *order)
+{
+	order_route_t *route = &sender->routes[rank];
+
+	if (skh_groupview_is_confirmed(sender->options.view, rank, order->epoch,
+				       skh_clock_boot_us())) {
+		post_direct(sender, rank, order);
+		return;
+	}
+	route->waiting = *order;
+	route->is_waiting = true;
+	sender->options.poll_engine(sender->options.context, rank);
+}
+
+void skh_order_sender_record_poll(skh_order_sender_t *sender, uint32_t rank, int64_t now_us)
+{
+	order_route_t *route = rank < sender->n_ranks ? &sender->routes[rank] : NULL;
+
+	if (!route || !route->is_waiting)
+		return;
+	route->is_waiting = false;
+	if (skh_groupview_is_confirmed(sender->options.view, rank, route->waiting.epoch, now_us)) {
+		post_direct(sender, rank, &route->waiting);
+		return;
+	}
+	update_route(sender, rank, 0);
+	report_result(sender, rank, 0);
+}
+
 /* @engine is NULL for the engine beside the relay; see skh_rankrelay_pack(). */
 static void pack_order(const skh_order_sender_t *sender, uint32_t rank,
 		       const skh_mapchange_order_t *order, const char *engine, skh_buffer_t *out)
@@ -235,7 +270,7 @@
 					   skh_groupview_map_size(view), view->map };
 
 	skh_rankrelay_pack(order, sender->routes[rank].needs_complete_map ? NULL : &base,
-			   view->engine_spec.experts_per_set, engine, out);
+			   view->engine_spec.experts_per_set, view->group, engine, out);
 }
 
 /*
--- a/src/order_sender.h
+++ b/src/order_sender.h
@@ -6,7 +6,8 @@
  *
  * Sends the orders of a map change to the ranks: through the relay of each rank's process, in
  * batches through the relays of a few ranks (order_batch.h), through the proxy rank, or directly to
- * an engine whose relay did not respond. Owns the calls in progress, not the clients. All calls are
+ * an engine whose relay did not respond. Relays check that their engine is in the group; before an
+ * order is sent directly, the engine is asked. Owns the calls in progress, not the clients. All calls are
  * made on the event loop's thread.
  */
 
@@ -30,6 +31,8 @@
 	const skh_groupview_t *view;
 	/* Called once for each order of the change in progress. */
 	void (*on_result)(void *context, uint32_t rank, skh_mapchange_order_result_t result);
+	/* Polls the engine of @rank; skh_order_sender_record_poll() must follow. */
+	void (*poll_engine)(void *context, uint32_t rank);
 	void *context;
 } skh_order_sender_options_t;
 
@@ -50,6 +53,9 @@
 void skh_order_sender_send(skh_order_sender_t *sender, const skh_rank_order_t *orders,
 			   uint32_t n_orders);
 
+/** skh_order_sender_record_poll() - send what waited for a poll of @rank's engine, see @poll_engine */
+void skh_order_sender_record_poll(skh_order_sender_t *sender, uint32_t rank, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/rank_poller.c
+++ b/src/rank_poller.c
@@ -24,6 +24,9 @@
 	POLL_KIND_COUNT
 } poll_kind_t;
 
+/* Bits of a request's tag that hold its kind. */
+#define TAG_KIND_BITS 4
+
 struct skh_rank_poller {
 	skh_engine_client_t *client;
 	const skh_dialect_t *dialect;
@@ -41,6 +44,8 @@
 	int64_t pass_end_seen_us; /* when a read last found that a pass had ended */
 	int64_t pass_duration_us; /* moving average */
 	bool is_in_flight[POLL_KIND_COUNT];
+	uint32_t n_groups; /* changes of the group; marks responses from before the last one */
+	int64_t report_requested_us;
 	int64_t next_poll_us[POLL_KIND_COUNT];
 	int64_t report_period_us;
 	bool has_poll_failed; /* the last response was an error, or none arrived */
@@ -93,11 +98,28 @@
 	       a->rank != b->rank;
 }
 
+static bool has_group_changed(const skh_engine_report_t *a, const skh_engine_report_t *b)
+{
+	return a->is_in_group != b->is_in_group || a->group_size != b->group_size ||
+	       strcmp(a->group, b->group) != 0;
+}
+
+/* Map, counts and passes of the old group say nothing about the new one. */
+static void begin_group(skh_rank_poller_t *poller)
+{
+	poller->n_groups++;
+	poller->snapshot.has_map = false;
+	poller->has_last_counts = false;
+	poller->pass_duration_us = INITIAL_PASS_US;
+	poller->pass_end_seen_us = 0;
+}
+
 static void handle_report(skh_rank_poller_t *poller, skh_chunk_t body)
 {
 	skh_engine_report_t report;
 	skh_error_t err;
 	bool changed;
+	bool epoch_changed;
 	bool group_changed;
 
 	if (!poller->dialect->read_report(body, &report, &err)) {
@@ -105,13 +127,13 @@
 			err.text);
 		return;
 	}
-	changed = !poller->snapshot.has_report ||
-		  has_state_changed(&report, &poller->snapshot.report);
 	group_changed = !poller->snapshot.has_report ||
-			report.epoch != poller->snapshot.report.epoch ||
+			has_group_changed(&report, &poller->snapshot.report);
+	changed = group_changed || has_state_changed(&report, &poller->snapshot.report);
+	epoch_changed = group_changed || report.epoch != poller->snapshot.report.epoch ||
 			report.is_group_open != poller->snapshot.report.is_group_open;
 	if (changed)
-		skh_log(group_changed ? SKH_LOG_INFO : SKH_LOG_DEBUG, PART, "Engine state changed.",
+		skh_log(epoch_changed ? SKH_LOG_INFO : SKH_LOG_DEBUG, PART, "Engine state changed.",
 			"group=%s rank=%u size=%u epoch=%" G_GINT64_FORMAT
 			" open=%d pass=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
 			" prepared=%" G_GINT64_FORMAT " armed=%" G_GINT64_FORMAT
@@ -122,10 +144,14 @@
 			report.slowdown);
 	poller->snapshot.has_report = true;
 	poller->snapshot.report = report;
-	poller->snapshot.reported_us = skh_clock_boot_us();
+	poller->snapshot.requested_us = poller->report_requested_us;
 	if (report.map_version != poller->snapshot.map_version ||
 	    report.epoch != poller->snapshot.map_epoch)
 		poller->snapshot.has_map = false;
+	if (group_changed) {
+		begin_group(poller);
+		poller->ops->on_group_change(poller->context);
+	}
 	if (changed)
 		poller->ops->on_change(poller->context);
 }
@@ -232,15 +258,19 @@
 	if (poller->is_in_flight[kind] || now_us < poller->next_poll_us[kind])
 		return;
 	poller->is_in_flight[kind] = true;
+	if (kind == POLL_REPORT)
+		poller->report_requested_us = now_us;
 	poller->next_poll_us[kind] = now_us + period_us;
-	skh_engine_client_get(poller->client, path, REQUEST_TIMEOUT_US, kind, on_response, poller);
+	skh_engine_client_get(poller->client, path, REQUEST_TIMEOUT_US,
+			      poller->n_groups << TAG_KIND_BITS | kind, on_response, poller);
 }
 
 static void on_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_rank_poller_t *poller = context;
+	poll_kind_t kind = tag & ((1U << TAG_KIND_BITS) - 1);
 
-	poller->is_in_flight[tag] = false;
+	poller->is_in_flight[kind] = false;
 	if (status != 200) {
 		if (!poller->has_poll_failed)
 			skh_log(SKH_LOG_WARNING, PART, "Engine poll failed; retrying.", "status=%d",
@@ -251,9 +281,11 @@
 	if (poller->has_poll_failed)
 		skh_log(SKH_LOG_INFO, PART, "Engine poll succeeded again.", "status=%d", status);
 	poller->has_poll_failed = false;
-	if (tag == POLL_REPORT)
+	if (kind == POLL_REPORT)
 		handle_report(poller, body);
-	else if (tag == POLL_COUNTS)
+	else if (tag >> TAG_KIND_BITS != poller->n_groups)
+		return;
+	else if (kind == POLL_COUNTS)
 		handle_counts(poller, body);
 	else
 		handle_map(poller, body);
@@ -267,6 +299,11 @@
 	poller->report_period_us = period_us;
 }
 
+void skh_rank_poller_poll_now(skh_rank_poller_t *poller)
+{
+	poller->next_poll_us[POLL_REPORT] = 0;
+}
+
 void skh_rank_poller_tick(skh_rank_poller_t *poller, int64_t now_us)
 {
 	poll_if_due(poller, POLL_REPORT, poller->dialect->report_path, poller->report_period_us,
--- a/src/rank_poller.h
+++ b/src/rank_poller.h
@@ -22,7 +22,7 @@
 /** struct skh_rank_snapshot - newest state of the rank */
 typedef struct skh_rank_snapshot {
 	bool has_report;
-	int64_t reported_us; /* when @report was received */
+	int64_t requested_us; /* when the request was sent to which @report is the response */
 	skh_engine_report_t report;
 	bool has_map;	     /* @map matches the version and epoch of @report */
 	int64_t map_version; /* version of @map */
@@ -37,6 +37,11 @@
 typedef struct skh_rank_poller_ops {
 	/* The engine's state in the report has changed, or a new map was read. */
 	void (*on_change)(void *context);
+	/*
+	 * The engine is in another group than before, in none, or its group has another size. Called
+	 * before on_change; map and counts of the snapshot start anew.
+	 */
+	void (*on_group_change)(void *context);
 	/*
 	 * The engine has counted more tokens since the previous sample. @sample and its
 	 * counts are valid during the call.
@@ -71,6 +76,9 @@
 /** skh_rank_poller_set_report_period() - poll the report every @period_us */
 void skh_rank_poller_set_report_period(skh_rank_poller_t *poller, int64_t period_us);
 
+/** skh_rank_poller_poll_now() - poll the report at the next tick */
+void skh_rank_poller_poll_now(skh_rank_poller_t *poller);
+
 /** skh_rank_poller_tick() - send the requests that are due at @now_us */
 void skh_rank_poller_tick(skh_rank_poller_t *poller, int64_t now_us);
 
--- a/src/rankrelay.c
+++ b/src/rankrelay.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "metrics.h"
 #include "order_batch.h"
 #include "wire.pb-c.h"
 
@@ -13,6 +14,8 @@
 #define ENGINE_TIMEOUT_US (30 * SKH_US_PER_MS)
 /* Retries are local, so they cost nothing and avoid the round trip to the coordinator. */
 #define MAX_ATTEMPTS 6
+/* A rank that restarts takes longer than this to join another group. */
+#define MAX_CONFIRMATION_AGE_US (300 * SKH_US_PER_MS)
 /* Limit of a batch's orders: each relay may use all of its attempts, plus a round trip. */
 #define PASS_ON_TIMEOUT_US (200 * SKH_US_PER_MS)
 /* Clients of other relays that are kept; more than the ranks of a batch, as batches change. */
@@ -29,6 +32,7 @@
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *pool_options;
 	skh_engine_client_t *engine;
+	const skh_rank_poller_t *poller;     /* of @engine */
 	skh_engine_client_t *proxied_engine; /* engine to which orders are proxied, or NULL */
 	uint32_t n_proxied_orders;	     /* orders pending at @proxied_engine */
 	const skh_dialect_t *dialect;
@@ -56,6 +60,10 @@
 typedef struct pending_order {
 	pending_request_t *request;
 	skh_engine_client_t *engine;
+	char group[SKH_GROUP_NAME_SIZE]; /* group that the order is for */
+	int64_t epoch;
+	int64_t asked_us;     /* when @engine was asked for its group last */
+	int64_t confirmed_us; /* @asked_us if @engine has named @group; 0 before */
 	char *body;
 	uint32_t n_attempts;
 } pending_order_t;
@@ -96,7 +104,8 @@
 }
 
 void skh_rankrelay_pack(const skh_mapchange_order_t *order, const skh_versioned_map_t *base,
-			uint32_t n_experts, const char *engine, skh_buffer_t *out)
+			uint32_t n_experts, const char *group, const char *engine,
+			skh_buffer_t *out)
 {
 	Skh__RankOrder message = SKH__RANK_ORDER__INIT;
 	size_t n_slots = (size_t)order->n_sets * order->n_ranks * order->n_slots;
@@ -106,6 +115,7 @@
 	message.pass = order->pass;
 	message.epoch = order->epoch;
 	message.fence = order->fence;
+	message.group = (char *)group;
 	message.engine = (char *)(engine ? engine : "");
 	if (order->op == SKH_ENGINE_PREPARE) {
 		message.sets = order->n_sets;
@@ -244,7 +254,7 @@
 	return STATUS_OK;
 }
 
-int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_map_cache_t *cache,
+int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_map_cache_t *cache, const char *group,
 			     skh_mapchange_order_t *order, char **engine)
 {
 	Skh__RankOrder *message = skh__rank_order__unpack(NULL, bytes.len, bytes.data);
@@ -256,7 +266,9 @@
 		return STATUS_BAD_REQUEST;
 	*engine = *message->engine ? g_strdup(message->engine) : NULL;
 	/* A retried order finds its map in the cache. */
-	if (message->op > SKH_ENGINE_RELEASE)
+	if (!*group || strcmp(message->group, group) != 0)
+		status = SKH_RANKRELAY_STATUS_OTHER_GROUP;
+	else if (message->op > SKH_ENGINE_RELEASE)
 		status = STATUS_BAD_REQUEST;
 	else if (message->op == SKH_ENGINE_PREPARE && !skh_map_cache_find(cache, message->version))
 		status = unpack_map(message, cache);
@@ -335,6 +347,7 @@
 /* --- Orders for the engine beside this process --- */
 
 static void send_to_engine(pending_order_t *pending);
+static void post_to_engine(pending_order_t *pending);
 
 static void finish_order(pending_order_t *pending, int32_t status)
 {
@@ -347,30 +360,83 @@
 	record_status(request, 0, status);
 }
 
-static void on_engine_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+static void retry_or_finish(pending_order_t *pending, int32_t status)
 {
-	pending_order_t *pending = context;
+	if (status == 0 && pending->request->conn && pending->n_attempts < MAX_ATTEMPTS)
+		send_to_engine(pending);
+	else
+		finish_order(pending, status == 0 ? STATUS_TIMEOUT : status);
+}
 
+static void on_engine_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
 	(void)tag;
 	(void)body;
 	/*
 	 * A retry is safe: an order that is carried out twice leads to the same state or is rejected
 	 * the second time.
 	 */
-	if (status == 0 && pending->request->conn && pending->n_attempts < MAX_ATTEMPTS)
-		send_to_engine(pending);
+	retry_or_finish(context, status);
+}
+
+/* Whether the engine has named the order's group so recently that it must still be in it. */
+static bool is_confirmed(const pending_order_t *pending)
+{
+	const skh_rankrelay_t *relay = pending->request->relay;
+	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(relay->poller);
+	int64_t oldest_us = skh_clock_boot_us() - MAX_CONFIRMATION_AGE_US;
+
+	if (pending->confirmed_us >= oldest_us && pending->confirmed_us != 0)
+		return true;
+	return pending->engine == relay->engine && snapshot->has_report &&
+	       snapshot->requested_us >= oldest_us && snapshot->report.is_in_group &&
+	       strcmp(snapshot->report.group, pending->group) == 0;
+}
+
+static void on_group_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
+{
+	pending_order_t *pending = context;
+	skh_engine_report_t report;
+	skh_error_t err;
+
+	(void)tag;
+	if (status != 200 || !pending->request->relay->dialect->read_report(body, &report, &err)) {
+		retry_or_finish(pending, status == 200 ? 0 : status);
+		return;
+	}
+	if (!report.is_in_group || strcmp(report.group, pending->group) != 0 ||
+	    report.epoch != pending->epoch) {
+		skh_metrics_add(SKH_COUNT_FOREIGN_ORDERS, 1);
+		finish_order(pending, SKH_RANKRELAY_STATUS_OTHER_GROUP);
+		return;
+	}
+	pending->confirmed_us = pending->asked_us;
+	/* Asks again if this process was frozen before it could read the response. */
+	if (is_confirmed(pending))
+		post_to_engine(pending);
 	else
-		finish_order(pending, status == 0 ? STATUS_TIMEOUT : status);
+		retry_or_finish(pending, 0);
 }
 
-static void send_to_engine(pending_order_t *pending)
+static void post_to_engine(pending_order_t *pending)
 {
-	pending->n_attempts++;
 	skh_engine_client_post(pending->engine, pending->request->relay->dialect->order_path,
 			       skh_chunk_from_string(pending->body), ENGINE_TIMEOUT_US, 0,
 			       on_engine_response, pending);
 }
 
+static void send_to_engine(pending_order_t *pending)
+{
+	pending->n_attempts++;
+	if (is_confirmed(pending)) {
+		post_to_engine(pending);
+		return;
+	}
+	pending->asked_us = skh_clock_boot_us();
+	skh_engine_client_get(pending->engine, pending->request->relay->dialect->report_path,
+			      ENGINE_TIMEOUT_US, 0, on_group_response, pending);
+}
+
 /*
  * Returns a client for @address, or for the engine beside this process if @address is NULL.
  * Returns NULL while orders are pending at the engine of another coordinator.
@@ -390,6 +456,14 @@
 	return relay->proxied_engine;
 }
 
+/* Name of the group that the engine beside this process has reported last, "" for none. */
+static const char *engine_group(const skh_rankrelay_t *relay)
+{
+	const skh_rank_snapshot_t *snapshot = skh_rank_poller_snapshot(relay->poller);
+
+	return snapshot->has_report && snapshot->report.is_in_group ? snapshot->report.group : "";
+}
+
 static void start_order(pending_request_t *request, const skh_mapchange_order_t *order,
 			skh_engine_client_t *engine)
 {
@@ -398,6 +472,8 @@
 
 	pending->request = request;
 	pending->engine = engine;
+	(void)g_strlcpy(pending->group, engine_group(relay), sizeof(pending->group));
+	pending->epoch = order->epoch;
 	pending->body = relay->dialect->write_order(order);
 	if (engine == relay->proxied_engine)
 		relay->n_proxied_orders++;
@@ -413,8 +489,11 @@
 			  skh_engine_client_t **engine)
 {
 	g_autofree char *address = NULL;
-	int32_t status = skh_rankrelay_unpack(bytes, &relay->map_cache, order, &address);
+	int32_t status = skh_rankrelay_unpack(bytes, &relay->map_cache, engine_group(relay), order,
+					      &address);
 
+	if (status == SKH_RANKRELAY_STATUS_OTHER_GROUP)
+		skh_metrics_add(SKH_COUNT_FOREIGN_ORDERS, 1);
 	*engine = status == STATUS_OK ? find_engine(relay, address) : NULL;
 	if (status == STATUS_OK && !*engine)
 		status = STATUS_UNAVAILABLE;
@@ -528,7 +607,8 @@
 };
 
 skh_rankrelay_t *skh_rankrelay_start(uv_loop_t *loop, const char *address,
-				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
+				     skh_engine_client_t *engine, const skh_rank_poller_t *poller,
+				     const skh_dialect_t *dialect,
 				     const skh_upstream_pool_options_t *pool_options,
 				     skh_error_t *err)
 {
@@ -537,6 +617,7 @@
 	relay->loop = loop;
 	relay->pool_options = pool_options;
 	relay->engine = engine;
+	relay->poller = poller;
 	relay->dialect = dialect;
 	relay->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_peer);
 	relay->listener = skh_listener_start(loop, address, &relay_ops, relay, err);
@@ -547,6 +628,13 @@
 	return NULL;
 }
 
+void skh_rankrelay_reset(skh_rankrelay_t *relay)
+{
+	skh_map_cache_clear(&relay->map_cache);
+	relay->prepared_version = 0;
+	relay->prepared_us = 0;
+}
+
 int64_t skh_rankrelay_last_prepared_version(const skh_rankrelay_t *relay, int64_t *prepared_us)
 {
 	*prepared_us = relay->prepared_us;
--- a/src/rankrelay.h
+++ b/src/rankrelay.h
@@ -6,7 +6,10 @@
  *
  * Accepts orders of the group's coordinator over HTTP and sends them to the engine beside this
  * process, so that a map crosses the network in a compact form and is expanded only here. The
- * response has the engine's status; the engine checks the fencing token. The relay of a map
+ * response has the engine's status; the engine checks the fencing token. An order for another group
+ * than the engine's is rejected: after a restart, engines of another group accept any fencing
+ * token. Before an order is sent, the engine must have named its group within the last 300 ms, so
+ * that a process that was frozen meanwhile asks first. The relay of a map
  * change's proxy rank sends the hold order over the network to the coordinator's engine instead.
  * An order to many ranks arrives as a batch (order_batch.h) and is passed on to their relays.
  * Owns the listener and the maps of recent orders; runs on the event loop's thread.
@@ -15,6 +18,7 @@
 #include "dialect.h"
 #include "downstream.h"
 #include "engine_client.h"
+#include "rank_poller.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -27,12 +31,14 @@
 /**
  * skh_rankrelay_start() - listen for orders
  * @address: "address:port" to listen on
- * @engine: client of the engine beside this process; borrowed, like @dialect and @pool_options
+ * @engine: client of the engine beside this process; borrowed, like the following parameters
+ * @poller: poller of the same engine
  * Return: the relay, which stays until the end of the process; NULL with @err set if the address
  * cannot be used.
  */
 skh_rankrelay_t *skh_rankrelay_start(uv_loop_t *loop, const char *address,
-				     skh_engine_client_t *engine, const skh_dialect_t *dialect,
+				     skh_engine_client_t *engine, const skh_rank_poller_t *poller,
+				     const skh_dialect_t *dialect,
 				     const skh_upstream_pool_options_t *pool_options,
 				     skh_error_t *err);
 
@@ -43,6 +49,12 @@
  */
 int64_t skh_rankrelay_last_prepared_version(const skh_rankrelay_t *relay, int64_t *prepared_us);
 
+/** skh_rankrelay_reset() - forget the maps of recent orders because the engine's group has changed */
+void skh_rankrelay_reset(skh_rankrelay_t *relay);
+
+/* Status of an order for a group that the engine is not in. */
+#define SKH_RANKRELAY_STATUS_OTHER_GROUP 421
+
 /* Status of an order whose map is encoded as differences from a map that is not cached. */
 #define SKH_RANKRELAY_STATUS_NO_BASE 428
 
@@ -77,18 +89,21 @@
  * @base: map that the relay has, so that only differences are sent; NULL for a complete map. Every
  *	relay can compute the map SKH_RANKRELAY_FIRST_MAP
  * @n_experts: experts of each set
+ * @group: name of the group that the order is for
  * @engine: "address:port" of the engine that gets the order; NULL for the one beside the relay
  */
 void skh_rankrelay_pack(const skh_mapchange_order_t *order, const skh_versioned_map_t *base,
-			uint32_t n_experts, const char *engine, skh_buffer_t *out);
+			uint32_t n_experts, const char *group, const char *engine,
+			skh_buffer_t *out);
 
 /**
  * skh_rankrelay_unpack() - decode the order in @bytes
  * @cache: gets the order's map, which @order then borrows
+ * @group: name of the engine's group; "" rejects all orders
  * @engine: as in skh_rankrelay_pack(); set to NULL or to a copy to free with g_free()
  * Return: 200, or the HTTP status with which to reject the order.
  */
-int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_map_cache_t *cache,
+int32_t skh_rankrelay_unpack(skh_chunk_t bytes, skh_map_cache_t *cache, const char *group,
 			     skh_mapchange_order_t *order, char **engine);
 
 #ifdef __cplusplus
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2417,7 +2417,7 @@
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[22] =
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[23] =
 {
   {
     "service",
@@ -2683,6 +2683,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
   9,   /* field[9] = armed */
@@ -2691,6 +2703,7 @@
   5,   /* field[5] = epoch */
   19,   /* field[19] = from_pass */
   16,   /* field[16] = greatest_count */
+  22,   /* field[22] = group */
   10,   /* field[10] = held */
   14,   /* field[14] = map */
   15,   /* field[15] = map_known */
@@ -2711,7 +2724,7 @@
 static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor skh__rank_report__descriptor =
 {
@@ -2721,14 +2734,14 @@
   "Skh__RankReport",
   "skh",
   sizeof(Skh__RankReport),
-  22,
+  23,
   skh__rank_report__field_descriptors,
   skh__rank_report__field_indices_by_name,
   1,  skh__rank_report__number_ranges,
   (ProtobufCMessageInit) skh__rank_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[15] =
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[16] =
 {
   {
     "op",
@@ -2910,6 +2923,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_order__field_indices_by_name[] = {
   9,   /* field[9] = base_version */
@@ -2918,6 +2943,7 @@
   3,   /* field[3] = epoch */
   11,   /* field[11] = experts */
   4,   /* field[4] = fence */
+  15,   /* field[15] = group */
   8,   /* field[8] = map */
   12,   /* field[12] = map_hash */
   14,   /* field[14] = n_first_experts */
@@ -2931,7 +2957,7 @@
 static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor skh__rank_order__descriptor =
 {
@@ -2941,7 +2967,7 @@
   "Skh__RankOrder",
   "skh",
   sizeof(Skh__RankOrder),
-  15,
+  16,
   skh__rank_order__field_descriptors,
   skh__rank_order__field_indices_by_name,
   1,  skh__rank_order__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -538,13 +538,17 @@
    * slowdown of the rank: time taken relative to normal; 1 is normal
    */
 	double pace;
+	/*
+   * name of the group in the engine's report
+   */
+	char *group;
 };
 #define SKH__RANK_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_report__descriptor)                             \
 		, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, \
 			0, 0, 0, 0, 0, 0, { 0, NULL }, 0, NULL, 0, 0, 0,                           \
-			(char *)protobuf_c_empty_string, 0, 0, 0                                   \
+			(char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string  \
 	}
 
 /*
@@ -617,12 +621,16 @@
    * the ranks in turn.
    */
 	uint32_t n_first_experts;
+	/*
+   * group that the order is for; a rank of another group rejects it
+   */
+	char *group;
 };
 #define SKH__RANK_ORDER__INIT                                                                      \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__rank_order__descriptor)                              \
 		, 0, 0, 0, 0, 0, 0, 0, 0, { 0, NULL }, 0, 0, NULL, 0, NULL, 0,                     \
-			(char *)protobuf_c_empty_string, 0                                         \
+			(char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string        \
 	}
 
 /*
--- a/test/greedy_rebalance_test.cc
+++ b/test/greedy_rebalance_test.cc
@@ -301,16 +301,18 @@
 	order.n_slots = 3;
 	order.map_version = 5;
 	order.map = first.data();
-	skh_rankrelay_pack(&order, nullptr, 0, nullptr, &packed);
-	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
+	skh_rankrelay_pack(&order, nullptr, 0, "g0", nullptr, &packed);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
+		  200);
 	EXPECT_EQ(engine, nullptr);
 	second[2] = 7;
 	second[20] = 1;
 	order.map_version = 6;
 	order.map = second.data();
 	skh_buffer_clear(&packed);
-	skh_rankrelay_pack(&order, &base, 0, "10.0.0.7:80", &packed);
-	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
+	skh_rankrelay_pack(&order, &base, 0, "g0", "10.0.0.7:80", &packed);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
+		  200);
 	EXPECT_TRUE(std::equal(second.begin(), second.end(), unpacked.map));
 	EXPECT_EQ(unpacked.map_version, 6);
 	EXPECT_STREQ(engine, "10.0.0.7:80");
@@ -319,7 +321,8 @@
 	// A process without the base map rejects the order, which has only the differences.
 	skh_map_cache_t other_cache = {};
 
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &other_cache, &unpacked, &engine),
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &other_cache, "g0", &unpacked,
+				       &engine),
 		  SKH_RANKRELAY_STATUS_NO_BASE);
 	g_free(engine);
 	ASSERT_NE(skh_map_cache_find(&cache, 5), nullptr);
@@ -327,7 +330,7 @@
 	// cache, as an order for a cached version doesn't need the base map.
 	cache.entries[0].map[0] = 3;
 	cache.entries[1].version = 7;
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine),
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
 		  SKH_RANKRELAY_STATUS_NO_BASE);
 	g_free(engine);
 	skh_buffer_free(&packed);
@@ -355,27 +358,29 @@
 	for (size_t i = 2; i < next.size(); i += 30)
 		next[i] = 1 + static_cast<uint32_t>(i % 258);
 	order.map = next.data();
-	skh_rankrelay_pack(&order, &base, 258, nullptr, &packed);
+	skh_rankrelay_pack(&order, &base, 258, "g0", nullptr, &packed);
 	EXPECT_LT(packed.len, 1000U) << "a complete map takes 12 KB";
-	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 200);
+	ASSERT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
+		  200);
 	EXPECT_TRUE(std::equal(next.begin(), next.end(), unpacked.map));
 	skh_map_cache_clear(&cache);
 	// Engines with another first map: the hash shows it.
 	skh_buffer_clear(&packed);
-	skh_rankrelay_pack(&order, &base, 257, nullptr, &packed);
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine),
+	skh_rankrelay_pack(&order, &base, 257, "g0", nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
 		  SKH_RANKRELAY_STATUS_NO_BASE);
 	skh_buffer_clear(&packed);
-	skh_rankrelay_pack(&order, &base, 388, nullptr, &packed);
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine),
+	skh_rankrelay_pack(&order, &base, 388, "g0", nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
 		  SKH_RANKRELAY_STATUS_NO_BASE);
 	// Numbers whose product wraps are out of bounds.
 	order.n_sets = 1U << 31;
 	order.n_ranks = 2;
 	order.n_slots = 0;
 	skh_buffer_clear(&packed);
-	skh_rankrelay_pack(&order, nullptr, 0, nullptr, &packed);
-	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, &unpacked, &engine), 400);
+	skh_rankrelay_pack(&order, nullptr, 0, "g0", nullptr, &packed);
+	EXPECT_EQ(skh_rankrelay_unpack(skh_buffer_chunk(&packed), &cache, "g0", &unpacked, &engine),
+		  400);
 	skh_buffer_free(&packed);
 	skh_map_cache_clear(&cache);
 }
--- /dev/null
+++ b/test/group_reports_test.cc
@@ -0,0 +1,193 @@
+// Reports of the ranks of several groups of one service at one coordinator. Guards against a
+// report of another group that replaces the state of the rank with the same number.
+#include "dialect.h"
+#include "engine_client.h"
+#include "groupview.h"
+#include "metrics.h"
+#include "rankrelay.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t kMs = 1000;
+constexpr uint32_t kSets = 2;
+constexpr uint32_t kSlots = 2;
+constexpr uint32_t kRanks = 4;
+
+skh_engine_spec_t make_spec()
+{
+	skh_engine_spec_t spec = {};
+
+	spec.expert_sets = kSets;
+	spec.experts_per_set = kRanks * kSlots;
+	spec.slots_per_rank = kSlots;
+	return spec;
+}
+
+// The view of the coordinator of one group, which gets the reports of any group.
+class View
+{
+      public:
+	explicit View(const char *group)
+	{
+		const skh_engine_spec_t spec = make_spec();
+		skh_error_t err = {};
+
+		uv_loop_init(&loop);
+		pool_options.attempt_id_header = "";
+		pool_options.connect_timeout_us = 100 * kMs;
+		pool_options.max_idle_connections = 1;
+		options.loop = &loop;
+		options.dialect = skh_dialect_find("fleet", &err);
+		options.pool_options = &pool_options;
+		options.group = group;
+		options.on_rank_state = [](void *, uint32_t, int64_t, int64_t) {};
+		skh_groupview_init(&view, &options, &spec);
+	}
+	~View()
+	{
+		skh_groupview_clear(&view);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		uv_loop_close(&loop);
+	}
+	View(const View &) = delete;
+	View &operator=(const View &) = delete;
+
+	// All slots of the reported map hold @expert.
+	bool record(const char *group, uint32_t rank, const std::string &engine, uint32_t expert,
+		    uint32_t n_ranks = kRanks)
+	{
+		Skh__RankReport message = SKH__RANK_REPORT__INIT;
+		std::vector<uint32_t> map(kSets * kSlots, expert);
+
+		message.service = const_cast<char *>("model");
+		message.group = const_cast<char *>(group);
+		message.engine = const_cast<char *>(engine.c_str());
+		message.relay = const_cast<char *>(engine.c_str());
+		message.rank = rank;
+		message.size = n_ranks;
+		message.open = 1;
+		message.epoch = 1;
+		message.pace = 1.0;
+		message.sender = std::hash<std::string>()(engine);
+		message.number = ++number;
+		message.map_known = 1;
+		message.map = map.data();
+		message.n_map = map.size();
+		return skh_groupview_record_report(&view, &message, rank == 0, kMs);
+	}
+
+	std::string engine(uint32_t rank)
+	{
+		return skh_engine_client_address(view.ranks[rank].engine);
+	}
+
+	uint32_t expert(uint32_t rank)
+	{
+		return view.map[static_cast<size_t>(rank) * kSlots];
+	}
+
+	skh_groupview_t view;
+
+      private:
+	uv_loop_t loop;
+	skh_upstream_pool_options_t pool_options = {};
+	skh_groupview_options_t options = {};
+	uint64_t number = 0;
+};
+
+std::string engine_of(char group, uint32_t rank)
+{
+	return "127.0.0.1:" + std::to_string((group == 'a' ? 1100 : 1200) + rank);
+}
+
+} // namespace
+
+TEST(GroupReports, RanksOfAnotherGroupReplaceNothing)
+{
+	View view("a");
+
+	for (uint32_t rank = 0; rank < kRanks; rank++) {
+		EXPECT_TRUE(view.record("a", rank, engine_of('a', rank), 1 + rank));
+		EXPECT_FALSE(view.record("b", rank, engine_of('b', rank), 5));
+	}
+	for (uint32_t rank = 0; rank < kRanks; rank++) {
+		EXPECT_EQ(view.engine(rank), engine_of('a', rank));
+		EXPECT_EQ(view.expert(rank), 1 + rank);
+	}
+	EXPECT_TRUE(skh_groupview_is_complete(&view.view, kMs));
+}
+
+// The order of the first reports must not matter.
+TEST(GroupReports, FirstReportOfAnotherGroupIsNotAdopted)
+{
+	View view("a");
+
+	EXPECT_FALSE(view.record("b", 3, engine_of('b', 3), 5, 64));
+	EXPECT_EQ(view.view.n_ranks, 0U);
+	EXPECT_TRUE(view.record("a", 3, engine_of('a', 3), 1));
+	EXPECT_EQ(view.view.n_ranks, kRanks);
+	EXPECT_FALSE(view.record("b", 3, engine_of('b', 3), 5, 64));
+	EXPECT_EQ(view.view.n_ranks, kRanks);
+}
+
+TEST(GroupReports, OtherAndUnknownGroupsAreCounted)
+{
+	View view("g0");
+	uint64_t before = skh_metrics_get(SKH_COUNT_FOREIGN_REPORTS);
+
+	for (const char *group : { "", "g", "g00", "G0", "g1" })
+		EXPECT_FALSE(view.record(group, 1, engine_of('b', 1), 5)) << group;
+	EXPECT_EQ(view.view.n_ranks, 0U);
+	EXPECT_EQ(skh_metrics_get(SKH_COUNT_FOREIGN_REPORTS) - before, 5U);
+}
+
+namespace
+{
+
+int32_t send_order(const char *order_group, const char *engine_group, skh_map_cache_t *cache)
+{
+	const uint32_t map[] = { 1, 2 };
+	skh_mapchange_order_t order = {};
+	skh_mapchange_order_t unpacked;
+	skh_buffer_t packed = SKH_BUFFER_INIT;
+	char *engine = nullptr;
+
+	order.op = SKH_ENGINE_PREPARE;
+	order.map_version = 7;
+	order.epoch = 1;
+	order.fence = 9;
+	order.map = map;
+	order.n_sets = 1;
+	order.n_ranks = 2;
+	order.n_slots = 1;
+	skh_rankrelay_pack(&order, nullptr, 2, order_group, nullptr, &packed);
+	int32_t status = skh_rankrelay_unpack(skh_buffer_chunk(&packed), cache, engine_group,
+					      &unpacked, &engine);
+	skh_buffer_free(&packed);
+	g_free(engine);
+	return status;
+}
+
+} // namespace
+
+// An order that was delayed while the engine restarted into the other group: the engine would
+// carry it out, as epoch and fence of the two groups are unrelated.
+TEST(GroupOrders, RelayRejectsOrdersOfAnotherGroup)
+{
+	skh_map_cache_t cache = {};
+
+	EXPECT_EQ(send_order("a", "b", &cache), SKH_RANKRELAY_STATUS_OTHER_GROUP);
+	EXPECT_EQ(send_order("", "b", &cache), SKH_RANKRELAY_STATUS_OTHER_GROUP);
+	EXPECT_EQ(send_order("a", "", &cache), SKH_RANKRELAY_STATUS_OTHER_GROUP);
+	EXPECT_EQ(send_order("", "", &cache), SKH_RANKRELAY_STATUS_OTHER_GROUP);
+	EXPECT_EQ(skh_map_cache_find(&cache, 7), nullptr)
+		<< "a rejected map is a base for differences";
+	EXPECT_EQ(send_order("b", "b", &cache), 200);
+	skh_map_cache_clear(&cache);
+}
--- a/test/group_size_test.cc
+++ b/test/group_size_test.cc
@@ -208,6 +208,7 @@
 		options.loop = &loop;
 		options.dialect = skh_dialect_find("fleet", &err);
 		options.pool_options = &pool_options;
+		options.group = "g0";
 		options.on_rank_state = [](void *, uint32_t, int64_t, int64_t) {};
 		skh_groupview_init(&view, &options, &spec);
 	}
@@ -226,6 +227,7 @@
 		std::string engine = "127.0.0.1:" + std::to_string(1024 + rank);
 
 		message.service = const_cast<char *>("model");
+		message.group = const_cast<char *>("g0");
 		message.engine = const_cast<char *>(engine.c_str());
 		message.relay = const_cast<char *>(engine.c_str());
 		message.rank = rank;
