--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -1,7 +1,8 @@
 /*
  * Stand-in for the users' servers, all in one process: RANKS ranks of one lock-step group on
  * the ports from BASE, and two plain servers from BASE + 80. Each server registers in the
- * store, with its port plus OFFSET, where a proxy may listen.
+ * store, with its port plus OFFSET, where a proxy may listen. With another GROUP than g0, there are
+ * no plain servers, so that two processes can run two groups of one service.
  *
  * The servers count violations: requests under /once/ that ran twice, requests without a
  * customer or deadline or with the caller's Authorization header, requests to a server that
@@ -12,6 +13,7 @@
  *   GET /seen                    counters of all servers
  *   GET /ran                     ids of all attempts that ran
  *   POST /control                change the server that listens on the port:
+ *     {"group":"name"}           all ranks are in this group from now on
  *     {"draining":true}          announce that the server drains
  *     {"gone":true}              remove the server from the store
  *     {"back":true}              register the server again
@@ -107,6 +109,7 @@
 	json_t *map;
 } server_t;
 
+static char group_name[64] = "g0";
 static GMutex lock;
 static server_t servers[MAX_SERVERS];
 static int n_servers;
@@ -406,9 +409,9 @@
 	bool is_prepared = g_get_monotonic_time() >= rank->ready_us;
 
 	return json_pack("{s:s, s:{s:s, s:i, s:i, s:s}, s:i, s:I, s:I, s:I, s:I, s:I, s:i}",
-			 "phase", "unified", "group", "name", "g0", "epoch", 1, "rank", rank->rank,
-			 "state", "open", "size", n_ranks, "step", (json_int_t)pass, "mapping",
-			 (json_int_t)rank->map_version, "prepared",
+			 "phase", "unified", "group", "name", group_name, "epoch", 1, "rank",
+			 rank->rank, "state", "open", "size", n_ranks, "step", (json_int_t)pass,
+			 "mapping", (json_int_t)rank->map_version, "prepared",
 			 (json_int_t)(is_prepared ? rank->prepared_version : 0), "armed",
 			 (json_int_t)rank->armed_version, "held", (json_int_t)rank->held_pass,
 			 "sequence", 1);
@@ -648,6 +651,7 @@
 	json_t *json = standin_read_json(connection);
 	const char *fault = json_string_value(json_object_get(json, "fault"));
 	const char *part = json_string_value(json_object_get(json, "crash_part"));
+	const char *group = json_string_value(json_object_get(json, "group"));
 	const char *order_fault = json_string_value(json_object_get(json, "order"));
 
 	if (json_is_true(json_object_get(json, "draining")))
@@ -669,6 +673,8 @@
 		server->limit = json_number_value(json_object_get(json, "limit"));
 		server->limited_since_us = g_get_monotonic_time();
 	}
+	if (group)
+		(void)g_strlcpy(group_name, group, sizeof(group_name));
 	if (part)
 		(void)g_strlcpy(crash_part, part, sizeof(crash_part));
 	if (order_fault) {
@@ -734,7 +740,9 @@
 	server->born_unix_ms = g_get_real_time() / US_PER_MS;
 	server->is_engine = is_engine;
 	server->rank = n_servers;
-	(void)g_snprintf(server->id, sizeof(server->id), "%s%d", is_engine ? "m" : "p", n_servers);
+	(void)g_snprintf(server->id, sizeof(server->id), "%s%s%d",
+			 strcmp(group_name, "g0") == 0 ? "" : group_name, is_engine ? "m" : "p",
+			 n_servers);
 	if (is_engine)
 		server->map = make_initial_map();
 	g_string_append_printf(ports, "%s127.0.0.1:%d", n_servers ? "," : "", port);
@@ -747,19 +755,22 @@
 	pthread_t thread;
 	int base;
 
-	if (argc != 4 && argc != 5) {
-		(void)fprintf(stderr, "usage: standin-fleet_servers STORE BASE RANKS [OFFSET]\n");
+	if (argc < 4 || argc > 6) {
+		(void)fprintf(stderr,
+			      "usage: standin-fleet_servers STORE BASE RANKS [OFFSET [GROUP]]\n");
 		return 2;
 	}
 	store = argv[1];
 	base = atoi(argv[2]);
-	registered_port_offset = argc == 5 ? atoi(argv[4]) : 0;
+	registered_port_offset = argc >= 5 ? atoi(argv[4]) : 0;
+	if (argc == 6)
+		(void)g_strlcpy(group_name, argv[5], sizeof(group_name));
 	all_attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	n_ranks = MIN(atoi(argv[3]), MAX_SERVERS - N_PLAIN);
 	once_attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int i = 0; i < n_ranks; i++)
 		add_server(ports, base + i, true);
-	for (int i = 0; i < N_PLAIN; i++)
+	for (int i = 0; i < N_PLAIN && strcmp(group_name, "g0") == 0; i++)
 		add_server(ports, base + PLAIN_PORT_OFFSET + i, false);
 	(void)curl_global_init(CURL_GLOBAL_DEFAULT);
 	(void)pthread_create(&thread, NULL, run_heartbeat, NULL);
