Bring a map change to an end when its lease expires

Cause: a change was abandoned with its hold in place as soon as the lease of its coordinator had passed its deadline, also if the same lease was renewed 0.1 s later. Change: mapchange is told whether the lease is held and ends the change without it: it undoes it before the first arm order, releases it once all ranks are armed, and waits 0.45 s for confirmations in between. The fences make this safe while a later coordinator acts; where they did not, they are mended: - A later coordinator disarmed ranks while an earlier one, or an order of it that was carried out late, could still release the group at a rank that had not recorded the new fence. It now disarms only under a hold of its own at its own rank. - In a group without requests, a late release of phase 2 freed the hold of phase 3 at the same pass. The hold is now at a later pass than any that was released. - A proxy rank whose first arm order was lost got no second one, so that the group was held for 2.5 s. The balancer passes the reports of its own rank to a change without a lease, too. A fenced change of an earlier lease no longer resigns the present one.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -185,6 +185,12 @@
 	return balancer->coordinator && has_valid_lease(balancer, now_us);
 }
 
+/* A change whose lease has expired still needs the reports of its own rank to end. */
+static bool is_changing_group(const balancer_t *balancer)
+{
+	return balancer->coordinator && skh_coordinator_is_changing_map(balancer->coordinator);
+}
+
 /* Passes the state of the rank beside this process to the coordinator in this process. */
 static void handle_own_report(balancer_t *balancer, int64_t now_us)
 {
@@ -228,10 +234,9 @@
 	int64_t now_us = skh_clock_boot_us();
 
 	balancer->report_now = true;
-	if (is_coordinating(balancer, now_us))
+	if (is_coordinating(balancer, now_us) || is_changing_group(balancer))
 		handle_own_report(balancer, now_us);
-	else
-		report_if_due(balancer, now_us);
+	report_if_due(balancer, now_us);
 }
 
 static void on_counts(void *context, const skh_demand_sample_t *sample)
@@ -384,9 +389,7 @@
 	int64_t version = skh_rankrelay_last_prepared_version(balancer->relay, &prepared_us);
 	bool is_preparing = version > report->prepared_version && version > report->map_version &&
 			    now_us - prepared_us < MAX_PREPARE_US;
-	bool is_changing_map =
-		is_preparing || (is_coordinating(balancer, now_us) &&
-				 skh_coordinator_is_changing_map(balancer->coordinator));
+	bool is_changing_map = is_preparing || is_changing_group(balancer);
 
 	skh_rank_poller_set_report_period(
 		balancer->poller, is_changing_map ? MAP_CHANGE_POLL_INTERVAL_US : POLL_INTERVAL_US);
@@ -410,10 +413,9 @@
 	apply_engine_spec(balancer);
 	update_intervals(balancer, now_us);
 	skh_rank_poller_tick(balancer->poller, now_us);
-	if (is_coordinating(balancer, now_us))
+	if (is_coordinating(balancer, now_us) || is_changing_group(balancer))
 		handle_own_report(balancer, now_us);
-	else
-		report_if_due(balancer, now_us);
+	report_if_due(balancer, now_us);
 	run_coordinator(balancer, now_us);
 }
 
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -80,6 +80,7 @@
 	int64_t change_started_us;
 	skh_fence_counter_t fences;
 	int64_t fence;		 /* fencing token of the lease; 0 while it is not held */
+	int64_t change_fence;	 /* fencing token of the lease that the change began under */
 	bool has_fresh_counts;	 /* the demand estimate has changed since the last plan */
 	bool has_demand_shifted; /* demand has shifted since the last plan */
 	bool is_changing;
@@ -247,7 +248,9 @@
 	if (!coordinator->is_changing)
 		return;
 	skh_mapchange_record_result(&coordinator->change, rank, result, now_us);
-	coordinator->was_fenced = coordinator->was_fenced || result == SKH_MAPCHANGE_ORDER_FENCED;
+	/* A change of an earlier lease says nothing about the present one. */
+	if (result == SKH_MAPCHANGE_ORDER_FENCED && coordinator->change_fence == coordinator->fence)
+		coordinator->was_fenced = true;
 	send_orders(coordinator, now_us);
 }
 
@@ -308,6 +311,7 @@
 	};
 
 	skh_mapchange_init(&coordinator->change, &options, now_us);
+	coordinator->change_fence = coordinator->fence;
 	coordinator->last_proxy_rank = options.proxy_rank;
 	skh_order_sender_begin_change(coordinator->sender, options.proxy_rank);
 	view->next_epoch = epoch;
@@ -514,16 +518,20 @@
 	skh_metrics_add(succeeded ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
-/* A change ends with the lease that it began under: another process may have held the lease since. */
+/* A change in progress is brought to an end, as nobody else knows yet what it has armed or held. */
 static void update_lease(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
 {
+	if (coordinator->is_changing)
+		skh_mapchange_set_lease(&coordinator->change,
+					fence != 0 && fence == coordinator->change_fence, now_us);
 	if (fence == coordinator->fence)
 		return;
 	if (coordinator->is_changing)
-		skh_log(SKH_LOG_INFO, PART, "Map change abandoned because the lease changed.",
-			"version=%" PRId64, coordinator->change.version);
+		skh_log(SKH_LOG_INFO, PART, "Lease changed during a map change.",
+			"version=%" PRId64 " phase=%d began_under=%" PRId64 " fence=%" PRId64,
+			coordinator->change.version, (int)coordinator->change.phase,
+			coordinator->change_fence, fence);
 	coordinator->fence = fence;
-	coordinator->is_changing = false;
 	coordinator->was_fenced = false;
 	coordinator->needs_repair = false;
 	coordinator->next_decision_us = now_us + TAKEOVER_DELAY_US;
@@ -532,7 +540,7 @@
 bool skh_coordinator_tick(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
 {
 	update_lease(coordinator, fence, now_us);
-	if (fence == 0)
+	if (fence == 0 && !coordinator->is_changing)
 		return true;
 	skh_groupview_poll_silent_ranks(&coordinator->view, now_us);
 	if (coordinator->is_changing) {
@@ -540,6 +548,8 @@
 		send_orders(coordinator, now_us);
 		finish_change(coordinator, now_us);
 	}
+	if (fence == 0)
+		return true;
 	maybe_change_map(coordinator, now_us);
 	return !coordinator->was_fenced;
 }
--- a/src/mapchange.c
+++ b/src/mapchange.c
@@ -19,6 +19,15 @@
 #define PHASE_TIMEOUT_US (9 * SKH_US_PER_S)
 /* Timeout of the phases ARM, DISARM and UNDO_HOLD, in which the group may be held. */
 #define ARM_TIMEOUT_US (2500 * SKH_US_PER_MS)
+/*
+ * Time for which a change without a lease waits for ranks to confirm that they are armed: two orders
+ * to a relay that does not respond (220 ms each). The rest of a second is left for the undo.
+ */
+#define ARM_WITHOUT_LEASE_US (450 * SKH_US_PER_MS)
+/* A change that holds nothing waits this long for the renewal of its lease: one time to live. */
+#define LEASE_WAIT_US (1 * SKH_US_PER_S)
+/* A report of the own rank that arrives this long after an order was generated after it. */
+#define OWN_REPORT_DELAY_US (60 * SKH_US_PER_MS)
 /*
  * Maximum age of the probe that the proxy rank responded to, when it is armed: a round trip
  * between failure domains plus one event loop iteration of a slow process. If the proxy rank
@@ -166,24 +175,43 @@
 
 static void begin_hold(skh_mapchange_t *change, int64_t now_us)
 {
-	change->switch_pass = change->ranks[change->own_rank].report.pass + LEAD_PASSES;
+	change->switch_pass = MAX(change->ranks[change->own_rank].report.pass + LEAD_PASSES,
+				  change->released_pass + 1);
 	enter_phase(change, SKH_MAPCHANGE_HOLD, now_us);
 }
 
+static bool is_guard_pending(const skh_mapchange_t *change)
+{
+	const skh_mapchange_rank_t *own = &change->ranks[change->own_rank];
+
+	return own->is_order_pending && own->order_op == SKH_ENGINE_HOLD;
+}
+
+static void begin_undo(skh_mapchange_t *change, const char *cause, int64_t now_us)
+{
+	change->undo_cause = cause;
+	enter_phase(change, SKH_MAPCHANGE_DISARM, now_us);
+}
+
 /* Enters the next phase when the known state of the ranks allows it. */
 static void advance(skh_mapchange_t *change, int64_t now_us)
 {
-	if (change->phase == SKH_MAPCHANGE_PREPARE && all_ranks(change, has_prepared))
+	if (change->phase == SKH_MAPCHANGE_PREPARE && all_ranks(change, has_prepared) &&
+	    !is_guard_pending(change))
 		enter_phase(change, SKH_MAPCHANGE_RELEASE_STALE_HOLD, now_us);
-	if (change->phase == SKH_MAPCHANGE_RELEASE_STALE_HOLD && all_ranks(change, is_not_held))
+	if (change->phase == SKH_MAPCHANGE_RELEASE_STALE_HOLD && change->guard_pass == 0 &&
+	    all_ranks(change, is_not_held))
 		enter_phase(change, SKH_MAPCHANGE_COPY, now_us);
-	if (change->phase == SKH_MAPCHANGE_COPY && all_ranks(change, has_copies))
+	if (change->phase == SKH_MAPCHANGE_COPY && all_ranks(change, has_copies) &&
+	    change->no_lease_since_us == 0)
 		begin_hold(change, now_us);
 	if (change->phase == SKH_MAPCHANGE_ARM && all_ranks(change, is_armed))
 		enter_phase(change, SKH_MAPCHANGE_RELEASE, now_us);
 	if (change->phase == SKH_MAPCHANGE_DISARM && all_ranks(change, cannot_be_armed))
 		enter_phase(change, SKH_MAPCHANGE_UNDO_HOLD, now_us);
-	if (change->phase == SKH_MAPCHANGE_SETTLE && has_switched(change))
+	/* A rank that has switched cannot be disarmed; the pass has begun, so nothing holds it. */
+	if ((change->phase == SKH_MAPCHANGE_SETTLE || change->phase == SKH_MAPCHANGE_DISARM) &&
+	    has_switched(change))
 		enter_phase(change, SKH_MAPCHANGE_DONE, now_us);
 }
 
@@ -191,13 +219,17 @@
 static void process_own_report(skh_mapchange_t *change, const skh_engine_report_t *report,
 			       int64_t now_us)
 {
-	if (change->phase == SKH_MAPCHANGE_HOLD && report->held_pass != 0) {
+	if (change->phase == SKH_MAPCHANGE_HOLD && report->held_pass > change->released_pass) {
 		change->switch_pass = report->held_pass;
 		change->held_since_us = now_us;
 		enter_phase(change, SKH_MAPCHANGE_ARM, now_us);
 	} else if (change->phase == SKH_MAPCHANGE_RELEASE && report->held_pass == 0 &&
 		   now_us - change->phase_since_us > CONFLICT_DELAY_US) {
 		enter_phase(change, SKH_MAPCHANGE_SETTLE, now_us);
+	} else if (change->phase == SKH_MAPCHANGE_UNDO_HOLD && change->undone_us != 0 &&
+		   report->held_pass == 0 && now_us - change->undone_us > OWN_REPORT_DELAY_US) {
+		change->held_since_us = 0;
+		fail(change, change->undo_cause, now_us);
 	}
 }
 
@@ -220,25 +252,18 @@
 		state->is_armed = true;
 	if (report->prepared_version == change->version)
 		state->has_prepared = true;
+	/* The report shows why the rank rejected the prepare order. */
+	if (change->phase == SKH_MAPCHANGE_PREPARE && report->armed_version != 0)
+		state->next_order_us = 0;
 	if (rank == change->own_rank)
 		process_own_report(change, report, now_us);
 	advance(change, now_us);
 }
 
-/* Returns the rank that holds the group, or the number of ranks when none is known. */
-static uint32_t find_holder(const skh_mapchange_t *change)
-{
-	for (uint32_t i = 0; i < change->n_ranks; i++) {
-		if (change->ranks[i].report.held_pass != 0)
-			return i;
-	}
-	return change->n_ranks;
-}
-
-static bool has_responded(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+static bool is_not_armed_by_report(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
 {
 	(void)change;
-	return rank->has_responded;
+	return rank->report.armed_version == 0;
 }
 
 static bool has_reported(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
@@ -247,28 +272,50 @@
 	return rank->has_reported;
 }
 
+static bool needs_no_disarm(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
+{
+	return rank->has_prepared || !rank->has_responded || is_not_armed_by_report(change, rank);
+}
+
+/*
+ * The pass of the guard hold is the next one, or the one that the own rank already holds: a hold
+ * that is accepted again is bound to the new fence.
+ */
+static bool choose_guard_order(const skh_mapchange_t *change, skh_mapchange_order_t *order)
+{
+	const skh_engine_report_t *own = &change->ranks[change->own_rank].report;
+
+	if (change->has_guard || all_ranks(change, needs_no_disarm))
+		return false;
+	order->op = SKH_ENGINE_HOLD;
+	order->pass = own->held_pass != 0 ? own->held_pass : own->pass + LEAD_PASSES;
+	return true;
+}
+
 /*
  * Sends prepare to all ranks. Those that an earlier coordinator left armed reject it and are sent
- * disarm once all ranks have responded, the rank that holds the group first.
+ * disarm under the guard hold, the own rank first: if it held the group already, its engine may
+ * have rejected the guard hold without recording the fence.
  */
 static bool choose_prepare_order(const skh_mapchange_t *change, uint32_t rank,
 				 skh_mapchange_order_t *order)
 {
 	const skh_mapchange_rank_t *state = &change->ranks[rank];
-	uint32_t holder;
+	const skh_mapchange_rank_t *own = &change->ranks[change->own_rank];
 
-	if (state->has_prepared || !all_ranks(change, has_reported))
+	if (!all_ranks(change, has_reported))
 		return false;
-	order->op = SKH_ENGINE_PREPARE;
-	if (state->report.armed_version == 0 || !state->has_responded)
+	if (rank == change->own_rank && choose_guard_order(change, order))
 		return true;
-	holder = find_holder(change);
-	if (!all_ranks(change, has_responded) ||
-	    (holder < change->n_ranks && holder != rank && !change->ranks[holder].has_prepared))
+	if (state->has_prepared)
 		return false;
+	order->op = SKH_ENGINE_PREPARE;
+	if (needs_no_disarm(change, state))
+		return true;
 	order->op = SKH_ENGINE_DISARM;
 	order->map_version = state->report.armed_version;
-	return true;
+	return change->has_guard &&
+	       (rank == change->own_rank || is_not_armed_by_report(change, own));
 }
 
 static bool choose_order(const skh_mapchange_t *change, uint32_t rank, int64_t now_us,
@@ -282,22 +329,34 @@
 	case SKH_MAPCHANGE_RELEASE_STALE_HOLD:
 		order->op = SKH_ENGINE_RELEASE;
 		order->pass = state->report.held_pass;
-		return state->report.held_pass != 0;
+		if (rank == change->own_rank && change->guard_pass != 0)
+			order->pass = change->guard_pass;
+		return order->pass != 0;
 	case SKH_MAPCHANGE_HOLD:
+		/* A guard hold without a response may be carried out after its release. */
 		order->op = SKH_ENGINE_HOLD;
+		if (state->report.held_pass != 0) {
+			order->op = SKH_ENGINE_RELEASE;
+			order->pass = state->report.held_pass;
+		}
 		return rank == change->own_rank;
 	case SKH_MAPCHANGE_ARM:
 		order->op = SKH_ENGINE_ARM;
-		return !state->is_armed &&
-		       (rank != change->proxy_rank || can_arm_proxy(change, now_us));
+		/* Once an arm order was sent, another one adds no uncertainty. */
+		return !state->is_armed && (rank != change->proxy_rank || state->may_be_armed ||
+					    can_arm_proxy(change, now_us));
 	case SKH_MAPCHANGE_DISARM:
 		order->op = SKH_ENGINE_DISARM;
 		order->fence++;
 		return state->may_be_armed;
 	case SKH_MAPCHANGE_UNDO_HOLD:
+		/* A hold order without a response may have taken effect at an earlier pass. */
 		order->op = SKH_ENGINE_RELEASE;
 		order->fence++;
-		return rank == change->own_rank;
+		if (state->report.held_pass != 0)
+			order->pass = state->report.held_pass;
+		return rank == change->own_rank &&
+		       (change->undone_us == 0 || state->report.held_pass != 0);
 	case SKH_MAPCHANGE_RELEASE:
 		order->op = SKH_ENGINE_RELEASE;
 		return rank == change->own_rank;
@@ -330,6 +389,16 @@
 		return false;
 	state->is_order_pending = true;
 	state->may_be_armed = state->may_be_armed || order->op == SKH_ENGINE_ARM;
+	if (change->phase == SKH_MAPCHANGE_PREPARE && order->op == SKH_ENGINE_HOLD) {
+		change->guard_pass = order->pass;
+		change->held_since_us = change->held_since_us ? change->held_since_us : now_us;
+	}
+	if (rank == change->own_rank && order->op == SKH_ENGINE_RELEASE &&
+	    (change->phase == SKH_MAPCHANGE_RELEASE_STALE_HOLD ||
+	     change->phase == SKH_MAPCHANGE_HOLD)) {
+		change->released_pass = MAX(change->released_pass, order->pass);
+		change->switch_pass = MAX(change->switch_pass, change->released_pass + 1);
+	}
 	state->order_op = order->op;
 	state->order_sent_us = now_us;
 	return true;
@@ -353,6 +422,8 @@
 		if (change->phase == SKH_MAPCHANGE_HOLD) {
 			change->held_since_us = now_us;
 			enter_phase(change, SKH_MAPCHANGE_ARM, now_us);
+		} else if (change->phase == SKH_MAPCHANGE_PREPARE) {
+			change->has_guard = true;
 		}
 		break;
 	case SKH_ENGINE_ARM:
@@ -360,12 +431,16 @@
 		break;
 	case SKH_ENGINE_RELEASE:
 		state->report.held_pass = 0;
-		if (change->phase == SKH_MAPCHANGE_RELEASE)
-			enter_phase(change, SKH_MAPCHANGE_SETTLE, now_us);
-		if (change->phase == SKH_MAPCHANGE_UNDO_HOLD) {
+		if (change->phase == SKH_MAPCHANGE_RELEASE_STALE_HOLD &&
+		    state == &change->ranks[change->own_rank] && change->guard_pass != 0) {
+			change->has_guard = false;
+			change->guard_pass = 0;
 			change->held_since_us = 0;
-			fail(change, "the proxy rank was silent past its timeout", now_us);
 		}
+		if (change->phase == SKH_MAPCHANGE_RELEASE)
+			enter_phase(change, SKH_MAPCHANGE_SETTLE, now_us);
+		if (change->phase == SKH_MAPCHANGE_UNDO_HOLD)
+			change->undone_us = now_us;
 		break;
 	}
 }
@@ -373,10 +448,15 @@
 static void process_conflict(skh_mapchange_t *change, skh_mapchange_rank_t *state, int64_t now_us)
 {
 	state->next_order_us = now_us + CONFLICT_DELAY_US;
-	if (change->phase == SKH_MAPCHANGE_HOLD) {
+	if (change->phase == SKH_MAPCHANGE_HOLD && state->order_op == SKH_ENGINE_HOLD) {
 		/* The pass has begun, or the rank already holds, which its report will show. */
 		change->switch_pass = MAX(change->switch_pass, state->report.pass) + LEAD_PASSES;
 		state->next_order_us = now_us;
+	} else if (change->phase == SKH_MAPCHANGE_PREPARE && state->order_op == SKH_ENGINE_HOLD) {
+		/* The pass has begun, or the engine rejects a hold that it already has. */
+		if (state->report.held_pass == change->guard_pass)
+			change->has_guard = true;
+		state->next_order_us = now_us + RETRY_DELAY_US;
 	}
 }
 
@@ -417,14 +497,62 @@
 	if (change->others_armed_since_us == 0)
 		change->others_armed_since_us = now_us;
 	if (now_us - change->others_armed_since_us > PROXY_TIMEOUT_US)
-		enter_phase(change, SKH_MAPCHANGE_DISARM, now_us);
+		begin_undo(change, "the proxy rank was silent past its timeout", now_us);
+}
+
+void skh_mapchange_set_lease(skh_mapchange_t *change, bool has_lease, int64_t now_us)
+{
+	if (has_lease)
+		change->no_lease_since_us = 0;
+	else if (change->no_lease_since_us == 0)
+		change->no_lease_since_us = now_us;
+}
+
+static bool is_group_untouched(const skh_mapchange_t *change)
+{
+	return all_ranks(change, is_not_held) && all_ranks(change, is_not_armed_by_report);
+}
+
+/* Brings a change without a lease to an end. */
+static void check_lease(skh_mapchange_t *change, int64_t now_us)
+{
+	static const char *const cause = "the lease expired";
+	bool is_lost = change->no_lease_since_us != 0 &&
+		       now_us - change->no_lease_since_us > LEASE_WAIT_US;
+
+	if (change->no_lease_since_us == 0)
+		return;
+	switch (change->phase) {
+	case SKH_MAPCHANGE_PREPARE:
+		/* What an earlier change left held or armed is still to be released. */
+		if (is_lost && is_group_untouched(change))
+			fail(change, cause, now_us);
+		break;
+	case SKH_MAPCHANGE_COPY:
+		if (is_lost)
+			fail(change, cause, now_us);
+		break;
+	case SKH_MAPCHANGE_HOLD:
+		begin_undo(change, cause, now_us);
+		break;
+	case SKH_MAPCHANGE_ARM:
+		if (all_ranks(change, cannot_be_armed) ||
+		    now_us - change->phase_since_us > ARM_WITHOUT_LEASE_US)
+			begin_undo(change, cause, now_us);
+		break;
+	default:
+		break;
+	}
+	advance(change, now_us);
 }
 
 void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us)
 {
-	int64_t elapsed_us = now_us - change->phase_since_us;
 	const skh_engine_report_t *own = &change->ranks[change->own_rank].report;
+	int64_t elapsed_us;
 
+	check_lease(change, now_us);
+	elapsed_us = now_us - change->phase_since_us;
 	if (change->phase == SKH_MAPCHANGE_HOLD &&
 	    own->pass + MIN_LEAD_PASSES >= change->switch_pass &&
 	    !change->ranks[change->own_rank].is_order_pending)
@@ -437,7 +565,7 @@
 	if (change->phase == SKH_MAPCHANGE_ARM && elapsed_us > ARM_TIMEOUT_US)
 		fail(change, "a rank was not armed in time", now_us);
 	if ((change->phase == SKH_MAPCHANGE_DISARM || change->phase == SKH_MAPCHANGE_UNDO_HOLD) &&
-	    elapsed_us > ARM_TIMEOUT_US)
+	    change->no_lease_since_us == 0 && elapsed_us > ARM_TIMEOUT_US)
 		fail(change, "a rank was not disarmed or the hold not released in time", now_us);
 	if (change->phase == SKH_MAPCHANGE_ARM)
 		check_proxy_timeout(change, now_us);
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -19,16 +19,18 @@
  * The sequence of the phases guarantees the same map in every pass:
  *
  * 1. Prepare all ranks under a fencing token (fence) higher than any earlier one. An
- *    armed rank rejects the prepare and has to be disarmed. It is disarmed only after
- *    every rank has responded and so knows the fence; otherwise an earlier coordinator
- *    that resumes could still release the group. The rank that holds the group is
- *    disarmed first. Once all ranks have accepted, none is armed, and all orders in
- *    flight from earlier coordinators are fenced off.
- * 2. Only then release a hold that an earlier change left behind.
+ *    armed rank rejects the prepare and has to be disarmed. It is disarmed only under a
+ *    hold that this coordinator has placed under its own fence (guard hold): an earlier
+ *    coordinator may still release its own hold, also by an order that is carried out
+ *    late, and the armed ranks would switch without those that are already disarmed.
+ *    Once all ranks have accepted, none is armed, and all orders in flight from earlier
+ *    coordinators are fenced off.
+ * 2. Only then release a hold that an earlier change left behind, and the guard hold.
  * 3. When all ranks have their copies, hold the group at a future pass: no rank begins
  *    that pass until the hold is released. The hold is at the coordinator's own rank,
  *    where it can be released without the network, but it is placed by the process of
- *    another rank, the proxy rank.
+ *    another rank, the proxy rank. It is at a later pass than any that was released in
+ *    phase 2, because such a release may be carried out late and would end it.
  * 4. Arm the ranks for that pass, only after the hold is confirmed. The proxy rank is
  *    armed last, and only right after its engine has responded to a probe.
  * 5. Release the hold, only after every rank has confirmed that it is armed; usually
@@ -40,6 +42,13 @@
  * it is certainly not armed: the other ranks are disarmed under the next fence, which
  * invalidates the orders in flight, and the group continues with its previous map.
  *
+ * A coordinator whose lease has expired brings its change to an end, because a group that
+ * it leaves held stays held until a later coordinator has taken over. It begins no hold.
+ * Before the first arm order it undoes the change; once all ranks are armed it releases
+ * the hold; in between it does what the ranks confirm first. This needs no lease: a later
+ * coordinator relies only on ranks that know its fence and on its own hold, and a rank that
+ * knows a higher fence rejects the orders, which ends the change.
+ *
  * A coordinator that fails at any point leaves the group running or held; the next
  * coordinator starts again with phase 1.
  */
@@ -60,7 +69,7 @@
 	SKH_MAPCHANGE_COPY,
 	SKH_MAPCHANGE_HOLD,
 	SKH_MAPCHANGE_ARM,
-	SKH_MAPCHANGE_DISARM,	 /* undo after a timeout of the proxy rank */
+	SKH_MAPCHANGE_DISARM,	 /* undo: disarm the ranks that may be armed */
 	SKH_MAPCHANGE_UNDO_HOLD, /* undo: no rank is armed, release the hold */
 	SKH_MAPCHANGE_RELEASE,	 /* all ranks are armed, release the hold */
 	SKH_MAPCHANGE_SETTLE,	 /* wait for the switch */
@@ -103,7 +112,13 @@
 	int64_t switch_pass; /* pass in which the map changes */
 	int64_t phase_since_us;
 	int64_t spent_us[SKH_MAPCHANGE_FAILED + 1]; /* time spent in each phase */
-	int64_t held_since_us;	/* time of the hold; 0 before it and after it was undone */
+	int64_t held_since_us;	   /* time of the hold; 0 before it and after it was undone */
+	int64_t no_lease_since_us; /* when the lease of the change expired; 0 while it is held */
+	int64_t undone_us;	   /* when the own rank accepted the release that undoes a hold */
+	bool has_guard;		   /* the guard hold of phase 1 is in place */
+	int64_t guard_pass;	/* pass of the last order for it; 0 before it and after release */
+	int64_t released_pass;	/* latest pass that the own rank was told to release in phase 2 */
+	const char *undo_cause; /* why the change is undone; static text */
 	int64_t proxy_probe_us; /* send time of the newest probe that the proxy rank responded to */
 	int64_t others_armed_since_us; /* when all ranks but the proxy rank were armed; 0 if not */
 	const char *cause;	       /* cause of a failure; static text, NULL without one */
@@ -175,6 +190,15 @@
  */
 bool skh_mapchange_can_replace(const skh_mapchange_t *change);
 
+/**
+ * skh_mapchange_set_lease() - tell whether the lease that the change began under is held
+ * @has_lease: false after the lease's deadline, or if the lease is lost or was acquired anew
+ *
+ * Without the lease the change is brought to an end as described above; if the lease is renewed
+ * before that, the change continues.
+ */
+void skh_mapchange_set_lease(skh_mapchange_t *change, bool has_lease, int64_t now_us);
+
 /** skh_mapchange_tick() - apply timeouts; to be called periodically */
 void skh_mapchange_tick(skh_mapchange_t *change, int64_t now_us);
 
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -19,12 +19,24 @@
 // Virtual time is in microseconds.
 constexpr int64_t kMs = 1000;
 constexpr int64_t kS = 1000 * kMs;
+constexpr int64_t kLeaseTtl = 1 * kS;
+constexpr int64_t kLeaseMargin = 200 * kMs;
 
 enum class InjectedFault {
 	kNone,
 	kReleaseBeforeArmed, // the hold is released before all ranks are armed
 	kArmWithoutHold,     // ranks are armed without a hold
-	kConstantFence	     // a later coordinator does not raise the fence
+	kConstantFence,	     // a later coordinator does not raise the fence
+	kNoGuardHold,	     // armed ranks are disarmed without a hold under the new fence
+	kAbandonOnExpiry     // a change is abandoned, not ended, when its lease expires
+};
+
+// What happens to the lease of a coordinator whose renewals are late.
+enum class Lapse {
+	kRenewed,     // renewed with the same fence after its holder has stopped relying on it
+	kOtherHolder, // expires; another process acquires it
+	kSameHolder,  // expires; the same process acquires it again
+	kSlowStore    // held for 100 ms at a time, then not for 200 ms, for six seconds
 };
 
 struct Engine {
@@ -59,7 +71,10 @@
 	int64_t lease = 0;
 	bool is_alive = true;
 	int64_t frozen_until_us = 0;
-	int64_t lease_expires_us = 0; // as the coordinator knows it
+	int64_t lease_expires_us = 0;	      // in the store
+	int64_t renewal_blocked_until_us = 0; // renewals fail until then
+	int64_t may_begin_us = 0;	      // end of the delay after a takeover
+	int64_t change_lease = 0;	      // lease under which the change began
 	bool is_changing = false;
 	bool repair = false;
 	int64_t fence_offset = 0;
@@ -107,6 +122,32 @@
 		proxy_freezes = true;
 	}
 
+	// The lease of the next coordinator whose change is in @phase expires, up to 60 ms later.
+	void expire_lease_in(skh_mapchange_phase_t phase, Lapse kind)
+	{
+		lapse_phase = phase;
+		lapse = kind;
+		is_lapse_due = true;
+		lapse_at_us = 0;
+	}
+
+	// Probability that an order gets no response, without the other faults.
+	void lose_responses(double probability)
+	{
+		order_fault_probability = probability;
+	}
+
+	// Some passes begin only seconds later, as in a group without requests.
+	void idle_at_times()
+	{
+		is_idle_at_times = true;
+	}
+
+	bool has_lapsed() const
+	{
+		return !is_lapse_due;
+	}
+
 	std::string violation;
 	int64_t n_passes = 0;
 	int64_t n_changes = 0;
@@ -184,6 +225,8 @@
 		pass++;
 		n_passes++;
 		next_pass_us = now_us + random_between(30, 150) * kMs;
+		if (is_idle_at_times && random_bool(0.1))
+			next_pass_us = now_us + random_between(400, 3000) * kMs;
 		for (auto &engine : engines) {
 			if (engine.armed_version != 0 && engine.armed_pass == pass) {
 				engine.map_version = engine.armed_version;
@@ -342,7 +385,7 @@
 			get_sender_rank(*coordinators[coordinator_index], rank, order.op);
 		event.order.id = ++n_orders;
 		coordinators[coordinator_index]->pending_ids[rank] = n_orders;
-		if (inject_faults && random_bool(0.25)) {
+		if (random_bool(inject_faults ? 0.25 : order_fault_probability)) {
 			bool is_lost = random_bool(0.3);
 
 			// No response: never executed, executed now or seconds later.
@@ -469,17 +512,33 @@
 					now_us + random_between(200, 5000) * kMs;
 			if (inject_faults && coordinator->is_alive && random_bool(0.0008))
 				coordinator->is_alive = false;
+			if (inject_faults && random_bool(0.0015))
+				coordinator->renewal_blocked_until_us =
+					now_us + random_between(200, 2000) * kMs;
 			if (coordinator->is_alive && now_us >= coordinator->frozen_until_us &&
+			    now_us >= coordinator->renewal_blocked_until_us &&
 			    now_us < coordinator->lease_expires_us)
-				coordinator->lease_expires_us = now_us + 1000 * kMs;
+				coordinator->lease_expires_us = now_us + kLeaseTtl;
 			is_lease_held = is_lease_held || now_us < coordinator->lease_expires_us;
 		}
 		if (is_lease_held)
 			return;
+		n_leases++;
+		for (auto &coordinator : coordinators) {
+			if (coordinator->is_alive && now_us >= coordinator->frozen_until_us &&
+			    (does_same_holder_return || (inject_faults && random_bool(0.2)))) {
+				coordinator->lease = n_leases;
+				coordinator->fence_offset = 0;
+				coordinator->lease_expires_us = now_us + kLeaseTtl;
+				coordinator->renewal_blocked_until_us = 0;
+				return;
+			}
+		}
 		auto coordinator = std::make_unique<Coordinator>();
 
-		coordinator->lease = ++n_leases;
-		coordinator->lease_expires_us = now_us + 1000 * kMs;
+		coordinator->lease = n_leases;
+		coordinator->lease_expires_us = now_us + kLeaseTtl;
+		coordinator->may_begin_us = now_us + random_between(0, 550) * kMs;
 		coordinator->own_rank =
 			static_cast<uint32_t>(random_between(0, engines.size() - 1));
 		coordinator->reports.resize(engines.size());
@@ -488,6 +547,34 @@
 		coordinators.push_back(std::move(coordinator));
 	}
 
+	// As the coordinator knows it: it stops relying on the lease before it expires in the store.
+	bool has_lease(const Coordinator &coordinator) const
+	{
+		bool is_slow = now_us < slow_store_until_us &&
+			       (slow_store_until_us - now_us) % (300 * kMs) > 100 * kMs;
+
+		return now_us < coordinator.lease_expires_us - kLeaseMargin && !is_slow;
+	}
+
+	void expire_lease_if_due(Coordinator &coordinator)
+	{
+		if (!is_lapse_due || !has_lease(coordinator) || !coordinator.is_changing)
+			return;
+		if (lapse_at_us == 0 && coordinator.change.phase == lapse_phase)
+			lapse_at_us = now_us + random_between(0, 60) * kMs;
+		if (lapse_at_us == 0 || now_us < lapse_at_us)
+			return;
+		is_lapse_due = false;
+		if (lapse == Lapse::kSlowStore) {
+			slow_store_until_us = now_us + 6 * kS;
+			return;
+		}
+		does_same_holder_return = lapse == Lapse::kSameHolder;
+		coordinator.lease_expires_us = now_us + kLeaseMargin;
+		coordinator.renewal_blocked_until_us =
+			now_us + (lapse == Lapse::kRenewed ? 150 * kMs : 2 * kS);
+	}
+
 	void send_orders(size_t index)
 	{
 		Coordinator &coordinator = *coordinators[index];
@@ -539,6 +626,7 @@
 		options.fence = injected_fault == InjectedFault::kConstantFence ? 1 : fence;
 		skh_mapchange_init(&coordinator.change, &options, now_us);
 		coordinator.is_changing = true;
+		coordinator.change_lease = coordinator.lease;
 		for (auto &id : coordinator.pending_ids)
 			id = 0;
 		for (uint32_t rank = 0; rank < engines.size(); rank++)
@@ -556,22 +644,37 @@
 		if (injected_fault == InjectedFault::kArmWithoutHold &&
 		    change.phase == SKH_MAPCHANGE_HOLD)
 			change.phase = SKH_MAPCHANGE_ARM;
+		if (injected_fault == InjectedFault::kNoGuardHold)
+			change.has_guard = true;
 	}
 
-	// A resumed coordinator acts for 50 ms before it notices that its lease has expired.
+	// A resumed coordinator begins changes for 50 ms before it notices that its lease has expired.
 	void run_coordinator(Coordinator &coordinator)
 	{
 		size_t index = 0;
 		bool has_just_resumed = now_us >= coordinator.frozen_until_us &&
 					now_us < coordinator.frozen_until_us + 50 * kMs;
+		bool acts_as_holder = has_lease(coordinator) || has_just_resumed;
 
 		while (coordinators[index].get() != &coordinator)
 			index++;
-		if (!coordinator.is_alive || now_us < coordinator.frozen_until_us ||
-		    (now_us >= coordinator.lease_expires_us && !has_just_resumed))
+		if (!coordinator.is_alive || now_us < coordinator.frozen_until_us)
 			return;
+		expire_lease_if_due(coordinator);
+		if (coordinator.is_changing) {
+			bool is_same_lease = coordinator.lease == coordinator.change_lease;
+
+			if (injected_fault == InjectedFault::kAbandonOnExpiry &&
+			    (!acts_as_holder || !is_same_lease)) {
+				coordinator.is_changing = false;
+				coordinator.may_begin_us = now_us + 400 * kMs;
+			}
+			skh_mapchange_set_lease(&coordinator.change,
+						acts_as_holder && is_same_lease, now_us);
+		}
 		if (!coordinator.is_changing) {
-			if (has_complete_reports(coordinator) && random_bool(0.05))
+			if (acts_as_holder && now_us >= coordinator.may_begin_us &&
+			    has_complete_reports(coordinator) && random_bool(0.05))
 				start_change(coordinator);
 			else
 				return;
@@ -601,6 +704,14 @@
 	uint64_t n_orders = 0;
 	bool inject_faults = true;
 	bool proxy_freezes = false;
+	double order_fault_probability = 0;
+	bool is_idle_at_times = false;
+	bool is_lapse_due = false;
+	Lapse lapse = Lapse::kRenewed;
+	skh_mapchange_phase_t lapse_phase = SKH_MAPCHANGE_PREPARE;
+	int64_t lapse_at_us = 0;
+	int64_t slow_store_until_us = 0;
+	bool does_same_holder_return = false;
 	int64_t held_since_us = 0;
 };
 
@@ -611,6 +722,7 @@
 	for (uint32_t seed = 1; seed <= seeds; seed++) {
 		Simulation simulation(seed, 2 + seed % 4, injected_fault);
 
+		simulation.idle_at_times();
 		simulation.run(40 * kS, true);
 		n_found += !simulation.violation.empty();
 	}
@@ -654,6 +766,75 @@
 	}
 }
 
+// A group without requests begins passes seconds apart, so that ranks stay armed without a hold while
+// a later coordinator takes over.
+TEST(MapChange, NoPassMixesMapsInIdleGroup)
+{
+	for (uint32_t seed = 1; seed <= get_seed_count(300); seed++) {
+		Simulation simulation(seed, 2 + seed % 5, InjectedFault::kNone);
+
+		simulation.idle_at_times();
+		simulation.run(40 * kS, true);
+		ASSERT_EQ(simulation.violation, "") << "seed " << seed;
+	}
+}
+
+namespace
+{
+
+constexpr skh_mapchange_phase_t kLapsePhases[] = {
+	SKH_MAPCHANGE_PREPARE, SKH_MAPCHANGE_COPY,    SKH_MAPCHANGE_HOLD,
+	SKH_MAPCHANGE_ARM,     SKH_MAPCHANGE_RELEASE, SKH_MAPCHANGE_SETTLE,
+};
+constexpr Lapse kLapses[] = { Lapse::kRenewed, Lapse::kOtherHolder, Lapse::kSameHolder,
+			      Lapse::kSlowStore };
+
+// Returns the longest hold when the lease expires in @phase.
+int64_t measure_hold_after_lapse(uint32_t seed, skh_mapchange_phase_t phase, Lapse lapse,
+				 double lost, InjectedFault injected_fault)
+{
+	Simulation simulation(seed, 2 + seed % 7, injected_fault);
+
+	simulation.run(2 * kS, false);
+	simulation.lose_responses(lost);
+	simulation.expire_lease_in(phase, lapse);
+	simulation.run(16 * kS, false);
+	EXPECT_EQ(simulation.violation, "") << "seed " << seed << " phase " << phase;
+	EXPECT_TRUE(simulation.has_lapsed()) << "seed " << seed << " phase " << phase;
+	return simulation.max_hold_us;
+}
+
+} // namespace
+
+// A change that was abandoned with its hold left the group held until a later one released it.
+TEST(MapChange, GroupIsReleasedWhenLeaseExpires)
+{
+	for (auto lapse : kLapses) {
+		for (auto phase : kLapsePhases) {
+			int64_t max_us = 0;
+
+			for (uint32_t seed = 1; seed <= get_seed_count(40); seed++)
+				max_us = std::max(max_us,
+						  measure_hold_after_lapse(seed, phase, lapse, 0.1,
+									   InjectedFault::kNone));
+			EXPECT_LT(max_us, 1 * kS)
+				<< "lapse " << static_cast<int>(lapse) << " phase " << phase;
+		}
+	}
+}
+
+// The simulation finds the hold of a change that is abandoned instead.
+TEST(MapChange, AbandonedChangeLeavesGroupHeld)
+{
+	int64_t max_us = 0;
+
+	for (uint32_t seed = 1; seed <= 20; seed++)
+		max_us = std::max(
+			max_us, measure_hold_after_lapse(seed, SKH_MAPCHANGE_ARM, Lapse::kSlowStore,
+							 0, InjectedFault::kAbandonOnExpiry));
+	EXPECT_GT(max_us, 2 * kS);
+}
+
 // The instance that placed a hold freezes; the other ranks and the coordinator undo the hold.
 TEST(MapChange, GroupIsReleasedWhileProxyIsFrozen)
 {
@@ -679,4 +860,5 @@
 	EXPECT_GT(count_violations(InjectedFault::kReleaseBeforeArmed, 40), 0U);
 	EXPECT_GT(count_violations(InjectedFault::kArmWithoutHold, 40), 0U);
 	EXPECT_GT(count_violations(InjectedFault::kConstantFence, 400), 0U);
+	EXPECT_GT(count_violations(InjectedFault::kNoGuardHold, 400), 0U);
 }
