Overlap the renewals of the coordinator's lease at a slow store

Cause: each renewal waited for the response of the one before and for other calls of the same thread (notice, server list). Change: while a call of the election's thread takes more than 50 ms, two threads with connections of their own renew the lease (lease_renewer.c). The interval follows the time that renewals take, 0.1 to 0.28 s, such that one of them may be lost (renewal_schedule.c). They start with the first lease and make no call at a healthy store.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -444,6 +444,8 @@
 		.store = balancer->store,
 		.release_store = balancer->dialect->open_store(
 			skh_settings_store_endpoint(settings, 0), settings->store_timeout_ms),
+		.store_endpoint = skh_settings_store_endpoint(settings, 0),
+		.store_timeout_ms = settings->store_timeout_ms,
 		.dialect = balancer->dialect,
 		.prefix = prefix,
 		.slow_ranks_key = balancer->notice_key,
--- a/src/election.c
+++ b/src/election.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "fence.h"
+#include "lease_renewer.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -11,8 +12,7 @@
 
 #define PART "election"
 /* Short because a crashed coordinator is not replaced before its lease has expired. */
-#define LEASE_TTL_S	  1
-#define RENEW_INTERVAL_US (280 * SKH_US_PER_MS)
+#define LEASE_TTL_S 1
 /* The holder stops acting this long before the lease can expire in the store. */
 #define LEASE_MARGIN_US	 (200 * SKH_US_PER_MS)
 #define WATCH_TIMEOUT_MS 20000
@@ -38,7 +38,8 @@
 	skh_election_view_t view; /* protected by the lock */
 	GPtrArray *servers;	  /* "host:port" strings; protected by the lock */
 	char *notice;		  /* notice to publish; protected by the lock */
-	bool wants_servers;	  /* the server list is needed; protected by the lock */
+	skh_lease_renewer_t *renewer;
+	bool wants_servers; /* the server list is needed; protected by the lock */
 	/* Used by the thread only: */
 	int64_t retry_delay_us; /* delay after the next failure to follow the lease */
 	int64_t lease_id;
@@ -92,6 +93,8 @@
 				: skh_fence_of_lease(skh_store_era(election->options.store),
 						     lease_revision);
 
+	skh_lease_renewer_set_lease(election->renewer, fence ? election->lease_id : 0,
+				    skh_store_era(election->options.store));
 	g_mutex_lock(&election->lock);
 	if (election->view.is_holder != (fence != 0))
 		skh_log(SKH_LOG_INFO, PART,
@@ -346,23 +349,25 @@
 		strlen(election->published_notice));
 }
 
-static void renew_lease(skh_election_t *election, int64_t lease_revision)
+/* Returns false if the lease was not renewed. */
+static bool send_renewal(skh_election_t *election)
 {
 	skh_store_t *store = election->options.store;
 	int64_t sent_us = skh_clock_boot_us();
 	int64_t ttl_s = 0;
 	skh_error_t err;
+	bool has_response = store->ops->lease_renew(store, election->lease_id, &ttl_s, &err);
 
-	if (!store->ops->lease_renew(store, election->lease_id, &ttl_s, &err)) {
+	skh_lease_renewer_record_renewal(election->renewer, sent_us);
+	if (!has_response) {
 		record_store_failure("Could not renew the coordinator lease; retrying.", &err);
-		sleep_with_jitter(election, RETRY_DELAY_US);
-		return;
+		return false;
 	}
 	if (has_era_changed(election))
-		return;
+		return false;
 	if (ttl_s <= 0) {
 		set_lease_state(election, 0, 0);
-		return;
+		return false;
 	}
 	if (skh_clock_boot_us() - sent_us > SLOW_RENEWAL_US)
 		skh_log(SKH_LOG_INFO, PART, "Renewal of the coordinator lease was slow.",
@@ -370,11 +375,29 @@
 	g_mutex_lock(&election->lock);
 	election->view.lease_deadline_us = sent_us + ttl_s * SKH_US_PER_S - LEASE_MARGIN_US;
 	g_mutex_unlock(&election->lock);
-	publish_notice(election, lease_revision);
-	if (is_server_read_due(election))
+	return true;
+}
+
+/* Renews the lease and makes the other calls of a holder, during which renewals may overlap. */
+static void act_as_holder(skh_election_t *election, int64_t lease_revision)
+{
+	bool has_renewed;
+	bool has_read_servers = false;
+	int64_t wait_us = RETRY_DELAY_US;
+
+	skh_lease_renewer_begin_call(election->renewer, true);
+	has_renewed = send_renewal(election);
+	if (has_renewed) {
+		publish_notice(election, lease_revision);
+		has_read_servers = is_server_read_due(election);
+	}
+	if (has_read_servers)
 		read_servers(election);
-	else
-		sleep_with_jitter(election, RENEW_INTERVAL_US);
+	skh_lease_renewer_end_call(election->renewer);
+	if (has_renewed)
+		wait_us = has_read_servers ? 0 : skh_lease_renewer_wait_us(election->renewer);
+	if (wait_us > 0)
+		sleep_with_jitter(election, wait_us);
 }
 
 static void *run_election(void *argument)
@@ -394,7 +417,7 @@
 		    skh_clock_boot_us() > view.lease_deadline_us + LEASE_TTL_S * SKH_US_PER_S)
 			set_lease_state(election, 0, 0);
 		else if (view.is_holder)
-			renew_lease(election, view.lease_revision);
+			act_as_holder(election, view.lease_revision);
 		else
 			follow_lease(election, &is_holder_known, &is_held);
 		if (has_era_changed(election))
@@ -406,6 +429,12 @@
 skh_election_t *skh_election_start(const skh_election_options_t *options)
 {
 	skh_election_t *election = g_new0(skh_election_t, 1);
+	const skh_lease_renewer_options_t renewer_options = {
+		.dialect = options->dialect,
+		.endpoint = options->store_endpoint,
+		.store_timeout_ms = options->store_timeout_ms,
+		.usable_us = LEASE_TTL_S * SKH_US_PER_S - LEASE_MARGIN_US,
+	};
 
 	election->options = *options;
 	election->era = -1;
@@ -414,6 +443,7 @@
 	election->notice = g_strdup("");
 	election->published_notice = g_strdup("");
 	election->key = g_strconcat(options->prefix, "coordinator", NULL);
+	election->renewer = skh_lease_renewer_new(&renewer_options);
 	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
 	g_mutex_init(&election->lock);
 	(void)pthread_create(&election->thread, NULL, run_election, election);
@@ -450,6 +480,9 @@
 	g_mutex_lock(&election->lock);
 	*view = election->view;
 	g_mutex_unlock(&election->lock);
+	if (view->is_holder)
+		view->lease_deadline_us = MAX(view->lease_deadline_us,
+					      skh_lease_renewer_deadline_us(election->renewer));
 }
 
 void skh_election_set_slow_ranks(skh_election_t *election, const char *text)
--- a/src/election.h
+++ b/src/election.h
@@ -21,6 +21,8 @@
 typedef struct skh_election_options {
 	skh_store_t *store;	    /* used by the election's thread only */
 	skh_store_t *release_store; /* used on stop because a watch may occupy @store */
+	const char *store_endpoint; /* for renewals that overlap (lease_renewer.h) */
+	int64_t store_timeout_ms;
 	const skh_dialect_t *dialect;
 	const char *prefix;	    /* prefix of the group's keys; ends with a slash */
 	const char *slow_ranks_key; /* key of the notice to gateways */
