--- a/src/balancer.c
+++ b/src/balancer.c
@@ -248,6 +248,13 @@
 	       now_us - snapshot->requested_us < MAX_SNAPSHOT_AGE_US;
 }
 
+/* A change whose lease has expired still needs the reports of its own rank to end. */
+static bool is_changing_group(const balancer_t *balancer)
+{
+	return balancer->group && balancer->group->coordinator &&
+	       skh_coordinator_is_changing_map(balancer->group->coordinator);
+}
+
 /* Passes the state of the rank beside this process to the coordinator in this process. */
 static void handle_own_report(balancer_t *balancer, int64_t now_us)
 {
@@ -292,10 +299,9 @@
 	int64_t now_us = skh_clock_boot_us();
 
 	balancer->report_now = true;
-	if (is_coordinating(balancer, now_us))
+	if (is_coordinating(balancer, now_us) || is_changing_group(balancer))
 		handle_own_report(balancer, now_us);
-	else
-		report_if_due(balancer, now_us);
+	report_if_due(balancer, now_us);
 }
 
 static void on_counts(void *context, const skh_demand_sample_t *sample)
@@ -320,6 +326,8 @@
 		.store = balancer->dialect->open_store(skh_settings_store_endpoint(settings, 0),
 						       settings->store_timeout_ms),
 		.release_store = balancer->release_store,
+		.store_endpoint = skh_settings_store_endpoint(settings, 0),
+		.store_timeout_ms = settings->store_timeout_ms,
 		.dialect = balancer->dialect,
 		.group = group,
 		.address = settings->gossip_listen,
@@ -520,9 +528,7 @@
 	int64_t version = skh_rankrelay_last_prepared_version(balancer->relay, &prepared_us);
 	bool is_preparing = version > report->prepared_version && version > report->map_version &&
 			    now_us - prepared_us < MAX_PREPARE_US;
-	bool is_changing_map =
-		is_preparing || (is_coordinating(balancer, now_us) &&
-				 skh_coordinator_is_changing_map(balancer->group->coordinator));
+	bool is_changing_map = is_preparing || is_changing_group(balancer);
 
 	skh_rank_poller_set_report_period(
 		balancer->poller, is_changing_map ? MAP_CHANGE_POLL_INTERVAL_US : POLL_INTERVAL_US);
@@ -536,10 +542,9 @@
 {
 	update_election_view(balancer, now_us);
 	apply_engine_spec(balancer);
-	if (is_coordinating(balancer, now_us))
+	if (is_coordinating(balancer, now_us) || is_changing_group(balancer))
 		handle_own_report(balancer, now_us);
-	else
-		report_if_due(balancer, now_us);
+	report_if_due(balancer, now_us);
 	run_coordinator(balancer, now_us);
 }
 
--- a/src/election.h
+++ b/src/election.h
@@ -21,6 +21,8 @@
 typedef struct skh_election_options {
 	skh_store_t *store;	    /* owned by the election and used by its thread only */
 	skh_store_t *release_store; /* used on stop because a watch may occupy @store */
+	const char *store_endpoint; /* for renewals that overlap (lease_renewer.h) */
+	int64_t store_timeout_ms;
 	const skh_dialect_t *dialect;
 	const char *address; /* "address:port" where this process receives reports; copied */
 	const char *service; /* service of the group; copied */
