Show each group in status, logs and metrics, and why a change was abandoned

Cause: with several groups of a service, lines, counters and the status page did not say which group they are about, and a map change that was abandoned was to be found in the logs only.

Change: every line of a balancer has the field group (of the thread that logs, so that the election of a group that the process has left keeps its own), metrics have skylarkhead_group{service,group}, and the status page shows group, rank, ranks, epoch, map version, the last change and the last abandoned one with its reason.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -7,6 +7,7 @@
 #include "count_codec.h"
 #include "count_reporter.h"
 #include "election.h"
+#include "group_id.h"
 #include "log.h"
 #include "metrics.h"
 #include "process.h"
@@ -73,6 +74,8 @@
 	int64_t epoch;
 	int64_t map_version;
 	skh_election_view_t election;
+	skh_coordinator_change_t last_change; /* of the process that coordinates */
+	skh_coordinator_change_t last_abandoned;
 } status_t;
 
 typedef struct balancer {
@@ -108,22 +111,36 @@
 	return true;
 }
 
+static json_t *change_to_json(const skh_coordinator_change_t *change)
+{
+	if (change->version == 0)
+		return json_null();
+	return json_pack("{s:I, s:b, s:s, s:I}", "version", (json_int_t)change->version,
+			 "succeeded", change->succeeded, "reason", change->reason, "age_ms",
+			 (json_int_t)((skh_clock_boot_us() - change->ended_us) / SKH_US_PER_MS));
+}
+
 static json_t *get_status(void *context)
 {
 	balancer_t *balancer = context;
+	g_autofree char *group = NULL;
 	status_t status;
 
 	g_mutex_lock(&balancer->status_lock);
 	status = balancer->status;
 	g_mutex_unlock(&balancer->status_lock);
-	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s}", "id",
+	/* A name that was cut off within a character is no valid text. */
+	group = g_utf8_make_valid(status.group, -1);
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s, s:o, s:o}", "id",
 			 balancer->settings->id, "role", "balancer", "failure_domain",
-			 balancer->settings->failure_domain, "group", status.group, "rank",
+			 balancer->settings->failure_domain, "group", group, "rank",
 			 (int)status.rank, "ranks", (int)status.n_ranks, "epoch",
 			 (json_int_t)status.epoch, "map", (json_int_t)status.map_version,
 			 "coordinates", status.election.is_holder, "fence",
 			 (json_int_t)status.election.fence, "coordinator",
-			 status.election.coordinator_address);
+			 status.election.coordinator_address, "last_change",
+			 change_to_json(&status.last_change), "last_abandoned",
+			 change_to_json(&status.last_abandoned));
 }
 
 static void update_status(balancer_t *balancer)
@@ -137,6 +154,10 @@
 		(void)g_strlcpy(status.group, balancer->group->name, sizeof(status.group));
 		status.n_ranks = balancer->group->n_ranks;
 		status.election = balancer->group->election_view;
+		if (balancer->group->coordinator)
+			skh_coordinator_get_last_changes(balancer->group->coordinator,
+							 &status.last_change,
+							 &status.last_abandoned);
 	}
 	g_mutex_lock(&balancer->status_lock);
 	balancer->status = status;
@@ -347,11 +368,15 @@
 		skh_count_reporter_free(group->count_reporter);
 	g_free(group);
 	balancer->group = NULL;
+	skh_log_set_context("");
+	skh_metrics_set_group("", "");
 }
 
 /* A group is known once the engine names it with its size; engines may name it before it is open. */
 static void join_group(balancer_t *balancer, const skh_engine_report_t *report)
 {
+	g_autofree char *escaped = NULL;
+	g_autofree char *log_context = NULL;
 	group_t *group;
 
 	if (!report->is_in_group || !*report->group || report->group_size == 0)
@@ -359,6 +384,12 @@
 	group = g_new0(group_t, 1);
 	(void)g_strlcpy(group->name, report->group, sizeof(group->name));
 	group->n_ranks = report->group_size;
+	escaped = skh_group_id_escape(group->name);
+	log_context = g_strconcat("group=", escaped, NULL);
+	skh_log_set_context(log_context);
+	skh_metrics_set_group(balancer->settings->backend_service, group->name);
+	skh_log(SKH_LOG_INFO, PART, "Engine is in a group; taking part in its election.",
+		"ranks=%u rank=%u epoch=%" PRId64, group->n_ranks, report->rank, report->epoch);
 	group->election = start_election(balancer, group->name);
 	balancer->group = group;
 	balancer->report_now = true;
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -84,12 +84,27 @@
 	bool has_demand_shifted; /* demand has shifted since the last plan */
 	bool is_changing;
 	bool was_fenced;
+	skh_coordinator_change_t last_change;
+	skh_coordinator_change_t last_abandoned;
 	bool needs_repair; /* the last change failed and may have left ranks armed or held */
 };
 
 static void on_order_result(void *context, uint32_t rank, skh_mapchange_order_result_t result);
 static void send_orders(skh_coordinator_t *coordinator, int64_t now_us);
 
+/* @reason is NULL if the change has succeeded. */
+static void record_end(skh_coordinator_t *coordinator, const char *reason, int64_t now_us)
+{
+	skh_coordinator_change_t *last = &coordinator->last_change;
+
+	*last = (skh_coordinator_change_t){ .version = coordinator->change.version,
+					    .ended_us = now_us,
+					    .succeeded = !reason };
+	(void)g_strlcpy(last->reason, reason ? reason : "", sizeof(last->reason));
+	if (reason)
+		coordinator->last_abandoned = *last;
+}
+
 /* A change in progress is for a group that no longer exists, so it ends. */
 static void adapt_to_group_size(skh_coordinator_t *coordinator)
 {
@@ -101,6 +116,8 @@
 		skh_log(SKH_LOG_INFO, PART, "Map change abandoned because the group size changed.",
 			"version=%" PRId64 " ranks=%u before=%u", coordinator->change.version,
 			n_ranks, coordinator->n_ranks);
+	if (coordinator->is_changing)
+		record_end(coordinator, "group_size", skh_clock_boot_us());
 	coordinator->needs_repair =
 		coordinator->needs_repair ||
 		(coordinator->is_changing && coordinator->change.held_since_us != 0);
@@ -238,6 +255,14 @@
 	decode_counts(coordinator, message, now_us);
 }
 
+void skh_coordinator_get_last_changes(const skh_coordinator_t *coordinator,
+				      skh_coordinator_change_t *last,
+				      skh_coordinator_change_t *last_abandoned)
+{
+	*last = coordinator->last_change;
+	*last_abandoned = coordinator->last_abandoned;
+}
+
 bool skh_coordinator_is_changing_map(const skh_coordinator_t *coordinator)
 {
 	return coordinator->is_changing;
@@ -494,6 +519,7 @@
 static void withdraw_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
 	coordinator->is_changing = false;
+	record_end(coordinator, "shift", now_us);
 	skh_log(SKH_LOG_INFO, PART, "Map change withdrawn because demand shifted.",
 		"version=%" PRId64 " took_ms=%" PRId64 " reason=shift", coordinator->change.version,
 		(now_us - coordinator->change_started_us) / SKH_US_PER_MS);
@@ -539,6 +565,7 @@
 		phase_ms(change, SKH_MAPCHANGE_HOLD), phase_ms(change, SKH_MAPCHANGE_ARM),
 		phase_ms(change, SKH_MAPCHANGE_RELEASE), phase_ms(change, SKH_MAPCHANGE_SETTLE),
 		succeeded ? "-" : change->cause);
+	record_end(coordinator, succeeded ? NULL : change->cause, now_us);
 	skh_metrics_add(succeeded ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
@@ -547,9 +574,11 @@
 {
 	if (fence == coordinator->fence)
 		return;
-	if (coordinator->is_changing)
+	if (coordinator->is_changing) {
+		record_end(coordinator, "lease", now_us);
 		skh_log(SKH_LOG_INFO, PART, "Map change abandoned because the lease changed.",
 			"version=%" PRId64, coordinator->change.version);
+	}
 	coordinator->fence = fence;
 	coordinator->is_changing = false;
 	coordinator->was_fenced = false;
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -29,6 +29,14 @@
 	double cost_weight;
 } skh_coordinator_options_t;
 
+/** struct skh_coordinator_change - how a map change ended */
+typedef struct skh_coordinator_change {
+	int64_t version; /* 0 if there was no such change */
+	int64_t ended_us;
+	bool succeeded;
+	char reason[32]; /* why it did not succeed, "" if it did */
+} skh_coordinator_change_t;
+
 typedef struct skh_coordinator skh_coordinator_t;
 
 /**
@@ -61,6 +69,15 @@
 void skh_coordinator_record_sample(skh_coordinator_t *coordinator,
 				   const skh_demand_sample_t *sample, int64_t now_us);
 
+/**
+ * skh_coordinator_get_last_changes() - get how the last changes of this process ended
+ * @last: the last change
+ * @last_abandoned: the last one that did not succeed
+ */
+void skh_coordinator_get_last_changes(const skh_coordinator_t *coordinator,
+				      skh_coordinator_change_t *last,
+				      skh_coordinator_change_t *last_abandoned);
+
 /** skh_coordinator_is_changing_map() - whether a map change is in progress */
 bool skh_coordinator_is_changing_map(const skh_coordinator_t *coordinator);
 
--- a/src/election.c
+++ b/src/election.c
@@ -477,9 +477,13 @@
 static void *run_election(void *argument)
 {
 	skh_election_t *election = argument;
+	g_autofree char *group = skh_group_id_escape(election->group);
+	g_autofree char *log_context = g_strconcat("group=", group, NULL);
 	bool is_holder_known = false;
 	bool is_held = false;
 
+	skh_log_set_context(log_context);
+
 	while (!is_stopped(election) && !read_engine_spec(election))
 		sleep_with_jitter(election, CONFIG_RETRY_DELAY_US);
 	while (!is_stopped(election)) {
--- a/src/group_id.c
+++ b/src/group_id.c
@@ -18,6 +18,14 @@
 	}
 }
 
+char *skh_group_id_escape(const char *name)
+{
+	GString *text = g_string_new(NULL);
+
+	append_escaped(text, name);
+	return g_string_free(text, FALSE);
+}
+
 char *skh_group_id_key(const char *prefix, const char *service, const char *group,
 		       const char *suffix)
 {
--- a/src/group_id.h
+++ b/src/group_id.h
@@ -20,6 +20,9 @@
 /* Prefix of the keys of members notices (members_notice.h). */
 #define SKH_GROUP_MEMBERS_PREFIX "skylarkhead/members/"
 
+/** skh_group_id_escape() - name as it is written in store keys and log lines; free with g_free() */
+char *skh_group_id_escape(const char *name);
+
 /**
  * skh_group_id_key() - compose a store key of a group
  * @prefix: ends with a slash
--- a/src/log.c
+++ b/src/log.c
@@ -162,6 +162,37 @@
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+static _Thread_local char context[128];
+
+void skh_log_set_context(const char *field)
+{
+	(void)g_strlcpy(context, field, sizeof(context));
+}
+
+static bool has_context_field(const char *fields)
+{
+	size_t name_len = strcspn(context, "=") + 1;
+
+	for (const char *field = fields; field; field = strchr(field, ' ')) {
+		field += *field == ' ';
+		if (strncmp(field, context, name_len) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The context comes first because a value of the last field may contain spaces. */
+static void add_context(char **fields)
+{
+	char *text;
+
+	if (!*context || has_context_field(*fields))
+		return;
+	text = g_strconcat(context, **fields ? " " : "", *fields, NULL);
+	g_free(*fields);
+	*fields = text;
+}
+
 void skh_log(skh_log_level_t level, const char *part, const char *sentence, const char *fields, ...)
 {
 	va_list args;
@@ -172,6 +203,7 @@
 	va_start(args, fields);
 	field_text = g_strdup_vprintf(fields, args);
 	va_end(args);
+	add_context(&field_text);
 	const GLogField list[] = {
 		{ "PRIORITY", level_table[level].priority, -1 },
 		{ "SKH_PART", part, -1 },
--- a/src/log.h
+++ b/src/log.h
@@ -51,6 +51,12 @@
 void skh_log(skh_log_level_t level, const char *part, const char *sentence, const char *fields, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/**
+ * skh_log_set_context() - add a field to all further lines of the calling thread
+ * @field: "name=value", copied; "" for none. Left out of lines that have a field of this name
+ */
+void skh_log_set_context(const char *field);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include "group_id.h"
 #include "store.h"
 
 #include <glib.h>
@@ -170,6 +171,34 @@
 		write_series(out, row->name, series);
 }
 
+static GMutex group_lock;
+static char *group_labels; /* NULL without a group; protected by the lock */
+
+void skh_metrics_set_group(const char *service, const char *group)
+{
+	g_autofree char *service_label = skh_group_id_escape(service);
+	g_autofree char *group_label = skh_group_id_escape(group);
+
+	g_mutex_lock(&group_lock);
+	g_free(group_labels);
+	group_labels =
+		*group ? g_strdup_printf("service=\"%s\",group=\"%s\"", service_label, group_label)
+		       : NULL;
+	g_mutex_unlock(&group_lock);
+}
+
+static void write_group(skh_buffer_t *out)
+{
+	g_mutex_lock(&group_lock);
+	if (group_labels)
+		skh_buffer_printf(out,
+				  "# HELP skylarkhead_group Group of the process, escaped as in "
+				  "store keys\n# TYPE skylarkhead_group gauge\n"
+				  "skylarkhead_group{%s} 1\n",
+				  group_labels);
+	g_mutex_unlock(&group_lock);
+}
+
 static void write_counter(skh_buffer_t *out, const metric_row_t *row, uint64_t value)
 {
 	skh_buffer_printf(out,
@@ -186,6 +215,7 @@
 	for (int32_t i = 0; i < SKH_COUNTER_COUNT; i++)
 		write_counter(out, &counter_table[i], skh_metrics_get((skh_counter_t)i));
 	write_counter(out, &store_row, skh_store_call_count());
+	write_group(out);
 	g_rw_lock_reader_lock(&series_lock);
 	for (int32_t i = 0; i < SKH_HISTOGRAM_COUNT; i++)
 		write_histogram(out, (skh_histogram_t)i);
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -82,6 +82,9 @@
 void skh_metrics_observe(skh_histogram_t histogram, const char *customer, const char *class_name,
 			 int64_t value_us);
 
+/** skh_metrics_set_group() - group that the process belongs to; texts are copied, "" for none */
+void skh_metrics_set_group(const char *service, const char *group);
+
 /** skh_metrics_write() - append all metrics to @out in the Prometheus text format */
 void skh_metrics_write(skh_buffer_t *out);
 
--- a/src/rank_poller.c
+++ b/src/rank_poller.c
@@ -1,6 +1,7 @@
 #include "rank_poller.h"
 
 #include "clock.h"
+#include "group_id.h"
 #include "log.h"
 
 #include <math.h>
@@ -132,16 +133,19 @@
 	changed = group_changed || has_state_changed(&report, &poller->snapshot.report);
 	epoch_changed = group_changed || report.epoch != poller->snapshot.report.epoch ||
 			report.is_group_open != poller->snapshot.report.is_group_open;
-	if (changed)
+	if (changed) {
+		g_autofree char *group = skh_group_id_escape(report.group);
+
 		skh_log(epoch_changed ? SKH_LOG_INFO : SKH_LOG_DEBUG, PART, "Engine state changed.",
 			"group=%s rank=%u size=%u epoch=%" G_GINT64_FORMAT
 			" open=%d pass=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
 			" prepared=%" G_GINT64_FORMAT " armed=%" G_GINT64_FORMAT
 			" held=%" G_GINT64_FORMAT " pace=%.2f",
-			report.is_in_group ? report.group : "-", report.rank, report.group_size,
+			report.is_in_group ? group : "-", report.rank, report.group_size,
 			report.epoch, report.is_group_open, report.pass, report.map_version,
 			report.prepared_version, report.armed_version, report.held_pass,
 			report.slowdown);
+	}
 	poller->snapshot.has_report = true;
 	poller->snapshot.report = report;
 	poller->snapshot.requested_us = poller->report_requested_us;
