--- a/src/log.c
+++ b/src/log.c
@@ -173,12 +173,13 @@
 {
 	size_t name_len = strcspn(context, "=") + 1;
 
-	for (const char *field = fields; field; field = strchr(field, ' ')) {
-		field += *field == ' ';
-		if (strncmp(field, context, name_len) == 0)
-			return true;
+	while (strncmp(fields, context, name_len) != 0) {
+		fields = strchr(fields, ' ');
+		if (!fields)
+			return false;
+		fields++;
 	}
-	return false;
+	return true;
 }
 
 /* The context comes first because a value of the last field may contain spaces. */
