--- a/src/balancer.c
+++ b/src/balancer.c
@@ -7,6 +7,7 @@
 #include "count_codec.h"
 #include "count_reporter.h"
 #include "election.h"
+#include "group_id.h"
 #include "log.h"
 #include "metrics.h"
 #include "process.h"
@@ -46,6 +47,8 @@
  * group. Ticks of processes with a small share of a core come up to 100 ms late.
  */
 #define FROZEN_AFTER_US (300 * SKH_US_PER_MS)
+/* The notice is written once a second at most; composing it takes 0.2 ms for 1,024 ranks. */
+#define MEMBERS_INTERVAL_US (200 * SKH_US_PER_MS)
 /* A coordinator goes on without its engine's response after this time, which is a poll's limit. */
 #define MAX_RESUME_US (400 * SKH_US_PER_MS)
 
@@ -57,7 +60,8 @@
 	skh_election_view_t election_view;    /* as last read */
 	skh_coordinator_t *coordinator;	      /* NULL until the engine spec is known */
 	skh_count_reporter_t *count_reporter; /* NULL until the engine spec is known */
-	guint next_probe_index; /* index of the server that is probed next for its rank */
+	guint next_probe_index;	 /* index of the server that is probed next for its rank */
+	int64_t next_members_us; /* when the members notice is composed next */
 	char last_coordinator[64];
 	bool has_logged_counts_too_large;
 } group_t;
@@ -70,6 +74,8 @@
 	int64_t epoch;
 	int64_t map_version;
 	skh_election_view_t election;
+	skh_coordinator_change_t last_change; /* of the process that coordinates */
+	skh_coordinator_change_t last_abandoned;
 } status_t;
 
 typedef struct balancer {
@@ -105,22 +111,36 @@
 	return true;
 }
 
+static json_t *change_to_json(const skh_coordinator_change_t *change)
+{
+	if (change->version == 0)
+		return json_null();
+	return json_pack("{s:I, s:b, s:s, s:I}", "version", (json_int_t)change->version,
+			 "succeeded", change->succeeded, "reason", change->reason, "age_ms",
+			 (json_int_t)((skh_clock_boot_us() - change->ended_us) / SKH_US_PER_MS));
+}
+
 static json_t *get_status(void *context)
 {
 	balancer_t *balancer = context;
+	g_autofree char *group = NULL;
 	status_t status;
 
 	g_mutex_lock(&balancer->status_lock);
 	status = balancer->status;
 	g_mutex_unlock(&balancer->status_lock);
-	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s}", "id",
+	/* A name that was cut off within a character is no valid text. */
+	group = g_utf8_make_valid(status.group, -1);
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s, s:o, s:o}", "id",
 			 balancer->settings->id, "role", "balancer", "failure_domain",
-			 balancer->settings->failure_domain, "group", status.group, "rank",
+			 balancer->settings->failure_domain, "group", group, "rank",
 			 (int)status.rank, "ranks", (int)status.n_ranks, "epoch",
 			 (json_int_t)status.epoch, "map", (json_int_t)status.map_version,
 			 "coordinates", status.election.is_holder, "fence",
 			 (json_int_t)status.election.fence, "coordinator",
-			 status.election.coordinator_address);
+			 status.election.coordinator_address, "last_change",
+			 change_to_json(&status.last_change), "last_abandoned",
+			 change_to_json(&status.last_abandoned));
 }
 
 static void update_status(balancer_t *balancer)
@@ -134,6 +154,10 @@
 		(void)g_strlcpy(status.group, balancer->group->name, sizeof(status.group));
 		status.n_ranks = balancer->group->n_ranks;
 		status.election = balancer->group->election_view;
+		if (balancer->group->coordinator)
+			skh_coordinator_get_last_changes(balancer->group->coordinator,
+							 &status.last_change,
+							 &status.last_abandoned);
 	}
 	g_mutex_lock(&balancer->status_lock);
 	balancer->status = status;
@@ -352,11 +376,15 @@
 		skh_count_reporter_free(group->count_reporter);
 	g_free(group);
 	balancer->group = NULL;
+	skh_log_set_context("");
+	skh_metrics_set_group("", "");
 }
 
 /* A group is known once the engine names it with its size; engines may name it before it is open. */
 static void join_group(balancer_t *balancer, const skh_engine_report_t *report)
 {
+	g_autofree char *escaped = NULL;
+	g_autofree char *log_context = NULL;
 	group_t *group;
 
 	if (!report->is_in_group || !*report->group || report->group_size == 0)
@@ -364,6 +392,12 @@
 	group = g_new0(group_t, 1);
 	(void)g_strlcpy(group->name, report->group, sizeof(group->name));
 	group->n_ranks = report->group_size;
+	escaped = skh_group_id_escape(group->name);
+	log_context = g_strconcat("group=", escaped, NULL);
+	skh_log_set_context(log_context);
+	skh_metrics_set_group(balancer->settings->backend_service, group->name);
+	skh_log(SKH_LOG_INFO, PART, "Engine is in a group; taking part in its election.",
+		"ranks=%u rank=%u epoch=%" PRId64, group->n_ranks, report->rank, report->epoch);
 	group->election = start_election(balancer, group->name);
 	balancer->group = group;
 	balancer->report_now = true;
@@ -463,11 +497,42 @@
 	skh_election_set_slow_ranks(balancer->group->election, text);
 }
 
+static void publish_members(balancer_t *balancer, int64_t now_us)
+{
+	g_autofree char *text = NULL;
+
+	if (now_us < balancer->group->next_members_us)
+		return;
+	balancer->group->next_members_us = now_us + MEMBERS_INTERVAL_US;
+	text = skh_coordinator_format_members(balancer->group->coordinator);
+	skh_election_set_members(balancer->group->election, text);
+}
+
+/* Reports of all ranks may take half a second, and the list of servers has several groups. */
+static void adopt_members(balancer_t *balancer, int64_t now_us)
+{
+	g_autofree char *text = skh_election_take_members(balancer->group->election);
+	skh_members_notice_t *notice = text ? skh_members_notice_parse(text) : NULL;
+
+	if (!text)
+		return;
+	skh_log(notice ? SKH_LOG_INFO : SKH_LOG_WARNING, PART,
+		notice ? "Polling the members that the last coordinator has named."
+		       : "Members notice is invalid and ignored.",
+		"bytes=%zu members=%u", strlen(text), notice ? notice->n_members : 0);
+	if (notice)
+		skh_coordinator_adopt_members(balancer->group->coordinator, notice, now_us);
+	skh_members_notice_free(notice);
+}
+
 static void run_coordinator(balancer_t *balancer, int64_t now_us)
 {
 	int64_t fence =
 		has_valid_lease(balancer, now_us) ? balancer->group->election_view.fence : 0;
 
+	/* The size of the group is known from the engine's own report. */
+	if (is_coordinating(balancer, now_us) && is_snapshot_current(balancer, now_us))
+		adopt_members(balancer, now_us);
 	probe_unknown_ranks(balancer, now_us);
 
 	/* A process that was frozen first learns whether its engine is still in the group. */
@@ -480,8 +545,10 @@
 			"fence=%" PRId64, fence);
 		skh_election_resign(balancer->group->election);
 	}
-	if (is_coordinating(balancer, now_us))
+	if (is_coordinating(balancer, now_us)) {
 		publish_slow_ranks(balancer);
+		publish_members(balancer, now_us);
+	}
 }
 
 static void begin_stop(balancer_t *balancer)
