Give a hold a deadline, and release a stale one without a new map change

Cause: a change whose ranks were not all armed failed after 2.5 s with its hold in place, and the repair that followed was a whole map change with a further hold. A new coordinator waited 0.4 s before it decided on a repair. Where a rank had frozen, the repair began again with prepare orders when it was back. A repair ends once it has released the group ("Group released without a map change."). A planned stop of the coordinator's process waits up to a second for the end of a change that may hold the group.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -36,7 +36,9 @@
 #define HEARTBEAT_INTERVAL_US (500 * SKH_US_PER_MS)
 #define MAX_DATAGRAM_BYTES    16384
 /* Part of a report that is not counts: addresses, state and the rank's part of the map. */
-#define MAX_STATE_BYTES	   4096
+#define MAX_STATE_BYTES 4096
+/* Limit of the time that a planned stop waits for the end of a map change. */
+#define STOP_DELAY_US	   (1 * SKH_US_PER_S)
 #define CONNECT_TIMEOUT_US (300 * SKH_US_PER_MS)
 #define UNACKED_TIMEOUT_US (1 * SKH_US_PER_S)
 #define IDLE_TIMEOUT_US	   (4 * SKH_US_PER_S)
@@ -68,7 +70,7 @@
 	bool has_logged_counts_too_large;
 	bool is_changing_map; /* this rank prepares a map, or this process coordinates a change */
 	char last_coordinator[64];
-	bool is_stopping;
+	int64_t stop_deadline_us; /* 0 unless a planned stop has begun */
 } balancer_t;
 
 static bool is_ready(void *context)
@@ -335,7 +337,9 @@
 
 static void run_coordinator(balancer_t *balancer, int64_t now_us)
 {
-	int64_t fence = has_valid_lease(balancer, now_us) ? balancer->election_view.fence : 0;
+	/* While the process stops, a change is brought to an end as without the lease. */
+	bool acts_as_holder = has_valid_lease(balancer, now_us) && balancer->stop_deadline_us == 0;
+	int64_t fence = acts_as_holder ? balancer->election_view.fence : 0;
 
 	probe_unknown_ranks(balancer, now_us);
 
@@ -348,12 +352,16 @@
 		publish_slow_ranks(balancer);
 }
 
-static void begin_stop(balancer_t *balancer)
+static void stop_when_possible(balancer_t *balancer, int64_t now_us)
 {
-	skh_log(SKH_LOG_INFO, PART, "Planned stop begins.", "coordinates=%d",
-		balancer->election_view.is_holder);
-	balancer->is_stopping = true;
-	uv_stop(&balancer->loop);
+	if (balancer->stop_deadline_us == 0) {
+		skh_log(SKH_LOG_INFO, PART, "Planned stop begins.", "coordinates=%d",
+			balancer->election_view.is_holder);
+		balancer->stop_deadline_us = now_us + STOP_DELAY_US;
+	}
+	if (now_us >= balancer->stop_deadline_us || !balancer->coordinator ||
+	    !skh_coordinator_may_hold_group(balancer->coordinator))
+		uv_stop(&balancer->loop);
 }
 
 static void apply_settings(balancer_t *balancer, int64_t now_us)
@@ -404,10 +412,8 @@
 	balancer_t *balancer = timer->data;
 	int64_t now_us = skh_clock_boot_us();
 
-	if (skh_process_stop_requests() > 0) {
-		begin_stop(balancer);
-		return;
-	}
+	if (skh_process_stop_requests() > 0)
+		stop_when_possible(balancer, now_us);
 	apply_settings(balancer, now_us);
 	update_election_view(balancer, now_us);
 	apply_engine_spec(balancer);
--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -227,6 +227,11 @@
 	return coordinator->is_changing;
 }
 
+bool skh_coordinator_may_hold_group(const skh_coordinator_t *coordinator)
+{
+	return coordinator->is_changing && !skh_mapchange_can_replace(&coordinator->change);
+}
+
 bool skh_coordinator_has_unknown_ranks(const skh_coordinator_t *coordinator)
 {
 	return skh_groupview_has_unknown_ranks(&coordinator->view);
@@ -294,7 +299,7 @@
 	return view->own_rank;
 }
 
-static void begin_change(skh_coordinator_t *coordinator, int64_t now_us)
+static void begin_change(skh_coordinator_t *coordinator, bool is_repair, int64_t now_us)
 {
 	skh_groupview_t *view = &coordinator->view;
 	int64_t epoch = view->ranks[view->own_rank].report.epoch;
@@ -308,6 +313,7 @@
 		/* Equal to the fence so that versions, too, increase from one lease holder to the next. */
 		.version = fence,
 		.fence = fence,
+		.is_repair = is_repair,
 	};
 
 	skh_mapchange_init(&coordinator->change, &options, now_us);
@@ -328,8 +334,7 @@
 		"version=%" PRId64 " epoch=%" PRId64 " skew_before=%.3f skew_after=%.3f new=%u"
 		" most_new=%u repair=%d",
 		fence, epoch, coordinator->plan.skew_before, coordinator->plan.skew_after,
-		coordinator->plan.n_copies, coordinator->plan.max_copies_per_rank,
-		coordinator->needs_repair);
+		coordinator->plan.n_copies, coordinator->plan.max_copies_per_rank, is_repair);
 	send_orders(coordinator, now_us);
 }
 
@@ -441,7 +446,7 @@
 	bool short_passes = has_short_passes(view);
 	bool needs_repair =
 		coordinator->needs_repair || skh_groupview_is_held_too_long(view, now_us);
-	bool should_plan = is_plan_due(coordinator, now_us);
+	bool should_plan = !needs_repair && is_plan_due(coordinator, now_us);
 	double skew_gain;
 
 	if (!should_plan && !needs_repair)
@@ -463,7 +468,7 @@
 	if (needs_repair ||
 	    (coordinator->plan.n_copies > 0 &&
 	     skew_gain >= (short_passes ? MIN_SKEW_GAIN_SHORT_PASSES : MIN_SKEW_GAIN)))
-		begin_change(coordinator, now_us);
+		begin_change(coordinator, needs_repair, now_us);
 }
 
 /* Ends the change in progress because its copies were planned for demand that has since shifted. */
@@ -477,7 +482,9 @@
 
 static void maybe_change_map(skh_coordinator_t *coordinator, int64_t now_us)
 {
-	if (now_us < coordinator->next_decision_us ||
+	/* A hold that its coordinator has left behind is released without further delay. */
+	if ((now_us < coordinator->next_decision_us &&
+	     !skh_groupview_is_held_too_long(&coordinator->view, now_us)) ||
 	    !skh_groupview_is_complete(&coordinator->view, now_us))
 		return;
 	if (coordinator->is_changing) {
@@ -498,15 +505,18 @@
 {
 	const skh_mapchange_t *change = &coordinator->change;
 	bool succeeded = change->phase == SKH_MAPCHANGE_DONE;
+	const char *message = !succeeded	  ? "Map change failed."
+			      : change->is_repair ? "Group released without a map change."
+						  : "Map changed.";
 
 	if (!succeeded && change->phase != SKH_MAPCHANGE_FAILED)
 		return;
 	coordinator->is_changing = false;
-	if (succeeded)
+	if (succeeded && !change->is_repair)
 		skh_groupview_adopt_next_map(&coordinator->view, change->switch_pass, now_us);
 	/* A change that failed after a hold may leave a rank armed or held. */
 	coordinator->needs_repair = !succeeded && change->held_since_us != 0;
-	skh_log(SKH_LOG_INFO, PART, succeeded ? "Map changed." : "Map change failed.",
+	skh_log(SKH_LOG_INFO, PART, message,
 		"version=%" PRId64 " took_ms=%" PRId64 " prepare_ms=%" PRId64 " copy_ms=%" PRId64
 		" hold_ms=%" PRId64 " arm_ms=%" PRId64 " go_ms=%" PRId64 " settle_ms=%" PRId64
 		" reason=%s",
@@ -515,7 +525,8 @@
 		phase_ms(change, SKH_MAPCHANGE_HOLD), phase_ms(change, SKH_MAPCHANGE_ARM),
 		phase_ms(change, SKH_MAPCHANGE_RELEASE), phase_ms(change, SKH_MAPCHANGE_SETTLE),
 		succeeded ? "-" : change->cause);
-	skh_metrics_add(succeeded ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
+	if (!succeeded || !change->is_repair)
+		skh_metrics_add(succeeded ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
 /* A change in progress is brought to an end, as nobody else knows yet what it has armed or held. */
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -62,6 +62,13 @@
 /** skh_coordinator_is_changing_map() - whether a map change is in progress */
 bool skh_coordinator_is_changing_map(const skh_coordinator_t *coordinator);
 
+/**
+ * skh_coordinator_may_hold_group() - whether the map change in progress may have armed or held ranks
+ *
+ * Such a change should end before this process does.
+ */
+bool skh_coordinator_may_hold_group(const skh_coordinator_t *coordinator);
+
 /**
  * skh_coordinator_format_slow_ranks() - list the ranks that take longer than usual for a pass
  * Return: one line "address:port slowdown" for each slow rank, "" if there is none; free with
--- a/src/mapchange.h
+++ b/src/mapchange.h
@@ -49,6 +49,10 @@
  * coordinator relies only on ranks that know its fence and on its own hold, and a rank that
  * knows a higher fence rejects the orders, which ends the change.
  *
+ * A hold has a deadline: if not all ranks are armed by then, the change is undone. What
+ * is left held or armed after that, because a rank does not respond, is released by a
+ * repair: phases 1 and 2 alone, by this coordinator or the next one.
+ *
  * A coordinator that fails at any point leaves the group running or held; the next
  * coordinator starts again with phase 1.
  */
@@ -106,6 +110,7 @@
 	uint32_t n_ranks;
 	uint32_t own_rank;   /* the coordinator's own rank, which holds the group */
 	uint32_t proxy_rank; /* rank whose process places the hold; @own_rank without one */
+	bool is_repair;	     /* ends after phase 2 */
 	int64_t epoch;
 	int64_t version;
 	int64_t fence;
@@ -133,6 +138,7 @@
 	int64_t epoch;
 	int64_t version;
 	int64_t fence;
+	bool is_repair; /* end after phase 2, without a change of the map */
 } skh_mapchange_options_t;
 
 /**
@@ -186,7 +192,7 @@
  * skh_mapchange_can_replace() - check whether another change can replace this one
  *
  * Return: true when the ranks only prepare or copy experts and the group is not held
- * by this change.
+ * by this change, unless it is a repair.
  */
 bool skh_mapchange_can_replace(const skh_mapchange_t *change);
 
