Select by group in the gateway: breaker, liveness and selection for each lock-step group

Cause: breaker, rank liveness and lock-step selection existed once for each service. With several groups of one service, a group that was down or held held back the requests of all others, and a silent rank was compared with ranks of other groups. Change: the feed's one poll also returns the members notices. pool_groups.c keeps for each server the group that a notice names it in; a new instance inherits nothing. Servers that stand alone and have not served since their listing share one breaker, so that a service that starts again is probed by one request at a time; those that have served have none. group_selection.c (pure) selects the ready group with the shortest expected pass, then the rank as before; unhealthy groups get rare probes while another is ready. Requests of a silent group are moved while another has free slots.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -6,6 +6,7 @@
 #include "gossip.h"
 #include "log.h"
 #include "metrics.h"
+#include "pool_groups.h"
 #include "retry_policy.h"
 
 #include <inttypes.h>
@@ -143,7 +144,8 @@
 					     &gateway->retry_limits, now_us);
 	skh_metrics_add(exchange->n_attempts == 0 ? SKH_COUNT_ATTEMPTS : SKH_COUNT_RETRIES, 1);
 	exchange->n_attempts++;
-	skh_group_breaker_record_send(&exchange->target_pool->breaker, now_us);
+	exchange->is_group_probe = skh_target_is_guarded(target, now_us);
+	skh_target_record_send(target, now_us);
 	exchange->state = exchange->state == SKH_EXCHANGE_RESPONDING ? SKH_EXCHANGE_RESPONDING
 								     : SKH_EXCHANGE_SENT;
 	exchange->target = target;
@@ -155,9 +157,11 @@
 	skh_attempt_discard_body(exchange);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
 	skh_log(SKH_LOG_INFO, PART, "Request sent to a server.",
-		"id=%s server=%s send=%u queued_ms=%" PRId64 " running=%u peers=%u waiting=%u"
+		"id=%s server=%s group=%s probe=%d send=%u queued_ms=%" PRId64
+		" running=%u peers=%u waiting=%u"
 		" config=%" PRId64 " config_age_ms=%" PRId64 " list=%" PRId64,
-		exchange->attempt_id, target->server->id, exchange->n_attempts,
+		exchange->attempt_id, target->server->id, skh_target_group_name(target),
+		exchange->is_group_probe, exchange->n_attempts,
 		exchange->queue_duration_us / SKH_US_PER_MS, target->own_in_flight,
 		target->peers_running, skh_request_queue_length(exchange->target_pool->queue),
 		exchange->routing->version,
@@ -285,7 +289,7 @@
 	if (out.len > 0) {
 		exchange->target->own_streaming += !exchange->attempt_is_streaming;
 		exchange->attempt_is_streaming = true;
-		skh_group_breaker_record_response(&exchange->target_pool->breaker);
+		skh_target_record_response(exchange->target);
 		record_first_byte(exchange);
 		if (exchange->state != SKH_EXCHANGE_RESPONDING)
 			begin_response(exchange, true, 0);
@@ -559,14 +563,11 @@
 	if (end == SKH_END_STREAM_BROKEN && exchange->state != SKH_EXCHANGE_RESPONDING)
 		end = SKH_END_LOST;
 	if (end == SKH_END_NOT_RUN && exchange->target_pool->is_lock_step &&
-	    exchange->attempt_status == 503) {
-		exchange->rejected_probes +=
-			skh_group_breaker_is_tripped(&exchange->target_pool->breaker);
-		skh_group_breaker_record_rejection(&exchange->target_pool->breaker, now_us);
-	}
+	    exchange->attempt_status == 503)
+		exchange->rejected_probes += skh_target_record_rejection(target, now_us);
 	decision = decide_retry(exchange, end, now_us, &view);
 	exchange->possible_runs = view.possible_runs;
-	skh_group_breaker_record_failure(&exchange->target_pool->breaker);
+	skh_target_record_failure(target, end != SKH_END_NOT_RUN && end != SKH_END_ERROR, now_us);
 	log_failure(exchange, &view, decision);
 	if (decision == SKH_RETRY_DECISION_FORWARD_RESPONSE) {
 		end_without_retry(exchange, decision);
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -58,6 +58,8 @@
 	uint32_t n_attempts;	     /* attempts so far */
 	uint32_t possible_runs;	     /* attempts that may have run */
 	uint32_t rejected_probes;    /* attempts rejected while the group's breaker was tripped */
+	bool is_group_probe;	     /* the current attempt probes a group that is not ready */
+	int64_t next_move_us;	     /* earliest next try to leave a silent group */
 	bool upstream_paused;
 	skh_buffer_t response_body; /* body of a response that is not streamed */
 	GString *response_headers;
--- a/src/backends.c
+++ b/src/backends.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "pool_groups.h"
 #include "rank_liveness.h"
 
 #include <string.h>
@@ -44,6 +45,7 @@
 {
 	skh_target_pool_t *pool = data;
 
+	skh_pool_groups_clear(pool);
 	(void)g_ptr_array_free(pool->targets, TRUE);
 	skh_request_queue_free(pool->queue);
 	g_free(pool->service);
@@ -55,6 +57,7 @@
 	skh_target_t *target = data;
 
 	target->is_listed = false;
+	skh_pool_groups_on_ended(target);
 	(void)g_ptr_array_remove(target->target_pool->targets, target);
 	skh_target_unref(target);
 }
@@ -103,6 +106,7 @@
 	pool->targets = g_ptr_array_new();
 	pool->queue = skh_request_queue_new();
 	pool->typical_first_event_ms = TYPICAL_FIRST_EVENT_PLAIN_MS;
+	skh_pool_groups_init(pool);
 	g_hash_table_insert(backends->pools, pool->service, pool);
 	return pool;
 }
@@ -160,6 +164,8 @@
 	if (is_added_newer && !other->is_superseded)
 		report_lost(addition->backends, other);
 	other->is_superseded = other->is_superseded || is_added_newer;
+	if (is_added_newer)
+		skh_pool_groups_on_ended(other);
 	added->is_superseded = added->is_superseded || !is_added_newer;
 	skh_log(SKH_LOG_INFO, PART,
 		"Address has a newer instance; the older one gets no new requests.",
@@ -198,6 +204,13 @@
 	g_hash_table_foreach(backends->targets, update_target_slowdown, backends->slowdowns);
 }
 
+void skh_backends_set_members(skh_backends_t *backends, const char *service, const char *group,
+			      const char *text, int64_t revision)
+{
+	skh_pool_groups_apply_notice(skh_backends_get_or_create_pool(backends, service), group,
+				     text, revision, skh_clock_boot_us());
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -211,10 +224,10 @@
 	target->is_listed = true;
 	update_slowdown(target, backends->slowdowns);
 	g_ptr_array_add(target->target_pool->targets, target);
-	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
 	g_hash_table_foreach(backends->targets, mark_superseded,
 			     &(added_target_t){ .backends = backends, .target = target });
+	skh_pool_groups_on_listed(target, skh_clock_boot_us());
 	skh_log(SKH_LOG_INFO, PART, "Server is listed.", "server=%s service=%s address=%s:%u",
 		server->id, server->service, server->host, server->port);
 }
@@ -293,6 +306,9 @@
 
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
+		pool->step_ms = service->engine_spec.step_ms;
+		pool->step_ms_per_request = service->engine_spec.step_ms_per_request;
+		pool->expert_time_ratio = service->engine_spec.expert_time_ratio;
 		pool->max_connections = service->max_connections;
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
@@ -300,8 +316,7 @@
 	}
 }
 
-/* A server that never gets new requests again. */
-static bool is_retired(const skh_target_t *target)
+bool skh_target_is_retired(const skh_target_t *target)
 {
 	return target->server->is_leaving || target->has_announced_leaving || target->is_superseded;
 }
@@ -317,8 +332,8 @@
 	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
 }
 
-skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
-				     skh_server_share_t share, int64_t now_us)
+static skh_target_t *select_target(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
+				   skh_server_share_t share, bool probe_only, int64_t now_us)
 {
 	g_autofree skh_candidate_t *candidates = g_new0(skh_candidate_t, pool->targets->len + 1);
 	skh_selection_input_t view = { .candidates = candidates,
@@ -344,21 +359,37 @@
 			.failure_ratio = target->failure_ratio,
 			.avoid_until_us = target->avoid_until_us,
 			.full_until_us = target->full_until_us,
-			.is_excluded = is_retired(target) ||
+			.is_excluded = skh_target_is_retired(target) ||
 				       now_us < target->wrong_instance_until_us ||
 				       now_us < get_accepts_from_us(target, now_us) ||
 				       is_excluded(excluded_targets, target),
 		};
 	}
-	selected = skh_select_server(&view);
+	selected = pool->is_lock_step
+			   ? skh_pool_groups_select(pool, &view, excluded_targets, probe_only)
+			   : skh_select_server(&view);
 	return selected == SKH_SELECTION_NONE ? NULL
 					      : g_ptr_array_index(pool->targets, (guint)selected);
 }
 
+skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
+				     skh_server_share_t share, int64_t now_us)
+{
+	return select_target(pool, excluded_targets, share, false, now_us);
+}
+
+skh_target_t *skh_target_pool_select_probe(skh_target_pool_t *pool,
+					   const GPtrArray *excluded_targets,
+					   skh_server_share_t share, int64_t now_us)
+{
+	return pool->is_lock_step ? select_target(pool, excluded_targets, share, true, now_us)
+				  : NULL;
+}
+
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool)
 {
 	for (guint i = 0; i < pool->targets->len; i++) {
-		if (!is_retired(g_ptr_array_index(pool->targets, i)))
+		if (!skh_target_is_retired(g_ptr_array_index(pool->targets, i)))
 			return true;
 	}
 	return false;
@@ -371,7 +402,7 @@
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
 
-		if (!is_retired(target))
+		if (!skh_target_is_retired(target))
 			earliest_us = MIN(earliest_us, get_accepts_from_us(target, now_us));
 	}
 	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
@@ -420,11 +451,11 @@
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *other = g_ptr_array_index(pool->targets, i);
 
-		if (other != target)
+		if (other != target && other->group == target->group)
 			view.group_last_received_us =
 				MAX(view.group_last_received_us, other->last_received_us);
 	}
-	return pool->is_lock_step && skh_rank_liveness_is_unreachable(&view);
+	return pool->is_lock_step && target->group && skh_rank_liveness_is_unreachable(&view);
 }
 
 void skh_target_begin_attempt(skh_target_t *target, double expected_tokens, int64_t now_us)
--- a/src/backends.h
+++ b/src/backends.h
@@ -10,13 +10,13 @@
  * thread. Times are microseconds of the boot clock.
  */
 
-#include "group_breaker.h"
 #include "request_queue.h"
 #include "retry_share.h"
 #include "roster.h"
 #include "routing.h"
 #include "server_limit.h"
 #include "server_selection.h"
+#include "target_group.h"
 #include "upstream.h"
 
 #ifdef __cplusplus
@@ -56,6 +56,12 @@
 	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
+	/* Of servers of lock-step services, see pool_groups.h: */
+	skh_target_group_t *group; /* owned by the pool; NULL while the server stands alone */
+	int64_t group_epoch;	   /* of the notice that named the server last */
+	uint64_t group_arrival;	   /* arrival number of that notice */
+	uint64_t listed_arrival; /* arrival number of the last notice when the server was listed */
+	bool has_served;	 /* has responded since it was listed or last rejected a request */
 };
 
 #define SKH_TARGET_POOL_RATE_SLOTS 8
@@ -67,7 +73,13 @@
 	skh_request_queue_t *queue;
 	skh_retry_share_t retry_share;
 	bool is_lock_step;
-	skh_group_breaker_t breaker; /* circuit breaker of a lock-step group */
+	GPtrArray *groups;	      /* skh_target_group_t of a lock-step service, owned */
+	skh_target_group_t *unproven; /* covers servers that stand alone and have not served */
+	GHashTable *former_members;   /* address -> what the last instance there was named by */
+	uint64_t notice_arrivals;     /* members notices so far */
+	double step_ms;		      /* costs of the service's engine, see routing.h */
+	double step_ms_per_request;
+	double expert_time_ratio;
 	uint32_t max_connections;
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
@@ -125,6 +137,46 @@
  */
 void skh_backends_set_slowdowns(skh_backends_t *backends, const char *text);
 
+/**
+ * skh_target_pool_select_probe() - selects a server of an unhealthy group while another is ready
+ *
+ * For a request that stays in time if the probe fails. Arguments as in skh_target_pool_select().
+ *
+ * Return: a borrowed target; NULL when no such probe is due.
+ */
+skh_target_t *skh_target_pool_select_probe(skh_target_pool_t *pool,
+					   const GPtrArray *excluded_targets,
+					   skh_server_share_t share, int64_t now_us);
+
+/**
+ * skh_backends_set_members() - applies the members notice of a group
+ * @text: see members_notice.h; if it is unreadable, the last members stay
+ * @revision: store revision of the notice
+ */
+void skh_backends_set_members(skh_backends_t *backends, const char *service, const char *group,
+			      const char *text, int64_t revision);
+
+/** skh_target_is_retired() - true for a server that never gets new requests again */
+bool skh_target_is_retired(const skh_target_t *target);
+
+/** skh_target_pool_is_tripped() - true while all servers are covered by tripped breakers */
+bool skh_target_pool_is_tripped(const skh_target_pool_t *pool, int64_t now_us);
+
+/** skh_target_pool_is_down() - true while all servers are in groups that are down */
+bool skh_target_pool_is_down(const skh_target_pool_t *pool, int64_t now_us);
+
+/** skh_target_is_guarded() - true when a request to the server is a probe of its group */
+bool skh_target_is_guarded(const skh_target_t *target, int64_t now_us);
+
+/*
+ * What attempts tell about the group of a server; see target_group.h. The rejection's result is
+ * whether the group's breaker was tripped already.
+ */
+void skh_target_record_send(skh_target_t *target, int64_t now_us);
+void skh_target_record_response(skh_target_t *target);
+bool skh_target_record_rejection(skh_target_t *target, int64_t now_us);
+void skh_target_record_failure(skh_target_t *target, bool is_lost, int64_t now_us);
+
 /** skh_target_pool_has_servers() - true when a server is neither leaving nor superseded */
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -7,6 +7,7 @@
 #include "gossip.h"
 #include "log.h"
 #include "metrics.h"
+#include "pool_groups.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -37,6 +38,13 @@
  * delay the others by more than it costs to process their prompts again at another rank.
  */
 #define MOVE_SLOWDOWN_RATIO 2.5
+/*
+ * A request probes an unhealthy group in place of another that would take it only if it has this
+ * much time left: a rejection takes a few ms, but a connect to a lost host takes longer.
+ */
+#define MIN_PROBE_SLACK_US (200 * SKH_US_PER_MS)
+/* A request that may not leave a silent group, for lack of retry budget, tries again after this. */
+#define MOVE_RETRY_INTERVAL_US (500 * SKH_US_PER_MS)
 /* A group that is down needs seconds to recover. */
 #define GROUP_DOWN_RETRY_AFTER_MS 2000
 
@@ -277,11 +285,24 @@
 
 static skh_queued_request_t *peek_next(const skh_target_pool_t *pool, int64_t now_us)
 {
-	return skh_group_breaker_is_tripped(&pool->breaker)
+	return skh_target_pool_is_tripped(pool, now_us)
 		       ? skh_request_queue_peek_probe(pool->queue, now_us)
 		       : skh_request_queue_peek(pool->queue, now_us);
 }
 
+static skh_target_t *select_target(const skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_server_share_t share = skh_gossip_get_share(exchange->gateway->gossip);
+	skh_target_t *target = NULL;
+
+	if (exchange->queued_request.dispatch_objective_us - now_us >= MIN_PROBE_SLACK_US)
+		target = skh_target_pool_select_probe(exchange->target_pool,
+						      exchange->excluded_targets, share, now_us);
+	return target ? target
+		      : skh_target_pool_select(exchange->target_pool, exchange->excluded_targets,
+					       share, now_us);
+}
+
 static void dispatch_pool(skh_target_pool_t *pool, void *context)
 {
 	int64_t now_us = skh_clock_boot_us();
@@ -298,11 +319,7 @@
 			reject_crash_suspect(exchange);
 			continue;
 		}
-		if (pool->is_lock_step && !skh_group_breaker_can_send(&pool->breaker, now_us))
-			return;
-		target = skh_target_pool_select(pool, exchange->excluded_targets,
-						skh_gossip_get_share(exchange->gateway->gossip),
-						now_us);
+		target = select_target(exchange, now_us);
 		if (!target)
 			return;
 		skh_attempt_send(exchange, target, now_us);
@@ -410,8 +427,67 @@
 	}
 }
 
+static bool should_leave_group(const skh_exchange_t *exchange, const skh_target_group_t *group,
+			       const skh_group_silence_input_t *silence)
+{
+	skh_group_silence_input_t view = *silence;
+
+	if (!exchange->target || exchange->target->group != group ||
+	    view.now_us < exchange->next_move_us)
+		return false;
+	view.is_streaming = exchange->attempt_is_streaming;
+	view.is_probe = exchange->is_group_probe;
+	view.sent_us = exchange->sent_us;
+	return skh_target_group_is_silent_too_long(&view);
+}
+
+/* Continues at most @max_moved requests of a silent group in other groups. */
+static void leave_group(skh_gateway_t *gateway, const skh_target_group_t *group,
+			const skh_group_silence_input_t *silence, uint32_t max_moved)
+{
+	GList *link = gateway->exchanges.head;
+	uint32_t moved = 0;
+
+	while (link && moved < max_moved) {
+		skh_exchange_t *exchange = link->data;
+
+		/* A retry may end this exchange, but no other. */
+		link = link->next;
+		if (!should_leave_group(exchange, group, silence))
+			continue;
+		exchange->next_move_us = silence->now_us + MOVE_RETRY_INTERVAL_US;
+		skh_attempt_retry_elsewhere(exchange);
+		moved++;
+	}
+	if (moved > 0)
+		skh_log(SKH_LOG_WARNING, PART,
+			"Group is silent; its retryable requests are moved to other groups.",
+			"group=%s moved=%u free=%u silent_ms=%" PRId64, group->name, moved,
+			max_moved, (silence->now_us - silence->last_received_us) / SKH_US_PER_MS);
+}
+
+static void leave_silent_groups(skh_target_pool_t *pool, void *context)
+{
+	skh_gateway_t *gateway = context;
+	uint32_t n_gateways = skh_gossip_count_peers(gateway->gossip) + 1;
+	int64_t now_us = skh_clock_boot_us();
+
+	for (guint i = 0; pool->is_lock_step && i < pool->groups->len; i++) {
+		const skh_target_group_t *group = g_ptr_array_index(pool->groups, i);
+		skh_group_silence_input_t silence = { .now_us = now_us };
+
+		if (!skh_group_breaker_is_silent(&group->breaker, now_us))
+			continue;
+		silence.has_streams = skh_pool_groups_count_streams(pool, group) > 0;
+		silence.last_received_us = skh_pool_groups_last_received_us(pool, group);
+		leave_group(gateway, group, &silence,
+			    skh_pool_groups_free_slots(pool, group, n_gateways, now_us));
+	}
+}
+
 void skh_exchange_tick(skh_gateway_t *gateway)
 {
+	skh_backends_for_each_pool(gateway->backends, leave_silent_groups, gateway);
 	skh_backends_for_each_pool(gateway->backends, abandon_lost_ranks, gateway);
 	skh_backends_for_each_pool(gateway->backends, end_expired_in_pool, NULL);
 	skh_exchange_dispatch(gateway);
@@ -615,7 +691,7 @@
 	if (skh_request_queue_length(exchange->target_pool->queue) == 0)
 		return true;
 	/* The requests that are already queued are enough to probe whether the group recovers. */
-	if (skh_group_breaker_is_down(&exchange->target_pool->breaker, now_us)) {
+	if (skh_target_pool_is_down(exchange->target_pool, now_us)) {
 		skh_exchange_reject(
 			exchange, SKH_NO_BACKEND,
 			skh_exchange_retry_after_ms(exchange, GROUP_DOWN_RETRY_AFTER_MS),
--- a/src/feed.c
+++ b/src/feed.c
@@ -1,6 +1,7 @@
 #include "feed.h"
 
 #include "clock.h"
+#include "group_id.h"
 #include "log.h"
 #include "metrics.h"
 
@@ -32,6 +33,7 @@
 	uint64_t gateway_changes;  /* counted from 1; guarded by the lock */
 	GHashTable *rank_notices;  /* service -> text; guarded by the lock */
 	uint64_t notice_changes;   /* counted from 1; guarded by the lock */
+	GPtrArray *read_members;   /* skh_feed_members_t; guarded by the lock */
 	GArray *read_records;	   /* skh_crash_record_t; guarded by the lock */
 	GArray *unwritten_records; /* skh_crash_record_t; guarded by the lock */
 	/* Used by the feed's thread alone: */
@@ -174,6 +176,46 @@
 	g_mutex_unlock(&feed->lock);
 }
 
+static void free_members(gpointer data)
+{
+	skh_feed_members_t *members = data;
+
+	g_free(members->service);
+	g_free(members->group);
+	g_free(members->text);
+	g_free(members);
+}
+
+/* Drops an older notice of the same group that has not been taken. */
+static void remove_untaken_members(skh_feed_t *feed, const skh_feed_members_t *newer)
+{
+	for (guint i = 0; i < feed->read_members->len; i++) {
+		const skh_feed_members_t *older = g_ptr_array_index(feed->read_members, i);
+
+		if (strcmp(older->service, newer->service) != 0 ||
+		    strcmp(older->group, newer->group) != 0)
+			continue;
+		(void)g_ptr_array_remove_index(feed->read_members, i);
+		return;
+	}
+}
+
+static void apply_members(skh_feed_t *feed, const char *name, const char *value, int64_t revision)
+{
+	skh_feed_members_t *members;
+	char *service;
+	char *group;
+
+	if (!value || !skh_group_id_parse(name, &service, &group))
+		return;
+	members = g_new(skh_feed_members_t, 1);
+	*members = (skh_feed_members_t){ service, group, g_strdup(value), revision };
+	g_mutex_lock(&feed->lock);
+	remove_untaken_members(feed, members);
+	g_ptr_array_add(feed->read_members, members);
+	g_mutex_unlock(&feed->lock);
+}
+
 static const char *const finding_names[] = {
 	[SKH_CRASH_FINDING_SUSPECTED] = "suspected",
 	[SKH_CRASH_FINDING_CONFIRMED] = "confirmed",
@@ -230,6 +272,8 @@
 		apply_gateway(feed, key + strlen(gateways_prefix), value);
 	else if (g_str_has_prefix(key, SKH_SLOW_RANKS_PREFIX))
 		apply_rank_notice(feed, key + strlen(SKH_SLOW_RANKS_PREFIX), value);
+	else if (g_str_has_prefix(key, SKH_GROUP_MEMBERS_PREFIX))
+		apply_members(feed, key + strlen(SKH_GROUP_MEMBERS_PREFIX), value, revision);
 	else if (g_str_has_prefix(key, SKH_CRASH_RECORDS_PREFIX))
 		apply_crash_record(feed, key + strlen(SKH_CRASH_RECORDS_PREFIX), value);
 }
@@ -319,6 +363,7 @@
 	skh_kv_pairs_t servers;
 	skh_kv_pairs_t gateways;
 	skh_kv_pairs_t notices;
+	skh_kv_pairs_t members;
 	skh_kv_pairs_t records;
 	int64_t revision;
 
@@ -338,6 +383,9 @@
 	if (!read_prefix(feed, SKH_SLOW_RANKS_PREFIX, &notices, err))
 		return false;
 	skh_kv_pairs_clear(&notices);
+	if (!read_prefix(feed, SKH_GROUP_MEMBERS_PREFIX, &members, err))
+		return false;
+	skh_kv_pairs_clear(&members);
 	if (!read_prefix(feed, SKH_CRASH_RECORDS_PREFIX, &records, err))
 		return false;
 	skh_kv_pairs_clear(&records);
@@ -563,6 +611,7 @@
 	feed->gateways = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	feed->notice_changes = 1;
 	feed->rank_notices = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	feed->read_members = g_ptr_array_new_with_free_func(free_members);
 	feed->read_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	feed->unwritten_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	g_mutex_init(&feed->lock);
@@ -577,6 +626,7 @@
 	skh_roster_builder_free(feed->builder);
 	g_hash_table_unref(feed->gateways);
 	g_hash_table_unref(feed->rank_notices);
+	g_ptr_array_unref(feed->read_members);
 	g_array_unref(feed->read_records);
 	g_array_unref(feed->unwritten_records);
 	g_mutex_clear(&feed->lock);
@@ -634,6 +684,30 @@
 	return lines ? g_string_free(lines, FALSE) : NULL;
 }
 
+/* A full read returns the notices by name. */
+static gint compare_revisions(gconstpointer left, gconstpointer right)
+{
+	const skh_feed_members_t *const *a = left;
+	const skh_feed_members_t *const *b = right;
+
+	return ((*a)->revision > (*b)->revision) - ((*a)->revision < (*b)->revision);
+}
+
+GPtrArray *skh_feed_take_members(skh_feed_t *feed)
+{
+	GPtrArray *members = NULL;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->read_members->len > 0) {
+		members = feed->read_members;
+		feed->read_members = g_ptr_array_new_with_free_func(free_members);
+	}
+	g_mutex_unlock(&feed->lock);
+	if (members)
+		g_ptr_array_sort(members, compare_revisions);
+	return members;
+}
+
 GArray *skh_feed_take_crash_records(skh_feed_t *feed)
 {
 	GArray *records = NULL;
--- a/src/feed.h
+++ b/src/feed.h
@@ -5,7 +5,7 @@
  * DOC: Feed from the store
  *
  * A thread of a gateway that reads the gateways' routing configuration, the list of
- * backend servers, the other gateways and the slow ranks from the store. It
+ * backend servers, the other gateways, the slow ranks and the members of groups from the store. It
  * publishes configuration and servers on the blackboard and registers the
  * gateway under a lease. Owns its thread, which makes all store calls; the
  * functions below may be called from any thread. Times are microseconds of the
@@ -79,6 +79,24 @@
  */
 char *skh_feed_get_slow_ranks(skh_feed_t *feed, uint64_t *last_change);
 
+/** struct skh_feed_members - members notice of a group; see members_notice.h */
+typedef struct skh_feed_members {
+	char *service;
+	char *group;
+	char *text;
+	int64_t revision; /* store revision of the notice */
+} skh_feed_members_t;
+
+/**
+ * skh_feed_take_members() - returns the members notices read since the last call
+ *
+ * In the order in which they were written, as far as it is known. Deleted notices are left out,
+ * since the last known members stay in use.
+ *
+ * Return: skh_feed_members_t, to be freed with g_ptr_array_unref(); NULL for none.
+ */
+GPtrArray *skh_feed_take_members(skh_feed_t *feed);
+
 /**
  * skh_feed_take_crash_records() - returns the crash records read since the last call
  * Return: skh_crash_record_t, to be freed with g_array_unref(); NULL for none.
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -143,6 +143,18 @@
 		MAX(MIN_GATEWAYS, skh_gossip_count_peers(gateway->gossip) + 1);
 }
 
+static void update_members(gateway_process_t *process)
+{
+	g_autoptr(GPtrArray) notices = skh_feed_take_members(process->gateway.feed);
+
+	for (guint i = 0; notices && i < notices->len; i++) {
+		const skh_feed_members_t *notice = g_ptr_array_index(notices, i);
+
+		skh_backends_set_members(process->gateway.backends, notice->service, notice->group,
+					 notice->text, notice->revision);
+	}
+}
+
 static void update_slowdowns(gateway_process_t *process)
 {
 	g_autofree char *notices =
@@ -270,6 +282,7 @@
 	sync_crash_records(process, now_us);
 	reload_settings(process, now_us);
 	update_peers(process);
+	update_members(process);
 	update_slowdowns(process);
 	update_ready(process, now_us);
 	skh_exchange_tick(&process->gateway);
--- a/src/group_breaker.c
+++ b/src/group_breaker.c
@@ -41,7 +41,7 @@
 	breaker->awaiting_event_since_us = 0;
 }
 
-static bool is_silent(const skh_group_breaker_t *breaker, int64_t now_us)
+bool skh_group_breaker_is_silent(const skh_group_breaker_t *breaker, int64_t now_us)
 {
 	return breaker->awaiting_event_since_us != 0 &&
 	       now_us - breaker->awaiting_event_since_us > SILENCE_TIMEOUT_US;
@@ -49,7 +49,8 @@
 
 bool skh_group_breaker_can_send(const skh_group_breaker_t *breaker, int64_t now_us)
 {
-	if (is_silent(breaker, now_us) && now_us < breaker->last_sent_us + SILENT_PROBE_INTERVAL_US)
+	if (skh_group_breaker_is_silent(breaker, now_us) &&
+	    now_us < breaker->last_sent_us + SILENT_PROBE_INTERVAL_US)
 		return false;
 	return breaker->tripped_since_us == 0 || now_us >= breaker->next_probe_us;
 }
--- a/src/group_breaker.h
+++ b/src/group_breaker.h
@@ -69,6 +69,9 @@
 /** skh_group_breaker_is_tripped() - whether ranks reject requests, so that only probes are sent */
 bool skh_group_breaker_is_tripped(const skh_group_breaker_t *breaker);
 
+/** skh_group_breaker_is_silent() - whether a request has waited too long for any response */
+bool skh_group_breaker_is_silent(const skh_group_breaker_t *breaker, int64_t now_us);
+
 /**
  * skh_group_breaker_is_down() - whether new requests should be rejected instead of queued
  *
