--- a/src/exchange.c
+++ b/src/exchange.c
@@ -476,7 +476,7 @@
 		const skh_target_group_t *group = g_ptr_array_index(pool->groups, i);
 		skh_group_silence_input_t silence = { .now_us = now_us };
 
-		if (!skh_group_breaker_is_silent(&group->breaker, now_us))
+		if (skh_target_group_is_ready(group, now_us))
 			continue;
 		silence.has_streams = skh_pool_groups_count_streams(pool, group) > 0;
 		silence.last_received_us = skh_pool_groups_last_received_us(pool, group);
--- a/src/target_group.c
+++ b/src/target_group.c
@@ -13,8 +13,16 @@
  * leave after 2 s without an event.
  */
 #define MAX_STREAM_SILENCE_US (1000 * US_PER_MS)
-/* A request without a response so far has nothing to lose in a group whose streams are silent. */
-#define MAX_UNANSWERED_SILENCE_US (500 * US_PER_MS)
+/*
+ * A request without a response so far has nothing to lose in a group whose streams are silent, and
+ * can still meet an objective of 500 ms elsewhere.
+ */
+#define MAX_UNANSWERED_SILENCE_US (350 * US_PER_MS)
+/*
+ * New requests go to other groups after this time without an event: two to four passes at a usual
+ * load. A group with a single long prompt is left out for nothing, which costs little.
+ */
+#define MAX_READY_SILENCE_US (200 * US_PER_MS)
 /* Without streams, a long prompt explains the silence; rank_liveness.c allows it as much. */
 #define MAX_PROMPT_SILENCE_US (1400 * US_PER_MS)
 
@@ -96,8 +104,11 @@
 
 bool skh_target_group_is_ready(const skh_target_group_t *group, int64_t now_us)
 {
-	return !group->has_failed && !skh_group_breaker_is_tripped(&group->breaker) &&
-	       !skh_group_breaker_is_silent(&group->breaker, now_us);
+	const skh_group_breaker_t *breaker = &group->breaker;
+	bool is_silent = breaker->awaiting_event_since_us != 0 &&
+			 now_us - breaker->awaiting_event_since_us > MAX_READY_SILENCE_US;
+
+	return !group->has_failed && !skh_group_breaker_is_tripped(breaker) && !is_silent;
 }
 
 bool skh_target_group_is_spare_probe_due(const skh_target_group_t *group, uint32_t running,
