--- a/src/exchange.c
+++ b/src/exchange.c
@@ -442,7 +442,7 @@
 }
 
 /* Continues at most @max_moved requests of a silent group in other groups. */
-static void leave_group(skh_gateway_t *gateway, const skh_target_group_t *group,
+static void leave_group(skh_gateway_t *gateway, skh_target_group_t *group,
 			const skh_group_silence_input_t *silence, uint32_t max_moved)
 {
 	GList *link = gateway->exchanges.head;
@@ -450,6 +450,7 @@
 
 	while (link && moved < max_moved) {
 		skh_exchange_t *exchange = link->data;
+		const skh_target_t *target = exchange->target;
 
 		/* A retry may end this exchange, but no other. */
 		link = link->next;
@@ -457,8 +458,9 @@
 			continue;
 		exchange->next_move_us = silence->now_us + MOVE_RETRY_INTERVAL_US;
 		skh_attempt_retry_elsewhere(exchange);
-		moved++;
+		moved += exchange->target != target;
 	}
+	group->moved += moved;
 	if (moved > 0)
 		skh_log(SKH_LOG_WARNING, PART,
 			"Group is silent; its retryable requests are moved to other groups.",
@@ -473,7 +475,7 @@
 	int64_t now_us = skh_clock_boot_us();
 
 	for (guint i = 0; pool->is_lock_step && i < pool->groups->len; i++) {
-		const skh_target_group_t *group = g_ptr_array_index(pool->groups, i);
+		skh_target_group_t *group = g_ptr_array_index(pool->groups, i);
 		skh_group_silence_input_t silence = { .now_us = now_us };
 
 		if (skh_target_group_is_ready(group, now_us))
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "exchange.h"
 #include "gossip.h"
 #include "log.h"
+#include "pool_groups.h"
 #include "process.h"
 #include "settings_watcher.h"
 
@@ -38,6 +39,8 @@
 #define MAX_STORED_RECORDS_A_TICK 32
 #define CRASH_WRITE_INTERVAL_US	  (100 * SKH_US_PER_MS)
 
+#define GROUP_METRICS_INTERVAL_US SKH_US_PER_S
+
 typedef struct gateway_process {
 	skh_gateway_t gateway;
 	skh_upstream_pool_options_t pool_options;
@@ -47,6 +50,7 @@
 	skh_store_t *store;
 	skh_settings_watcher_t *settings_watcher;
 	int64_t next_crash_write_us;
+	int64_t next_group_metrics_us;
 	int64_t store_era;	      /* in which the crash records were stored */
 	uint64_t last_peers_change;   /* newest change that skh_feed_get_gateways() returned */
 	uint64_t last_notices_change; /* newest change that skh_feed_get_slow_ranks() returned */
@@ -155,6 +159,19 @@
 	}
 }
 
+static void publish_pool_metrics(skh_target_pool_t *pool, void *now_us)
+{
+	skh_pool_groups_publish_metrics(pool, *(const int64_t *)now_us);
+}
+
+static void publish_group_metrics(gateway_process_t *process, int64_t now_us)
+{
+	if (now_us < process->next_group_metrics_us)
+		return;
+	process->next_group_metrics_us = now_us + GROUP_METRICS_INTERVAL_US;
+	skh_backends_for_each_pool(process->gateway.backends, publish_pool_metrics, &now_us);
+}
+
 static void update_slowdowns(gateway_process_t *process)
 {
 	g_autofree char *notices =
@@ -283,6 +300,7 @@
 	reload_settings(process, now_us);
 	update_peers(process);
 	update_members(process);
+	publish_group_metrics(process, now_us);
 	update_slowdowns(process);
 	update_ready(process, now_us);
 	skh_exchange_tick(&process->gateway);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <stdatomic.h>
+#include <string.h>
 
 /* Upper bound of bucket i: FIRST_BOUND_US << i, exclusive; the last bucket is unbounded. */
 #define FIRST_BOUND_US ((int64_t)128)
@@ -58,6 +59,32 @@
 	[SKH_HIST_ANSWER] = { "answer_us", "Time to the last byte of the answer" },
 };
 
+typedef struct group_row {
+	metric_row_t row;
+	const char *type;
+} group_row_t;
+
+static const group_row_t group_table[SKH_GROUP_METRIC_COUNT] = {
+	[SKH_GROUP_METRIC_READY] = { { "group_ready", "Whether the group answers" }, "gauge" },
+	[SKH_GROUP_METRIC_SERVERS] = { { "group_servers", "Listed servers of the group" },
+				       "gauge" },
+	[SKH_GROUP_METRIC_RUNNING] = { { "group_running", "Requests in flight in the group" },
+				       "gauge" },
+	[SKH_GROUP_METRIC_PROBES] = { { "group_probes_total",
+					"Requests sent while the group was not ready" },
+				      "counter" },
+	[SKH_GROUP_METRIC_MOVED] = { { "group_moved_total",
+				       "Requests moved from the silent group to others" },
+				     "counter" },
+};
+
+/* Values of one group; guarded by the lock. */
+typedef struct group_values {
+	char *service;
+	char *group;
+	int64_t values[SKH_GROUP_METRIC_COUNT];
+} group_values_t;
+
 typedef struct series {
 	char *customer;
 	char *class_name;
@@ -67,6 +94,7 @@
 
 static atomic_uint_fast64_t counters[SKH_COUNTER_COUNT];
 static GHashTable *series_tables[SKH_HISTOGRAM_COUNT];
+static GHashTable *groups; /* service and group -> group_values_t */
 static GRWLock series_lock;
 
 void skh_metrics_add(skh_counter_t counter, uint64_t amount)
@@ -168,6 +196,46 @@
 		write_series(out, row->name, series);
 }
 
+void skh_metrics_set_group(const char *service, const char *group,
+			   const int64_t values[SKH_GROUP_METRIC_COUNT])
+{
+	g_autofree char *key = g_strdup_printf("%s\n%s", service, group);
+	group_values_t *entry;
+
+	g_rw_lock_writer_lock(&series_lock);
+	if (!groups)
+		groups = g_hash_table_new(g_str_hash, g_str_equal);
+	entry = g_hash_table_lookup(groups, key);
+	if (!entry) {
+		entry = g_new0(group_values_t, 1);
+		entry->service = g_strdup(service);
+		entry->group = g_strescape(group, NULL);
+		g_hash_table_insert(groups, g_strdup(key), entry);
+	}
+	memcpy(entry->values, values, sizeof(entry->values));
+	g_rw_lock_writer_unlock(&series_lock);
+}
+
+static void write_group_metric(skh_buffer_t *out, skh_group_metric_t metric)
+{
+	const group_row_t *row = &group_table[metric];
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!groups)
+		return;
+	skh_buffer_printf(out, "# HELP skylarkhead_%s %s\n# TYPE skylarkhead_%s %s\n",
+			  row->row.name, row->row.help, row->row.name, row->type);
+	g_hash_table_iter_init(&iter, groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const group_values_t *entry = value;
+
+		skh_buffer_printf(out, "skylarkhead_%s{service=\"%s\",group=\"%s\"} %" PRId64 "\n",
+				  row->row.name, entry->service, entry->group,
+				  entry->values[metric]);
+	}
+}
+
 static void write_counter(skh_buffer_t *out, const metric_row_t *row, uint64_t value)
 {
 	skh_buffer_printf(out,
@@ -187,5 +255,7 @@
 	g_rw_lock_reader_lock(&series_lock);
 	for (int32_t i = 0; i < SKH_HISTOGRAM_COUNT; i++)
 		write_histogram(out, (skh_histogram_t)i);
+	for (int32_t i = 0; i < SKH_GROUP_METRIC_COUNT; i++)
+		write_group_metric(out, (skh_group_metric_t)i);
 	g_rw_lock_reader_unlock(&series_lock);
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -6,7 +6,7 @@
  *
  * Process-wide counters, and latency histograms per customer and class, exported
  * in the Prometheus text format. The class is a request's priority at an entry and
- * its route at a gateway. Any thread can call these functions. Counters take no
+ * its route at a gateway. Values of lock-step groups are exported by service and group. Any thread can call these functions. Counters take no
  * lock. An observation takes a shared lock, and the first one of a customer and
  * class an exclusive lock.
  */
@@ -80,6 +80,20 @@
 void skh_metrics_observe(skh_histogram_t histogram, const char *customer, const char *class_name,
 			 int64_t value_us);
 
+/** enum skh_group_metric - values of a lock-step group; metrics.c has the exported names */
+typedef enum skh_group_metric {
+	SKH_GROUP_METRIC_READY,	  /* 1 if the group answers, 0 if not */
+	SKH_GROUP_METRIC_SERVERS, /* listed servers */
+	SKH_GROUP_METRIC_RUNNING, /* requests of this gateway */
+	SKH_GROUP_METRIC_PROBES,  /* requests sent while the group was not ready */
+	SKH_GROUP_METRIC_MOVED,	  /* requests moved to other groups because of silence */
+	SKH_GROUP_METRIC_COUNT
+} skh_group_metric_t;
+
+/** skh_metrics_set_group() - set all values of a group; the names are copied */
+void skh_metrics_set_group(const char *service, const char *group,
+			   const int64_t values[SKH_GROUP_METRIC_COUNT]);
+
 /** skh_metrics_write() - append all metrics to @out in the Prometheus text format */
 void skh_metrics_write(skh_buffer_t *out);
 
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -2,6 +2,7 @@
 
 #include "group_selection.h"
 #include "log.h"
+#include "metrics.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -357,6 +358,34 @@
 	return select_server(pool, servers, excluded_targets, probe_only);
 }
 
+/* --- Metrics --- */
+
+static void publish_group(const skh_target_pool_t *pool, const skh_target_group_t *group,
+			  int64_t now_us)
+{
+	int64_t values[SKH_GROUP_METRIC_COUNT] = {
+		[SKH_GROUP_METRIC_READY] = skh_target_group_is_ready(group, now_us),
+		[SKH_GROUP_METRIC_PROBES] = (int64_t)group->probes,
+		[SKH_GROUP_METRIC_MOVED] = (int64_t)group->moved,
+	};
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		if (target->group != group)
+			continue;
+		values[SKH_GROUP_METRIC_SERVERS]++;
+		values[SKH_GROUP_METRIC_RUNNING] += target->own_in_flight;
+	}
+	skh_metrics_set_group(pool->service, group->name, values);
+}
+
+void skh_pool_groups_publish_metrics(const skh_target_pool_t *pool, int64_t now_us)
+{
+	for (guint i = 0; i < pool->groups->len; i++)
+		publish_group(pool, g_ptr_array_index(pool->groups, i), now_us);
+}
+
 /* --- Silence --- */
 
 uint32_t skh_pool_groups_free_slots(const skh_target_pool_t *pool, const skh_target_group_t *group,
--- a/src/pool_groups.h
+++ b/src/pool_groups.h
@@ -60,6 +60,9 @@
 int32_t skh_pool_groups_select(const skh_target_pool_t *pool, const skh_selection_input_t *servers,
 			       const GPtrArray *excluded_targets, bool probe_only);
 
+/** skh_pool_groups_publish_metrics() - set the metrics of the pool's known groups */
+void skh_pool_groups_publish_metrics(const skh_target_pool_t *pool, int64_t now_us);
+
 /** skh_pool_groups_free_slots() - slots of this gateway in ready groups other than @group */
 uint32_t skh_pool_groups_free_slots(const skh_target_pool_t *pool, const skh_target_group_t *group,
 				    uint32_t n_gateways, int64_t now_us);
--- a/src/target_group.c
+++ b/src/target_group.c
@@ -77,6 +77,7 @@
 
 void skh_target_group_record_send(skh_target_group_t *group, int64_t now_us)
 {
+	group->probes += !skh_target_group_is_ready(group, now_us);
 	group->next_spare_probe_us = now_us + SPARE_PROBE_INTERVAL_US;
 	skh_group_breaker_record_send(&group->breaker, now_us);
 }
--- a/src/target_group.h
+++ b/src/target_group.h
@@ -43,6 +43,8 @@
 	int64_t epoch;		     /* of the last notice */
 	uint64_t arrival;	     /* arrival number of the last notice; 0 before */
 	int64_t notice_revision;     /* store revision of the last notice; 0 before */
+	uint64_t probes;	     /* requests sent while the group was not ready */
+	uint64_t moved;		     /* requests moved to other groups because of silence */
 } skh_target_group_t;
 
 /** skh_target_group_new() - group without members; @name is copied */
