Count shares within a group, see silent streams, and keep the group of a relisted instance

(3) A group that nothing was sent to was not seen to be silent although its streams were, and counted as ready once they had left. Change: only the group's servers are passed to the selection of a server; experts of a slow rank count at most twice; the silence of streams counts and is remembered until the group responds; the same instance keeps its group. A probe of a silent group goes back after 0.2 s.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -457,6 +457,7 @@
 		if (!should_leave_group(exchange, group, silence))
 			continue;
 		exchange->next_move_us = silence->now_us + MOVE_RETRY_INTERVAL_US;
+		skh_target_group_record_silence(group);
 		skh_attempt_retry_elsewhere(exchange);
 		moved += exchange->target != target;
 	}
@@ -476,12 +477,15 @@
 
 	for (guint i = 0; pool->is_lock_step && i < pool->groups->len; i++) {
 		skh_target_group_t *group = g_ptr_array_index(pool->groups, i);
-		skh_group_silence_input_t silence = { .now_us = now_us };
-
-		if (skh_target_group_is_ready(group, now_us))
+		const skh_group_activity_t activity = skh_pool_groups_activity(pool, group);
+		const skh_group_silence_input_t silence = {
+			.has_streams = activity.streams > 0,
+			.last_received_us = activity.last_received_us,
+			.now_us = now_us,
+		};
+
+		if (activity.running == 0 || !skh_target_group_is_silent(group, &activity, now_us))
 			continue;
-		silence.has_streams = skh_pool_groups_count_streams(pool, group) > 0;
-		silence.last_received_us = skh_pool_groups_last_received_us(pool, group);
 		leave_group(gateway, group, &silence,
 			    skh_pool_groups_free_slots(pool, group, n_gateways, now_us));
 	}
--- a/src/group_selection.c
+++ b/src/group_selection.c
@@ -3,6 +3,12 @@
 #include <glib.h>
 #include <math.h>
 
+/*
+ * Slowdown of the experts' part of a pass beyond which a coordinator moves experts off the slow
+ * rank, so that passes are not delayed by more for long.
+ */
+#define MAX_EXPERT_SLOWDOWN 2.0
+
 /* What the servers of a group have in total. */
 typedef struct group_load {
 	uint32_t n_servers;
@@ -26,20 +32,24 @@
 	return MAX(server->slowdown, 1.0);
 }
 
+/* With a share, all ranks run about the same; but no gateway sends much to a slow one. */
 static double server_running(const skh_group_selection_input_t *view, const group_load_t *load,
 			     uint32_t i)
 {
-	return view->servers.share.count > 0 ? load->running / load->n_servers
-					     : (double)view->servers.candidates[i].running;
+	const skh_candidate_t *server = &view->servers.candidates[i];
+
+	if (view->servers.share.count == 0 || (server->running == 0 && server->slowdown > 1.0))
+		return (double)server->running;
+	return load->running / load->n_servers;
 }
 
 /* Duration of a rank's part of a step with its present requests. */
 static double present_part_ms(const skh_group_selection_input_t *view, uint32_t i, double running)
 {
-	double part_ms = running > 0.0 ? view->step_ms + running * view->step_ms_per_request
-				       : view->step_ms * view->expert_time_ratio;
-
-	return part_ms * get_slowdown(&view->servers.candidates[i]);
+	if (running <= 0.0)
+		return 0.0;
+	return (view->step_ms + running * view->step_ms_per_request) *
+	       get_slowdown(&view->servers.candidates[i]);
 }
 
 static double next_part_ms(const skh_group_selection_input_t *view, uint32_t i, double running)
@@ -67,6 +77,7 @@
 {
 	double longest_ms = 0.0;
 	double next_ms = HUGE_VAL;
+	double slowest = 1.0;
 
 	for (uint32_t i = 0; i < view->servers.n_candidates; i++) {
 		double running;
@@ -74,12 +85,15 @@
 		if (view->group_of[i] != group)
 			continue;
 		running = server_running(view, load, i);
-		if (view->groups[group].is_joint)
+		if (view->groups[group].is_joint) {
 			longest_ms = MAX(longest_ms, present_part_ms(view, i, running));
+			slowest = MAX(slowest, get_slowdown(&view->servers.candidates[i]));
+		}
 		if (!view->servers.candidates[i].is_excluded)
 			next_ms = MIN(next_ms, next_part_ms(view, i, running));
 	}
-	load->pass_ms = MAX(longest_ms, next_ms);
+	load->pass_ms = MAX(longest_ms, next_ms) *
+			(1.0 + view->expert_time_ratio * (MIN(slowest, MAX_EXPERT_SLOWDOWN) - 1.0));
 }
 
 static group_load_t *measure_groups(const skh_group_selection_input_t *view)
@@ -118,19 +132,31 @@
 	return loads[a].running / loads[a].n_servers < loads[b].running / loads[b].n_servers;
 }
 
+/*
+ * Only the group's servers are passed on, so that positions count within the group: each gateway
+ * then has a share of each group, and ties are broken evenly.
+ */
 static int32_t select_in_group(const skh_group_selection_input_t *view, uint32_t group)
 {
-	g_autofree skh_candidate_t *members = NULL;
 	skh_selection_input_t servers = view->servers;
+	skh_candidate_t *members = g_new(skh_candidate_t, servers.n_candidates);
+	uint32_t *positions = g_new(uint32_t, servers.n_candidates);
+	int32_t selected;
 
-	if (view->n_groups == 1)
-		return skh_select_server(&view->servers);
-	/* Positions matter for shares, so the other groups' servers stay in the list. */
-	members = g_memdup2(servers.candidates, servers.n_candidates * sizeof(members[0]));
-	for (uint32_t i = 0; i < servers.n_candidates; i++)
-		members[i].is_excluded = members[i].is_excluded || view->group_of[i] != group;
 	servers.candidates = members;
-	return skh_select_server(&servers);
+	servers.n_candidates = 0;
+	for (uint32_t i = 0; i < view->servers.n_candidates; i++) {
+		if (view->group_of[i] != group)
+			continue;
+		positions[servers.n_candidates] = i;
+		members[servers.n_candidates++] = view->servers.candidates[i];
+	}
+	selected = skh_select_server(&servers);
+	if (selected != SKH_SELECTION_NONE)
+		selected = (int32_t)positions[selected];
+	g_free(positions);
+	g_free(members);
+	return selected;
 }
 
 typedef bool (*group_filter_fn)(const skh_group_candidate_t *group);
--- a/src/group_selection.h
+++ b/src/group_selection.h
@@ -12,9 +12,9 @@
  *
  * Ready groups come first: of those with a free slot the one whose next pass is expected to be
  * the shortest with the request in it, and of equal ones the one with fewer requests for each
- * rank. A pass takes as long as the slowest rank's part. A slow rank without requests still
- * delays the group's passes by its share of the experts' work. A group in which an attempt of the
- * request failed before comes after the others.
+ * rank. A pass takes as long as the slowest rank's part, and a slow rank also delays the experts'
+ * work, until the coordinator has moved most of it to other ranks. A group in which an attempt of
+ * the request failed before comes after the others.
  *
  * An unhealthy group gets requests only as probes: at the breaker's pace (group_breaker.h) while
  * no group is ready, and rarely otherwise. With one group the result is that of
@@ -40,7 +40,6 @@
 	bool is_spare_probe_due; /* a probe may be sent while another group is ready */
 	bool is_left;		 /* an attempt of this request has failed there */
 	bool is_at_limit;	 /* it may run no further request of this gateway */
-	uint32_t own_running;	 /* requests of this gateway in the group */
 } skh_group_candidate_t;
 
 /**
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -11,6 +11,7 @@
 
 /* What the last grouped instance at an address was named by. */
 typedef struct former_member {
+	uint64_t instance; /* skh_server_instance_hash() */
 	const skh_target_group_t *group;
 	int64_t epoch;
 	uint64_t arrival;
@@ -42,7 +43,8 @@
 static bool is_about_instance(const skh_target_t *target, const former_member_t *former,
 			      const skh_target_group_t *group, const skh_group_member_t *member)
 {
-	if (!former || group->arrival > target->listed_arrival)
+	if (!former || former->instance == skh_server_instance_hash(target->server) ||
+	    group->arrival > target->listed_arrival)
 		return true;
 	return former->group == group ? group->epoch > former->epoch
 				      : member->named_since > former->arrival;
@@ -103,7 +105,8 @@
 	if (!target->group)
 		return;
 	former = g_new(former_member_t, 1);
-	*former = (former_member_t){ target->group, target->group_epoch, target->group_arrival };
+	*former = (former_member_t){ skh_server_instance_hash(target->server), target->group,
+				     target->group_epoch, target->group_arrival };
 	(void)g_hash_table_replace(target->target_pool->former_members, format_address(target),
 				   former);
 	target->group = NULL;
@@ -171,20 +174,51 @@
 	return target->has_served ? NULL : target->target_pool->unproven;
 }
 
+skh_group_activity_t skh_pool_groups_activity(const skh_target_pool_t *pool,
+					      const skh_target_group_t *group)
+{
+	skh_group_activity_t activity = { 0 };
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		if (target->group != group)
+			continue;
+		activity.running += target->own_in_flight;
+		activity.streams += target->own_streaming;
+		activity.last_received_us =
+			MAX(activity.last_received_us, target->last_received_us);
+	}
+	return activity;
+}
+
+bool skh_pool_groups_is_ready(const skh_target_pool_t *pool, const skh_target_group_t *group,
+			      int64_t now_us)
+{
+	skh_group_activity_t activity = { 0 };
+
+	/* A server that stands alone does not show by its silence that others are silent. */
+	if (group != pool->unproven)
+		activity = skh_pool_groups_activity(pool, group);
+	return skh_target_group_is_ready(group, &activity, now_us);
+}
+
 bool skh_target_is_guarded(const skh_target_t *target, int64_t now_us)
 {
 	const skh_target_group_t *group = get_guarding_group(target);
 
 	return target->target_pool->is_lock_step && group &&
-	       !skh_target_group_is_ready(group, now_us);
+	       !skh_pool_groups_is_ready(target->target_pool, group, now_us);
 }
 
 void skh_target_record_send(skh_target_t *target, int64_t now_us)
 {
 	skh_target_group_t *group = get_guarding_group(target);
 
-	if (group)
-		skh_target_group_record_send(group, now_us);
+	if (!group)
+		return;
+	group->probes += skh_target_is_guarded(target, now_us);
+	skh_target_group_record_send(group, now_us);
 }
 
 /* A rank that is full rejects requests, too, so a group is reported only once it is down. */
@@ -301,25 +335,29 @@
 			   const GPtrArray *excluded_targets, int64_t now_us,
 			   skh_group_candidate_t *candidate)
 {
-	uint32_t running = candidate->own_running;
+	skh_group_activity_t activity = { 0 };
 
-	candidate->is_ready = !group || skh_target_group_is_ready(group, now_us);
+	candidate->is_ready = !group || skh_pool_groups_is_ready(pool, group, now_us);
 	if (!group)
 		return;
+	if (group != pool->unproven)
+		activity = skh_pool_groups_activity(pool, group);
 	candidate->is_joint = group != pool->unproven;
 	candidate->is_probe_due = skh_group_breaker_can_send(&group->breaker, now_us);
-	candidate->is_spare_probe_due = skh_target_group_is_spare_probe_due(group, running, now_us);
+	candidate->is_spare_probe_due =
+		skh_target_group_is_spare_probe_due(group, &activity, now_us);
 	candidate->is_left = candidate->is_joint && has_failed_in(excluded_targets, group);
-	candidate->is_at_limit = group->max_running > 0 && running >= group->max_running;
+	candidate->is_at_limit = group->max_running > 0 && activity.running >= group->max_running;
 }
 
 /* Whether a group is to be probed while others are ready; spares the selection in most cases. */
 static bool may_probe(const skh_target_pool_t *pool, int64_t now_us)
 {
-	bool is_due = !skh_target_group_is_ready(pool->unproven, now_us);
+	bool is_due = !skh_pool_groups_is_ready(pool, pool->unproven, now_us);
 
 	for (guint i = 0; !is_due && i < pool->groups->len; i++)
-		is_due = !skh_target_group_is_ready(g_ptr_array_index(pool->groups, i), now_us);
+		is_due =
+			!skh_pool_groups_is_ready(pool, g_ptr_array_index(pool->groups, i), now_us);
 	return is_due;
 }
 
@@ -337,12 +375,9 @@
 					     .step_ms_per_request = pool->step_ms_per_request,
 					     .expert_time_ratio = pool->expert_time_ratio };
 
-	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		group_of[i] = index_group(groups, get_guarding_group(target));
-		candidates[group_of[i]].own_running += target->own_in_flight;
-	}
+	for (guint i = 0; i < pool->targets->len; i++)
+		group_of[i] = index_group(groups,
+					  get_guarding_group(g_ptr_array_index(pool->targets, i)));
 	for (guint i = 0; i < groups->len; i++)
 		describe_group(pool, g_ptr_array_index(groups, i), excluded_targets,
 			       servers->now_us, &candidates[i]);
@@ -363,20 +398,17 @@
 static void publish_group(const skh_target_pool_t *pool, const skh_target_group_t *group,
 			  int64_t now_us)
 {
+	const skh_group_activity_t activity = skh_pool_groups_activity(pool, group);
 	int64_t values[SKH_GROUP_METRIC_COUNT] = {
-		[SKH_GROUP_METRIC_READY] = skh_target_group_is_ready(group, now_us),
+		[SKH_GROUP_METRIC_READY] = skh_target_group_is_ready(group, &activity, now_us),
+		[SKH_GROUP_METRIC_RUNNING] = activity.running,
 		[SKH_GROUP_METRIC_PROBES] = (int64_t)group->probes,
 		[SKH_GROUP_METRIC_MOVED] = (int64_t)group->moved,
 	};
 
-	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		if (target->group != group)
-			continue;
-		values[SKH_GROUP_METRIC_SERVERS]++;
-		values[SKH_GROUP_METRIC_RUNNING] += target->own_in_flight;
-	}
+	for (guint i = 0; i < pool->targets->len; i++)
+		values[SKH_GROUP_METRIC_SERVERS] +=
+			((const skh_target_t *)g_ptr_array_index(pool->targets, i))->group == group;
 	skh_metrics_set_group(pool->service, group->name, values);
 }
 
@@ -400,37 +432,10 @@
 
 		/* Whether those that have not served do answer is not known. */
 		if (other == group || other == pool->unproven ||
-		    (other && !skh_target_group_is_ready(other, now_us)) ||
+		    (other && !skh_pool_groups_is_ready(pool, other, now_us)) ||
 		    skh_target_is_retired(target) || used >= target->server->slots)
 			continue;
 		free_slots += target->server->slots - used;
 	}
 	return (free_slots + n_gateways - 1) / n_gateways;
 }
-
-int64_t skh_pool_groups_last_received_us(const skh_target_pool_t *pool,
-					 const skh_target_group_t *group)
-{
-	int64_t last_us = 0;
-
-	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		if (target->group == group)
-			last_us = MAX(last_us, target->last_received_us);
-	}
-	return last_us;
-}
-
-uint32_t skh_pool_groups_count_streams(const skh_target_pool_t *pool,
-				       const skh_target_group_t *group)
-{
-	uint32_t streams = 0;
-
-	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		streams += target->group == group ? target->own_streaming : 0;
-	}
-	return streams;
-}
--- a/src/pool_groups.h
+++ b/src/pool_groups.h
@@ -11,7 +11,8 @@
  * A server that no notice names stands alone. A server instance inherits nothing from the
  * previous one at its address: it stands alone until a notice names it that arrived after the
  * instance was listed, that is of a later epoch than the notice that named the previous one, or
- * with which another group has named the address since.
+ * with which another group has named the address since. An instance that is listed again, because
+ * its entry had expired, keeps its group.
  *
  * A server that stands alone and has not served a request since it was listed may be a rank of a
  * group that is forming. Such servers share a breaker, so that a service of one group that starts
@@ -67,13 +68,13 @@
 uint32_t skh_pool_groups_free_slots(const skh_target_pool_t *pool, const skh_target_group_t *group,
 				    uint32_t n_gateways, int64_t now_us);
 
-/** skh_pool_groups_last_received_us() - last response bytes from any member of @group */
-int64_t skh_pool_groups_last_received_us(const skh_target_pool_t *pool,
-					 const skh_target_group_t *group);
+/** skh_pool_groups_activity() - what this gateway has in @group now */
+skh_group_activity_t skh_pool_groups_activity(const skh_target_pool_t *pool,
+					      const skh_target_group_t *group);
 
-/** skh_pool_groups_count_streams() - streams of this gateway in @group */
-uint32_t skh_pool_groups_count_streams(const skh_target_pool_t *pool,
-				       const skh_target_group_t *group);
+/** skh_pool_groups_is_ready() - whether @group of the pool answers, as far as is known */
+bool skh_pool_groups_is_ready(const skh_target_pool_t *pool, const skh_target_group_t *group,
+			      int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/target_group.c
+++ b/src/target_group.c
@@ -23,6 +23,10 @@
  * load. A group with a single long prompt is left out for nothing, which costs little.
  */
 #define MAX_READY_SILENCE_US (200 * US_PER_MS)
+/*
+ * A probe goes back to the ready groups after this time, so that it still meets its objective there.
+ */
+#define MAX_PROBE_SILENCE_US (200 * US_PER_MS)
 /* Without streams, a long prompt explains the silence; rank_liveness.c allows it as much. */
 #define MAX_PROMPT_SILENCE_US (1400 * US_PER_MS)
 
@@ -77,7 +81,6 @@
 
 void skh_target_group_record_send(skh_target_group_t *group, int64_t now_us)
 {
-	group->probes += !skh_target_group_is_ready(group, now_us);
 	group->next_spare_probe_us = now_us + SPARE_PROBE_INTERVAL_US;
 	skh_group_breaker_record_send(&group->breaker, now_us);
 }
@@ -85,17 +88,25 @@
 void skh_target_group_record_response(skh_target_group_t *group)
 {
 	group->has_failed = false;
+	group->was_silent = false;
 	skh_group_breaker_record_response(&group->breaker);
 }
 
+void skh_target_group_record_silence(skh_target_group_t *group)
+{
+	group->was_silent = true;
+}
+
 void skh_target_group_record_rejection(skh_target_group_t *group, int64_t now_us)
 {
+	group->was_silent = false;
 	skh_group_breaker_record_rejection(&group->breaker, now_us);
 	group->next_spare_probe_us = now_us + SPARE_PROBE_INTERVAL_US;
 }
 
 void skh_target_group_record_failure(skh_target_group_t *group, bool is_lost, int64_t now_us)
 {
+	group->was_silent = false;
 	skh_group_breaker_record_failure(&group->breaker);
 	if (!is_lost)
 		return;
@@ -103,21 +114,32 @@
 	group->next_spare_probe_us = now_us + SPARE_PROBE_INTERVAL_US;
 }
 
-bool skh_target_group_is_ready(const skh_target_group_t *group, int64_t now_us)
+bool skh_target_group_is_silent(const skh_target_group_t *group,
+				const skh_group_activity_t *activity, int64_t now_us)
 {
-	const skh_group_breaker_t *breaker = &group->breaker;
-	bool is_silent = breaker->awaiting_event_since_us != 0 &&
-			 now_us - breaker->awaiting_event_since_us > MAX_READY_SILENCE_US;
+	int64_t awaited_since_us = group->breaker.awaiting_event_since_us;
+
+	if (group->was_silent ||
+	    (awaited_since_us != 0 && now_us - awaited_since_us > MAX_READY_SILENCE_US))
+		return true;
+	/* Streams have an event in each pass, also if no request was sent since the last one. */
+	return activity->streams > 0 && now_us - activity->last_received_us > MAX_READY_SILENCE_US;
+}
 
-	return !group->has_failed && !skh_group_breaker_is_tripped(breaker) && !is_silent;
+bool skh_target_group_is_ready(const skh_target_group_t *group,
+			       const skh_group_activity_t *activity, int64_t now_us)
+{
+	return !group->has_failed && !skh_group_breaker_is_tripped(&group->breaker) &&
+	       !skh_target_group_is_silent(group, activity, now_us);
 }
 
-bool skh_target_group_is_spare_probe_due(const skh_target_group_t *group, uint32_t running,
-					 int64_t now_us)
+bool skh_target_group_is_spare_probe_due(const skh_target_group_t *group,
+					 const skh_group_activity_t *activity, int64_t now_us)
 {
 	/* The requests that run there show when the group goes on. */
-	if (skh_group_breaker_is_silent(&group->breaker, now_us) &&
-	    (running > 0 || now_us < group->breaker.last_sent_us + SILENT_SPARE_PROBE_INTERVAL_US))
+	if (skh_target_group_is_silent(group, activity, now_us) &&
+	    (activity->running > 0 ||
+	     now_us < group->breaker.last_sent_us + SILENT_SPARE_PROBE_INTERVAL_US))
 		return false;
 	return now_us >= group->next_spare_probe_us;
 }
@@ -126,8 +148,9 @@
 {
 	if (view->is_streaming)
 		return MAX_STREAM_SILENCE_US;
-	return view->has_streams || view->is_probe ? MAX_UNANSWERED_SILENCE_US
-						   : MAX_PROMPT_SILENCE_US;
+	if (view->is_probe)
+		return MAX_PROBE_SILENCE_US;
+	return view->has_streams ? MAX_UNANSWERED_SILENCE_US : MAX_PROMPT_SILENCE_US;
 }
 
 bool skh_target_group_is_silent_too_long(const skh_group_silence_input_t *view)
--- a/src/target_group.h
+++ b/src/target_group.h
@@ -36,6 +36,7 @@
 	char *name;
 	skh_group_breaker_t breaker;
 	bool has_failed;	     /* an attempt was lost there since the last response */
+	bool was_silent;	     /* requests had to leave it since the last response */
 	int64_t next_spare_probe_us; /* earliest probe while another group is ready */
 	bool is_reported_down;	     /* the log says that the group is down */
 	uint32_t max_running;	     /* limit of this gateway's requests there; 0 for none */
@@ -70,6 +71,13 @@
 /** skh_target_group_record_response() - record a response or an event of a member */
 void skh_target_group_record_response(skh_target_group_t *group);
 
+/**
+ * skh_target_group_record_silence() - record that requests leave the group because it is silent
+ *
+ * It counts as silent until it responds, also when nothing runs there any more.
+ */
+void skh_target_group_record_silence(skh_target_group_t *group);
+
 /** skh_target_group_record_rejection() - record that a member rejected a request */
 void skh_target_group_record_rejection(skh_target_group_t *group, int64_t now_us);
 
@@ -79,20 +87,29 @@
  */
 void skh_target_group_record_failure(skh_target_group_t *group, bool is_lost, int64_t now_us);
 
+/** struct skh_group_activity - what this gateway has in a group now */
+typedef struct skh_group_activity {
+	uint32_t running;	  /* requests */
+	uint32_t streams;	  /* requests among @running whose response has begun */
+	int64_t last_received_us; /* last bytes of any response */
+} skh_group_activity_t;
+
+/** skh_target_group_is_silent() - whether an event is awaited and none arrives */
+bool skh_target_group_is_silent(const skh_target_group_t *group,
+				const skh_group_activity_t *activity, int64_t now_us);
+
 /**
  * skh_target_group_is_ready() - whether the group answers, as far as is known
  *
- * Return: false if members reject requests, if none sends an event although one is expected, or if
- * an attempt was lost since the last response.
+ * Return: false if members reject requests, if the group is silent, or if an attempt was lost since
+ * the last response.
  */
-bool skh_target_group_is_ready(const skh_target_group_t *group, int64_t now_us);
+bool skh_target_group_is_ready(const skh_target_group_t *group,
+			       const skh_group_activity_t *activity, int64_t now_us);
 
-/**
- * skh_target_group_is_spare_probe_due() - whether to probe while another group is ready
- * @running: requests of this gateway in the group
- */
-bool skh_target_group_is_spare_probe_due(const skh_target_group_t *group, uint32_t running,
-					 int64_t now_us);
+/** skh_target_group_is_spare_probe_due() - whether to probe while another group is ready */
+bool skh_target_group_is_spare_probe_due(const skh_target_group_t *group,
+					 const skh_group_activity_t *activity, int64_t now_us);
 
 /** struct skh_group_silence_input - one request of a group that sends no events */
 typedef struct skh_group_silence_input {
