--- a/src/balancer.c
+++ b/src/balancer.c
@@ -379,7 +379,7 @@
 	g_free(group);
 	balancer->group = NULL;
 	skh_log_set_context("");
-	skh_metrics_set_group("", "");
+	skh_metrics_set_own_group("", "");
 }
 
 /* A group is known once the engine names it with its size; engines may name it before it is open. */
@@ -397,7 +397,7 @@
 	escaped = skh_group_id_escape(group->name);
 	log_context = g_strconcat("group=", escaped, NULL);
 	skh_log_set_context(log_context);
-	skh_metrics_set_group(balancer->settings->backend_service, group->name);
+	skh_metrics_set_own_group(balancer->settings->backend_service, group->name);
 	skh_log(SKH_LOG_INFO, PART, "Engine is in a group; taking part in its election.",
 		"ranks=%u rank=%u epoch=%" PRId64, group->n_ranks, report->rank, report->epoch);
 	group->election = start_election(balancer, group->name);
