Keep a group ready whose ranks reject requests as full while its streams go on

Cause: a full rank rejects a request, which trips the group's breaker until the next event. With another group down, no group was then ready, and the one that is down was probed at the breaker's pace of 0.15 s in place of 1 s; each probe costs a retry. Change: a group with streams stays ready for 0.2 s after a rejection. Its breaker still holds requests back, so a service of one group decides as before. Measured: the new check in group_selection_test.cc fails without the change; 5 repetitions of the group tests pass, with streams in the histories of the differential test.

--- a/src/group_selection.c
+++ b/src/group_selection.c
@@ -163,12 +163,12 @@
 
 static bool is_ready(const skh_group_candidate_t *group)
 {
-	return group->is_ready;
+	return group->is_ready && group->can_send;
 }
 
 static bool is_probe_due(const skh_group_candidate_t *group)
 {
-	return !group->is_ready && group->is_probe_due;
+	return !group->is_ready && group->can_send;
 }
 
 static bool is_spare_probe_due(const skh_group_candidate_t *group)
--- a/src/group_selection.h
+++ b/src/group_selection.h
@@ -36,7 +36,7 @@
 typedef struct skh_group_candidate {
 	bool is_joint;		 /* its servers run passes together */
 	bool is_ready;		 /* it answers; if not, it gets only probes */
-	bool is_probe_due;	 /* a probe may be sent while no group is ready */
+	bool can_send;		 /* its breaker allows a request, see group_breaker.h */
 	bool is_spare_probe_due; /* a probe may be sent while another group is ready */
 	bool is_left;		 /* an attempt of this request has failed there */
 	bool is_at_limit;	 /* it may run no further request of this gateway */
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -337,13 +337,14 @@
 {
 	skh_group_activity_t activity = { 0 };
 
-	candidate->is_ready = !group || skh_pool_groups_is_ready(pool, group, now_us);
+	candidate->is_ready = candidate->can_send = true;
 	if (!group)
 		return;
+	candidate->is_ready = skh_pool_groups_is_ready(pool, group, now_us);
 	if (group != pool->unproven)
 		activity = skh_pool_groups_activity(pool, group);
 	candidate->is_joint = group != pool->unproven;
-	candidate->is_probe_due = skh_group_breaker_can_send(&group->breaker, now_us);
+	candidate->can_send = skh_group_breaker_can_send(&group->breaker, now_us);
 	candidate->is_spare_probe_due =
 		skh_target_group_is_spare_probe_due(group, &activity, now_us);
 	candidate->is_left = candidate->is_joint && has_failed_in(excluded_targets, group);
--- a/src/target_group.c
+++ b/src/target_group.c
@@ -126,10 +126,19 @@
 	return activity->streams > 0 && now_us - activity->last_received_us > MAX_READY_SILENCE_US;
 }
 
+/* A rank that is full rejects a request while the group's streams go on. */
+static bool is_rejecting(const skh_target_group_t *group, const skh_group_activity_t *activity,
+			 int64_t now_us)
+{
+	return skh_group_breaker_is_tripped(&group->breaker) &&
+	       (activity->streams == 0 ||
+		now_us - group->breaker.tripped_since_us > MAX_READY_SILENCE_US);
+}
+
 bool skh_target_group_is_ready(const skh_target_group_t *group,
 			       const skh_group_activity_t *activity, int64_t now_us)
 {
-	return !group->has_failed && !skh_group_breaker_is_tripped(&group->breaker) &&
+	return !group->has_failed && !is_rejecting(group, activity, now_us) &&
 	       !skh_target_group_is_silent(group, activity, now_us);
 }
 
--- a/src/target_group.h
+++ b/src/target_group.h
@@ -101,6 +101,9 @@
 /**
  * skh_target_group_is_ready() - whether the group answers, as far as is known
  *
+ * A group whose streams go on is ready when a member has just rejected a request as full, although
+ * its breaker allows no request until the next event.
+ *
  * Return: false if members reject requests, if the group is silent, or if an attempt was lost since
  * the last response.
  */
--- a/test/group_placement_replay_test.cc
+++ b/test/group_placement_replay_test.cc
@@ -60,7 +60,7 @@
 			servers[i].is_excluded = excluded[i];
 		}
 		for (auto &group : groups)
-			group.is_joint = group.is_ready = true;
+			group.is_joint = group.is_ready = group.can_send = true;
 		view.servers.candidates = servers.data();
 		view.servers.n_candidates = kServers;
 		view.servers.is_lock_step = true;
--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -31,7 +31,7 @@
 	{
 		skh_group_candidate_t group = {};
 
-		group.is_joint = group.is_ready = true;
+		group.is_joint = group.is_ready = group.can_send = true;
 		for (uint32_t i = 0; i < n_servers; i++) {
 			skh_candidate_t server = {};
 
@@ -109,9 +109,9 @@
 
 	t.add_group(4, 8);
 	t.add_group(4, 0);
-	t.groups[1].is_ready = false;
+	t.groups[1].is_ready = t.groups[1].can_send = false;
 	EXPECT_EQ(t.group(), 0);
-	t.groups[1].is_probe_due = true;
+	t.groups[1].can_send = true;
 	EXPECT_EQ(t.group(), 0) << "a probe for a request that a ready group can take";
 	EXPECT_EQ(t.probe(), -1);
 	t.groups[1].is_spare_probe_due = true;
@@ -130,9 +130,14 @@
 	t.groups[1].is_at_limit = false;
 	t.groups[0].is_ready = t.groups[1].is_ready = false;
 	EXPECT_EQ(t.group(), 1);
-	t.groups[1].is_probe_due = false;
+	t.groups[1].can_send = false;
+	t.groups[0].can_send = false;
 	EXPECT_EQ(t.group(), -1);
 	EXPECT_EQ(t.probe(), -1);
+	// One has rejected a request as full: its next event is near, so the other is not probed.
+	t.groups[0].is_ready = true;
+	t.groups[1].can_send = true;
+	EXPECT_EQ(t.group(), -1);
 }
 
 TEST(GroupSelection, AGroupInWhichTheRequestHasFailedComesLast)
@@ -148,7 +153,7 @@
 	EXPECT_EQ(t.group(), 0) << "it has no free slot";
 	// A ready group without eligible servers does not hold the others back.
 	t.groups[0].is_ready = false;
-	t.groups[0].is_probe_due = true;
+	t.groups[0].can_send = true;
 	for (uint32_t i = 4; i < 8; i++)
 		t.servers[i].is_excluded = true;
 	EXPECT_EQ(t.group(), 0);
@@ -573,6 +578,8 @@
 			candidates[i].avoid_until_us = chance(0.2) ? now + kS : 0;
 			candidates[i].full_until_us = chance(0.2) ? now + kS : 0;
 			candidates[i].is_excluded = chance(0.1);
+			target(i)->own_streaming = chance(0.3) ? random() % 4 : 0;
+			target(i)->last_received_us = now - random() % (500 * kMs);
 			if (candidates[i].is_excluded && chance(0.5))
 				g_ptr_array_add(excluded, target(i));
 		}
