--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -445,6 +445,40 @@
 	EXPECT_EQ(skh_target_pool_select(t.pool, nullptr, {}, now)->group->name, std::string("g0"));
 }
 
+// Ranks of the group that is up are full now and then. Their rejections trip its breaker until the
+// next event, but the group that is down must not be probed more often for that: each probe costs
+// a retry.
+TEST(PoolGroups, AGroupThatIsDownIsProbedRarelyWhileTheOtherIsFull)
+{
+	Pool t;
+	int probes = 0;
+
+	t.list(0, 4, 1);
+	t.notice("g0", 1, 0, 2);
+	t.notice("g1", 1, 2, 4);
+	skh_target_t *streaming = t.target(2, 1);
+	streaming->own_streaming = 1;
+	for (int64_t now = 10 * kS; now < 13 * kS; now += 20 * kMs) {
+		if (now % (100 * kMs) == 0) {
+			streaming->last_received_us = now;
+			skh_target_record_response(streaming);
+		} else {
+			skh_target_record_rejection(t.target(3, 1), now);
+		}
+		skh_target_t *target = skh_target_pool_select(t.pool, nullptr, {}, now);
+
+		if (!target)
+			continue;
+		skh_target_record_send(target, now);
+		if (target->group->name != std::string("g0"))
+			continue;
+		skh_target_record_rejection(target, now);
+		probes++;
+	}
+	EXPECT_LE(probes, 5);
+	streaming->own_streaming = 0;
+}
+
 // A whole service starts again: without one breaker for the ranks that no notice names yet, each
 // of them would be probed, and the rejections would use up the retry budget.
 TEST(PoolGroups, RanksThatFormAreProbedOneAtATime)
