--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -31,7 +31,7 @@
 	{
 		skh_group_candidate_t group = {};
 
-		group.is_joint = group.is_ready = true;
+		group.is_joint = group.is_ready = group.can_send = true;
 		for (uint32_t i = 0; i < n_servers; i++) {
 			skh_candidate_t server = {};
 
@@ -109,9 +109,9 @@
 
 	t.add_group(4, 8);
 	t.add_group(4, 0);
-	t.groups[1].is_ready = false;
+	t.groups[1].is_ready = t.groups[1].can_send = false;
 	EXPECT_EQ(t.group(), 0);
-	t.groups[1].is_probe_due = true;
+	t.groups[1].can_send = true;
 	EXPECT_EQ(t.group(), 0) << "a probe for a request that a ready group can take";
 	EXPECT_EQ(t.probe(), -1);
 	t.groups[1].is_spare_probe_due = true;
@@ -130,9 +130,14 @@
 	t.groups[1].is_at_limit = false;
 	t.groups[0].is_ready = t.groups[1].is_ready = false;
 	EXPECT_EQ(t.group(), 1);
-	t.groups[1].is_probe_due = false;
+	t.groups[1].can_send = false;
+	t.groups[0].can_send = false;
 	EXPECT_EQ(t.group(), -1);
 	EXPECT_EQ(t.probe(), -1);
+	// One has rejected a request as full: its next event is near, so the other is not probed.
+	t.groups[0].is_ready = true;
+	t.groups[1].can_send = true;
+	EXPECT_EQ(t.group(), -1);
 }
 
 TEST(GroupSelection, AGroupInWhichTheRequestHasFailedComesLast)
@@ -148,7 +153,7 @@
 	EXPECT_EQ(t.group(), 0) << "it has no free slot";
 	// A ready group without eligible servers does not hold the others back.
 	t.groups[0].is_ready = false;
-	t.groups[0].is_probe_due = true;
+	t.groups[0].can_send = true;
 	for (uint32_t i = 4; i < 8; i++)
 		t.servers[i].is_excluded = true;
 	EXPECT_EQ(t.group(), 0);
@@ -440,6 +445,40 @@
 	EXPECT_EQ(skh_target_pool_select(t.pool, nullptr, {}, now)->group->name, std::string("g0"));
 }
 
+// Ranks of the group that is up are full now and then. Their rejections trip its breaker until the
+// next event, but the group that is down must not be probed more often for that: each probe costs
+// a retry.
+TEST(PoolGroups, AGroupThatIsDownIsProbedRarelyWhileTheOtherIsFull)
+{
+	Pool t;
+	int probes = 0;
+
+	t.list(0, 4, 1);
+	t.notice("g0", 1, 0, 2);
+	t.notice("g1", 1, 2, 4);
+	skh_target_t *streaming = t.target(2, 1);
+	streaming->own_streaming = 1;
+	for (int64_t now = 10 * kS; now < 13 * kS; now += 20 * kMs) {
+		if (now % (100 * kMs) == 0) {
+			streaming->last_received_us = now;
+			skh_target_record_response(streaming);
+		} else {
+			skh_target_record_rejection(t.target(3, 1), now);
+		}
+		skh_target_t *target = skh_target_pool_select(t.pool, nullptr, {}, now);
+
+		if (!target)
+			continue;
+		skh_target_record_send(target, now);
+		if (target->group->name != std::string("g0"))
+			continue;
+		skh_target_record_rejection(target, now);
+		probes++;
+	}
+	EXPECT_LE(probes, 5);
+	streaming->own_streaming = 0;
+}
+
 // A whole service starts again: without one breaker for the ranks that no notice names yet, each
 // of them would be probed, and the rejections would use up the retry budget.
 TEST(PoolGroups, RanksThatFormAreProbedOneAtATime)
@@ -573,6 +612,8 @@
 			candidates[i].avoid_until_us = chance(0.2) ? now + kS : 0;
 			candidates[i].full_until_us = chance(0.2) ? now + kS : 0;
 			candidates[i].is_excluded = chance(0.1);
+			target(i)->own_streaming = chance(0.3) ? random() % 4 : 0;
+			target(i)->last_received_us = now - random() % (500 * kMs);
 			if (candidates[i].is_excluded && chance(0.5))
 				g_ptr_array_add(excluded, target(i));
 		}
