Bound what a gateway buffers for slow peers by the instance's memory

A gateway held 256 KiB for each caller that did not read and any number of responses to requests that were pipelined without reading, whatever the memory of its instance. The settings now name that memory ([limits] memory_mb, from the platform). A stream that is not read does not make its rank look silent, and a server that closes it is recorded neither as crashed nor as failed.

A connection whose response ended in the bytes in which reading was paused went back to the pool unread; its next request never got a response. It is read again now.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -12,14 +12,11 @@
 #include <string.h>
 
 #define PART "request"
-/* Limit for a response that is buffered before it is forwarded; a larger one counts as lost. */
-#define MAX_BUFFERED_RESPONSE_BYTES (16U << 20)
 /*
- * Limit for all responses that are buffered at a time, well below the memory of a small gateway.
- * Beyond it only responses that are small themselves may grow.
+ * Servers disconnect when their data is not read for some seconds. A connection that closes after a
+ * shorter pause was not closed for that reason.
  */
-#define MAX_BUFFERED_BYTES   (16U << 20)
-#define SMALL_RESPONSE_BYTES (64U << 10)
+#define MIN_UNREAD_US (1 * SKH_US_PER_S)
 
 skh_request_traits_t skh_exchange_traits(const skh_exchange_t *exchange)
 {
@@ -62,6 +59,9 @@
  */
 static void check_survival(skh_exchange_t *exchange)
 {
+	/* It was not seen open while it was not read. */
+	if (exchange->upstream_paused || exchange->was_unread)
+		return;
 	if (!exchange->has_survived && exchange->response_begun_us != 0 &&
 	    exchange->gateway->last_tick_us - exchange->response_begun_us >=
 		    SKH_CRASH_SUSPECTS_SURVIVAL_US)
@@ -72,6 +72,8 @@
 {
 	const skh_request_traits_t traits = skh_exchange_traits(exchange);
 
+	if (exchange->was_unread)
+		return;
 	check_survival(exchange);
 	if (exchange->has_survived)
 		return;
@@ -91,8 +93,63 @@
 					skh_clock_boot_us());
 }
 
+/* --- Slow callers --- */
+
+static void pause_reading(skh_exchange_t *exchange)
+{
+	if (exchange->upstream_paused)
+		return;
+	/* Once for each request; a slow caller may cause many short pauses. */
+	if (exchange->paused_since_us == 0)
+		skh_log(SKH_LOG_INFO, PART, "Reading from the server is paused; its caller is slow.",
+			"id=%s server=%s buffered=%zu limit=%zu", exchange->attempt_id,
+			exchange->target->server->id,
+			skh_memory_budget_used(&exchange->gateway->memory),
+			exchange->gateway->memory.limit_bytes);
+	exchange->upstream_paused = true;
+	exchange->paused_since_us = skh_clock_boot_us();
+	skh_upstream_set_paused(exchange->upstream, true);
+	skh_target_set_stream_paused(exchange->target, true, exchange->paused_since_us);
+	skh_metrics_add(SKH_COUNT_READS_PAUSED, 1);
+}
+
+static void end_pause(skh_exchange_t *exchange)
+{
+	int64_t now_us = skh_clock_boot_us();
+	int64_t paused_us = now_us - exchange->paused_since_us;
+
+	if (!exchange->upstream_paused)
+		return;
+	exchange->upstream_paused = false;
+	skh_target_set_stream_paused(exchange->target, false, now_us);
+	skh_metrics_add(SKH_COUNT_READS_RESUMED, 1);
+	if (paused_us < MIN_UNREAD_US)
+		return;
+	exchange->was_unread = true;
+	skh_log(SKH_LOG_INFO, PART, "Reading from the server is no longer paused.",
+		"id=%s server=%s paused_ms=%" PRId64, exchange->attempt_id,
+		exchange->target->server->id, paused_us / SKH_US_PER_MS);
+}
+
+void skh_attempt_resume_reading(skh_exchange_t *exchange)
+{
+	if (!exchange->upstream_paused || !exchange->upstream)
+		return;
+	end_pause(exchange);
+	skh_upstream_set_paused(exchange->upstream, false);
+}
+
+static void record_unread_close(const skh_exchange_t *exchange)
+{
+	skh_metrics_add(SKH_COUNT_UNREAD_CLOSED, 1);
+	skh_log(SKH_LOG_INFO, PART,
+		"Server closed a connection that was not read for a while; this is no crash.",
+		"id=%s server=%s", exchange->attempt_id, exchange->target->server->id);
+}
+
 void skh_attempt_release(skh_exchange_t *exchange, skh_target_outcome_t outcome, int64_t latency_us)
 {
+	end_pause(exchange);
 	exchange->response_begun_us = 0;
 	if (exchange->upstream) {
 		skh_upstream_cancel(exchange->upstream);
@@ -151,6 +208,7 @@
 	exchange->reported_not_run = false;
 	exchange->response_begun_us = 0;
 	exchange->has_survived = false;
+	exchange->was_unread = false;
 	exchange->attempt_status = 0;
 	skh_attempt_discard_body(exchange);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
@@ -276,11 +334,37 @@
 			    exchange->first_event_us - exchange->received_us);
 }
 
+/*
+ * An incomplete event is useless until the rest of it is read, so instead of waiting, a large one
+ * is given up when too much is buffered.
+ */
+static bool has_room_for_event(const skh_exchange_t *exchange)
+{
+	const skh_memory_budget_t *memory = &exchange->gateway->memory;
+
+	return !skh_memory_budget_has_limit(memory) ||
+	       exchange->event_stream.pending.len <= skh_memory_budget_small_response(memory) ||
+	       memory->used_bytes[SKH_MEMORY_RESPONSES] <= skh_memory_budget_response_limit(memory);
+}
+
+void skh_attempt_count_pending(skh_exchange_t *exchange)
+{
+	skh_memory_budget_t *memory = &exchange->gateway->memory;
+
+	if (skh_memory_budget_has_limit(memory))
+		skh_buffer_shrink(&exchange->event_stream.pending);
+	skh_memory_budget_remove(memory, SKH_MEMORY_RESPONSES, exchange->pending_charge);
+	exchange->pending_charge = exchange->event_stream.pending.capacity;
+	skh_memory_budget_add(memory, SKH_MEMORY_RESPONSES, exchange->pending_charge);
+}
+
 static void forward_events(skh_exchange_t *exchange, skh_chunk_t bytes)
 {
 	skh_buffer_t out = SKH_BUFFER_INIT;
-	bool is_contiguous = skh_event_stream_feed(&exchange->event_stream, bytes, &out);
+	bool is_contiguous = skh_event_stream_feed(&exchange->event_stream, bytes, &out) &&
+			     has_room_for_event(exchange);
 
+	skh_attempt_count_pending(exchange);
 	exchange->target->last_received_us = skh_clock_boot_us();
 	if (out.len > 0) {
 		exchange->target->own_streaming += !exchange->attempt_is_streaming;
@@ -291,11 +375,8 @@
 			begin_response(exchange, true, 0);
 		skh_metrics_add(SKH_COUNT_STREAM_EVENTS, 1);
 		skh_caller_conn_write(exchange->conn, skh_buffer_chunk(&out));
-		if (!exchange->upstream_paused &&
-		    skh_caller_conn_has_write_backlog(exchange->conn)) {
-			exchange->upstream_paused = true;
-			skh_upstream_set_paused(exchange->upstream, true);
-		}
+		if (skh_caller_conn_has_write_backlog(exchange->conn))
+			pause_reading(exchange);
 	}
 	skh_buffer_free(&out);
 	if (!is_contiguous)
@@ -305,29 +386,34 @@
 static void reject_oversized_response(skh_exchange_t *exchange)
 {
 	skh_log(SKH_LOG_WARNING, PART, "Response is too large to forward and counts as lost.",
-		"id=%s server=%s max_bytes=%u", exchange->attempt_id, exchange->target->server->id,
-		MAX_BUFFERED_RESPONSE_BYTES);
+		"id=%s server=%s max_bytes=%zu", exchange->attempt_id, exchange->target->server->id,
+		skh_memory_budget_response_limit(&exchange->gateway->memory));
 	finish_attempt(exchange, SKH_END_LOST);
 }
 
 static bool has_room_to_buffer(const skh_exchange_t *exchange, size_t len)
 {
+	const skh_memory_budget_t *memory = &exchange->gateway->memory;
 	size_t size = exchange->response_body.len + len;
 
-	return size <= MAX_BUFFERED_RESPONSE_BYTES &&
-	       (size <= SMALL_RESPONSE_BYTES ||
-		exchange->gateway->buffered_bytes + len <= MAX_BUFFERED_BYTES);
+	return size <= SKH_MEMORY_MAX_RESPONSE_BYTES &&
+	       (size <= skh_memory_budget_small_response(memory) ||
+		exchange->gateway->buffered_bytes + len <=
+			skh_memory_budget_response_limit(memory));
 }
 
 static void buffer_body(skh_exchange_t *exchange, skh_chunk_t bytes)
 {
 	exchange->gateway->buffered_bytes += bytes.len;
+	skh_memory_budget_add(&exchange->gateway->memory, SKH_MEMORY_RESPONSES, bytes.len);
 	skh_buffer_append(&exchange->response_body, bytes);
 }
 
 void skh_attempt_discard_body(skh_exchange_t *exchange)
 {
 	exchange->gateway->buffered_bytes -= exchange->response_body.len;
+	skh_memory_budget_remove(&exchange->gateway->memory, SKH_MEMORY_RESPONSES,
+				 exchange->response_body.len);
 	skh_buffer_free(&exchange->response_body);
 }
 
@@ -364,6 +450,7 @@
 	begin_response(exchange, false, exchange->response_body.len);
 	if (exchange->request->parser.method != HTTP_HEAD)
 		skh_caller_conn_write(exchange->conn, skh_buffer_chunk(&exchange->response_body));
+	skh_attempt_discard_body(exchange);
 	record_completion(exchange);
 	skh_exchange_log_end(exchange, "passed", exchange->response_status, "-");
 	skh_attempt_release(exchange,
@@ -433,7 +520,9 @@
 		finish_attempt(exchange, SKH_END_UNREACHABLE);
 		return;
 	}
-	if (error == SKH_UPSTREAM_ERROR_CONNECTION_CLOSED)
+	if (error == SKH_UPSTREAM_ERROR_CONNECTION_CLOSED && exchange->was_unread)
+		record_unread_close(exchange);
+	else if (error == SKH_UPSTREAM_ERROR_CONNECTION_CLOSED)
 		record_loss(exchange);
 	finish_attempt(exchange, SKH_END_STREAM_BROKEN);
 }
@@ -449,6 +538,9 @@
 {
 	if (end == SKH_END_NOT_RUN && exchange->attempt_status == 421)
 		return SKH_TARGET_OUTCOME_WRONG_INSTANCE;
+	/* Not the server's fault. */
+	if (end == SKH_END_STREAM_BROKEN && exchange->was_unread)
+		return SKH_TARGET_OUTCOME_CANCELLED;
 	switch (end) {
 	case SKH_END_UNREACHABLE:
 		return SKH_TARGET_OUTCOME_UNREACHABLE;
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -58,7 +58,10 @@
 	uint32_t n_attempts;	     /* attempts so far */
 	uint32_t possible_runs;	     /* attempts that may have run */
 	uint32_t rejected_probes;    /* attempts rejected while the group's breaker was tripped */
-	bool upstream_paused;
+	bool upstream_paused;	     /* the response is not read, as the caller is slow */
+	int64_t paused_since_us;     /* start of the current or latest pause */
+	bool was_unread;	     /* the current attempt was paused long enough for a server to give up */
+	size_t pending_charge;	     /* bytes of @event_stream that the memory budget counts */
 	skh_buffer_t response_body; /* body of a response that is not streamed */
 	GString *response_headers;
 	int32_t response_status;   /* status for the caller */
@@ -98,6 +101,12 @@
 void skh_attempt_release(skh_exchange_t *exchange, skh_target_outcome_t outcome,
 			 int64_t latency_us);
 
+/** skh_attempt_resume_reading() - read the response again, if that was paused for a slow caller */
+void skh_attempt_resume_reading(skh_exchange_t *exchange);
+
+/** skh_attempt_count_pending() - update what the memory budget counts of an incomplete event */
+void skh_attempt_count_pending(skh_exchange_t *exchange);
+
 /**
  * skh_attempt_retry_elsewhere() - cancel the current attempt and retry at another server
  *
--- a/src/backends.c
+++ b/src/backends.c
@@ -410,8 +410,9 @@
 					 int64_t now_us)
 {
 	skh_rank_liveness_input_t view = {
-		.running = target->own_in_flight,
-		.streaming = target->own_streaming,
+		/* Nothing is expected from streams that this gateway does not read. */
+		.running = target->own_in_flight - target->own_paused,
+		.streaming = target->own_streaming - target->own_paused,
 		.last_received_us = target->last_received_us,
 		.busy_since_us = target->busy_since_us,
 		.now_us = now_us,
@@ -427,6 +428,17 @@
 	return pool->is_lock_step && skh_rank_liveness_is_unreachable(&view);
 }
 
+void skh_target_set_stream_paused(skh_target_t *target, bool is_paused, int64_t now_us)
+{
+	if (is_paused) {
+		target->own_paused++;
+		return;
+	}
+	target->own_paused--;
+	/* The rank was silent meanwhile because this gateway did not read. */
+	target->busy_since_us = now_us;
+}
+
 void skh_target_begin_attempt(skh_target_t *target, double expected_tokens, int64_t now_us)
 {
 	if (target->own_in_flight == 0)
--- a/src/backends.h
+++ b/src/backends.h
@@ -40,6 +40,7 @@
 	bool is_listed;		  /* the server is in the roster */
 	uint32_t own_in_flight;	  /* requests of this gateway in flight at the server */
 	uint32_t own_streaming;	  /* requests in flight whose response has begun */
+	uint32_t own_paused;	  /* streams among them that are not read, as callers are slow */
 	int64_t busy_since_us;	  /* time since which requests have been in flight */
 	int64_t last_received_us; /* time of the last response bytes */
 	double expected_tokens;	  /* expected tokens of the requests in flight */
@@ -141,6 +142,9 @@
 bool skh_target_pool_is_rank_unreachable(const skh_target_pool_t *pool, const skh_target_t *target,
 					 int64_t now_us);
 
+/** skh_target_set_stream_paused() - record that one of the target's streams is not read, or is again */
+void skh_target_set_stream_paused(skh_target_t *target, bool is_paused, int64_t now_us);
+
 /**
  * skh_target_begin_attempt() - counts a request as in flight; takes a reference to @target
  * @expected_tokens: expected tokens of the request
--- a/src/buffer.c
+++ b/src/buffer.c
@@ -6,6 +6,8 @@
 #include <xxhash.h>
 
 #define MIN_CAPACITY_BYTES 64
+/* A smaller allocation is not worth a call that gives a part of it back. */
+#define MIN_SHRINK_BYTES 4096
 
 skh_chunk_t skh_chunk_make(const void *data, size_t len)
 {
@@ -78,6 +80,18 @@
 	buffer->data[buffer->len] = '\0';
 }
 
+void skh_buffer_shrink(skh_buffer_t *buffer)
+{
+	if (buffer->capacity <= MIN_SHRINK_BYTES || buffer->capacity <= 2 * (buffer->len + 1))
+		return;
+	if (buffer->len == 0) {
+		skh_buffer_free(buffer);
+		return;
+	}
+	buffer->capacity = buffer->len + 1;
+	buffer->data = g_realloc(buffer->data, buffer->capacity);
+}
+
 void skh_buffer_clear(skh_buffer_t *buffer)
 {
 	buffer->len = 0;
--- a/src/buffer.h
+++ b/src/buffer.h
@@ -64,6 +64,9 @@
 /** skh_buffer_consume() - remove the first @len bytes; at most the buffer's length */
 void skh_buffer_consume(skh_buffer_t *buffer, size_t len);
 
+/** skh_buffer_shrink() - give back unused capacity, if it is more than twice the length and large */
+void skh_buffer_shrink(skh_buffer_t *buffer);
+
 /** skh_buffer_clear() - remove all bytes and keep the allocation */
 void skh_buffer_clear(skh_buffer_t *buffer);
 
--- a/src/downstream.h
+++ b/src/downstream.h
@@ -8,9 +8,13 @@
  * and hands complete requests to its callbacks. Owns the connections. Reading
  * continues while a request is served, so that a caller that disconnects is
  * noticed at once. Runs on the event loop's thread.
+ *
+ * With a memory limit, it does not read more from a caller than there is room for,
+ * and closes the connection of a caller that does not read its response for 5 s.
  */
 
 #include "http_message.h"
+#include "memory_budget.h"
 #include "routing.h"
 
 #include <uv.h>
@@ -51,6 +55,12 @@
 /** skh_listener_set_limits() - set the limits of requests that are read from now on */
 void skh_listener_set_limits(skh_listener_t *listener, const skh_caller_limits_t *limits);
 
+/**
+ * skh_listener_set_memory() - set the budget that counts what connections buffer
+ * @memory: borrowed for the listener's lifetime; to be called before the loop runs
+ */
+void skh_listener_set_memory(skh_listener_t *listener, skh_memory_budget_t *memory);
+
 /** skh_listener_drain() - close idle connections within a second, others after their response */
 void skh_listener_drain(skh_listener_t *listener);
 
@@ -70,6 +80,13 @@
  */
 void skh_listener_close(skh_listener_t *listener);
 
+/**
+ * skh_listener_has_unsent() - true while a caller still reads a response that has ended
+ *
+ * False without a memory limit, which is what ends the wait for callers that do not read.
+ */
+bool skh_listener_has_unsent(const skh_listener_t *listener);
+
 /** skh_listener_count_connections() - number of open connections */
 uint32_t skh_listener_count_connections(const skh_listener_t *listener);
 
@@ -108,7 +125,11 @@
 /** skh_caller_conn_abort() - close mid-response, so that the caller sees it as incomplete */
 void skh_caller_conn_abort(skh_caller_conn_t *conn);
 
-/** skh_caller_conn_has_write_backlog() - true while more than 256 KiB wait to be sent */
+/**
+ * skh_caller_conn_has_write_backlog() - true while more bytes wait to be sent than should
+ *
+ * 256 KiB, or less when memory is scarce; always false while none wait.
+ */
 bool skh_caller_conn_has_write_backlog(const skh_caller_conn_t *conn);
 
 #ifdef __cplusplus
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -85,6 +85,7 @@
 	(void)g_string_free(exchange->response_headers, TRUE);
 	skh_attempt_discard_body(exchange);
 	skh_event_stream_clear(&exchange->event_stream);
+	skh_attempt_count_pending(exchange);
 	skh_prompt_parts_clear(&exchange->prompt_parts);
 	g_free(exchange);
 }
@@ -455,13 +456,8 @@
 
 static void on_writable(void *context, void *data)
 {
-	skh_exchange_t *exchange = data;
-
 	(void)context;
-	if (!exchange->upstream_paused || !exchange->upstream)
-		return;
-	exchange->upstream_paused = false;
-	skh_upstream_set_paused(exchange->upstream, false);
+	skh_attempt_resume_reading(data);
 }
 
 static int64_t parse_deadline_us(const skh_exchange_t *exchange)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -207,7 +207,8 @@
 static void continue_stop(gateway_process_t *process, int64_t now_us)
 {
 	skh_gateway_t *gateway = &process->gateway;
-	bool is_idle = g_queue_is_empty(&gateway->exchanges);
+	bool is_idle = g_queue_is_empty(&gateway->exchanges) &&
+		       !skh_listener_has_unsent(gateway->listener);
 
 	if (now_us >= process->stop_started_us + STOP_ACCEPT_DELAY_US &&
 	    !gateway->rejects_requests) {
@@ -225,6 +226,7 @@
 	gateway->retry_limits.retry_ratio = (double)settings->retry_percent / 100.0;
 	gateway->retry_limits.min_retries = (double)settings->min_retries;
 	gateway->retry_limits.window_us = settings->retry_window_ms * SKH_US_PER_MS;
+	skh_memory_budget_set_limit(&gateway->memory, settings->memory_mb);
 }
 
 static void reload_settings(gateway_process_t *process, int64_t now_us)
@@ -261,6 +263,21 @@
 		skh_feed_put_crash_records(gateway->feed, unstored, n);
 }
 
+static void watch_memory(skh_gateway_t *gateway)
+{
+	const skh_memory_budget_t *memory = &gateway->memory;
+
+	if (!skh_memory_budget_update_scarce(&gateway->memory))
+		return;
+	skh_log(memory->is_scarce ? SKH_LOG_WARNING : SKH_LOG_INFO, PART,
+		memory->is_scarce ? "Memory for buffered data is scarce; slow peers get less of it."
+				  : "Memory for buffered data is no longer scarce.",
+		"limit=%zu to_callers=%zu responses=%zu requests=%zu unread=%zu",
+		memory->limit_bytes, memory->used_bytes[SKH_MEMORY_TO_CALLERS],
+		memory->used_bytes[SKH_MEMORY_RESPONSES], memory->used_bytes[SKH_MEMORY_REQUESTS],
+		memory->used_bytes[SKH_MEMORY_UNREAD]);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_process_t *process = timer->data;
@@ -274,6 +291,7 @@
 	update_ready(process, now_us);
 	skh_exchange_tick(&process->gateway);
 	skh_gossip_tick(process->gateway.gossip);
+	watch_memory(&process->gateway);
 	if (process->stop_started_us == 0 && skh_process_stop_requests() > 0)
 		begin_stop(process, now_us);
 	if (process->stop_started_us != 0)
@@ -296,6 +314,7 @@
 		.unacked_timeout_us = UNACKED_TIMEOUT_US,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.max_idle_connections = MAX_IDLE_CONNECTIONS,
+		.memory = &gateway->memory,
 	};
 	(void)uv_loop_init(&gateway->loop);
 	(void)uv_async_init(&gateway->loop, &process->board_changed, on_board_changed);
@@ -336,6 +355,7 @@
 					       &skh_exchange_listener_ops, gateway, err);
 	if (!gateway->listener)
 		return false;
+	skh_listener_set_memory(gateway->listener, &gateway->memory);
 	gateway->gossip = skh_gossip_start(gateway, settings->gossip_listen, err);
 	if (!gateway->gossip)
 		return false;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -41,6 +41,7 @@
 	const skh_routing_t *routing; /* counted reference; NULL before the first configuration */
 	const skh_roster_t *roster;   /* counted reference; NULL before the first roster */
 	skh_retry_share_limits_t retry_limits;
+	skh_memory_budget_t memory;
 	int64_t last_tick_us;  /* the loop was running then; boot clock */
 	size_t buffered_bytes; /* of responses that are not streamed */
 	GQueue exchanges;      /* open exchanges */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,15 @@
 	[SKH_COUNT_ENGINE_ORDERS] = { "engine_orders", "Orders sent to engines" },
 	[SKH_COUNT_MAP_CHANGES] = { "map_changes", "Expert maps put in use" },
 	[SKH_COUNT_MAP_FAILURES] = { "map_failures", "Changes of expert maps that failed" },
+	[SKH_COUNT_READS_PAUSED] = { "reads_paused",
+				     "Pauses in reading from a server because its caller is slow" },
+	[SKH_COUNT_READS_RESUMED] = { "reads_resumed", "Such pauses that have ended" },
+	[SKH_COUNT_STALLED_CALLERS] = { "stalled_callers",
+					"Connections of callers closed for not reading" },
+	[SKH_COUNT_REQUESTS_DELAYED] = { "requests_delayed",
+					 "Request bodies not read at once for lack of memory" },
+	[SKH_COUNT_UNREAD_CLOSED] = { "unread_closed",
+				      "Connections that servers closed while not read" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -118,6 +118,10 @@
 	BOUND("revocation_ms", revocation_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("stop_grace_s", drain_ms, 0, 3600000, SKH_ROUNDING_DOWN, 1000),
 };
+/* Less than 16 MB is taken for a mistake: it would not hold the program and a few connections. */
+static const skh_field_t limits_fields[] = {
+	BOUND("memory_mb", memory_mb, 16, 1 << 24, SKH_ROUNDING_DOWN, 1),
+};
 static const skh_field_t log_fields[] = {
 	CHOICE("level", log_level, false, log_level_choices),
 	CHOICE("format", log_format, false, log_format_choices),
@@ -154,8 +158,11 @@
 	{ "log", log_fields, G_N_ELEMENTS(log_fields), ALL_ROLES, false },
 };
 
-static const section_t bounds_section = { "bounds", bounds_fields, G_N_ELEMENTS(bounds_fields),
-					  ROLE_BIT(SKH_ROLE_GATEWAY), true };
+/* Sections that the platform fills in; their errors are warnings. */
+static const section_t platform_sections[] = {
+	{ "bounds", bounds_fields, G_N_ELEMENTS(bounds_fields), ROLE_BIT(SKH_ROLE_GATEWAY), true },
+	{ "limits", limits_fields, G_N_ELEMENTS(limits_fields), ROLE_BIT(SKH_ROLE_GATEWAY), true },
+};
 
 static void set_defaults(skh_settings_t *settings)
 {
@@ -187,9 +194,12 @@
 {
 	for (size_t i = 0; i < skh_doc_node_count(document); i++) {
 		const skh_doc_node_t *child = skh_doc_node_at(document, i);
-		bool known = strcmp(bounds_section.name, skh_doc_node_key(child)) == 0 &&
-			     bounds_section.role_bits & ROLE_BIT(role);
+		bool known = false;
 
+		for (size_t s = 0; s < G_N_ELEMENTS(platform_sections); s++) {
+			if (strcmp(platform_sections[s].name, skh_doc_node_key(child)) == 0)
+				known = platform_sections[s].role_bits & ROLE_BIT(role);
+		}
 		for (size_t s = 0; s < G_N_ELEMENTS(sections); s++) {
 			if (strcmp(sections[s].name, skh_doc_node_key(child)) == 0)
 				known = sections[s].role_bits & ROLE_BIT(role);
@@ -226,10 +236,14 @@
 		skh_schema_read(table, sections[s].name, 1, sections[s].fields,
 				sections[s].n_fields, settings, errors);
 	}
-	if (bounds_section.role_bits & ROLE_BIT(role))
-		skh_schema_read(skh_doc_node_find(settings->document, bounds_section.name),
-				bounds_section.name, 1, bounds_section.fields,
-				bounds_section.n_fields, settings, settings->warnings);
+	for (size_t s = 0; s < G_N_ELEMENTS(platform_sections); s++) {
+		const section_t *section = &platform_sections[s];
+
+		if (section->role_bits & ROLE_BIT(role))
+			skh_schema_read(skh_doc_node_find(settings->document, section->name),
+					section->name, 1, section->fields, section->n_fields,
+					settings, settings->warnings);
+	}
 	if (settings->store_endpoints && skh_doc_node_count(settings->store_endpoints) == 0)
 		skh_validation_errors_add(errors, skh_doc_node_line(settings->store_endpoints),
 					  "store.endpoints", "at least one address is needed");
--- a/src/settings.h
+++ b/src/settings.h
@@ -84,6 +84,8 @@
 	int64_t config_apply_ms; /* configurations must be in force within this time; 0: not stated */
 	int64_t drain_notice_ms; /* leaving servers must get no requests after it; 0: not stated */
 	int64_t revocation_ms; /* revoked keys must be rejected within this time; 0 if not stated */
+	/* [limits]: what the platform gives the instance; read like [bounds] */
+	int64_t memory_mb; /* units of 10^6 bytes; 0 if not stated */
 	/*
 	 * [balancer]: runs beside a rank and takes part in placing its group's experts.
 	 * The weights are those of the objective that rebalance.h minimizes.
@@ -98,7 +100,7 @@
 	int32_t log_format; /* 0: text, 1: JSON */
 	int32_t log_output; /* 0: standard error, 1: standard output */
 	skh_role_t role;
-	skh_validation_errors_t *warnings; /* see [bounds] */
+	skh_validation_errors_t *warnings; /* see [bounds] and [limits] */
 	char *path;			   /* path of the file; NULL when parsed from memory */
 	skh_doc_node_t *document;
 } skh_settings_t;
@@ -143,7 +145,7 @@
  */
 int64_t skh_settings_poll_interval_ms(const skh_settings_t *settings);
 
-/** skh_settings_log_warnings() - log each value of [bounds] that is not used */
+/** skh_settings_log_warnings() - log each value of [bounds] and [limits] that is not used */
 void skh_settings_log_warnings(const skh_settings_t *settings);
 
 /**
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -45,6 +45,7 @@
 	bool write_pending;
 	bool skip_response; /* response being read belongs to another request */
 	bool must_close;    /* not reusable for another request */
+	bool is_paused;	    /* the response is not being read */
 	int64_t idle_since_us;
 	int64_t idle_timeout_us;
 	int open_handles;
@@ -71,6 +72,27 @@
 		g_free(pool);
 }
 
+static void free_request_bytes(const skh_upstream_t *upstream, skh_buffer_t *bytes)
+{
+	skh_memory_budget_remove(upstream->pool->options->memory, SKH_MEMORY_REQUESTS,
+				 bytes->capacity);
+	skh_buffer_free(bytes);
+}
+
+/* What the kernel receives meanwhile is counted as a full socket buffer. */
+static void set_paused(skh_upstream_t *upstream, bool paused)
+{
+	skh_memory_budget_t *memory = upstream->pool->options->memory;
+
+	if (upstream->is_paused == paused)
+		return;
+	upstream->is_paused = paused;
+	if (paused)
+		skh_memory_budget_add(memory, SKH_MEMORY_UNREAD, SKH_MEMORY_SOCKET_BUFFER_BYTES);
+	else
+		skh_memory_budget_remove(memory, SKH_MEMORY_UNREAD, SKH_MEMORY_SOCKET_BUFFER_BYTES);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	skh_upstream_t *upstream = handle->data;
@@ -79,7 +101,7 @@
 	if (--upstream->open_handles > 0)
 		return;
 	skh_http_message_free(&upstream->response);
-	skh_buffer_free(&upstream->bytes);
+	free_request_bytes(upstream, &upstream->bytes);
 	g_free(upstream->attempt_id);
 	g_free(upstream);
 	pool->connection_count--;
@@ -94,6 +116,7 @@
 		(void)g_queue_remove(&upstream->pool->idle, upstream);
 	upstream->state = STATE_CLOSED;
 	upstream->ops = NULL;
+	set_paused(upstream, false);
 	uv_close((uv_handle_t *)&upstream->tcp, on_closed);
 	uv_close((uv_handle_t *)&upstream->timer, on_closed);
 }
@@ -115,6 +138,7 @@
 	const int interval_s = KEEPALIVE_INTERVAL_S;
 	const int probes = KEEPALIVE_PROBES;
 	const int enable = 1;
+	const int socket_buffer_bytes = SKH_MEMORY_SOCKET_BUFFER_BYTES;
 	unsigned int unacked_timeout_ms =
 		(unsigned int)(upstream->pool->options->unacked_timeout_us / SKH_US_PER_MS);
 	uv_os_fd_t fd;
@@ -128,6 +152,12 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_timeout_ms,
 			 sizeof(unacked_timeout_ms));
+	if (!skh_memory_budget_has_limit(upstream->pool->options->memory))
+		return;
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &socket_buffer_bytes,
+			 sizeof(socket_buffer_bytes));
+	(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &socket_buffer_bytes,
+			 sizeof(socket_buffer_bytes));
 }
 
 static void on_written(uv_write_t *request, int status)
@@ -136,7 +166,7 @@
 	skh_upstream_t *upstream = write_op->upstream;
 
 	upstream->write_pending = false;
-	skh_buffer_free(&write_op->bytes);
+	free_request_bytes(upstream, &write_op->bytes);
 	g_free(write_op);
 	if (status < 0 && status != UV_ECANCELED && upstream->state == STATE_BUSY)
 		fail(upstream, SKH_UPSTREAM_ERROR_CONNECTION_CLOSED);
@@ -157,16 +187,19 @@
 	    0)
 		return;
 	upstream->write_pending = false;
-	skh_buffer_free(&write_op->bytes);
+	free_request_bytes(upstream, &write_op->bytes);
 	g_free(write_op);
 	fail(upstream, SKH_UPSTREAM_ERROR_CONNECTION_CLOSED);
 }
 
 static void alloc_buffer(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buffer)
 {
-	(void)handle;
+	const skh_upstream_t *upstream = handle->data;
+
 	(void)suggested_size;
-	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+	*buffer = uv_buf_init(read_buffer, (unsigned int)skh_memory_budget_read_size(
+						   upstream->pool->options->memory,
+						   sizeof(read_buffer)));
 }
 
 /* The Keep-Alive header announces the server's idle timeout in seconds. */
@@ -202,6 +235,9 @@
 		close_upstream(upstream);
 		return;
 	}
+	/* The response may have ended in the bytes in which reading was paused. */
+	if (upstream->is_paused)
+		skh_upstream_set_paused(upstream, false);
 	upstream->state = STATE_IDLE;
 	upstream->idle_since_us = skh_clock_boot_us();
 	g_queue_push_tail(&pool->idle, upstream);
@@ -427,6 +463,7 @@
 	upstream->request_written = false;
 	skh_buffer_clear(&upstream->bytes);
 	skh_buffer_append(&upstream->bytes, request->bytes);
+	skh_memory_budget_add(pool->options->memory, SKH_MEMORY_REQUESTS, upstream->bytes.capacity);
 	reset_response(upstream);
 	if (is_new)
 		connect_upstream(upstream);
@@ -444,6 +481,7 @@
 {
 	if (upstream->state != STATE_BUSY)
 		return;
+	set_paused(upstream, paused);
 	if (paused)
 		(void)uv_read_stop((uv_stream_t *)&upstream->tcp);
 	else
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -11,6 +11,7 @@
  */
 
 #include "http_message.h"
+#include "memory_budget.h"
 
 #include <uv.h>
 
@@ -49,6 +50,7 @@
 	int64_t unacked_timeout_us; /* time after which unacknowledged bytes close a connection */
 	int64_t idle_timeout_us;    /* a connection idle for this long is not reused */
 	uint32_t max_idle_connections; /* if exceeded, the longest idle connection is closed */
+	skh_memory_budget_t *memory;   /* counts what is buffered; NULL for no limit */
 } skh_upstream_pool_options_t;
 
 /**
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -106,6 +106,34 @@
 		     "bounds.new_limit");
 }
 
+TEST(Settings, TheMemoryLimitTakesEachFormOfANumber)
+{
+	struct {
+		const char *limits;
+		int64_t memory_mb;
+		size_t n_warnings;
+	} const rows[] = {
+		{ "", 0, 0 },
+		{ "[limits]\n", 0, 0 },
+		{ "[limits]\nmemory_mb = 112\n", 112, 0 },
+		{ "[limits]\nmemory_mb = 112.9\n", 112, 0 },
+		{ "[limits]\nmemory_mb = 3\n", 0, 1 },
+		{ "[limits]\nmemory_mb = -112\n", 0, 1 },
+		{ "[limits]\nmemory_mb = \"112\"\n", 0, 1 },
+		{ "[limits]\nmemory_mb = nan\n", 0, 1 },
+		{ "[limits]\ncpu = 1\n", 0, 1 },
+	};
+
+	for (const auto &row : rows) {
+		const Parsed parsed(std::string(kGateway) + row.limits);
+
+		EXPECT_EQ(skh_validation_errors_count(parsed.errors), 0U) << row.limits;
+		EXPECT_EQ(parsed.settings->memory_mb, row.memory_mb) << row.limits;
+		EXPECT_EQ(skh_validation_errors_count(parsed.settings->warnings), row.n_warnings)
+			<< row.limits;
+	}
+}
+
 TEST(Settings, TheStoreIsPolledAsOftenAsTheBoundsNeed)
 {
 	struct {
