--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,6 +59,8 @@
 		[log]
 		format = "json"
 		output = "stdout"
+		${MEMORY_MB:+[limits]}
+		${MEMORY_MB:+memory_mb = $MEMORY_MB}
 	TOML
 }
 
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -7,7 +7,8 @@
  * customer or deadline or with the caller's Authorization header, requests to a server that
  * left more than LEAVE_GRACE_US ago, and passes in which ranks have different expert maps.
  *
- * A request path with /stream/ gets an event stream, one with /slowN a response after N ms.
+ * A request path with /stream/ gets an event stream, one with /stream/flood one of 16 MB as fast as
+ * it is read, one with /slowN a response after N ms.
  *
  *   GET /seen                    counters of all servers
  *   GET /ran                     ids of all attempts that ran
@@ -61,6 +62,8 @@
 #define US_PER_MS	      1000
 #define EVENTS_PER_STREAM     5
 #define EVENT_INTERVAL_US     (20 * 1000)
+#define FLOOD_EVENTS	      4000
+#define FLOOD_EVENT_BYTES     4000
 #define LEAVE_GRACE_US	      (2 * 1000 * 1000)
 #define LATE_ORDER_DELAY_US   (700 * 1000)
 #define MUTE_DELAY_US	      (3 * 1000 * 1000)
@@ -513,6 +516,27 @@
 	return 200;
 }
 
+static int send_flood(struct mg_connection *connection, const server_t *server, const char *attempt)
+{
+	g_autofree char *head = make_head(server, attempt, 200);
+	g_autofree char *filler = g_strnfill(FLOOD_EVENT_BYTES, 'x');
+	const char *last_event_id = mg_get_header(connection, "Last-Event-Id");
+	int first_event = last_event_id ? atoi(last_event_id) + 1 : 0;
+
+	write_text(connection, head);
+	write_text(connection,
+		   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+	for (int i = first_event; i < FLOOD_EVENTS; i++) {
+		g_autofree char *event = g_strdup_printf("id: %d\ndata: %s\n\n", i, filler);
+		g_autofree char *text = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+
+		if (mg_write(connection, text, strlen(text)) < (int)strlen(text))
+			return standin_close_connection(connection);
+	}
+	write_text(connection, "0\r\n\r\n");
+	return 200;
+}
+
 static int send_without_end(struct mg_connection *connection, const char *head, const char *fault)
 {
 	g_autofree char *filler = g_strnfill(4096, 'x');
@@ -633,6 +657,8 @@
 		(void)usleep((useconds_t)atoi(slow + strlen("/slow")) * US_PER_MS);
 	if (*fault && strcmp(fault, "cut") != 0 && strcmp(fault, "extra") != 0)
 		return apply_fault(connection, server, attempt, fault);
+	if (strstr(path, "/stream/flood"))
+		return send_flood(connection, server, attempt);
 	if (strstr(path, "/stream/"))
 		return send_stream(connection, server, attempt, strcmp(fault, "cut") == 0);
 	send_response(connection, server, attempt, 200, *body ? body : "ok");
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -10,6 +10,8 @@
 
 int standin_serve(const char *listen, mg_request_handler handler)
 {
+	/* How long a response may go unread before the stand-in closes the connection. */
+	const char *write_timeout_ms = g_getenv("WRITE_TIMEOUT_MS");
 	const char *options[] = { "listening_ports",
 				  listen,
 				  "num_threads",
@@ -23,7 +25,7 @@
 				  "connection_queue",
 				  "1024",
 				  "request_timeout_ms",
-				  "600000",
+				  write_timeout_ms ? write_timeout_ms : "600000",
 				  NULL };
 	struct mg_callbacks callbacks = { 0 };
 	struct mg_context *context;
