--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -68,6 +68,40 @@
 		EXPECT_EQ(t.select(), "after");
 }
 
+// A rank whose only stream the gateway does not read, as its caller is slow, sends nothing. Guards
+// against moving its requests away and avoiding the rank.
+TEST(Backends, RankWhoseStreamsAreNotReadIsNotUnreachable)
+{
+	Backends t;
+	skh_target_pool_t *pool;
+	skh_target_t *rank;
+	int64_t now_us = 100 * kSecondUs;
+
+	t.add_to_list("a", "10.0.0.1", 1);
+	t.add_to_list("b", "10.0.0.2", 1);
+	pool = skh_backends_get_or_create_pool(t.backends, "s");
+	pool->is_lock_step = true;
+	rank = skh_backends_find_target(t.backends, "a");
+	skh_target_begin_attempt(rank, 1.0, now_us);
+	rank->own_streaming++;
+	rank->last_received_us = now_us;
+	skh_target_set_stream_paused(rank, true, now_us);
+	now_us += 3 * kSecondUs;
+	skh_backends_find_target(t.backends, "b")->last_received_us = now_us;
+	EXPECT_FALSE(skh_target_pool_is_rank_unreachable(pool, rank, now_us));
+	// Its silence counts from the time when it is read again.
+	skh_target_set_stream_paused(rank, false, now_us);
+	EXPECT_FALSE(skh_target_pool_is_rank_unreachable(pool, rank, now_us));
+	now_us += 3 * kSecondUs;
+	skh_backends_find_target(t.backends, "b")->last_received_us = now_us;
+	EXPECT_TRUE(skh_target_pool_is_rank_unreachable(pool, rank, now_us));
+	rank->own_streaming--;
+	skh_target_result_t result = {};
+	result.outcome = SKH_TARGET_OUTCOME_CANCELLED;
+	result.expected_tokens = 1.0;
+	skh_target_end_attempt(rank, &result, now_us);
+}
+
 // A slowdown also applies to a server that is listed later, until the coordinator withdraws it.
 TEST(Backends, SlowdownsAreMatchedByAddress)
 {
--- a/test/downstream_test.cc
+++ b/test/downstream_test.cc
@@ -18,6 +18,7 @@
 {
 
 constexpr size_t kPieceBytes = 16384;
+constexpr size_t kLargeBytes = 2 << 20;
 constexpr int64_t kMemoryMb = 16; // 4 MB for buffers
 // No result depends on it: it only ends a test that hangs.
 constexpr int64_t kHangTimeoutUs = 20 * SKH_US_PER_S;
@@ -30,7 +31,7 @@
 	bool is_endless;
 };
 
-// A listener whose requests are responded to by path: /endless, /held, or else a large body.
+// A listener whose requests are responded to by path: /endless, /held, /large, or else one piece.
 struct Server {
 	explicit Server(uv_loop_t *loop, int64_t memory_mb)
 	{
@@ -83,13 +84,13 @@
 		head.reason = "OK";
 		head.headers = "";
 		head.is_chunked = path == "/endless";
-		head.content_length = kPieceBytes;
+		std::string body(path == "/large" ? kLargeBytes : kPieceBytes, 'y');
+		head.content_length = body.size();
 		skh_caller_conn_begin_response(conn, &head);
 		if (path == "/endless") {
 			write_endless(server->responses.back().get());
 			return;
 		}
-		std::string body(kPieceBytes, 'y');
 		skh_caller_conn_write(conn, skh_chunk_make(body.data(), body.size()));
 		skh_caller_conn_end_response(conn);
 	}
@@ -310,6 +311,46 @@
 	EXPECT_EQ(limited->n_requests, n);
 }
 
+// A gateway that was suspended has not given its callers the time to read.
+TEST_F(Downstream, CallerIsNotClosedForTheTimeInWhichTheGatewayWasSuspended)
+{
+	Caller silent(*limited, get("/endless"));
+
+	run_until([&] { return elapsed_us() > SKH_US_PER_S; }, [&] { silent.send_some(); });
+	(void)usleep(5 * SKH_US_PER_S);
+	run_until([&] { return elapsed_us() > 7 * SKH_US_PER_S; }, [] {});
+	EXPECT_EQ(limited->n_requests, 1);
+	EXPECT_EQ(limited->n_disconnects, 0);
+}
+
+// Guards against closing the connection of a slow reader a second after the end of its response,
+// and against a planned stop that does so.
+TEST_F(Downstream, SlowReaderGetsItsLastResponseWhole)
+{
+	Caller closing(*limited, "GET /large HTTP/1.1\r\nConnection: close\r\n\r\n");
+	Caller stopped(*limited, get("/large"));
+	int64_t next_read_us = 0;
+	bool is_draining = false;
+
+	run_until([&] { return closing.n_received > kLargeBytes && stopped.n_received > kLargeBytes; },
+		  [&] {
+			  for (Caller *caller : { &closing, &stopped })
+				  caller->send_some();
+			  if (!is_draining && elapsed_us() > 300 * SKH_US_PER_MS) {
+				  is_draining = true;
+				  skh_listener_drain(limited->listener);
+				  EXPECT_TRUE(skh_listener_has_unsent(limited->listener));
+			  }
+			  if (elapsed_us() < next_read_us)
+				  return;
+			  next_read_us += 50 * SKH_US_PER_MS;
+			  closing.receive_some(40000);
+			  stopped.receive_some(40000);
+		  });
+	EXPECT_GT(elapsed_us(), 2 * SKH_US_PER_S);
+	EXPECT_FALSE(skh_listener_has_unsent(limited->listener));
+}
+
 TEST_F(Downstream, RequestBodiesWaitForRoomThenAreServed)
 {
 	std::string request = post("/held", 1000000);
--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -84,9 +84,9 @@
 		uv_loop_close(&loop);
 	}
 
-	skh_upstream_t *send_request(RequestResult *result, const char *id)
+	skh_upstream_t *send_request(RequestResult *result, const char *id,
+				     const char *request_bytes = "GET / HTTP/1.1\r\n\r\n")
 	{
-		static const char request_bytes[] = "GET / HTTP/1.1\r\n\r\n";
 		skh_upstream_request_t request = {};
 
 		request.bytes = skh_chunk_from_string(request_bytes);
@@ -124,6 +124,11 @@
 
 	skh_memory_budget_t memory = {};
 
+	void run_once()
+	{
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+	}
+
 	// Runs the loop until the request has ended or failed.
 	void run_until_done(const RequestResult &result)
 	{
@@ -271,3 +276,18 @@
 	skh_upstream_cancel(upstream);
 	EXPECT_EQ(skh_memory_budget_used(&harness.memory), 0U);
 }
+
+// Guards against request bodies that servers do not read and that no limit counts.
+TEST(Upstream, RequestThatTheServerDoesNotReadIsCounted)
+{
+	LoopbackHarness harness;
+	RequestResult result;
+	const std::string request = "POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" +
+				    std::string(16 << 20, 'b');
+	skh_upstream_t *upstream = harness.send_request(&result, "a", request.c_str());
+
+	EXPECT_GE(harness.memory.used_bytes[SKH_MEMORY_REQUESTS], request.size());
+	skh_upstream_cancel(upstream);
+	harness.run_once();
+	EXPECT_EQ(skh_memory_budget_used(&harness.memory), 0U);
+}
