--- a/src/attempt.c
+++ b/src/attempt.c
@@ -101,7 +101,8 @@
 		return;
 	/* Once for each request; a slow caller may cause many short pauses. */
 	if (exchange->paused_since_us == 0)
-		skh_log(SKH_LOG_INFO, PART, "Reading from the server is paused; its caller is slow.",
+		skh_log(SKH_LOG_INFO, PART,
+			"Reading from the server is paused; its caller is slow.",
 			"id=%s server=%s buffered=%zu limit=%zu", exchange->attempt_id,
 			exchange->target->server->id,
 			skh_memory_budget_used(&exchange->gateway->memory),
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -60,8 +60,8 @@
 	uint32_t rejected_probes;    /* attempts rejected while the group's breaker was tripped */
 	bool upstream_paused;	     /* the response is not read, as the caller is slow */
 	int64_t paused_since_us;     /* start of the current or latest pause */
-	bool was_unread;	     /* the current attempt was paused long enough for a server to give up */
-	size_t pending_charge;	     /* bytes of @event_stream that the memory budget counts */
+	bool was_unread; /* the current attempt was paused long enough for a server to give up */
+	size_t pending_charge;	    /* bytes of @event_stream that the memory budget counts */
 	skh_buffer_t response_body; /* body of a response that is not streamed */
 	GString *response_headers;
 	int32_t response_status;   /* status for the caller */
--- a/src/downstream.c
+++ b/src/downstream.c
@@ -32,7 +32,7 @@
  * A request whose body finds no room within this time is rejected as not run, so that its caller
  * can try another gateway while there is time.
  */
-#define ROOM_TIMEOUT_US	    (1 * SKH_US_PER_S)
+#define ROOM_TIMEOUT_US	 (1 * SKH_US_PER_S)
 #define ROOM_RETRY_AFTER "0.5" /* seconds */
 /* Assumed for a request body of unknown length; most are smaller. Corrected as the body arrives. */
 #define CHUNKED_BODY_BYTES ((size_t)64 << 10)
@@ -43,7 +43,7 @@
 	const skh_listener_ops_t *ops;
 	void *context;
 	skh_caller_limits_t limits;
-	skh_memory_budget_t *memory;  /* NULL for no limit */
+	skh_memory_budget_t *memory; /* NULL for no limit */
 	int64_t last_timeout_check_us;
 	GQueue connections;
 	GQueue waiting_for_room; /* connections whose request body is not read yet */
@@ -143,9 +143,9 @@
 	/* Without input nothing is lost by reading, and a caller that disconnects is noticed. */
 	return conn->pending_input.len == 0 ||
 	       (conn->phase != PHASE_SERVING && !is_held_by_backlog(conn)) ||
-	       conn->pending_input.len < MIN(skh_memory_budget_connection_limit(
-						     conn->listener->memory),
-					     MAX_PIPELINED_BYTES / 2);
+	       conn->pending_input.len <
+		       MIN(skh_memory_budget_connection_limit(conn->listener->memory),
+			   MAX_PIPELINED_BYTES / 2);
 }
 
 static void update_reading(skh_caller_conn_t *conn)
@@ -407,10 +407,10 @@
 	conn->phase = PHASE_LINGERING;
 	/* A caller that reads slowly gets as much time as one that keeps its connection open. */
 	conn->phase_deadline_us =
-		skh_clock_boot_us() + (has_memory_limit(conn) && has_queue
-					       ? MAX(conn->listener->limits.idle_timeout_us,
-						     LINGER_TIMEOUT_US)
-					       : LINGER_TIMEOUT_US);
+		skh_clock_boot_us() +
+		(has_memory_limit(conn) && has_queue
+			 ? MAX(conn->listener->limits.idle_timeout_us, LINGER_TIMEOUT_US)
+			 : LINGER_TIMEOUT_US);
 	update_reading(conn);
 	if (uv_shutdown(request, (uv_stream_t *)&conn->tcp, on_shutdown) != 0)
 		g_free(request);
@@ -463,8 +463,7 @@
 		"kind=%s reason=%s", skh_error_kind_name(err->kind), err->text);
 	head.content_length = text.len;
 	if (err->kind == SKH_OVERLOADED)
-		head.headers = "Content-Type: text/plain\r\nRetry-After: " ROOM_RETRY_AFTER
-			       "\r\n";
+		head.headers = "Content-Type: text/plain\r\nRetry-After: " ROOM_RETRY_AFTER "\r\n";
 	conn->keep_alive = false;
 	skh_caller_conn_begin_response(conn, &head);
 	skh_caller_conn_write(conn, text);
@@ -554,9 +553,8 @@
 	const skh_caller_conn_t *conn = handle->data;
 
 	(void)suggested_size;
-	*buffer = uv_buf_init(read_buffer,
-			      (unsigned int)skh_memory_budget_read_size(conn->listener->memory,
-									sizeof(read_buffer)));
+	*buffer = uv_buf_init(read_buffer, (unsigned int)skh_memory_budget_read_size(
+						   conn->listener->memory, sizeof(read_buffer)));
 }
 
 static void on_read(uv_stream_t *stream, ssize_t n_read, const uv_buf_t *buffer)
--- a/src/memory_budget.c
+++ b/src/memory_budget.c
@@ -94,11 +94,9 @@
 	size_t used_bytes = skh_memory_budget_used(budget);
 	bool was_scarce = budget->is_scarce;
 
-	if (!skh_memory_budget_has_limit(budget))
+	if (!skh_memory_budget_has_limit(budget) || used_bytes <= budget->limit_bytes / 2)
 		budget->is_scarce = false;
 	else if (used_bytes >= budget->limit_bytes / 4 * 3)
 		budget->is_scarce = true;
-	else if (used_bytes <= budget->limit_bytes / 2)
-		budget->is_scarce = false;
 	return budget->is_scarce != was_scarce;
 }
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -42,9 +42,9 @@
 /** enum skh_memory_use - what buffered bytes wait for */
 typedef enum skh_memory_use {
 	SKH_MEMORY_TO_CALLERS, /* responses, for their callers to read them */
-	SKH_MEMORY_RESPONSES,  /* responses that are buffered until they, or an event, are complete */
-	SKH_MEMORY_REQUESTS,   /* requests, and their copies until the server has read them */
-	SKH_MEMORY_UNREAD,     /* received by the kernel on connections that are not read now */
+	SKH_MEMORY_RESPONSES, /* responses that are buffered until they, or an event, are complete */
+	SKH_MEMORY_REQUESTS,  /* requests, and their copies until the server has read them */
+	SKH_MEMORY_UNREAD,    /* received by the kernel on connections that are not read now */
 	SKH_MEMORY_USE_COUNT
 } skh_memory_use_t;
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -197,9 +197,9 @@
 	const skh_upstream_t *upstream = handle->data;
 
 	(void)suggested_size;
-	*buffer = uv_buf_init(read_buffer, (unsigned int)skh_memory_budget_read_size(
-						   upstream->pool->options->memory,
-						   sizeof(read_buffer)));
+	*buffer = uv_buf_init(read_buffer,
+			      (unsigned int)skh_memory_budget_read_size(
+				      upstream->pool->options->memory, sizeof(read_buffer)));
 }
 
 /* The Keep-Alive header announces the server's idle timeout in seconds. */
--- a/test/downstream_test.cc
+++ b/test/downstream_test.cc
@@ -48,8 +48,8 @@
 		EXPECT_EQ(getsockname(probe, reinterpret_cast<sockaddr *>(&address), &len), 0);
 		close(probe);
 		port = ntohs(address.sin_port);
-		listener = skh_listener_start(
-			loop, ("127.0.0.1:" + std::to_string(port)).c_str(), &ops, this, &err);
+		listener = skh_listener_start(loop, ("127.0.0.1:" + std::to_string(port)).c_str(),
+					      &ops, this, &err);
 		EXPECT_NE(listener, nullptr);
 		limits.max_header_bytes = 16384;
 		limits.max_body_bytes = 4 << 20;
@@ -75,8 +75,8 @@
 		skh_response_head_t head = {};
 
 		server->n_requests++;
-		server->responses.push_back(std::make_unique<Response>(
-			Response{ server, conn, path == "/endless" }));
+		server->responses.push_back(
+			std::make_unique<Response>(Response{ server, conn, path == "/endless" }));
 		skh_caller_conn_set_exchange(conn, server->responses.back().get());
 		if (path == "/held")
 			return;
@@ -299,8 +299,7 @@
 	for (int i = 0; i < n; i++)
 		requests += get("/body");
 	Caller caller(*limited, requests);
-	run_until([&] { return elapsed_us() > 500 * SKH_US_PER_MS; },
-		  [&] { caller.send_some(); });
+	run_until([&] { return elapsed_us() > 500 * SKH_US_PER_MS; }, [&] { caller.send_some(); });
 	EXPECT_GT(limited->n_requests, 0);
 	EXPECT_LT(limited->n_requests, 60); // 256 KiB of 16 KiB each, and the sockets' buffers
 	run_until([&] { return caller.n_received >= n * kPieceBytes; },
@@ -332,21 +331,24 @@
 	int64_t next_read_us = 0;
 	bool is_draining = false;
 
-	run_until([&] { return closing.n_received > kLargeBytes && stopped.n_received > kLargeBytes; },
-		  [&] {
-			  for (Caller *caller : { &closing, &stopped })
-				  caller->send_some();
-			  if (!is_draining && elapsed_us() > 300 * SKH_US_PER_MS) {
-				  is_draining = true;
-				  skh_listener_drain(limited->listener);
-				  EXPECT_TRUE(skh_listener_has_unsent(limited->listener));
-			  }
-			  if (elapsed_us() < next_read_us)
-				  return;
-			  next_read_us += 50 * SKH_US_PER_MS;
-			  closing.receive_some(40000);
-			  stopped.receive_some(40000);
-		  });
+	run_until(
+		[&] {
+			return closing.n_received > kLargeBytes && stopped.n_received > kLargeBytes;
+		},
+		[&] {
+			for (Caller *caller : { &closing, &stopped })
+				caller->send_some();
+			if (!is_draining && elapsed_us() > 300 * SKH_US_PER_MS) {
+				is_draining = true;
+				skh_listener_drain(limited->listener);
+				EXPECT_TRUE(skh_listener_has_unsent(limited->listener));
+			}
+			if (elapsed_us() < next_read_us)
+				return;
+			next_read_us += 50 * SKH_US_PER_MS;
+			closing.receive_some(40000);
+			stopped.receive_some(40000);
+		});
 	EXPECT_GT(elapsed_us(), 2 * SKH_US_PER_S);
 	EXPECT_FALSE(skh_listener_has_unsent(limited->listener));
 }
--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -64,8 +64,7 @@
 		EXPECT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), len), 0);
 		EXPECT_EQ(listen(listener, 8), 0);
 		EXPECT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &len), 0);
-		options = { "X-Id", kHangTimeoutUs, kHangTimeoutUs, kHangTimeoutUs, 4,
-			    &memory };
+		options = { "X-Id", kHangTimeoutUs, kHangTimeoutUs, kHangTimeoutUs, 4, &memory };
 		EXPECT_EQ(uv_loop_init(&loop), 0);
 		(void)uv_timer_init(&loop, &hang_timer);
 		hang_timer.data = this;
@@ -282,8 +281,8 @@
 {
 	LoopbackHarness harness;
 	RequestResult result;
-	const std::string request = "POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" +
-				    std::string(16 << 20, 'b');
+	const std::string request =
+		"POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" + std::string(16 << 20, 'b');
 	skh_upstream_t *upstream = harness.send_request(&result, "a", request.c_str());
 
 	EXPECT_GE(harness.memory.used_bytes[SKH_MEMORY_REQUESTS], request.size());
