--- a/src/attempt.h
+++ b/src/attempt.h
@@ -60,7 +60,10 @@
 	uint32_t rejected_probes;    /* attempts rejected while the group's breaker was tripped */
 	bool is_group_probe;	     /* the current attempt probes a group that is not ready */
 	int64_t next_move_us;	     /* earliest next try to leave a silent group */
-	bool upstream_paused;
+	bool upstream_paused;	     /* the response is not read, as the caller is slow */
+	int64_t paused_since_us;     /* start of the current or latest pause */
+	bool was_unread; /* the current attempt was paused long enough for a server to give up */
+	size_t pending_charge;	    /* bytes of @event_stream that the memory budget counts */
 	skh_buffer_t response_body; /* body of a response that is not streamed */
 	GString *response_headers;
 	int32_t response_status;   /* status for the caller */
@@ -100,6 +103,12 @@
 void skh_attempt_release(skh_exchange_t *exchange, skh_target_outcome_t outcome,
 			 int64_t latency_us);
 
+/** skh_attempt_resume_reading() - read the response again, if that was paused for a slow caller */
+void skh_attempt_resume_reading(skh_exchange_t *exchange);
+
+/** skh_attempt_count_pending() - update what the memory budget counts of an incomplete event */
+void skh_attempt_count_pending(skh_exchange_t *exchange);
+
 /**
  * skh_attempt_retry_elsewhere() - cancel the current attempt and retry at another server
  *
