--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,7 @@
 : "${GATEWAYS:=2}"
 : "${RANKS:=3}"
 : "${KEY_TRUST_MS:=4000}"
+: "${BOUNDS:=}" # lines of the gateways' section [bounds]
 
 STORE="127.0.0.1:$PORT_BASE"
 SERVERS_BASE=$((PORT_BASE + 100))
@@ -13,6 +14,9 @@
 rank_port() { echo $((SERVERS_BASE + $1)); }
 plain_port() { echo $((SERVERS_BASE + 80 + $1)); }
 
+# operator_delete KEY: deletes a key of the store as the operator
+operator_delete() { curl -sf -X DELETE "http://$STORE/put?key=$1" >/dev/null; }
+
 # operator_put KEY VALUE: writes to the store as the operator
 operator_put() {
 	json_put_body "$1" "$2" | curl -sf -X POST --data-binary @- "http://$STORE/put" >/dev/null
@@ -54,6 +58,8 @@
 		gossip_listen = "127.0.0.1:$(($(gateway_port "$1") + 2))"
 		poll_pace_ms = 100
 		key_trust_ms = $KEY_TRUST_MS
+		[bounds]
+		$BOUNDS
 		[stop]
 		drain_ms = 8000
 		[log]
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -422,11 +422,24 @@
 		forward_response(exchange);
 }
 
+/* The process may have been suspended, or the domain taken out of service, since the connect began. */
+static bool may_write(void *context)
+{
+	const skh_exchange_t *exchange = context;
+
+	return skh_gateway_may_send(exchange->gateway, skh_clock_boot_us()) && exchange->target &&
+	       !exchange->target->is_domain_out;
+}
+
 static void on_error(void *context, skh_upstream_error_t error, bool request_written)
 {
 	skh_exchange_t *exchange = context;
 
 	exchange->upstream = NULL;
+	if (error == SKH_UPSTREAM_ERROR_WITHDRAWN) {
+		skh_attempt_withdraw(exchange);
+		return;
+	}
 	if (!request_written) {
 		/* A failed connect is counted as a server crash for each request recently lost there. */
 		skh_attempt_on_server_lost(exchange->gateway, exchange->target->server);
@@ -443,6 +456,7 @@
 	.on_body = on_body,
 	.on_end = on_end,
 	.on_error = on_error,
+	.may_write = may_write,
 };
 
 static skh_target_outcome_t choose_outcome(const skh_exchange_t *exchange, skh_attempt_end_t end)
@@ -583,6 +597,16 @@
 	skh_exchange_dispatch(gateway);
 }
 
+void skh_attempt_withdraw(skh_exchange_t *exchange)
+{
+	skh_metrics_add(SKH_COUNT_WITHDRAWN, 1);
+	skh_log(SKH_LOG_INFO, PART, "Attempt withdrawn before anything was sent.",
+		"id=%s server=%s domain_out=%d", exchange->attempt_id, exchange->target->server->id,
+		exchange->target->is_domain_out);
+	skh_attempt_release(exchange, SKH_TARGET_OUTCOME_CANCELLED, 0);
+	skh_exchange_enqueue(exchange, skh_clock_boot_us());
+}
+
 void skh_attempt_retry_elsewhere(skh_exchange_t *exchange)
 {
 	skh_attempt_end_t end =
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -106,6 +106,13 @@
  */
 void skh_attempt_retry_elsewhere(skh_exchange_t *exchange);
 
+/**
+ * skh_attempt_withdraw() - end an attempt of which no byte was sent, and enqueue the request again
+ *
+ * It needs no retry budget, because no server has seen the request.
+ */
+void skh_attempt_withdraw(skh_exchange_t *exchange);
+
 /* --- exchange.c --- */
 
 /** skh_exchange_header_name() - name of a header in the gateway's dialect */
--- a/src/backends.c
+++ b/src/backends.c
@@ -33,10 +33,11 @@
 struct skh_backends {
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *options;
-	GHashTable *targets;	    /* id -> skh_target_t */
-	GHashTable *pools;	    /* service -> skh_target_pool_t */
-	char *slowdowns;	    /* "\naddress slowdown" for each slow rank */
-	skh_server_lost_fn on_lost; /* may be NULL */
+	GHashTable *targets;		    /* id -> skh_target_t */
+	GHashTable *pools;		    /* service -> skh_target_pool_t */
+	char *slowdowns;		    /* "\naddress slowdown" for each slow rank */
+	const skh_domain_status_t *domains; /* NULL if none is out of service */
+	skh_server_lost_fn on_lost;	    /* may be NULL */
 	void *on_lost_context;
 };
 
@@ -198,6 +199,22 @@
 	g_hash_table_foreach(backends->targets, update_target_slowdown, backends->slowdowns);
 }
 
+static void update_domain(skh_target_t *target, const skh_domain_status_t *domains)
+{
+	const char *name = target->server->failure_domain;
+	bool is_out = domains && skh_domain_status_is_out(domains, skh_domain_hash(name));
+
+	if (is_out != target->is_domain_out)
+		skh_log(SKH_LOG_INFO, PART,
+			is_out ? "Server's failure domain is out of service; the server gets no "
+				 "new "
+				 "requests."
+			       : "Server's failure domain is back in service.",
+			"server=%s domain=%s running=%u", target->server->id, name,
+			target->own_in_flight);
+	target->is_domain_out = is_out;
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -210,6 +227,7 @@
 	target->slowdown = 1.0;
 	target->is_listed = true;
 	update_slowdown(target, backends->slowdowns);
+	update_domain(target, backends->domains);
 	g_ptr_array_add(target->target_pool->targets, target);
 	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
@@ -240,6 +258,11 @@
 			"server=%s", server->id);
 	target->server->is_leaving = server->is_leaving;
 	target->server->slots = server->slots;
+	if (strcmp(target->server->failure_domain, server->failure_domain) != 0) {
+		g_free(target->server->failure_domain);
+		target->server->failure_domain = g_strdup(server->failure_domain);
+		update_domain(target, backends->domains);
+	}
 }
 
 /* Context of is_unlisted(). */
@@ -317,6 +340,14 @@
 	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
 }
 
+/* Whether the server may get a request of this gateway now. */
+static bool is_eligible(const skh_target_t *target, int64_t now_us)
+{
+	return !is_retired(target) && !target->is_domain_out &&
+	       now_us >= target->wrong_instance_until_us &&
+	       now_us >= get_accepts_from_us(target, now_us);
+}
+
 skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
 				     skh_server_share_t share, int64_t now_us)
 {
@@ -344,9 +375,7 @@
 			.failure_ratio = target->failure_ratio,
 			.avoid_until_us = target->avoid_until_us,
 			.full_until_us = target->full_until_us,
-			.is_excluded = is_retired(target) ||
-				       now_us < target->wrong_instance_until_us ||
-				       now_us < get_accepts_from_us(target, now_us) ||
+			.is_excluded = !is_eligible(target, now_us) ||
 				       is_excluded(excluded_targets, target),
 		};
 	}
@@ -355,6 +384,59 @@
 					      : g_ptr_array_index(pool->targets, (guint)selected);
 }
 
+static uint32_t count_slots_in_service(const skh_target_pool_t *pool)
+{
+	uint32_t slots = 0;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		if (!is_retired(target) && !target->is_domain_out)
+			slots += target->server->slots;
+	}
+	return slots;
+}
+
+/*
+ * The completion rate is that of the last seconds. When slots are lost, the expected wait is to
+ * rise at once; when they come back, the rate rises by itself.
+ */
+static void update_pool_domains(gpointer name, gpointer value, gpointer context)
+{
+	skh_target_pool_t *pool = value;
+	uint32_t slots_before = count_slots_in_service(pool);
+	uint32_t slots;
+
+	(void)name;
+	for (guint i = 0; i < pool->targets->len; i++)
+		update_domain(g_ptr_array_index(pool->targets, i), context);
+	slots = count_slots_in_service(pool);
+	for (size_t i = 0; slots < slots_before && i < SKH_TARGET_POOL_RATE_SLOTS; i++)
+		pool->completed[i] *= (double)slots / (double)slots_before;
+}
+
+void skh_backends_set_domains(skh_backends_t *backends, const skh_domain_status_t *status)
+{
+	backends->domains = status;
+	g_hash_table_foreach(backends->pools, update_pool_domains, (gpointer)status);
+}
+
+bool skh_target_pool_is_out_of_service(const skh_target_pool_t *pool)
+{
+	bool has_servers = false;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		if (is_retired(target))
+			continue;
+		if (!target->is_domain_out)
+			return false;
+		has_servers = true;
+	}
+	return has_servers;
+}
+
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool)
 {
 	for (guint i = 0; i < pool->targets->len; i++) {
@@ -371,7 +453,7 @@
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
 
-		if (!is_retired(target))
+		if (!is_retired(target) && !target->is_domain_out)
 			earliest_us = MIN(earliest_us, get_accepts_from_us(target, now_us));
 	}
 	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
--- a/src/backends.h
+++ b/src/backends.h
@@ -10,6 +10,7 @@
  * thread. Times are microseconds of the boot clock.
  */
 
+#include "domain_status.h"
 #include "group_breaker.h"
 #include "request_queue.h"
 #include "retry_share.h"
@@ -56,6 +57,7 @@
 	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
+	bool is_domain_out;		 /* its failure domain is out of service */
 };
 
 #define SKH_TARGET_POOL_RATE_SLOTS 8
@@ -125,6 +127,21 @@
  */
 void skh_backends_set_slowdowns(skh_backends_t *backends, const char *text);
 
+/**
+ * skh_backends_set_domains() - sets which failure domains are out of service
+ * @status: borrowed; also used for servers that are listed later
+ *
+ * To be called after each change of @status. Their servers get no new requests.
+ */
+void skh_backends_set_domains(skh_backends_t *backends, const skh_domain_status_t *status);
+
+/**
+ * skh_target_pool_is_out_of_service() - true when all servers are in domains that are out of service
+ *
+ * Servers that are leaving or superseded don't count. False without any server.
+ */
+bool skh_target_pool_is_out_of_service(const skh_target_pool_t *pool);
+
 /** skh_target_pool_has_servers() - true when a server is neither leaving nor superseded */
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool);
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -96,9 +96,12 @@
 typedef struct skh_dialect {
 	const char *name;
 	const char *headers[SKH_HEADER_COUNT];
-	const char *auth_scheme;    /* authorization scheme of callers' API keys */
-	const char *config_key;	    /* store key of the gateways' routing configuration */
-	const char *servers_prefix; /* store prefix of the list of backend servers */
+	const char *auth_scheme;      /* authorization scheme of callers' API keys */
+	const char *config_key;	      /* store key of the gateways' routing configuration */
+	const char *servers_prefix;   /* store prefix of the list of backend servers */
+	const char *operators_prefix; /* store prefix of @config_key and @domains_out_prefix */
+	/* Store prefix of the keys of failure domains that operators have taken out of service. */
+	const char *domains_out_prefix;
 	const char *order_path;
 	const char *report_path;
 	const char *counts_path;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -36,6 +36,14 @@
  */
 void skh_exchange_move_off_slow_ranks(skh_gateway_t *gateway);
 
+/**
+ * skh_exchange_withdraw_from_domains() - enqueue requests again that are still connecting to servers
+ * of domains out of service
+ *
+ * Does not dispatch the queues.
+ */
+void skh_exchange_withdraw_from_domains(skh_gateway_t *gateway);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/feed.c
+++ b/src/feed.c
@@ -21,6 +21,8 @@
 #define CRASH_LEASE_USE_US (CRASH_LEASE_TTL_S / 2 * SKH_US_PER_S)
 #define MAX_RECORDS_A_TXN  32 /* the store's limit for one transaction */
 #define MAX_UNREAD_RECORDS 4096
+/* Wait of a poll that is to return at once. */
+#define NO_WAIT_MS 1
 
 struct skh_feed {
 	skh_feed_options_t options;
@@ -32,6 +34,8 @@
 	uint64_t gateway_changes;  /* counted from 1; guarded by the lock */
 	GHashTable *rank_notices;  /* service -> text; guarded by the lock */
 	uint64_t notice_changes;   /* counted from 1; guarded by the lock */
+	GArray *domain_news;	   /* skh_domain_news_t; guarded by the lock */
+	bool polls_at_once;	   /* atomic */
 	GArray *read_records;	   /* skh_crash_record_t; guarded by the lock */
 	GArray *unwritten_records; /* skh_crash_record_t; guarded by the lock */
 	/* Used by the feed's thread alone: */
@@ -49,6 +53,7 @@
 	int64_t crash_lease; /* of crash records; 0 for none */
 	int64_t crash_lease_expires_us;
 	bool roster_changed;
+	bool domains_changed; /* since the last publication */
 	bool has_roster;
 };
 
@@ -216,14 +221,47 @@
 	g_mutex_unlock(&feed->lock);
 }
 
+/* The batch is added as a whole, because a complete read is only valid with both of its marks. */
+static void add_domain_news(skh_feed_t *feed, const GArray *batch)
+{
+	g_mutex_lock(&feed->lock);
+	g_array_append_vals(feed->domain_news, batch->data, batch->len);
+	g_mutex_unlock(&feed->lock);
+	feed->domains_changed = true;
+}
+
+static void append_domain_news(const skh_feed_t *feed, GArray *batch, skh_domain_news_kind_t kind,
+			       const char *name, int64_t revision)
+{
+	skh_domain_news_t news = { .kind = kind, .era = feed->era, .revision = revision };
+
+	news.domain = *name ? skh_domain_hash(name) : 0;
+	(void)g_strlcpy(news.name, name, sizeof(news.name));
+	g_array_append_val(batch, news);
+}
+
+static void apply_domain(skh_feed_t *feed, const char *name, const char *value, int64_t revision)
+{
+	g_autoptr(GArray) batch = g_array_new(FALSE, FALSE, sizeof(skh_domain_news_t));
+
+	if (*name == '\0')
+		return;
+	append_domain_news(feed, batch, value ? SKH_DOMAIN_NEWS_OUT : SKH_DOMAIN_NEWS_BACK, name,
+			   revision);
+	add_domain_news(feed, batch);
+}
+
 /* Applies one change of a key; @value is NULL for a deletion. */
 static void apply_change(skh_feed_t *feed, const char *key, const char *value, int64_t revision)
 {
 	const char *servers_prefix = feed->options.dialect->servers_prefix;
+	const char *domains_prefix = feed->options.dialect->domains_out_prefix;
 	const char *gateways_prefix = feed->options.gateways_prefix;
 
 	if (value && strcmp(key, feed->options.dialect->config_key) == 0)
 		adopt_config(feed, value, revision);
+	else if (g_str_has_prefix(key, domains_prefix))
+		apply_domain(feed, key + strlen(domains_prefix), value, revision);
 	else if (g_str_has_prefix(key, servers_prefix))
 		apply_server(feed, key + strlen(servers_prefix), value);
 	else if (g_str_has_prefix(key, gateways_prefix))
@@ -234,20 +272,6 @@
 		apply_crash_record(feed, key + strlen(SKH_CRASH_RECORDS_PREFIX), value);
 }
 
-static bool read_config(skh_feed_t *feed, int64_t *revision, skh_error_t *err)
-{
-	skh_store_t *store = feed->options.store;
-	skh_kv_pairs_t pairs;
-
-	if (!store->ops->range(store, feed->options.dialect->config_key, false, &pairs, err))
-		return false;
-	*revision = pairs.store_revision;
-	if (pairs.count > 0)
-		adopt_config(feed, pairs.list[0].value, pairs.list[0].mod_revision);
-	skh_kv_pairs_clear(&pairs);
-	return true;
-}
-
 static bool read_prefix(skh_feed_t *feed, const char *prefix, skh_kv_pairs_t *pairs,
 			skh_error_t *err)
 {
@@ -313,6 +337,46 @@
 	return has_changed;
 }
 
+/* Applies a complete read of the configuration and the domains out of service. */
+static void apply_operators_keys(skh_feed_t *feed, const skh_kv_pairs_t *pairs)
+{
+	const skh_dialect_t *dialect = feed->options.dialect;
+	size_t prefix_len = strlen(dialect->domains_out_prefix);
+	g_autoptr(GArray) batch = g_array_new(FALSE, FALSE, sizeof(skh_domain_news_t));
+
+	append_domain_news(feed, batch, SKH_DOMAIN_NEWS_BEGINS, "", pairs->store_revision);
+	for (size_t i = 0; i < pairs->count; i++) {
+		const skh_kv_pair_t *pair = &pairs->list[i];
+
+		if (strcmp(pair->key, dialect->config_key) == 0)
+			adopt_config(feed, pair->value, pair->mod_revision);
+		else if (g_str_has_prefix(pair->key, dialect->domains_out_prefix) &&
+			 pair->key[prefix_len] != '\0')
+			append_domain_news(feed, batch, SKH_DOMAIN_NEWS_OUT, pair->key + prefix_len,
+					   pair->mod_revision);
+	}
+	append_domain_news(feed, batch, SKH_DOMAIN_NEWS_ENDS, "", pairs->store_revision);
+	add_domain_news(feed, batch);
+}
+
+/* Sets *@is_new_era, in which case nothing is applied: all keys are to be read again. */
+static bool read_operators_keys(skh_feed_t *feed, int64_t *revision, bool *is_new_era,
+				skh_error_t *err)
+{
+	skh_store_t *store = feed->options.store;
+	skh_kv_pairs_t pairs;
+
+	if (!store->ops->range(store, feed->options.dialect->operators_prefix, true, &pairs, err))
+		return false;
+	record_response(feed);
+	*revision = pairs.store_revision;
+	*is_new_era = has_era_changed(feed);
+	if (!*is_new_era)
+		apply_operators_keys(feed, &pairs);
+	skh_kv_pairs_clear(&pairs);
+	return true;
+}
+
 /* Reads all keys, at the start and when the store has compacted its history. */
 static bool read_all(skh_feed_t *feed, skh_error_t *err)
 {
@@ -321,11 +385,11 @@
 	skh_kv_pairs_t notices;
 	skh_kv_pairs_t records;
 	int64_t revision;
+	bool is_new_era;
 
-	if (!read_config(feed, &revision, err))
+	if (!read_operators_keys(feed, &revision, &is_new_era, err))
 		return false;
-	record_response(feed);
-	if (has_era_changed(feed))
+	if (is_new_era)
 		return true;
 	if (!read_prefix(feed, feed->options.dialect->servers_prefix, &servers, err))
 		return false;
@@ -370,9 +434,10 @@
 {
 	skh_store_t *store = feed->options.store;
 	skh_kv_changes_t changes;
+	bool is_hurried = __atomic_exchange_n(&feed->polls_at_once, false, __ATOMIC_ACQ_REL);
+	int64_t wait_ms = is_hurried ? NO_WAIT_MS : feed->options.poll_timeout_ms;
 
-	if (!store->ops->poll_changes(store, "", feed->read_revision, feed->options.poll_timeout_ms,
-				      &changes, err)) {
+	if (!store->ops->poll_changes(store, "", feed->read_revision, wait_ms, &changes, err)) {
 		if (err->kind == SKH_STORE_COMPACTED) {
 			skh_log(SKH_LOG_INFO, PART,
 				"Store history was compacted; reading the full state.",
@@ -401,9 +466,11 @@
 		skh_board_publish_roster(
 			feed->options.board,
 			skh_roster_builder_snapshot(feed->builder, feed->read_revision));
-	if (feed->roster_changed || feed->config_revision != previous_config_revision)
+	if (feed->roster_changed || feed->domains_changed ||
+	    feed->config_revision != previous_config_revision)
 		feed->options.notify(feed->options.context);
 	feed->roster_changed = false;
+	feed->domains_changed = false;
 }
 
 static bool register_gateway(skh_feed_t *feed, skh_error_t *err)
@@ -563,6 +630,7 @@
 	feed->gateways = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	feed->notice_changes = 1;
 	feed->rank_notices = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	feed->domain_news = g_array_new(FALSE, FALSE, sizeof(skh_domain_news_t));
 	feed->read_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	feed->unwritten_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	g_mutex_init(&feed->lock);
@@ -577,6 +645,7 @@
 	skh_roster_builder_free(feed->builder);
 	g_hash_table_unref(feed->gateways);
 	g_hash_table_unref(feed->rank_notices);
+	g_array_unref(feed->domain_news);
 	g_array_unref(feed->read_records);
 	g_array_unref(feed->unwritten_records);
 	g_mutex_clear(&feed->lock);
@@ -647,6 +716,24 @@
 	return records;
 }
 
+GArray *skh_feed_take_domain_news(skh_feed_t *feed)
+{
+	GArray *news = NULL;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->domain_news->len > 0) {
+		news = feed->domain_news;
+		feed->domain_news = g_array_new(FALSE, FALSE, sizeof(skh_domain_news_t));
+	}
+	g_mutex_unlock(&feed->lock);
+	return news;
+}
+
+void skh_feed_poll_at_once(skh_feed_t *feed)
+{
+	__atomic_store_n(&feed->polls_at_once, true, __ATOMIC_RELEASE);
+}
+
 void skh_feed_put_crash_records(skh_feed_t *feed, const skh_crash_record_t *records, uint32_t n)
 {
 	g_mutex_lock(&feed->lock);
--- a/src/feed.h
+++ b/src/feed.h
@@ -19,6 +19,7 @@
 #include "board.h"
 #include "crash_suspects.h"
 #include "dialect.h"
+#include "domain_status.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -85,6 +86,17 @@
  */
 GArray *skh_feed_take_crash_records(skh_feed_t *feed);
 
+/**
+ * skh_feed_take_domain_news() - returns the news about failure domains read since the last call
+ * Return: skh_domain_news_t, to be freed with g_array_unref(); NULL for none.
+ *
+ * What was read up to skh_feed_fresh_as_of_us() is included if that is called first.
+ */
+GArray *skh_feed_take_domain_news(skh_feed_t *feed);
+
+/** skh_feed_poll_at_once() - the next poll returns without waiting for a change */
+void skh_feed_poll_at_once(skh_feed_t *feed);
+
 /** skh_feed_put_crash_records() - has @records written to the store; repeated until it succeeds */
 void skh_feed_put_crash_records(skh_feed_t *feed, const skh_crash_record_t *records, uint32_t n);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "exchange.h"
 #include "gossip.h"
 #include "log.h"
+#include "metrics.h"
 #include "process.h"
 #include "settings_watcher.h"
 
@@ -50,6 +51,7 @@
 	int64_t store_era;	      /* in which the crash records were stored */
 	uint64_t last_peers_change;   /* newest change that skh_feed_get_gateways() returned */
 	uint64_t last_notices_change; /* newest change that skh_feed_get_slow_ranks() returned */
+	bool may_send;		      /* as of the last tick */
 	gint is_ready;		      /* atomic; read by the administration listener's threads */
 	int64_t stop_started_us;      /* time of SIGTERM or SIGINT; 0 before */
 	int64_t stop_deadline_us;
@@ -69,6 +71,66 @@
 	       skh_settings_key_trust_ms(gateway->settings) * SKH_US_PER_MS;
 }
 
+static const char *find_domain_name(const skh_gateway_t *gateway, const skh_domain_news_t *news)
+{
+	for (guint i = 0; gateway->roster && i < gateway->roster->servers->len; i++) {
+		const skh_server_t *server = g_ptr_array_index(gateway->roster->servers, i);
+
+		if (skh_domain_hash(server->failure_domain) == news->domain)
+			return server->failure_domain;
+	}
+	return *news->name ? news->name : "-";
+}
+
+void skh_gateway_log_domain(const skh_gateway_t *gateway, const skh_domain_news_t *news,
+			    const char *source)
+{
+	bool is_out = news->kind == SKH_DOMAIN_NEWS_OUT;
+
+	if (news->domain == 0)
+		return;
+	skh_metrics_add(is_out ? SKH_COUNT_DOMAINS_OUT : SKH_COUNT_DOMAINS_BACK, 1);
+	skh_log(SKH_LOG_WARNING, PART,
+		is_out ? "Failure domain is out of service and gets no new requests."
+		       : "Failure domain is back in service.",
+		"domain=%s source=%s era=%" PRId64 " revision=%" PRId64,
+		find_domain_name(gateway, news), source, news->era, news->revision);
+}
+
+void skh_gateway_on_domains_changed(skh_gateway_t *gateway)
+{
+	skh_backends_set_domains(gateway->backends, gateway->domains);
+	skh_exchange_withdraw_from_domains(gateway);
+}
+
+static void apply_domain_news(skh_gateway_t *gateway, const GArray *news, int64_t now_us)
+{
+	bool has_changed = false;
+
+	for (guint i = 0; i < news->len; i++) {
+		const skh_domain_news_t *item = &g_array_index(news, skh_domain_news_t, i);
+
+		if (!skh_domain_status_apply(gateway->domains, item, now_us))
+			continue;
+		skh_gateway_log_domain(gateway, item, "store");
+		has_changed = true;
+	}
+	if (has_changed)
+		skh_gateway_on_domains_changed(gateway);
+}
+
+bool skh_gateway_may_send(skh_gateway_t *gateway, int64_t now_us)
+{
+	/* Read before the news, which then include all that was read up to this time. */
+	int64_t as_of_us = skh_feed_fresh_as_of_us(gateway->feed);
+	g_autoptr(GArray) news = skh_feed_take_domain_news(gateway->feed);
+
+	if (news)
+		apply_domain_news(gateway, news, now_us);
+	skh_domain_status_set_read(gateway->domains, as_of_us);
+	return skh_domain_status_can_send(gateway->domains, now_us);
+}
+
 static bool is_ready(void *context)
 {
 	return g_atomic_int_get(&((gateway_process_t *)context)->is_ready) != 0;
@@ -176,6 +238,33 @@
 	skh_listener_set_close_after_response(gateway->listener, !is_config_fresh);
 }
 
+/* Knowledge that is too old or from before a pause is to be renewed without a long poll. */
+static void update_domains(gateway_process_t *process, int64_t now_us)
+{
+	skh_gateway_t *gateway = &process->gateway;
+	bool may_send;
+
+	if (skh_domain_status_update(gateway->domains, now_us)) {
+		skh_log(SKH_LOG_WARNING, PART,
+			"Failure domain is back in service: the store came back without its key.",
+			"kept_ms=%" PRId64, SKH_DOMAIN_STATUS_KEEP_US / SKH_US_PER_MS);
+		skh_metrics_add(SKH_COUNT_DOMAINS_BACK, 1);
+		skh_gateway_on_domains_changed(gateway);
+	}
+	may_send = skh_gateway_may_send(gateway, now_us);
+	if (!may_send)
+		skh_feed_poll_at_once(gateway->feed);
+	if (may_send != process->may_send && gateway->roster)
+		skh_log(may_send ? SKH_LOG_INFO : SKH_LOG_WARNING, PART,
+			may_send ? "Requests are sent to servers again."
+				 : "Requests wait: the domains out of service have to be read "
+				   "again.",
+			"read_age_ms=%" PRId64,
+			(now_us - skh_domain_status_read_as_of_us(gateway->domains)) /
+				SKH_US_PER_MS);
+	process->may_send = may_send;
+}
+
 static void begin_stop(gateway_process_t *process, int64_t now_us)
 {
 	process->stop_started_us = now_us;
@@ -225,6 +314,7 @@
 	gateway->retry_limits.retry_ratio = (double)settings->retry_percent / 100.0;
 	gateway->retry_limits.min_retries = (double)settings->min_retries;
 	gateway->retry_limits.window_us = settings->retry_window_ms * SKH_US_PER_MS;
+	skh_domain_status_set_bound(gateway->domains, settings->domain_out_ms * SKH_US_PER_MS);
 }
 
 static void reload_settings(gateway_process_t *process, int64_t now_us)
@@ -271,6 +361,7 @@
 	reload_settings(process, now_us);
 	update_peers(process);
 	update_slowdowns(process);
+	update_domains(process, now_us);
 	update_ready(process, now_us);
 	skh_exchange_tick(&process->gateway);
 	skh_gossip_tick(process->gateway.gossip);
@@ -284,6 +375,7 @@
 {
 	skh_gateway_t *gateway = &process->gateway;
 
+	gateway->domains = skh_domain_status_new();
 	apply_settings(gateway, settings);
 	gateway->retry_limits.gateways = MIN_GATEWAYS;
 	process->settings_watcher = skh_settings_watcher_new(settings);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -38,6 +38,7 @@
 	skh_listener_t *listener;
 	skh_gossip_t *gossip;
 	skh_crash_suspects_t *crash_suspects;
+	skh_domain_status_t *domains; /* failure domains out of service */
 	const skh_routing_t *routing; /* counted reference; NULL before the first configuration */
 	const skh_roster_t *roster;   /* counted reference; NULL before the first roster */
 	skh_retry_share_limits_t retry_limits;
@@ -63,6 +64,20 @@
  */
 int64_t skh_gateway_config_age_us(const skh_gateway_t *gateway, int64_t now_us);
 
+/**
+ * skh_gateway_may_send() - whether servers may get requests now, see domain_status.h
+ *
+ * Applies news about failure domains first, so that the servers' states are current.
+ */
+bool skh_gateway_may_send(skh_gateway_t *gateway, int64_t now_us);
+
+/** skh_gateway_log_domain() - log and count that a domain went out of service or came back */
+void skh_gateway_log_domain(const skh_gateway_t *gateway, const skh_domain_news_t *news,
+			    const char *source);
+
+/** skh_gateway_on_domains_changed() - apply a change of @gateway->domains to servers and requests */
+void skh_gateway_on_domains_changed(skh_gateway_t *gateway);
+
 /** skh_gateway_can_trust_keys() - true while the configuration is recent enough to check keys */
 bool skh_gateway_can_trust_keys(const skh_gateway_t *gateway, int64_t now_us);
 
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -32,6 +32,7 @@
 #define MAX_CRASH_RECORDS   16	/* in one report */
 #define MAX_RUNNING	    255 /* one byte per server in the report */
 #define MAX_LIMITS	    128 /* in one report */
+#define MAX_DOMAINS	    16	/* out of service or back, in one report */
 #define MAX_REPORT_BYTES    8192
 
 typedef struct peer_report {
@@ -139,6 +140,37 @@
 	}
 }
 
+/* The report is complete in what the sender knows of domains if it has an age. */
+static void merge_domains(skh_gossip_t *gossip, const Skh__LoadReport *message, int64_t now_us)
+{
+	skh_gateway_t *gateway = gossip->gateway;
+	size_t n = MIN(MIN(message->n_domains, message->domains_out.len),
+		       MIN(message->n_domain_eras, message->n_domain_revisions));
+	bool has_changed = false;
+
+	for (size_t i = 0; i < n; i++) {
+		const skh_domain_news_t news = {
+			.kind = message->domains_out.data[i] == 1 ? SKH_DOMAIN_NEWS_OUT
+								  : SKH_DOMAIN_NEWS_BACK,
+			.domain = message->domains[i],
+			.era = (int64_t)message->domain_eras[i],
+			.revision = (int64_t)message->domain_revisions[i],
+		};
+
+		if (news.domain == 0 || news.era < 0 || news.revision < 0 ||
+		    !skh_domain_status_apply(gateway->domains, &news, now_us))
+			continue;
+		skh_gateway_log_domain(gateway, &news, "gateway");
+		has_changed = true;
+	}
+	if (has_changed)
+		skh_gateway_on_domains_changed(gateway);
+	if (message->domains_age_ms > 0 && n == message->n_domains)
+		skh_domain_status_renew(gateway->domains,
+					((int64_t)message->domains_age_ms - 1) * SKH_US_PER_MS,
+					now_us);
+}
+
 static void store_report(skh_gossip_t *gossip, const Skh__LoadReport *message)
 {
 	const int64_t sender = (int64_t)message->sender;
@@ -163,6 +195,7 @@
 		(void)g_hash_table_insert(report->running, GUINT_TO_POINTER(message->servers[i]),
 					  GUINT_TO_POINTER(message->running.data[i]));
 	merge_crash_records(gossip, message, now_us);
+	merge_domains(gossip, message, now_us);
 	if (message->n_limited > 0)
 		skh_backends_for_each_target(
 			gossip->gateway->backends, merge_limit,
@@ -340,6 +373,13 @@
 	uint32_t limit_mhz[MAX_LIMITS];
 	uint32_t limit_age_ms[MAX_LIMITS];
 	size_t n_limited;
+	skh_domain_news_t domains[MAX_DOMAINS];
+	size_t n_domains;
+	uint64_t domain_hashes[MAX_DOMAINS];
+	uint8_t domains_out[MAX_DOMAINS];
+	uint64_t domain_eras[MAX_DOMAINS];
+	uint64_t domain_revisions[MAX_DOMAINS];
+	uint32_t domains_age_ms;
 } outgoing_report_t;
 
 static void add_target(skh_target_t *target, void *context)
@@ -371,8 +411,28 @@
 	outgoing->limit_age_ms[outgoing->n_limited++] = (uint32_t)(age_us / SKH_US_PER_MS);
 }
 
+static void add_domains(const skh_gossip_t *gossip, outgoing_report_t *outgoing)
+{
+	const skh_domain_status_t *status = gossip->gateway->domains;
+	int64_t as_of_us = skh_domain_status_read_as_of_us(status);
+	size_t n = skh_domain_status_list(status, outgoing->domains, MAX_DOMAINS);
+
+	outgoing->n_domains = MIN(n, MAX_DOMAINS);
+	for (size_t i = 0; i < outgoing->n_domains; i++) {
+		const skh_domain_news_t *domain = &outgoing->domains[i];
+
+		outgoing->domain_hashes[i] = domain->domain;
+		outgoing->domains_out[i] = domain->kind == SKH_DOMAIN_NEWS_OUT;
+		outgoing->domain_eras[i] = (uint64_t)domain->era;
+		outgoing->domain_revisions[i] = (uint64_t)domain->revision;
+	}
+	if (skh_domain_status_has_bound(status) && as_of_us != 0 && n <= MAX_DOMAINS)
+		outgoing->domains_age_ms =
+			1 + (uint32_t)((skh_clock_boot_us() - as_of_us) / SKH_US_PER_MS);
+}
+
 /*
- * Hashes the servers and their counts. Unless this hash changes or crash records are new, the next
+ * Hashes the servers, their counts and the domains out of service. Unless this hash changes or crash records are new, the next
  * report is sent only after MAX_INTERVAL_US.
  */
 static uint64_t hash_report(const outgoing_report_t *outgoing)
@@ -382,7 +442,12 @@
 					      outgoing->n_servers * sizeof(outgoing->servers[0])),
 			       0);
 
-	return skh_chunk_hash(skh_chunk_make(outgoing->running, outgoing->n_servers), hash);
+	hash = skh_chunk_hash(skh_chunk_make(outgoing->running, outgoing->n_servers), hash);
+	hash = skh_chunk_hash(skh_chunk_make(outgoing->domains_out, outgoing->n_domains), hash);
+	return skh_chunk_hash(
+		skh_chunk_make(outgoing->domain_revisions,
+			       outgoing->n_domains * sizeof(outgoing->domain_revisions[0])),
+		hash);
 }
 
 /* Crash records of one report; the message borrows the arrays. */
@@ -437,6 +502,14 @@
 	message.limit_mhz = outgoing->limit_mhz;
 	message.n_limit_age_ms = outgoing->n_limited;
 	message.limit_age_ms = outgoing->limit_age_ms;
+	message.n_domains = outgoing->n_domains;
+	message.domains = outgoing->domain_hashes;
+	message.domains_out = (ProtobufCBinaryData){ outgoing->n_domains, outgoing->domains_out };
+	message.n_domain_eras = outgoing->n_domains;
+	message.domain_eras = outgoing->domain_eras;
+	message.n_domain_revisions = outgoing->n_domains;
+	message.domain_revisions = outgoing->domain_revisions;
+	message.domains_age_ms = outgoing->domains_age_ms;
 	message.survivals = skh_crash_suspects_own_survivals(gossip->gateway->crash_suspects);
 	add_crash_records(gossip, &message, &records);
 	len = skh__load_report__pack(&message, packed);
@@ -474,6 +547,7 @@
 		return;
 	skh_backends_for_each_target(gossip->gateway->backends, add_target, &outgoing);
 	skh_backends_for_each_target(gossip->gateway->backends, add_limit, &outgoing);
+	add_domains(gossip, &outgoing);
 	hash = hash_report(&outgoing);
 	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US &&
 	    !gossip->has_crash_news)
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,9 @@
 	[SKH_COUNT_ENGINE_ORDERS] = { "engine_orders", "Orders sent to engines" },
 	[SKH_COUNT_MAP_CHANGES] = { "map_changes", "Expert maps put in use" },
 	[SKH_COUNT_MAP_FAILURES] = { "map_failures", "Changes of expert maps that failed" },
+	[SKH_COUNT_DOMAINS_OUT] = { "domains_out", "Failure domains taken out of service" },
+	[SKH_COUNT_DOMAINS_BACK] = { "domains_back", "Failure domains taken back in service" },
+	[SKH_COUNT_WITHDRAWN] = { "withdrawn", "Attempts withdrawn before anything was sent" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -54,6 +54,9 @@
 	SKH_COUNT_ENGINE_ORDERS,
 	SKH_COUNT_MAP_CHANGES,
 	SKH_COUNT_MAP_FAILURES,
+	SKH_COUNT_DOMAINS_OUT,
+	SKH_COUNT_DOMAINS_BACK,
+	SKH_COUNT_WITHDRAWN, /* attempts withdrawn before a byte was sent */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -116,6 +116,7 @@
 	BOUND("config_apply_ms", config_apply_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("drain_notice_ms", drain_notice_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("revocation_ms", revocation_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
+	BOUND("domain_out_ms", domain_out_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("stop_grace_s", drain_ms, 0, 3600000, SKH_ROUNDING_DOWN, 1000),
 };
 static const skh_field_t log_fields[] = {
@@ -272,13 +273,18 @@
 					   : settings->key_trust_ms;
 }
 
+/* A bound of 0 is not stated. */
+static int64_t least_bound_ms(int64_t a_ms, int64_t b_ms)
+{
+	return a_ms == 0 || (b_ms > 0 && b_ms < a_ms) ? b_ms : a_ms;
+}
+
 int64_t skh_settings_poll_interval_ms(const skh_settings_t *settings)
 {
-	int64_t bound_ms = settings->config_apply_ms;
+	int64_t bound_ms =
+		least_bound_ms(least_bound_ms(settings->config_apply_ms, settings->drain_notice_ms),
+			       settings->domain_out_ms);
 
-	if (settings->drain_notice_ms > 0 &&
-	    (bound_ms == 0 || settings->drain_notice_ms < bound_ms))
-		bound_ms = settings->drain_notice_ms;
 	return bound_ms == 0 ? settings->poll_interval_ms
 			     : CLAMP(bound_ms / POLLS_PER_BOUND, 1, MAX_POLL_INTERVAL_MS);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -84,6 +84,8 @@
 	int64_t config_apply_ms; /* configurations must be in force within this time; 0: not stated */
 	int64_t drain_notice_ms; /* leaving servers must get no requests after it; 0: not stated */
 	int64_t revocation_ms; /* revoked keys must be rejected within this time; 0 if not stated */
+	/* domains out of service must get no requests after it; 0 if not stated */
+	int64_t domain_out_ms;
 	/*
 	 * [balancer]: runs beside a rank and takes part in placing its group's experts.
 	 * The weights are those of the objective that rebalance.h minimizes.
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -345,6 +345,11 @@
 		fail(upstream, SKH_UPSTREAM_ERROR_UNREACHABLE);
 		return;
 	}
+	if (upstream->ops->may_write && !upstream->ops->may_write(upstream->context)) {
+		if (upstream->state != STATE_CLOSED)
+			fail(upstream, SKH_UPSTREAM_ERROR_WITHDRAWN);
+		return;
+	}
 	(void)uv_timer_stop(&upstream->timer);
 	upstream->state = STATE_BUSY;
 	set_socket_options(upstream);
@@ -440,6 +445,11 @@
 	close_upstream(upstream);
 }
 
+bool skh_upstream_is_connecting(const skh_upstream_t *upstream)
+{
+	return upstream->state == STATE_CONNECTING;
+}
+
 void skh_upstream_set_paused(skh_upstream_t *upstream, bool paused)
 {
 	if (upstream->state != STATE_BUSY)
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -22,7 +22,8 @@
 typedef enum skh_upstream_error {
 	SKH_UPSTREAM_ERROR_UNREACHABLE,	      /* connect failed; no byte was sent */
 	SKH_UPSTREAM_ERROR_CONNECTION_CLOSED, /* connection closed or reset */
-	SKH_UPSTREAM_ERROR_INVALID_RESPONSE   /* response malformed or rejected by on_head() */
+	SKH_UPSTREAM_ERROR_INVALID_RESPONSE,  /* response malformed or rejected by on_head() */
+	SKH_UPSTREAM_ERROR_WITHDRAWN	      /* may_write() returned false; no byte was sent */
 } skh_upstream_error_t;
 
 /** struct skh_upstream_ops - callbacks for one request; run on the loop's thread */
@@ -37,6 +38,11 @@
 	 * @request_written: the server may have received a part of the request.
 	 */
 	void (*on_error)(void *context, skh_upstream_error_t error, bool request_written);
+	/*
+	 * A new connection is open. Return false if the request is no longer to be sent; NULL sends
+	 * it always.
+	 */
+	bool (*may_write)(void *context);
 } skh_upstream_ops_t;
 
 typedef struct skh_upstream_pool skh_upstream_pool_t;
@@ -97,6 +103,9 @@
 /** skh_upstream_cancel() - close the request's connection; no callback follows */
 void skh_upstream_cancel(skh_upstream_t *upstream);
 
+/** skh_upstream_is_connecting() - true while no byte of the request has been written */
+bool skh_upstream_is_connecting(const skh_upstream_t *upstream);
+
 /** skh_upstream_set_paused() - stop or resume reading the response, for flow control */
 void skh_upstream_set_paused(skh_upstream_t *upstream, bool paused);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[18] =
 {
   {
     "sender",
@@ -2381,6 +2381,66 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domains",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_domains),
+    offsetof(Skh__LoadReport, domains),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains_out",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, domains_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain_eras",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Skh__LoadReport, n_domain_eras),
+    offsetof(Skh__LoadReport, domain_eras),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain_revisions",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Skh__LoadReport, n_domain_revisions),
+    offsetof(Skh__LoadReport, domain_revisions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains_age_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, domains_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
   6,   /* field[6] = cleared */
@@ -2388,6 +2448,11 @@
   8,   /* field[8] = confirmed */
   5,   /* field[5] = crashes */
   4,   /* field[4] = culprits */
+  15,   /* field[15] = domain_eras */
+  16,   /* field[16] = domain_revisions */
+  13,   /* field[13] = domains */
+  17,   /* field[17] = domains_age_ms */
+  14,   /* field[14] = domains_out */
   12,   /* field[12] = limit_age_ms */
   11,   /* field[11] = limit_mhz */
   10,   /* field[10] = limited */
@@ -2397,10 +2462,11 @@
   2,   /* field[2] = servers */
   9,   /* field[9] = survivals */
 };
-static const ProtobufCIntRange skh__load_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange skh__load_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 20, 13 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor skh__load_report__descriptor =
 {
@@ -2410,10 +2476,10 @@
   "Skh__LoadReport",
   "skh",
   sizeof(Skh__LoadReport),
-  13,
+  18,
   skh__load_report__field_descriptors,
   skh__load_report__field_indices_by_name,
-  1,  skh__load_report__number_ranges,
+  2,  skh__load_report__number_ranges,
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -450,12 +450,39 @@
    * requests that their servers survived, since the process start
    */
 	uint64_t survivals;
+	/*
+   * Failure domains that were taken out of service, see src/domain_status.h.
+   */
+	/*
+   * hash of the domain's name
+   */
+	size_t n_domains;
+	uint64_t *domains;
+	/*
+   * one byte for each of `domains`: 1 if it is out, 0 if it is back
+   */
+	ProtobufCBinaryData domains_out;
+	/*
+   * era of the store when that was written
+   */
+	size_t n_domain_eras;
+	uint64_t *domain_eras;
+	/*
+   * revision of the store in that era
+   */
+	size_t n_domain_revisions;
+	uint64_t *domain_revisions;
+	/*
+   * 1 + time since the sender itself read the operators' keys; 0 if the report is not complete in
+   * what the sender knows of domains.
+   */
+	uint32_t domains_age_ms;
 };
 #define SKH__LOAD_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__load_report__descriptor)                             \
 		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0,  \
-			NULL, 0, NULL, 0, NULL, 0                                                  \
+			NULL, 0, NULL, 0, NULL, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0       \
 	}
 
 /*
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -82,6 +82,43 @@
 	EXPECT_EQ(skh_backends_find_target(t.backends, "b")->slowdown, 1.0);
 }
 
+// Also a server that is listed after its domain went out of service.
+TEST(Backends, AServerOfADomainOutOfServiceIsNotSelected)
+{
+	Backends t;
+	skh_domain_status_t *status = skh_domain_status_new();
+	skh_domain_news_t news = {};
+	skh_target_pool_t *pool = skh_backends_get_or_create_pool(t.backends, "s");
+
+	news.kind = SKH_DOMAIN_NEWS_OUT;
+	news.domain = skh_domain_hash("a");
+	news.revision = 5;
+	t.add_to_list("one", "127.0.0.1", 1000);
+	EXPECT_EQ(t.select(), "one");
+	pool->completed[0] = 8.0;
+	EXPECT_TRUE(skh_domain_status_apply(status, &news, 1));
+	skh_backends_set_domains(t.backends, status);
+	EXPECT_EQ(t.select(), "-");
+	EXPECT_TRUE(skh_target_pool_is_out_of_service(pool));
+	EXPECT_EQ(pool->completed[0], 0.0) << "its capacity does not count";
+	t.add_to_list("two", "127.0.0.2", 1000);
+	EXPECT_EQ(t.select(), "-");
+	static_cast<skh_server_t *>(g_ptr_array_index(t.roster.servers, 1))->failure_domain[0] =
+		'b';
+	skh_backends_sync(t.backends, &t.roster, nullptr);
+	EXPECT_EQ(t.select(), "two");
+	EXPECT_FALSE(skh_target_pool_is_out_of_service(pool));
+	news.kind = SKH_DOMAIN_NEWS_BACK;
+	news.revision = 6;
+	EXPECT_TRUE(skh_domain_status_apply(status, &news, 1));
+	skh_backends_set_domains(t.backends, status);
+	std::string seen;
+	for (int i = 0; i < 50; i++)
+		seen += t.select();
+	EXPECT_NE(seen.find("one"), std::string::npos);
+	skh_domain_status_free(status);
+}
+
 TEST(Backends, AnOlderServerListedLaterIsNotUsed)
 {
 	Backends t;
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -30,6 +30,8 @@
  *       "endless_event"          send an event that does not end until the caller closes
  *       "mute"                   wait MUTE_DELAY_US, then close
  *     {"limit":R}                name a limit of R requests a second in all responses; 0 ends it
+ *     {"zone":Z}               list the server in zone Z from now on
+ *     {"evacuated":B}          count the requests that arrive from now on; false ends it
  *     {"crash_part":ID}          from now on every rank that begins a stream whose prompt has this part
  *                                crashes: it closes all its connections, leaves the store and comes
  *                                back after RESTART_DELAY_US under another id
@@ -80,6 +82,8 @@
 	int rank;
 	char id[32];
 	int64_t born_unix_ms;
+	char zone[16];
+	bool is_evacuated; /* gets no requests */
 	int n_crashes;
 	int64_t restarts_us; /* monotonic time of the start after a crash; 0 while it runs */
 	double limit;	     /* requests a second that the server names; 0 for none */
@@ -117,6 +121,7 @@
 static int64_t n_repeated_runs;
 static int64_t n_bad_headers;
 static int64_t n_runs_after_leaving;
+static int64_t n_runs_after_evacuation;
 static int64_t n_mixed_maps;
 static int64_t n_map_changes;
 static int64_t n_crashes;
@@ -168,8 +173,8 @@
 		g_strdup_printf("127.0.0.1:%d", server->port + registered_port_offset);
 	json_t *record =
 		json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
-			  server->is_engine ? "model" : "ledger", "address", address, "zone", "a",
-			  "version", "v1", "slots", 8, "state",
+			  server->is_engine ? "model" : "ledger", "address", address, "zone",
+			  server->zone, "version", "v1", "slots", 8, "state",
 			  server->is_draining ? "draining" : "ready", "cold-remaining-ms", 0,
 			  "sequence", ++server->n_writes, "born", (json_int_t)server->born_unix_ms);
 	char *value = json_dumps(record, JSON_COMPACT);
@@ -576,6 +581,7 @@
 		n_bad_headers++;
 	if (server->left_us != 0 && g_get_monotonic_time() - server->left_us > LEAVE_GRACE_US)
 		n_runs_after_leaving++;
+	n_runs_after_evacuation += server->is_evacuated;
 	if (strstr(path, "/once/") && !g_hash_table_add(once_attempts, g_strdup(attempt)))
 		n_repeated_runs++;
 }
@@ -649,6 +655,7 @@
 	const char *fault = json_string_value(json_object_get(json, "fault"));
 	const char *part = json_string_value(json_object_get(json, "crash_part"));
 	const char *order_fault = json_string_value(json_object_get(json, "order"));
+	const char *zone = json_string_value(json_object_get(json, "zone"));
 
 	if (json_is_true(json_object_get(json, "draining")))
 		server->is_draining = true;
@@ -669,6 +676,10 @@
 		server->limit = json_number_value(json_object_get(json, "limit"));
 		server->limited_since_us = g_get_monotonic_time();
 	}
+	if (zone)
+		(void)g_strlcpy(server->zone, zone, sizeof(server->zone));
+	if (json_object_get(json, "evacuated"))
+		server->is_evacuated = json_is_true(json_object_get(json, "evacuated"));
 	if (part)
 		(void)g_strlcpy(crash_part, part, sizeof(crash_part));
 	if (order_fault) {
@@ -681,13 +692,14 @@
 
 static json_t *counters_to_json(void)
 {
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
 			 (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs, "unasked",
 			 (json_int_t)n_bad_headers, "after_leaving",
 			 (json_int_t)n_runs_after_leaving, "mixed_maps", (json_int_t)n_mixed_maps,
 			 "passes", (json_int_t)pass, "map_changes", (json_int_t)n_map_changes,
 			 "crashes", (json_int_t)n_crashes, "crash_part_requests",
-			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit);
+			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit,
+			 "after_evacuation", (json_int_t)n_runs_after_evacuation);
 }
 
 static json_t *attempts_to_json(void)
@@ -732,6 +744,7 @@
 
 	server->port = port;
 	server->born_unix_ms = g_get_real_time() / US_PER_MS;
+	(void)g_strlcpy(server->zone, "a", sizeof(server->zone));
 	server->is_engine = is_engine;
 	server->rank = n_servers;
 	(void)g_snprintf(server->id, sizeof(server->id), "%s%d", is_engine ? "m" : "p", n_servers);
