Keep the rate of cold servers together

Cause: servers that have just started, or whose failure domain was out of service, got as many requests as warm ones.

Change: server_warmth.h keeps for each server whether it is cold, from its list entry, its responses, other gateways' reports, the start of an instance and the return of its domain. While it is or may be cold, gateways keep the rate that the service names together, by server_limit.h. Parts rise only when the list of gateways has been the same for 2.5 s. A cold server's load counts as higher until it is warm. Services that name no cold time are not affected.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -220,10 +220,14 @@
 	const char *retry_after = skh_http_message_header(response, "Retry-After");
 	const char *limit = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LIMIT));
+	const char *cold = skh_http_message_header(
+		response, skh_exchange_header_name(exchange, SKH_HEADER_COLD));
 
 	/* Another instance at the server's address speaks for itself. */
 	if (response->parser.status_code == 421)
 		return;
+	if (cold)
+		skh_target_record_cold(exchange->target, cold, now_us);
 	if (leaving && strcmp(leaving, "1") == 0)
 		skh_target_record_leaving(exchange->target);
 	/* What ends a limit has to come from the server itself, not from something before it. */
--- a/src/backends.c
+++ b/src/backends.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "metrics.h"
 #include "rank_liveness.h"
 
 #include <string.h>
@@ -26,6 +27,13 @@
  */
 #define OVERCOMMIT_PLAIN_REQUESTS 2
 #define OVERCOMMIT_RANK_REQUESTS  1
+/*
+ * Requests added to the load of a server that has just become cold; fewer as it warms up. About
+ * half of the slots of a small server, so that warm servers are preferred until they are half full.
+ */
+#define WARMUP_PENALTY_REQUESTS 4.0
+/* Longest time for which a response can say that the server stays cold. */
+#define MAX_COLD_MS 3.6e6
 /* For services with an engine (RANK) and without one (PLAIN). */
 #define TYPICAL_FIRST_EVENT_RANK_MS  150
 #define TYPICAL_FIRST_EVENT_PLAIN_MS 80
@@ -37,7 +45,9 @@
 	GHashTable *pools;		    /* service -> skh_target_pool_t */
 	char *slowdowns;		    /* "\naddress slowdown" for each slow rank */
 	const skh_domain_status_t *domains; /* NULL if none is out of service */
-	skh_server_lost_fn on_lost;	    /* may be NULL */
+	double cold_overage;		    /* see struct skh_warmth_spec */
+	double cold_slack;
+	skh_server_lost_fn on_lost; /* may be NULL */
 	void *on_lost_context;
 };
 
@@ -202,7 +212,9 @@
 static void update_domain(skh_target_t *target, const skh_domain_status_t *domains)
 {
 	const char *name = target->server->failure_domain;
-	bool is_out = domains && skh_domain_status_is_out(domains, skh_domain_hash(name));
+	const skh_domain_news_t *statement =
+		domains ? skh_domain_status_find(domains, skh_domain_hash(name)) : NULL;
+	bool is_out = statement && statement->kind == SKH_DOMAIN_NEWS_OUT;
 
 	if (is_out != target->is_domain_out)
 		skh_log(SKH_LOG_INFO, PART,
@@ -212,6 +224,9 @@
 			       : "Server's failure domain is back in service.",
 			"server=%s domain=%s running=%u", target->server->id, name,
 			target->own_in_flight);
+	if (statement && !is_out && target->is_domain_out)
+		skh_server_warmth_begin(&target->warmth, &target->target_pool->warmth_spec,
+					statement->era, statement->revision, skh_clock_boot_us());
 	target->is_domain_out = is_out;
 }
 
@@ -228,6 +243,11 @@
 	target->is_listed = true;
 	update_slowdown(target, backends->slowdowns);
 	update_domain(target, backends->domains);
+	/* The entry may be older than the start of the instance or the return of its domain. */
+	skh_server_warmth_record_entry(&target->warmth, server->cold_left_us, server->era,
+				       server->revision, skh_clock_boot_us(), skh_clock_boot_us());
+	skh_server_warmth_begin(&target->warmth, &target->target_pool->warmth_spec, server->era,
+				server->revision, skh_clock_boot_us());
 	g_ptr_array_add(target->target_pool->targets, target);
 	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
@@ -317,6 +337,9 @@
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
 		pool->max_connections = service->max_connections;
+		pool->warmth_spec =
+			(skh_warmth_spec_t){ service->cold_start_us, service->cold_per_s,
+					     backends->cold_overage, backends->cold_slack };
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
 						       : TYPICAL_FIRST_EVENT_PLAIN_MS;
@@ -337,7 +360,23 @@
 /* Time until which the server wants no request of this gateway. */
 static int64_t get_accepts_from_us(const skh_target_t *target, int64_t now_us)
 {
-	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
+	int64_t free_from_us = skh_server_limit_free_from_us(&target->limit, now_us);
+
+	if (skh_warmth_spec_is_set(&target->target_pool->warmth_spec))
+		free_from_us =
+			MAX(free_from_us, skh_server_warmth_free_from_us(&target->warmth, now_us));
+	return MAX(target->rejects_until_us, free_from_us);
+}
+
+/* A cold server is slow; its load counts as higher, by the time for which it stays cold. */
+static double get_warmup_requests(const skh_target_t *target, int64_t now_us)
+{
+	const skh_warmth_spec_t *spec = &target->target_pool->warmth_spec;
+	int64_t left_us = skh_server_warmth_left_us(&target->warmth, now_us);
+
+	if (!skh_warmth_spec_is_set(spec) || left_us == 0)
+		return 0.0;
+	return WARMUP_PENALTY_REQUESTS * MIN((double)left_us / (double)spec->cold_start_us, 1.0);
 }
 
 /* Whether the server may get a request of this gateway now. */
@@ -372,6 +411,7 @@
 			.expected_tokens = target->expected_tokens,
 			.mean_latency_ms = target->mean_latency_ms,
 			.slowdown = target->slowdown,
+			.warmup_requests = get_warmup_requests(target, now_us),
 			.failure_ratio = target->failure_ratio,
 			.avoid_until_us = target->avoid_until_us,
 			.full_until_us = target->full_until_us,
@@ -384,6 +424,55 @@
 					      : g_ptr_array_index(pool->targets, (guint)selected);
 }
 
+void skh_backends_set_cold_bounds(skh_backends_t *backends, double overage, double slack)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	backends->cold_overage = overage;
+	backends->cold_slack = slack;
+	g_hash_table_iter_init(&iter, backends->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
+		((skh_target_pool_t *)pool)->warmth_spec.overage = overage;
+		((skh_target_pool_t *)pool)->warmth_spec.slack = slack;
+	}
+}
+
+void skh_target_update_warmth(skh_target_t *target, uint64_t gateway,
+			      const skh_gateway_list_t *others, int64_t now_us)
+{
+	const skh_warmth_spec_t *spec = &target->target_pool->warmth_spec;
+	bool is_cold =
+		skh_warmth_spec_is_set(spec) && skh_server_warmth_is_cold(&target->warmth, now_us);
+
+	skh_server_warmth_update(&target->warmth, spec, skh_server_instance_hash(target->server),
+				 gateway, others, now_us);
+	if (is_cold == target->was_cold)
+		return;
+	target->was_cold = is_cold;
+	skh_metrics_add(is_cold ? SKH_COUNT_SERVERS_COLD : SKH_COUNT_SERVERS_WARM, 1);
+	skh_log(SKH_LOG_INFO, PART,
+		is_cold ? "Server is cold, or may be; it gets few requests." : "Server is warm.",
+		"server=%s left_ms=%" G_GINT64_FORMAT " part_per_s=%.2f", target->server->id,
+		skh_server_warmth_left_us(&target->warmth, now_us) / SKH_US_PER_MS,
+		target->warmth.limit.part_per_s);
+}
+
+void skh_target_record_cold(skh_target_t *target, const char *left_ms, int64_t now_us)
+{
+	char *end = NULL;
+	double value_ms = g_ascii_strtod(left_ms, &end);
+
+	if (end == left_ms || *end != '\0' || !(value_ms >= 0.0)) {
+		skh_log(SKH_LOG_DEBUG, PART, "Server's cold time is not a number of milliseconds.",
+			"server=%s value=%.32s", target->server->id, left_ms);
+		return;
+	}
+	skh_server_warmth_record_response(
+		&target->warmth, (int64_t)(MIN(value_ms, MAX_COLD_MS) * (double)SKH_US_PER_MS),
+		now_us);
+}
+
 static uint32_t count_slots_in_service(const skh_target_pool_t *pool)
 {
 	uint32_t slots = 0;
@@ -514,6 +603,7 @@
 	if (target->own_in_flight == 0)
 		target->busy_since_us = now_us;
 	skh_server_limit_take(&target->limit, now_us);
+	skh_server_warmth_take(&target->warmth, now_us);
 	target->references++;
 	target->own_in_flight++;
 	target->expected_tokens += expected_tokens;
--- a/src/backends.h
+++ b/src/backends.h
@@ -18,6 +18,7 @@
 #include "routing.h"
 #include "server_limit.h"
 #include "server_selection.h"
+#include "server_warmth.h"
 #include "upstream.h"
 
 #ifdef __cplusplus
@@ -58,6 +59,8 @@
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
 	bool is_domain_out;		 /* its failure domain is out of service */
+	skh_server_warmth_t warmth;
+	bool was_cold; /* at the last update */
 };
 
 #define SKH_TARGET_POOL_RATE_SLOTS 8
@@ -71,6 +74,7 @@
 	bool is_lock_step;
 	skh_group_breaker_t breaker; /* circuit breaker of a lock-step group */
 	uint32_t max_connections;
+	skh_warmth_spec_t warmth_spec;	/* bound of its cold servers */
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
 	int64_t newest_slot;			      /* newest time slot in @completed */
@@ -135,6 +139,23 @@
  */
 void skh_backends_set_domains(skh_backends_t *backends, const skh_domain_status_t *status);
 
+/**
+ * skh_backends_set_cold_bounds() - sets what a cold server may get beyond its rate
+ * @overage: factor, see struct skh_warmth_spec
+ * @slack: requests
+ */
+void skh_backends_set_cold_bounds(skh_backends_t *backends, double overage, double slack);
+
+/** skh_target_update_warmth() - compute this gateway's part of a cold server's requests */
+void skh_target_update_warmth(skh_target_t *target, uint64_t gateway,
+			      const skh_gateway_list_t *others, int64_t now_us);
+
+/**
+ * skh_target_record_cold() - record how long the server stays cold, as it says in a response
+ * @left_ms: value of the header; other forms are ignored
+ */
+void skh_target_record_cold(skh_target_t *target, const char *left_ms, int64_t now_us);
+
 /**
  * skh_target_pool_is_out_of_service() - true when all servers are in domains that are out of service
  *
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -33,6 +33,7 @@
 	SKH_HEADER_NOT_RUN,	      /* the server did not run the request */
 	SKH_HEADER_LEAVING,	      /* "1": the server is leaving */
 	SKH_HEADER_LIMIT,	      /* requests a second that the server takes in all */
+	SKH_HEADER_COLD,	      /* milliseconds for which the server stays cold */
 	SKH_HEADER_FAULTY_SERVER,     /* faulty server of a group */
 	SKH_HEADER_PRIORITY,	      /* priority of a request at an engine */
 	SKH_HEADER_TOKENS,	      /* prompt tokens and maximum output tokens */
--- a/src/domain_status.c
+++ b/src/domain_status.c
@@ -170,6 +170,13 @@
 	return known && known->statement.kind == SKH_DOMAIN_NEWS_OUT;
 }
 
+const skh_domain_news_t *skh_domain_status_find(const skh_domain_status_t *status, uint64_t domain)
+{
+	const domain_t *known = find_domain(status, domain);
+
+	return known ? &known->statement : NULL;
+}
+
 /* Also called before sending: after a pause the loop may run other callbacks before the tick. */
 static void detect_pause(skh_domain_status_t *status, int64_t now_us)
 {
--- a/src/domain_status.h
+++ b/src/domain_status.h
@@ -84,6 +84,9 @@
 /** skh_domain_status_is_out() - true when the domain is out of service */
 bool skh_domain_status_is_out(const skh_domain_status_t *status, uint64_t domain);
 
+/** skh_domain_status_find() - the newest statement about the domain, or NULL; borrowed */
+const skh_domain_news_t *skh_domain_status_find(const skh_domain_status_t *status, uint64_t domain);
+
 /**
  * skh_domain_status_update() - record that the process is running, and end what has expired
  *
--- a/src/feed.c
+++ b/src/feed.c
@@ -36,6 +36,7 @@
 	uint64_t notice_changes;   /* counted from 1; guarded by the lock */
 	GArray *domain_news;	   /* skh_domain_news_t; guarded by the lock */
 	bool polls_at_once;	   /* atomic */
+	GPtrArray *cold_news;	   /* skh_cold_news_t; guarded by the lock */
 	GArray *read_records;	   /* skh_crash_record_t; guarded by the lock */
 	GArray *unwritten_records; /* skh_crash_record_t; guarded by the lock */
 	/* Used by the feed's thread alone: */
@@ -45,6 +46,7 @@
 	int64_t config_version;	  /* of the configuration in force */
 	int64_t era;		  /* of the store when it was read last; -1 before */
 	int64_t last_response_us; /* boot clock; 0 before the first response */
+	int64_t poll_started_us;  /* start of the call in progress, or of the last one */
 	int64_t recovered_us;	  /* end of the store's last outage; 0 for none */
 	int64_t backoff_us;
 	bool is_unavailable;
@@ -55,6 +57,7 @@
 	bool roster_changed;
 	bool domains_changed; /* since the last publication */
 	bool has_roster;
+	bool has_cold_servers; /* a service names how long its servers are cold */
 };
 
 static bool is_stopped(const skh_feed_t *feed)
@@ -102,6 +105,17 @@
 	       skh_clock_boot_us() - feed->recovered_us < SKH_ROSTER_GRACE_US;
 }
 
+static bool has_cold_servers(const skh_routing_t *routing)
+{
+	for (guint i = 0; i < routing->services->len; i++) {
+		const skh_service_info_t *service = skh_routing_get_service(routing, i);
+
+		if (service->cold_start_us > 0 && service->cold_per_s > 0.0)
+			return true;
+	}
+	return false;
+}
+
 static void adopt_config(skh_feed_t *feed, const char *value, int64_t revision)
 {
 	skh_error_t err;
@@ -129,6 +143,7 @@
 		return;
 	}
 	routing->revision = revision;
+	feed->has_cold_servers = has_cold_servers(routing);
 	feed->config_version = routing->version;
 	skh_metrics_add(SKH_COUNT_CONFIG_ADOPTED, 1);
 	skh_log(SKH_LOG_INFO, PART, "Configuration is in force.",
@@ -137,7 +152,31 @@
 	skh_board_publish_routing(feed->options.board, routing);
 }
 
-static void apply_server(skh_feed_t *feed, const char *id, const char *value)
+static void free_cold_news(gpointer data)
+{
+	skh_cold_news_t *news = data;
+
+	g_free(news->id);
+	g_free(news);
+}
+
+static GPtrArray *new_cold_news(void)
+{
+	return g_ptr_array_new_with_free_func(free_cold_news);
+}
+
+static void add_cold_news(skh_feed_t *feed, const skh_server_t *server)
+{
+	skh_cold_news_t *news = g_new(skh_cold_news_t, 1);
+
+	*news = (skh_cold_news_t){ g_strdup(server->id), server->cold_left_us, server->era,
+				   server->revision, feed->poll_started_us };
+	g_mutex_lock(&feed->lock);
+	g_ptr_array_add(feed->cold_news, news);
+	g_mutex_unlock(&feed->lock);
+}
+
+static void apply_server(skh_feed_t *feed, const char *id, const char *value, int64_t revision)
 {
 	skh_error_t err;
 	skh_server_t *server =
@@ -145,6 +184,12 @@
 		      : NULL;
 	bool changed;
 
+	if (server) {
+		server->era = feed->era;
+		server->revision = revision;
+	}
+	if (server && feed->has_cold_servers)
+		add_cold_news(feed, server);
 	if (value && !server)
 		skh_log(SKH_LOG_WARNING, PART,
 			"Server entry is invalid; the server gets no new requests.",
@@ -263,7 +308,7 @@
 	else if (g_str_has_prefix(key, domains_prefix))
 		apply_domain(feed, key + strlen(domains_prefix), value, revision);
 	else if (g_str_has_prefix(key, servers_prefix))
-		apply_server(feed, key + strlen(servers_prefix), value);
+		apply_server(feed, key + strlen(servers_prefix), value, revision);
 	else if (g_str_has_prefix(key, gateways_prefix))
 		apply_gateway(feed, key + strlen(gateways_prefix), value);
 	else if (g_str_has_prefix(key, SKH_SLOW_RANKS_PREFIX))
@@ -596,6 +641,7 @@
 
 	while (!is_stopped(feed)) {
 		int64_t poll_started_us = skh_clock_boot_us();
+		feed->poll_started_us = poll_started_us;
 		int64_t previous_config_revision = feed->config_revision;
 		skh_error_t err;
 		bool needs_full_read = feed->read_revision == 0;
@@ -631,6 +677,7 @@
 	feed->notice_changes = 1;
 	feed->rank_notices = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	feed->domain_news = g_array_new(FALSE, FALSE, sizeof(skh_domain_news_t));
+	feed->cold_news = new_cold_news();
 	feed->read_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	feed->unwritten_records = g_array_new(FALSE, FALSE, sizeof(skh_crash_record_t));
 	g_mutex_init(&feed->lock);
@@ -646,6 +693,7 @@
 	g_hash_table_unref(feed->gateways);
 	g_hash_table_unref(feed->rank_notices);
 	g_array_unref(feed->domain_news);
+	g_ptr_array_unref(feed->cold_news);
 	g_array_unref(feed->read_records);
 	g_array_unref(feed->unwritten_records);
 	g_mutex_clear(&feed->lock);
@@ -729,6 +777,19 @@
 	return news;
 }
 
+GPtrArray *skh_feed_take_cold_news(skh_feed_t *feed)
+{
+	GPtrArray *news = NULL;
+
+	g_mutex_lock(&feed->lock);
+	if (feed->cold_news->len > 0) {
+		news = feed->cold_news;
+		feed->cold_news = new_cold_news();
+	}
+	g_mutex_unlock(&feed->lock);
+	return news;
+}
+
 void skh_feed_poll_at_once(skh_feed_t *feed)
 {
 	__atomic_store_n(&feed->polls_at_once, true, __ATOMIC_RELEASE);
--- a/src/feed.h
+++ b/src/feed.h
@@ -94,6 +94,24 @@
  */
 GArray *skh_feed_take_domain_news(skh_feed_t *feed);
 
+/** struct skh_cold_news - what a server's entry says of its warmth, see server_warmth.h */
+typedef struct skh_cold_news {
+	char *id; /* of the server */
+	int64_t left_us;
+	int64_t era;
+	int64_t revision;
+	int64_t poll_us; /* start of the poll that returned the entry */
+} skh_cold_news_t;
+
+/**
+ * skh_feed_take_cold_news() - returns what entries said since the last call
+ *
+ * Only while a service in the configuration names how long its servers are cold.
+ *
+ * Return: skh_cold_news_t, to be freed with g_ptr_array_unref(); NULL for none.
+ */
+GPtrArray *skh_feed_take_cold_news(skh_feed_t *feed);
+
 /** skh_feed_poll_at_once() - the next poll returns without waiting for a change */
 void skh_feed_poll_at_once(skh_feed_t *feed);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -119,6 +119,21 @@
 		skh_gateway_on_domains_changed(gateway);
 }
 
+static void apply_cold_news(skh_gateway_t *gateway)
+{
+	g_autoptr(GPtrArray) news = skh_feed_take_cold_news(gateway->feed);
+
+	for (guint i = 0; news && i < news->len; i++) {
+		const skh_cold_news_t *item = g_ptr_array_index(news, i);
+		skh_target_t *target = skh_backends_find_target(gateway->backends, item->id);
+
+		if (target)
+			skh_server_warmth_record_entry(&target->warmth, item->left_us, item->era,
+						       item->revision, item->poll_us,
+						       skh_clock_boot_us());
+	}
+}
+
 bool skh_gateway_may_send(skh_gateway_t *gateway, int64_t now_us)
 {
 	/* Read before the news, which then include all that was read up to this time. */
@@ -127,6 +142,7 @@
 
 	if (news)
 		apply_domain_news(gateway, news, now_us);
+	apply_cold_news(gateway);
 	skh_domain_status_set_read(gateway->domains, as_of_us);
 	return skh_domain_status_can_send(gateway->domains, now_us);
 }
@@ -315,6 +331,9 @@
 	gateway->retry_limits.min_retries = (double)settings->min_retries;
 	gateway->retry_limits.window_us = settings->retry_window_ms * SKH_US_PER_MS;
 	skh_domain_status_set_bound(gateway->domains, settings->domain_out_ms * SKH_US_PER_MS);
+	skh_backends_set_cold_bounds(gateway->backends,
+				     (double)settings->cold_overage_percent / 100.0,
+				     (double)settings->cold_slack);
 }
 
 static void reload_settings(gateway_process_t *process, int64_t now_us)
@@ -376,6 +395,7 @@
 	skh_gateway_t *gateway = &process->gateway;
 
 	gateway->domains = skh_domain_status_new();
+	gateway->backends = skh_backends_new(&gateway->loop, &process->pool_options);
 	apply_settings(gateway, settings);
 	gateway->retry_limits.gateways = MIN_GATEWAYS;
 	process->settings_watcher = skh_settings_watcher_new(settings);
@@ -394,7 +414,6 @@
 	process->board_changed.data = process;
 	(void)uv_timer_init(&gateway->loop, &process->tick_timer);
 	process->tick_timer.data = process;
-	gateway->backends = skh_backends_new(&gateway->loop, &process->pool_options);
 	skh_backends_set_lost_fn(gateway->backends, skh_attempt_on_server_lost, gateway);
 }
 
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -55,6 +55,8 @@
 	int64_t next_update_us;	 /* of the crash suspects */
 	bool has_crash_news;	 /* at the last update */
 	uint64_t list_version;	 /* of the peers; counted from 1 */
+	uint64_t list_sum;	 /* of @peer_hashes, to tell whether the list differs */
+	int64_t list_changed_us; /* time of the last difference; 0 before */
 	GArray *peer_hashes;	 /* uint64_t, see hash_gateway() */
 	uint64_t last_sent_hash; /* see hash_report() */
 	int64_t last_sent_us;
@@ -124,6 +126,20 @@
 	int64_t now_us;
 } received_limits_t;
 
+static void merge_cold(skh_target_t *target, void *context)
+{
+	const received_limits_t *received = context;
+	const Skh__LoadReport *message = received->message;
+	uint32_t hash = hash_server_id(target->server->id);
+
+	for (size_t i = 0; i < message->n_cold && i < message->n_cold_left_ms; i++) {
+		if (message->cold[i] == hash)
+			skh_server_warmth_record_report(&target->warmth,
+							message->cold_left_ms[i] * SKH_US_PER_MS,
+							received->now_us);
+	}
+}
+
 static void merge_limit(skh_target_t *target, void *context)
 {
 	const received_limits_t *received = context;
@@ -200,6 +216,10 @@
 		skh_backends_for_each_target(
 			gossip->gateway->backends, merge_limit,
 			&(received_limits_t){ .message = message, .now_us = now_us });
+	if (message->n_cold > 0)
+		skh_backends_for_each_target(
+			gossip->gateway->backends, merge_cold,
+			&(received_limits_t){ .message = message, .now_us = now_us });
 	update_peers_running(gossip);
 }
 
@@ -300,6 +320,8 @@
 
 void skh_gossip_set_peers(skh_gossip_t *gossip, GPtrArray *peers)
 {
+	uint64_t sum = 0;
+
 	g_array_set_size(gossip->peers, 0);
 	g_array_set_size(gossip->peer_hashes, 0);
 	gossip->list_version++;
@@ -312,12 +334,16 @@
 
 			g_array_append_val(gossip->peers, peer);
 			g_array_append_val(gossip->peer_hashes, hash);
+			sum += hash;
 		} else {
 			skh_log(SKH_LOG_WARNING, PART, "Gateway address is invalid and ignored.",
 				"address=%s", address);
 		}
 	}
 	g_ptr_array_unref(peers);
+	if (sum != gossip->list_sum)
+		gossip->list_changed_us = skh_clock_boot_us();
+	gossip->list_sum = sum;
 	update_share(gossip);
 }
 
@@ -356,8 +382,12 @@
 {
 	const skh_gossip_t *gossip = context;
 	const skh_gateway_list_t others = { (const uint64_t *)(void *)gossip->peer_hashes->data,
-					    gossip->peer_hashes->len, gossip->list_version };
+					    gossip->peer_hashes->len, gossip->list_version,
+					    gossip->list_changed_us };
 
+	if (skh_warmth_spec_is_set(&target->target_pool->warmth_spec))
+		skh_target_update_warmth(target, hash_gateway(&gossip->own_address), &others,
+					 skh_clock_boot_us());
 	if (target->limit.named_us != 0)
 		skh_server_limit_update(&target->limit, skh_server_instance_hash(target->server),
 					hash_gateway(&gossip->own_address), &others,
@@ -373,6 +403,9 @@
 	uint32_t limit_mhz[MAX_LIMITS];
 	uint32_t limit_age_ms[MAX_LIMITS];
 	size_t n_limited;
+	uint32_t cold[MAX_LIMITS];
+	uint32_t cold_left_ms[MAX_LIMITS];
+	size_t n_cold;
 	skh_domain_news_t domains[MAX_DOMAINS];
 	size_t n_domains;
 	uint64_t domain_hashes[MAX_DOMAINS];
@@ -411,6 +444,22 @@
 	outgoing->limit_age_ms[outgoing->n_limited++] = (uint32_t)(age_us / SKH_US_PER_MS);
 }
 
+/* Adds how long the server stays cold, as it said to this gateway a short while ago. */
+static void add_cold(skh_target_t *target, void *context)
+{
+	outgoing_report_t *outgoing = context;
+	const skh_server_warmth_t *warmth = &target->warmth;
+	int64_t now_us = skh_clock_boot_us();
+	int64_t left_us = skh_server_warmth_left_us(warmth, now_us);
+
+	if (!warmth->is_own || left_us == 0 || outgoing->n_cold == MAX_LIMITS ||
+	    now_us - warmth->stated_us > LIMIT_REPORT_AGE_US ||
+	    !skh_warmth_spec_is_set(&target->target_pool->warmth_spec))
+		return;
+	outgoing->cold[outgoing->n_cold] = hash_server_id(target->server->id);
+	outgoing->cold_left_ms[outgoing->n_cold++] = (uint32_t)(left_us / SKH_US_PER_MS);
+}
+
 static void add_domains(const skh_gossip_t *gossip, outgoing_report_t *outgoing)
 {
 	const skh_domain_status_t *status = gossip->gateway->domains;
@@ -443,6 +492,8 @@
 			       0);
 
 	hash = skh_chunk_hash(skh_chunk_make(outgoing->running, outgoing->n_servers), hash);
+	hash = skh_chunk_hash(
+		skh_chunk_make(outgoing->cold, outgoing->n_cold * sizeof(outgoing->cold[0])), hash);
 	hash = skh_chunk_hash(skh_chunk_make(outgoing->domains_out, outgoing->n_domains), hash);
 	return skh_chunk_hash(
 		skh_chunk_make(outgoing->domain_revisions,
@@ -510,6 +561,10 @@
 	message.n_domain_revisions = outgoing->n_domains;
 	message.domain_revisions = outgoing->domain_revisions;
 	message.domains_age_ms = outgoing->domains_age_ms;
+	message.n_cold = outgoing->n_cold;
+	message.cold = outgoing->cold;
+	message.n_cold_left_ms = outgoing->n_cold;
+	message.cold_left_ms = outgoing->cold_left_ms;
 	message.survivals = skh_crash_suspects_own_survivals(gossip->gateway->crash_suspects);
 	add_crash_records(gossip, &message, &records);
 	len = skh__load_report__pack(&message, packed);
@@ -547,6 +602,7 @@
 		return;
 	skh_backends_for_each_target(gossip->gateway->backends, add_target, &outgoing);
 	skh_backends_for_each_target(gossip->gateway->backends, add_limit, &outgoing);
+	skh_backends_for_each_target(gossip->gateway->backends, add_cold, &outgoing);
 	add_domains(gossip, &outgoing);
 	hash = hash_report(&outgoing);
 	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US &&
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -56,6 +56,8 @@
 	SKH_COUNT_MAP_FAILURES,
 	SKH_COUNT_DOMAINS_OUT,
 	SKH_COUNT_DOMAINS_BACK,
+	SKH_COUNT_SERVERS_COLD,
+	SKH_COUNT_SERVERS_WARM,
 	SKH_COUNT_WITHDRAWN, /* attempts withdrawn before a byte was sent */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
--- a/src/roster.h
+++ b/src/roster.h
@@ -37,6 +37,9 @@
 	bool is_leaving;	  /* gets no new requests */
 	int64_t started_unix_ms;  /* Unix time of the server's start; 0 when unknown */
 	int64_t sequence;	  /* rises with each entry that the server writes */
+	int64_t cold_left_us;	  /* how long it stays cold, as of the writing; 0 if it is warm */
+	int64_t era;		  /* of the store, when the entry was read */
+	int64_t revision;	  /* of the entry */
 	int64_t grace_expires_us; /* removal time of an unlisted server; 0 while listed */
 } skh_server_t;
 
--- a/src/routing.h
+++ b/src/routing.h
@@ -75,6 +75,8 @@
 	char *name;
 	char *health_path;
 	uint32_t max_connections;
+	int64_t cold_start_us; /* how long a server is cold after a start; 0: never */
+	double cold_per_s;     /* requests a second that a cold server takes from all gateways */
 	bool has_engine_spec;
 	skh_engine_spec_t engine_spec;
 } skh_service_info_t;
--- a/src/server_limit.c
+++ b/src/server_limit.c
@@ -48,23 +48,41 @@
 		limit->rank += hash_pair(server, others->hashes[i]) < own;
 }
 
+/* The part of the same limit does not rise until the list of gateways has settled. */
+static double settle_part(const skh_server_limit_t *limit, double part_per_s,
+			  const skh_gateway_list_t *others, int64_t now_us)
+{
+	bool is_settled = others->changed_us == 0 ||
+			  now_us - others->changed_us >= SKH_SERVER_LIMIT_SETTLE_US;
+
+	return is_settled || limit->part_of_per_s != limit->per_s
+		       ? part_per_s
+		       : MIN(limit->part_per_s, part_per_s);
+}
+
 void skh_server_limit_update(skh_server_limit_t *limit, uint64_t server, uint64_t gateway,
 			     const skh_gateway_list_t *others, int64_t now_us)
 {
+	double part_per_s;
 	size_t sharers;
 
 	if (limit->per_s > 0.0 && now_us - limit->named_us > SKH_SERVER_LIMIT_EXPIRY_US)
 		limit->per_s = 0.0;
 	if (limit->per_s <= 0.0) {
 		limit->part_per_s = 0.0;
+		limit->part_of_per_s = 0.0;
 		return;
 	}
 	sharers = SKH_SERVER_LIMIT_MIN_GATEWAYS +
 		  (size_t)MIN(limit->per_s * SKH_SERVER_LIMIT_GATEWAYS_A_PER_S,
 			      (double)others->count);
+	if (limit->max_sharers > 0)
+		sharers = limit->max_sharers;
 	sharers = MIN(sharers, others->count + 1);
 	update_rank(limit, server, gateway, others);
-	set_part(limit, limit->rank < sharers ? limit->per_s / (double)sharers : 0.0, now_us);
+	part_per_s = limit->rank < sharers ? limit->per_s / (double)sharers : 0.0;
+	set_part(limit, settle_part(limit, part_per_s, others, now_us), now_us);
+	limit->part_of_per_s = limit->per_s;
 }
 
 int64_t skh_server_limit_free_from_us(const skh_server_limit_t *limit, int64_t now_us)
--- a/src/server_limit.h
+++ b/src/server_limit.h
@@ -32,6 +32,11 @@
 /* Gateways that share a server: these, and so many more for each request a second. */
 #define SKH_SERVER_LIMIT_MIN_GATEWAYS	  3
 #define SKH_SERVER_LIMIT_GATEWAYS_A_PER_S 2
+/*
+ * A part rises only when the list of gateways has been the same for so long, longer than a report
+ * lives: others may still use the shares of the list before.
+ */
+#define SKH_SERVER_LIMIT_SETTLE_US ((int64_t)2500000)
 /* Time after which a gateway without a part looks again whether it has one. */
 #define SKH_SERVER_LIMIT_RECHECK_US ((int64_t)1000000)
 
@@ -39,7 +44,8 @@
 typedef struct skh_gateway_list {
 	const uint64_t *hashes;
 	size_t count;
-	uint64_t version; /* from 1; another one after each change */
+	uint64_t version;   /* from 1; another one after each change */
+	int64_t changed_us; /* time of the last change; 0 if long ago */
 } skh_gateway_list_t;
 
 /** struct skh_server_limit - what is known of one server; zero-initialised it has no limit */
@@ -50,6 +56,8 @@
 	double part_per_s;     /* of this gateway; 0 for none */
 	size_t rank;	       /* of this gateway among those that may share the server */
 	uint64_t list_version; /* of the list that @rank was computed from; 0 for none */
+	uint32_t max_sharers;  /* gateways that share the server at most; 0: by @per_s */
+	double part_of_per_s;  /* the limit that @part_per_s is a part of; 0 for none */
 	double saved;	       /* requests that may be sent at @saved_us */
 	int64_t saved_us;
 } skh_server_limit_t;
--- a/src/server_selection.c
+++ b/src/server_selection.c
@@ -51,7 +51,7 @@
 			   skh_server_share_contains(&view->share, position, view->n_candidates);
 	double mean_ms =
 		candidate->mean_latency_ms > 0.0 ? candidate->mean_latency_ms : DEFAULT_RESPONSE_MS;
-	double load = (double)candidate->running +
+	double load = (double)candidate->running + candidate->warmup_requests +
 		      FAILURE_PENALTY_REQUESTS * candidate->failure_ratio +
 		      (is_in_share ? 0.0 : OTHER_SHARE_PENALTY_REQUESTS);
 
--- a/src/server_selection.h
+++ b/src/server_selection.h
@@ -59,6 +59,7 @@
 	double expected_tokens; /* expected tokens of this gateway's requests in flight */
 	double mean_latency_ms; /* mean response time of recent requests; 0 if unknown */
 	double slowdown;	/* time that a rank takes relative to normal; 1 is normal */
+	double warmup_requests; /* added to the load of a server that is warming up */
 	double failure_ratio;	/* ratio of recent requests that failed, 0 to 1 */
 	int64_t avoid_until_us; /* end of the avoidance period after a failure; 0 for none */
 	int64_t full_until_us;	/* counts as full until then, after a rejection; 0 for none */
--- a/src/settings.c
+++ b/src/settings.c
@@ -117,6 +117,8 @@
 	BOUND("drain_notice_ms", drain_notice_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("revocation_ms", revocation_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
 	BOUND("domain_out_ms", domain_out_ms, 0, 86400000, SKH_ROUNDING_DOWN, 1),
+	BOUND("cold_overage", cold_overage_percent, 100, 10000, SKH_ROUNDING_DOWN, 100),
+	BOUND("cold_slack", cold_slack, 0, 1000000, SKH_ROUNDING_DOWN, 1),
 	BOUND("stop_grace_s", drain_ms, 0, 3600000, SKH_ROUNDING_DOWN, 1000),
 };
 static const skh_field_t log_fields[] = {
@@ -179,6 +181,8 @@
 	settings->retry_window_ms = 10000;
 	settings->skew_weight = 1;
 	settings->cost_weight = 1;
+	settings->cold_overage_percent = 150;
+	settings->cold_slack = 5;
 	settings->drain_ms = 120000;
 	settings->log_level = 1;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -86,6 +86,8 @@
 	int64_t revocation_ms; /* revoked keys must be rejected within this time; 0 if not stated */
 	/* domains out of service must get no requests after it; 0 if not stated */
 	int64_t domain_out_ms;
+	int64_t cold_overage_percent; /* see skh_warmth_spec.overage */
+	int64_t cold_slack;	      /* see skh_warmth_spec.slack */
 	/*
 	 * [balancer]: runs beside a rank and takes part in placing its group's experts.
 	 * The weights are those of the objective that rebalance.h minimizes.
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[20] =
 {
   {
     "sender",
@@ -2441,10 +2441,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_cold),
+    offsetof(Skh__LoadReport, cold),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_cold_left_ms),
+    offsetof(Skh__LoadReport, cold_left_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
   6,   /* field[6] = cleared */
   7,   /* field[7] = cleared_of */
+  18,   /* field[18] = cold */
+  19,   /* field[19] = cold_left_ms */
   8,   /* field[8] = confirmed */
   5,   /* field[5] = crashes */
   4,   /* field[4] = culprits */
@@ -2466,7 +2492,7 @@
 {
   { 1, 0 },
   { 20, 13 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor skh__load_report__descriptor =
 {
@@ -2476,7 +2502,7 @@
   "Skh__LoadReport",
   "skh",
   sizeof(Skh__LoadReport),
-  18,
+  20,
   skh__load_report__field_descriptors,
   skh__load_report__field_indices_by_name,
   2,  skh__load_report__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -477,12 +477,23 @@
    * what the sender knows of domains.
    */
 	uint32_t domains_age_ms;
+	/*
+   * hash of the ID of a server that says it is cold
+   */
+	size_t n_cold;
+	uint32_t *cold;
+	/*
+   * how long it stays cold
+   */
+	size_t n_cold_left_ms;
+	uint32_t *cold_left_ms;
 };
 #define SKH__LOAD_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__load_report__descriptor)                             \
 		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0,  \
-			NULL, 0, NULL, 0, NULL, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0       \
+			NULL, 0, NULL, 0, NULL, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, 0,   \
+			NULL, 0, NULL                                                              \
 	}
 
 /*
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -30,6 +30,7 @@
  *       "endless_event"          send an event that does not end until the caller closes
  *       "mute"                   wait MUTE_DELAY_US, then close
  *     {"limit":R}                name a limit of R requests a second in all responses; 0 ends it
+ *     {"cold_ms":N}            be cold for N ms: say so, and count requests beyond the bound
  *     {"zone":Z}               list the server in zone Z from now on
  *     {"evacuated":B}          count the requests that arrive from now on; false ends it
  *     {"crash_part":ID}          from now on every rank that begins a stream whose prompt has this part
@@ -68,11 +69,14 @@
 #define MUTE_DELAY_US	      (3 * 1000 * 1000)
 #define RESTART_DELAY_US      (700 * 1000)
 /* A server that has named a limit for a while gets at most 1.5 times as many and a few more. */
-#define LIMIT_NOTICE_US	  (3 * 1000 * 1000)
-#define LIMIT_WINDOW_US	  (4 * 1000 * 1000)
-#define LIMIT_TOLERANCE	  1.5
-#define LIMIT_EXTRA	  5
-#define MAX_ARRIVALS	  4096
+#define LIMIT_NOTICE_US (3 * 1000 * 1000)
+#define LIMIT_WINDOW_US (4 * 1000 * 1000)
+#define LIMIT_TOLERANCE 1.5
+#define LIMIT_EXTRA	5
+#define MAX_ARRIVALS	4096
+/* A cold server gets at most 1.5 x 10 + 5 requests in any second. */
+#define COLD_WINDOW_US	  (1000 * 1000)
+#define MAX_COLD_ARRIVALS 20
 #define MAX_PIECES	  (256 * 1024) /* 1 GiB */
 #define MAX_EXPERT_COUNTS (N_SETS * MAX_SERVERS * N_SLOTS)
 
@@ -83,7 +87,8 @@
 	char id[32];
 	int64_t born_unix_ms;
 	char zone[16];
-	bool is_evacuated; /* gets no requests */
+	int64_t cold_until_us; /* monotonic time; 0 if it was never cold */
+	bool is_evacuated;     /* gets no requests */
 	int n_crashes;
 	int64_t restarts_us; /* monotonic time of the start after a crash; 0 while it runs */
 	double limit;	     /* requests a second that the server names; 0 for none */
@@ -127,6 +132,8 @@
 static int64_t n_crashes;
 static int64_t n_crash_part_requests;
 static int64_t n_over_limit;
+static int64_t n_over_cold;
+static int64_t n_cold;
 static char crash_part[32];
 static double expert_counts[MAX_EXPERT_COUNTS];
 static GHashTable *once_attempts; /* attempt ids of requests under /once/ */
@@ -166,17 +173,22 @@
 	(void)curl_easy_perform(curl);
 }
 
+static int64_t get_cold_ms(const server_t *server)
+{
+	return MAX(server->cold_until_us - g_get_monotonic_time(), 0) / US_PER_MS;
+}
+
 static void register_server(CURL *curl, server_t *server)
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
 	g_autofree char *address =
 		g_strdup_printf("127.0.0.1:%d", server->port + registered_port_offset);
-	json_t *record =
-		json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
-			  server->is_engine ? "model" : "ledger", "address", address, "zone",
-			  server->zone, "version", "v1", "slots", 8, "state",
-			  server->is_draining ? "draining" : "ready", "cold-remaining-ms", 0,
-			  "sequence", ++server->n_writes, "born", (json_int_t)server->born_unix_ms);
+	json_t *record = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+				   server->is_engine ? "model" : "ledger", "address", address,
+				   "zone", server->zone, "version", "v1", "slots", 8, "state",
+				   server->is_draining ? "draining" : "ready", "cold-remaining-ms",
+				   (int)get_cold_ms(server), "sequence", ++server->n_writes, "born",
+				   (json_int_t)server->born_unix_ms);
 	char *value = json_dumps(record, JSON_COMPACT);
 	json_t *request = json_pack("{s:s, s:s}", "key", key, "value", value);
 	char *body = json_dumps(request, JSON_COMPACT);
@@ -454,8 +466,9 @@
 
 	return g_strdup_printf("HTTP/1.1 %d X\r\nSkylarkhead-Attempt-Id: %s\r\n"
 			       "Skylarkhead-Response-Signature: sig-%s\r\n"
+			       "Skylarkhead-Cold-Ms: %" PRId64 "\r\n"
 			       "Skylarkhead-Server-Load: 1,0,8\r\n%s",
-			       status, attempt, server->id, limit);
+			       status, attempt, server->id, get_cold_ms(server), limit);
 }
 
 static void send_response(struct mg_connection *connection, const server_t *server,
@@ -586,6 +599,21 @@
 		n_repeated_runs++;
 }
 
+/* Called with the lock held, after the arrival was recorded. */
+static void check_cold(const server_t *server)
+{
+	int64_t now_us = g_get_monotonic_time();
+	int64_t count = 0;
+
+	if (now_us >= server->cold_until_us)
+		return;
+	n_cold++;
+	for (int64_t i = server->n_arrivals - 1; i >= MAX(0, server->n_arrivals - MAX_ARRIVALS);
+	     i--)
+		count += server->arrivals_us[i % MAX_ARRIVALS] >= now_us - COLD_WINDOW_US;
+	n_over_cold += count > MAX_COLD_ARRIVALS;
+}
+
 /* Called with the lock held. */
 static void check_limit(server_t *server)
 {
@@ -628,6 +656,7 @@
 	attempt = attempt ? attempt : "-";
 	g_mutex_lock(&lock);
 	check_limit(server);
+	check_cold(server);
 	if (server->n_faults > 0) {
 		server->n_faults--;
 		(void)g_strlcpy(fault, server->fault, sizeof(fault));
@@ -676,6 +705,9 @@
 		server->limit = json_number_value(json_object_get(json, "limit"));
 		server->limited_since_us = g_get_monotonic_time();
 	}
+	if (json_object_get(json, "cold_ms"))
+		server->cold_until_us =
+			g_get_monotonic_time() + get_integer(json, "cold_ms") * US_PER_MS;
 	if (zone)
 		(void)g_strlcpy(server->zone, zone, sizeof(server->zone));
 	if (json_object_get(json, "evacuated"))
@@ -692,14 +724,15 @@
 
 static json_t *counters_to_json(void)
 {
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
-			 (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs, "unasked",
-			 (json_int_t)n_bad_headers, "after_leaving",
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+			 "runs", (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs,
+			 "unasked", (json_int_t)n_bad_headers, "after_leaving",
 			 (json_int_t)n_runs_after_leaving, "mixed_maps", (json_int_t)n_mixed_maps,
 			 "passes", (json_int_t)pass, "map_changes", (json_int_t)n_map_changes,
 			 "crashes", (json_int_t)n_crashes, "crash_part_requests",
 			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit,
-			 "after_evacuation", (json_int_t)n_runs_after_evacuation);
+			 "after_evacuation", (json_int_t)n_runs_after_evacuation, "cold",
+			 (json_int_t)n_cold, "over_cold", (json_int_t)n_over_cold);
 }
 
 static json_t *attempts_to_json(void)
