--- a/src/backends.h
+++ b/src/backends.h
@@ -10,12 +10,14 @@
  * thread. Times are microseconds of the boot clock.
  */
 
+#include "domain_status.h"
 #include "request_queue.h"
 #include "retry_share.h"
 #include "roster.h"
 #include "routing.h"
 #include "server_limit.h"
 #include "server_selection.h"
+#include "server_warmth.h"
 #include "target_group.h"
 #include "upstream.h"
 
@@ -63,6 +65,9 @@
 	uint64_t group_arrival;	   /* arrival number of that notice */
 	uint64_t listed_arrival; /* arrival number of the last notice when the server was listed */
 	bool has_served;	 /* has responded since it was listed or last rejected a request */
+	bool is_domain_out;	 /* its failure domain is out of service */
+	skh_server_warmth_t warmth;
+	bool was_cold; /* at the last update */
 };
 
 #define SKH_TARGET_POOL_RATE_SLOTS 8
@@ -82,6 +87,7 @@
 	double step_ms_per_request;
 	double expert_time_ratio;
 	uint32_t max_connections;
+	skh_warmth_spec_t warmth_spec;	/* bound of its cold servers */
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
 	int64_t newest_slot;			      /* newest time slot in @completed */
@@ -178,6 +184,38 @@
 bool skh_target_record_rejection(skh_target_t *target, int64_t now_us);
 void skh_target_record_failure(skh_target_t *target, bool is_lost, int64_t now_us);
 
+/**
+ * skh_backends_set_domains() - sets which failure domains are out of service
+ * @status: borrowed; also used for servers that are listed later
+ *
+ * To be called after each change of @status. Their servers get no new requests.
+ */
+void skh_backends_set_domains(skh_backends_t *backends, const skh_domain_status_t *status);
+
+/**
+ * skh_backends_set_cold_bounds() - sets what a cold server may get beyond its rate
+ * @overage: factor, see struct skh_warmth_spec
+ * @slack: requests
+ */
+void skh_backends_set_cold_bounds(skh_backends_t *backends, double overage, double slack);
+
+/** skh_target_update_warmth() - compute this gateway's part of a cold server's requests */
+void skh_target_update_warmth(skh_target_t *target, uint64_t gateway,
+			      const skh_gateway_list_t *others, int64_t now_us);
+
+/**
+ * skh_target_record_cold() - record how long the server stays cold, as it says in a response
+ * @left_ms: value of the header; other forms are ignored
+ */
+void skh_target_record_cold(skh_target_t *target, const char *left_ms, int64_t now_us);
+
+/**
+ * skh_target_pool_is_out_of_service() - true when all servers are in domains that are out of service
+ *
+ * Servers that are leaving or superseded don't count. False without any server.
+ */
+bool skh_target_pool_is_out_of_service(const skh_target_pool_t *pool);
+
 /** skh_target_pool_has_servers() - true when a server is neither leaving nor superseded */
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool);
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -33,6 +33,7 @@
 	SKH_HEADER_NOT_RUN,	      /* the server did not run the request */
 	SKH_HEADER_LEAVING,	      /* "1": the server is leaving */
 	SKH_HEADER_LIMIT,	      /* requests a second that the server takes in all */
+	SKH_HEADER_COLD,	      /* milliseconds for which the server stays cold */
 	SKH_HEADER_FAULTY_SERVER,     /* faulty server of a group */
 	SKH_HEADER_PRIORITY,	      /* priority of a request at an engine */
 	SKH_HEADER_TOKENS,	      /* prompt tokens and maximum output tokens */
@@ -99,9 +100,12 @@
 typedef struct skh_dialect {
 	const char *name;
 	const char *headers[SKH_HEADER_COUNT];
-	const char *auth_scheme;    /* authorization scheme of callers' API keys */
-	const char *config_key;	    /* store key of the gateways' routing configuration */
-	const char *servers_prefix; /* store prefix of the list of backend servers */
+	const char *auth_scheme;      /* authorization scheme of callers' API keys */
+	const char *config_key;	      /* store key of the gateways' routing configuration */
+	const char *servers_prefix;   /* store prefix of the list of backend servers */
+	const char *operators_prefix; /* store prefix of @config_key and @domains_out_prefix */
+	/* Store prefix of the keys of failure domains that operators have taken out of service. */
+	const char *domains_out_prefix;
 	const char *order_path;
 	const char *report_path;
 	const char *counts_path;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -63,6 +63,11 @@
 					 "Request bodies not read at once for lack of memory" },
 	[SKH_COUNT_UNREAD_CLOSED] = { "unread_closed",
 				      "Connections that servers closed while not read" },
+	[SKH_COUNT_DOMAINS_OUT] = { "domains_out", "Failure domains taken out of service" },
+	[SKH_COUNT_DOMAINS_BACK] = { "domains_back", "Failure domains taken back in service" },
+	[SKH_COUNT_SERVERS_COLD] = { "servers_cold", "Servers that became cold" },
+	[SKH_COUNT_SERVERS_WARM] = { "servers_warm", "Cold servers that became warm" },
+	[SKH_COUNT_WITHDRAWN] = { "withdrawn", "Attempts withdrawn before anything was sent" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -61,6 +61,11 @@
 	SKH_COUNT_STALLED_CALLERS,  /* connections closed for not reading */
 	SKH_COUNT_REQUESTS_DELAYED, /* request bodies not read at once for lack of memory */
 	SKH_COUNT_UNREAD_CLOSED,    /* connections that servers closed while they were not read */
+	SKH_COUNT_DOMAINS_OUT,
+	SKH_COUNT_DOMAINS_BACK,
+	SKH_COUNT_SERVERS_COLD,
+	SKH_COUNT_SERVERS_WARM,
+	SKH_COUNT_WITHDRAWN, /* attempts withdrawn before a byte was sent */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
 
