Take a group whose ranks have just started as forming

Cause: since groups are named by notices, the start of a rank was recorded for servers that stand alone only. Change: a server that joins a group brings the time of its listing along.

--- a/src/backends.h
+++ b/src/backends.h
@@ -63,6 +63,7 @@
 	skh_target_group_t *group; /* owned by the pool; NULL while the server stands alone */
 	int64_t group_epoch;	   /* of the notice that named the server last */
 	uint64_t group_arrival;	   /* arrival number of that notice */
+	int64_t listed_us;	   /* when the server was listed */
 	uint64_t listed_arrival; /* arrival number of the last notice when the server was listed */
 	bool has_served;	 /* has responded since it was listed or last rejected a request */
 	bool is_domain_out;	 /* its failure domain is out of service */
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -84,6 +84,9 @@
 			"server=%s group=%s rank=%u epoch=%" PRId64, target->server->id,
 			group->name, skh_target_group_find_member(group, address)->rank,
 			group->epoch);
+	/* A group forms when its ranks have started; its notice follows the list entries. */
+	if (group != target->group && target->listed_us > group->breaker.rank_started_us)
+		skh_group_breaker_record_rank_start(&group->breaker, target->listed_us);
 	target->group = group;
 	target->group_epoch = group->epoch;
 	target->group_arrival = group->arrival;
@@ -94,6 +97,7 @@
 	skh_target_pool_t *pool = target->target_pool;
 
 	target->listed_arrival = pool->notice_arrivals;
+	target->listed_us = now_us;
 	skh_group_breaker_record_rank_start(&pool->unproven->breaker, now_us);
 	assign_group(target);
 }
--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -2,6 +2,7 @@
 // while another has capacity, and against a service of one group that is served differently than
 // before gateways knew of groups.
 #include "backends.h"
+#include "clock.h"
 #include "group_selection.h"
 #include "pool_groups.h"
 
@@ -395,6 +396,21 @@
 	EXPECT_EQ(t.group(1, 1), "g0");
 }
 
+// All ranks start again, and their group rejects requests until it has formed. Guards against
+// requests that are rejected although they would be served sooner than their retries.
+TEST(PoolGroups, AGroupWhoseRanksHaveJustStartedIsNotDown)
+{
+	Pool t;
+
+	t.list(0, 2, 1);
+	t.notice("g0", 1, 0, 2);
+	int64_t now = skh_clock_boot_us();
+
+	skh_target_record_rejection(t.target(0, 1), now);
+	EXPECT_FALSE(skh_target_pool_is_down(t.pool, now + 700 * kMs)) << "it forms";
+	EXPECT_TRUE(skh_target_pool_is_down(t.pool, now + 2 * kS));
+}
+
 TEST(PoolGroups, ARankIsComparedWithItsOwnGroupOnly)
 {
 	Pool t;
