Let tests of groups begin after their ranks have formed one

Cause: servers are listed at the time of the boot clock and a group counts as forming for 1.5 s after, but these tests counted time from 10 s and 100 s. The test of unread streams has no group of its own. Change: their clock starts 2 s after the listing; a notice names the group of the unread rank. The checks are the same.

--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -81,6 +81,8 @@
 	t.add_to_list("b", "10.0.0.2", 1);
 	pool = skh_backends_get_or_create_pool(t.backends, "s");
 	pool->is_lock_step = true;
+	skh_backends_set_members(t.backends, "s", "g0",
+				 "epoch 1 ranks 2\n10.0.0.1:80 0\n10.0.0.2:80 1\n", 1);
 	rank = skh_backends_find_target(t.backends, "a");
 	skh_target_begin_attempt(rank, 1.0, now_us);
 	rank->own_streaming++;
--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -285,6 +285,11 @@
 			text += address(i) + " " + std::to_string(i - from) + "\n";
 		skh_backends_set_members(backends, "s", group, text.c_str(), ++revision);
 	}
+	// Servers are listed at the time of the boot clock; their groups have formed by then.
+	static int64_t after_forming()
+	{
+		return skh_clock_boot_us() + 2 * kS;
+	}
 	skh_target_t *target(uint32_t i, int start)
 	{
 		return skh_backends_find_target(backends, id(i, start).c_str());
@@ -440,11 +445,11 @@
 TEST(PoolGroups, AServiceIsDownOnlyWhenAllItsGroupsAre)
 {
 	Pool t;
-	int64_t now = 10 * kS;
 
 	t.list(0, 4, 1);
 	t.notice("g0", 1, 0, 2);
 	t.notice("g1", 1, 2, 4);
+	int64_t now = after_forming();
 	for (int64_t end = now + kS; now < end; now += 100 * kMs)
 		skh_target_record_rejection(t.target(0, 1), now);
 	EXPECT_FALSE(skh_target_pool_is_tripped(t.pool, now));
@@ -594,7 +599,7 @@
 	skh_group_breaker_t breaker = {};
 	std::vector<skh_candidate_t> candidates;
 	GPtrArray *excluded = g_ptr_array_new();
-	int64_t now = 100 * kS;
+	int64_t now = 0;
 	int n_selected = 0;
 	int n_held_back = 0;
 
@@ -602,6 +607,7 @@
 	{
 		t.list(0, kRanks, 1);
 		t.notice("g0", 1, 0, kRanks);
+		now = Pool::after_forming();
 	}
 	~History()
 	{
