--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -449,7 +449,7 @@
 	t.list(0, 4, 1);
 	t.notice("g0", 1, 0, 2);
 	t.notice("g1", 1, 2, 4);
-	int64_t now = after_forming();
+	int64_t now = Pool::after_forming();
 	for (int64_t end = now + kS; now < end; now += 100 * kMs)
 		skh_target_record_rejection(t.target(0, 1), now);
 	EXPECT_FALSE(skh_target_pool_is_tripped(t.pool, now));
