--- a/src/coordinator.c
+++ b/src/coordinator.c
@@ -529,6 +529,20 @@
 		skh_metrics_add(succeeded ? SKH_COUNT_MAP_CHANGES : SKH_COUNT_MAP_FAILURES, 1);
 }
 
+static const char *phase_name(skh_mapchange_phase_t phase)
+{
+	static const char *const names[] = {
+		[SKH_MAPCHANGE_PREPARE] = "prepare", [SKH_MAPCHANGE_RELEASE_STALE_HOLD] = "release",
+		[SKH_MAPCHANGE_COPY] = "copy",	     [SKH_MAPCHANGE_HOLD] = "hold",
+		[SKH_MAPCHANGE_ARM] = "arm",	     [SKH_MAPCHANGE_DISARM] = "disarm",
+		[SKH_MAPCHANGE_UNDO_HOLD] = "undo",  [SKH_MAPCHANGE_RELEASE] = "go",
+		[SKH_MAPCHANGE_SETTLE] = "settle",   [SKH_MAPCHANGE_DONE] = "done",
+		[SKH_MAPCHANGE_FAILED] = "failed",
+	};
+
+	return names[phase];
+}
+
 /* A change in progress is brought to an end, as nobody else knows yet what it has armed or held. */
 static void update_lease(skh_coordinator_t *coordinator, int64_t fence, int64_t now_us)
 {
@@ -539,8 +553,8 @@
 		return;
 	if (coordinator->is_changing)
 		skh_log(SKH_LOG_INFO, PART, "Lease changed during a map change.",
-			"version=%" PRId64 " phase=%d began_under=%" PRId64 " fence=%" PRId64,
-			coordinator->change.version, (int)coordinator->change.phase,
+			"version=%" PRId64 " phase=%s began_under=%" PRId64 " fence=%" PRId64,
+			coordinator->change.version, phase_name(coordinator->change.phase),
 			coordinator->change_fence, fence);
 	coordinator->fence = fence;
 	coordinator->was_fenced = false;
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -118,6 +118,8 @@
 static int64_t n_bad_headers;
 static int64_t n_runs_after_leaving;
 static int64_t n_mixed_maps;
+static int64_t held_since_us;	/* since when the next pass has been held; 0 if it is not */
+static int64_t longest_hold_us; /* since the counters were read last */
 static int64_t n_map_changes;
 static int64_t n_crashes;
 static int64_t n_crash_part_requests;
@@ -260,6 +262,18 @@
 	return false;
 }
 
+static void measure_hold(void)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!is_next_pass_held())
+		held_since_us = 0;
+	else if (held_since_us == 0)
+		held_since_us = now_us;
+	if (held_since_us != 0)
+		longest_hold_us = MAX(longest_hold_us, now_us - held_since_us);
+}
+
 /* The most popular experts change every 150 passes. */
 static void add_expert_counts(void)
 {
@@ -279,6 +293,7 @@
 	for (;;) {
 		(void)usleep(PASS_INTERVAL_US);
 		g_mutex_lock(&lock);
+		measure_hold();
 		if (!is_next_pass_held()) {
 			int64_t old_version = servers[0].map_version;
 
@@ -681,13 +696,17 @@
 
 static json_t *counters_to_json(void)
 {
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
+	int64_t hold_ms = longest_hold_us / US_PER_MS;
+
+	longest_hold_us = 0;
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "runs",
 			 (json_int_t)n_runs, "twice", (json_int_t)n_repeated_runs, "unasked",
 			 (json_int_t)n_bad_headers, "after_leaving",
 			 (json_int_t)n_runs_after_leaving, "mixed_maps", (json_int_t)n_mixed_maps,
 			 "passes", (json_int_t)pass, "map_changes", (json_int_t)n_map_changes,
 			 "crashes", (json_int_t)n_crashes, "crash_part_requests",
-			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit);
+			 (json_int_t)n_crash_part_requests, "over_limit", (json_int_t)n_over_limit,
+			 "longest_hold_ms", (json_int_t)hold_ms);
 }
 
 static json_t *attempts_to_json(void)
