Serve requests only in the regions that their route and customer allow

Cause: allowed-regions of routes and customers was not read.

Change: routes and customers carry their regions; the settings map failure domains to regions, and one region restricts nothing. Values of the configuration that can't be used are logged.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,7 @@
 : "${GATEWAYS:=2}"
 : "${RANKS:=3}"
 : "${KEY_TRUST_MS:=4000}"
+: "${REGIONS:=}" # lines of their section [regions]
 : "${BOUNDS:=}" # lines of the gateways' section [bounds]
 
 STORE="127.0.0.1:$PORT_BASE"
@@ -60,6 +61,8 @@
 		key_trust_ms = $KEY_TRUST_MS
 		[bounds]
 		$BOUNDS
+		[regions]
+		$REGIONS
 		[stop]
 		drain_ms = 8000
 		[log]
--- a/src/backends.c
+++ b/src/backends.c
@@ -45,7 +45,8 @@
 	GHashTable *pools;		    /* service -> skh_target_pool_t */
 	char *slowdowns;		    /* "\naddress slowdown" for each slow rank */
 	const skh_domain_status_t *domains; /* NULL if none is out of service */
-	double cold_overage;		    /* see struct skh_warmth_spec */
+	GHashTable *regions; /* failure domain -> region; empty if homes are not checked */
+	double cold_overage; /* see struct skh_warmth_spec */
 	double cold_slack;
 	skh_server_lost_fn on_lost; /* may be NULL */
 	void *on_lost_context;
@@ -90,6 +91,7 @@
 	backends->loop = loop;
 	backends->options = options;
 	backends->slowdowns = g_strdup("");
+	backends->regions = g_hash_table_new(g_str_hash, g_str_equal);
 	backends->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist_target);
 	backends->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	return backends;
@@ -99,6 +101,7 @@
 {
 	g_hash_table_unref(backends->targets);
 	g_hash_table_unref(backends->pools);
+	g_hash_table_unref(backends->regions);
 	g_free(backends->slowdowns);
 	g_free(backends);
 }
@@ -230,6 +233,27 @@
 	target->is_domain_out = is_out;
 }
 
+static void update_region(gpointer id, gpointer value, gpointer context)
+{
+	skh_target_t *target = value;
+
+	(void)id;
+	target->region =
+		g_intern_string(g_hash_table_lookup(context, target->server->failure_domain));
+}
+
+void skh_backends_set_regions(skh_backends_t *backends, GHashTable *regions)
+{
+	g_hash_table_unref(backends->regions);
+	backends->regions = regions;
+	g_hash_table_foreach(backends->targets, update_region, regions);
+}
+
+bool skh_backends_has_regions(const skh_backends_t *backends)
+{
+	return g_hash_table_size(backends->regions) > 0;
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -243,6 +267,7 @@
 	target->is_listed = true;
 	update_slowdown(target, backends->slowdowns);
 	update_domain(target, backends->domains);
+	update_region(NULL, target, backends->regions);
 	/* The entry may be older than the start of the instance or the return of its domain. */
 	skh_server_warmth_record_entry(&target->warmth, server->cold_left_us, server->era,
 				       server->revision, skh_clock_boot_us(), skh_clock_boot_us());
@@ -282,6 +307,7 @@
 		g_free(target->server->failure_domain);
 		target->server->failure_domain = g_strdup(server->failure_domain);
 		update_domain(target, backends->domains);
+		update_region(NULL, target, backends->regions);
 	}
 }
 
@@ -383,6 +409,7 @@
 static bool is_eligible(const skh_target_t *target, int64_t now_us)
 {
 	return !is_retired(target) && !target->is_domain_out &&
+	       skh_homes_allow(target->target_pool->homes, target->region) &&
 	       now_us >= target->wrong_instance_until_us &&
 	       now_us >= get_accepts_from_us(target, now_us);
 }
@@ -510,20 +537,30 @@
 	g_hash_table_foreach(backends->pools, update_pool_domains, (gpointer)status);
 }
 
-bool skh_target_pool_is_out_of_service(const skh_target_pool_t *pool)
+void skh_target_pool_set_homes(skh_target_pool_t *pool, const skh_homes_t *homes)
+{
+	pool->homes = homes;
+}
+
+skh_home_state_t skh_target_pool_find_home(const skh_target_pool_t *pool, const skh_homes_t *homes)
 {
-	bool has_servers = false;
+	skh_home_state_t state = SKH_HOME_NO_SERVER;
 
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
 
-		if (is_retired(target))
+		if (is_retired(target) || !skh_homes_allow(homes, target->region))
 			continue;
 		if (!target->is_domain_out)
-			return false;
-		has_servers = true;
+			return SKH_HOME_SERVED;
+		state = SKH_HOME_OUT_OF_SERVICE;
 	}
-	return has_servers;
+	return state;
+}
+
+bool skh_target_pool_is_out_of_service(const skh_target_pool_t *pool)
+{
+	return skh_target_pool_find_home(pool, NULL) == SKH_HOME_OUT_OF_SERVICE;
 }
 
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool)
--- a/src/backends.h
+++ b/src/backends.h
@@ -59,6 +59,7 @@
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	bool is_superseded;		 /* a server that started later is listed at the address */
 	bool is_domain_out;		 /* its failure domain is out of service */
+	const char *region;		 /* interned; NULL if unknown */
 	skh_server_warmth_t warmth;
 	bool was_cold; /* at the last update */
 };
@@ -75,6 +76,7 @@
 	skh_group_breaker_t breaker; /* circuit breaker of a lock-step group */
 	uint32_t max_connections;
 	skh_warmth_spec_t warmth_spec;	/* bound of its cold servers */
+	const skh_homes_t *homes;	/* of the request being placed; NULL: any region */
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
 	int64_t newest_slot;			      /* newest time slot in @completed */
@@ -139,6 +141,31 @@
  */
 void skh_backends_set_domains(skh_backends_t *backends, const skh_domain_status_t *status);
 
+/**
+ * skh_backends_set_regions() - sets the regions of the failure domains
+ * @regions: table from domain to region; ownership passes. Empty: homes are not checked
+ */
+void skh_backends_set_regions(skh_backends_t *backends, GHashTable *regions);
+
+/** skh_backends_has_regions() - true when requests may be restricted to regions */
+bool skh_backends_has_regions(const skh_backends_t *backends);
+
+/**
+ * skh_target_pool_set_homes() - sets where the request that is placed next may be served
+ * @homes: borrowed until the next call; NULL for any region
+ */
+void skh_target_pool_set_homes(skh_target_pool_t *pool, const skh_homes_t *homes);
+
+/** enum skh_home_state - what the regions of a request have for it */
+typedef enum skh_home_state {
+	SKH_HOME_SERVED,	 /* a server that is in service, maybe full */
+	SKH_HOME_OUT_OF_SERVICE, /* only servers of domains out of service */
+	SKH_HOME_NO_SERVER	 /* no server */
+} skh_home_state_t;
+
+/** skh_target_pool_find_home() - what the pool has for a request with @homes; NULL: any region */
+skh_home_state_t skh_target_pool_find_home(const skh_target_pool_t *pool, const skh_homes_t *homes);
+
 /**
  * skh_backends_set_cold_bounds() - sets what a cold server may get beyond its rate
  * @overage: factor, see struct skh_warmth_spec
--- a/src/feed.c
+++ b/src/feed.c
@@ -105,6 +105,14 @@
 	       skh_clock_boot_us() - feed->recovered_us < SKH_ROSTER_GRACE_US;
 }
 
+static void log_warnings(const skh_routing_t *routing, int64_t revision)
+{
+	for (guint i = 0; i < routing->warnings->len; i++)
+		skh_log(SKH_LOG_WARNING, PART, "Configuration has a value that cannot be used.",
+			"revision=%" G_GINT64_FORMAT " reason=%s", revision,
+			(const char *)g_ptr_array_index(routing->warnings, i));
+}
+
 static bool has_cold_servers(const skh_routing_t *routing)
 {
 	for (guint i = 0; i < routing->services->len; i++) {
@@ -142,6 +150,7 @@
 		skh_routing_free(routing);
 		return;
 	}
+	log_warnings(routing, revision);
 	routing->revision = revision;
 	feed->has_cold_servers = has_cold_servers(routing);
 	feed->config_version = routing->version;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -101,6 +101,7 @@
 {
 	skh_backends_set_domains(gateway->backends, gateway->domains);
 	skh_exchange_withdraw_from_domains(gateway);
+	gateway->has_home_changes = true;
 }
 
 static void apply_domain_news(skh_gateway_t *gateway, const GArray *news, int64_t now_us)
@@ -202,6 +203,7 @@
 	skh_backends_sync(gateway->backends, gateway->roster, gateway->routing);
 	if (gateway->routing)
 		skh_listener_set_limits(gateway->listener, &gateway->routing->limits);
+	gateway->has_home_changes = true;
 	skh_exchange_dispatch(gateway);
 }
 
@@ -331,6 +333,8 @@
 	gateway->retry_limits.min_retries = (double)settings->min_retries;
 	gateway->retry_limits.window_us = settings->retry_window_ms * SKH_US_PER_MS;
 	skh_domain_status_set_bound(gateway->domains, settings->domain_out_ms * SKH_US_PER_MS);
+	skh_backends_set_regions(gateway->backends, skh_settings_new_regions(settings));
+	gateway->has_home_changes = true;
 	skh_backends_set_cold_bounds(gateway->backends,
 				     (double)settings->cold_overage_percent / 100.0,
 				     (double)settings->cold_slack);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -45,6 +45,7 @@
 	int64_t last_tick_us;  /* the loop was running then; boot clock */
 	size_t buffered_bytes; /* of responses that are not streamed */
 	GQueue exchanges;      /* open exchanges */
+	bool has_home_changes; /* servers, domains or regions changed since the last tick */
 	bool is_dispatching;   /* skh_exchange_dispatch() is running */
 	bool rejects_requests; /* planned stop, after callers had time to move to other gateways */
 } skh_gateway_t;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -54,6 +54,7 @@
 	[SKH_COUNT_DOMAINS_BACK] = { "domains_back", "Failure domains taken back in service" },
 	[SKH_COUNT_SERVERS_COLD] = { "servers_cold", "Servers that became cold" },
 	[SKH_COUNT_SERVERS_WARM] = { "servers_warm", "Cold servers that became warm" },
+	[SKH_COUNT_HOMELESS] = { "homeless", "Requests refused for lack of an allowed region" },
 	[SKH_COUNT_WITHDRAWN] = { "withdrawn", "Attempts withdrawn before anything was sent" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -58,6 +58,7 @@
 	SKH_COUNT_DOMAINS_BACK,
 	SKH_COUNT_SERVERS_COLD,
 	SKH_COUNT_SERVERS_WARM,
+	SKH_COUNT_HOMELESS,
 	SKH_COUNT_WITHDRAWN, /* attempts withdrawn before a byte was sent */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
--- a/src/routing.c
+++ b/src/routing.c
@@ -2,11 +2,18 @@
 
 #include <string.h>
 
+static void free_regions(GPtrArray *regions)
+{
+	if (regions)
+		g_ptr_array_unref(regions);
+}
+
 static void free_key_owner(gpointer data)
 {
 	skh_key_owner_t *owner = data;
 
 	g_free(owner->customer);
+	free_regions(owner->allowed_regions);
 	g_free(owner);
 }
 
@@ -15,12 +22,28 @@
 	(void)g_ptr_array_free(data, TRUE);
 }
 
+static bool is_listed(const GPtrArray *regions, const char *region)
+{
+	for (guint i = 0; region && i < regions->len; i++) {
+		if (strcmp(g_ptr_array_index(regions, i), region) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool skh_homes_allow(const skh_homes_t *homes, const char *region)
+{
+	return !homes || ((!homes->route || is_listed(homes->route, region)) &&
+			  (!homes->customer || is_listed(homes->customer, region)));
+}
+
 skh_routing_t *skh_routing_new(void)
 {
 	skh_routing_t *routing = g_new0(skh_routing_t, 1);
 
 	routing->services = g_array_new(FALSE, TRUE, sizeof(skh_service_info_t));
 	routing->routes = g_array_new(FALSE, TRUE, sizeof(skh_route_t));
+	routing->warnings = g_ptr_array_new_with_free_func(g_free);
 	routing->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_key_owner);
 	routing->routes_by_host =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route_list);
@@ -42,7 +65,9 @@
 		g_free(route->name);
 		g_free(route->host);
 		g_free(route->path_prefix);
+		free_regions(route->allowed_regions);
 	}
+	g_ptr_array_unref(routing->warnings);
 	(void)g_array_free(routing->services, TRUE);
 	(void)g_array_free(routing->routes, TRUE);
 	if (routing->keys)
--- a/src/routing.h
+++ b/src/routing.h
@@ -46,11 +46,12 @@
 	skh_retry_mode_t retry_mode;
 	bool is_streaming;
 	bool needs_key;
-	int64_t timeout_us;	  /* from the receipt of a request to its deadline */
-	int64_t objective_us;	  /* latency objective; for a stream, until its first event */
-	int64_t gap_objective_us; /* objective for the time between two stream events */
-	uint32_t max_runs;	  /* limit of the attempts that may have run the request */
-	uint32_t priority;	  /* 0 is the highest */
+	int64_t timeout_us;	    /* from the receipt of a request to its deadline */
+	int64_t objective_us;	    /* latency objective; for a stream, until its first event */
+	int64_t gap_objective_us;   /* objective for the time between two stream events */
+	uint32_t max_runs;	    /* limit of the attempts that may have run the request */
+	uint32_t priority;	    /* 0 is the highest */
+	GPtrArray *allowed_regions; /* names; NULL if requests may be served in any region */
 	uint32_t n_splits;
 	skh_traffic_split_t splits[SKH_ROUTING_MAX_SPLITS];
 } skh_route_t;
@@ -86,6 +87,7 @@
 	char *customer;
 	bool has_priority;
 	uint32_t priority;
+	GPtrArray *allowed_regions; /* names; NULL if requests may be served in any region */
 } skh_key_owner_t;
 
 /** struct skh_caller_limits - size limits and timeouts for requests from callers */
@@ -101,13 +103,31 @@
 	int64_t version;  /* version that the operators assigned to the configuration */
 	int64_t revision; /* mod revision of the configuration in the key-value service */
 	skh_caller_limits_t limits;
-	GArray *services; /* skh_service_info_t */
-	GArray *routes;	  /* skh_route_t */
-	GHashTable *keys; /* key -> skh_key_owner_t; NULL when no key is required */
+	GArray *services;    /* skh_service_info_t */
+	GArray *routes;	     /* skh_route_t */
+	GPtrArray *warnings; /* a text for each value that is not used as it is written */
+	GHashTable *keys;    /* key -> skh_key_owner_t; NULL when no key is required */
 	GHashTable *
 		routes_by_host; /* lower-case host -> GPtrArray of skh_route_t *, longest prefix first */
 } skh_routing_t;
 
+/**
+ * struct skh_homes - the regions in which a request may be served; both lists apply
+ *
+ * Each is an allowed_regions of a route or a customer, borrowed; NULL for any region.
+ */
+typedef struct skh_homes {
+	const GPtrArray *route;
+	const GPtrArray *customer;
+} skh_homes_t;
+
+/**
+ * skh_homes_allow() - whether a request may be served in @region
+ * @homes: NULL for any region
+ * @region: NULL if unknown, which is allowed only if any region is
+ */
+bool skh_homes_allow(const skh_homes_t *homes, const char *region);
+
 /** skh_routing_new() - allocate an empty table; free it with skh_routing_free() */
 skh_routing_t *skh_routing_new(void);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -47,6 +47,7 @@
 static const skh_field_t instance_fields[] = {
 	TEXT("id", id, true),
 	TEXT("failure_domain", failure_domain, true),
+	TEXT("region", region, false),
 };
 static const skh_field_t http_fields[] = {
 	TEXT("listen", http_listen, true),
@@ -127,6 +128,9 @@
 	CHOICE("output", log_output, false, log_output_choices),
 };
 
+/* Section with the region of each failure domain, by the domain's name. */
+#define REGIONS_SECTION "regions"
+
 #define ROLE_BIT(role) (1U << (uint32_t)(role))
 #define LINKED_ROLES   (ROLE_BIT(SKH_ROLE_ENTRY) | ROLE_BIT(SKH_ROLE_SIDECAR))
 #define ALL_ROLES      (LINKED_ROLES | ROLE_BIT(SKH_ROLE_GATEWAY) | ROLE_BIT(SKH_ROLE_BALANCER))
@@ -199,6 +203,8 @@
 			if (strcmp(sections[s].name, skh_doc_node_key(child)) == 0)
 				known = sections[s].role_bits & ROLE_BIT(role);
 		}
+		if (strcmp(REGIONS_SECTION, skh_doc_node_key(child)) == 0)
+			known = role == SKH_ROLE_GATEWAY;
 		if (!known)
 			skh_validation_errors_add(errors, skh_doc_node_line(child),
 						  skh_doc_node_key(child),
@@ -206,6 +212,25 @@
 	}
 }
 
+static size_t count_regions(const skh_settings_t *settings)
+{
+	return settings->regions ? skh_doc_node_count(settings->regions) : 0;
+}
+
+static void read_regions(skh_settings_t *settings)
+{
+	settings->regions = skh_doc_node_find(settings->document, REGIONS_SECTION);
+	for (size_t i = 0; i < count_regions(settings); i++) {
+		const skh_doc_node_t *region = skh_doc_node_at(settings->regions, i);
+		g_autofree char *key =
+			g_strdup_printf(REGIONS_SECTION ".%s", skh_doc_node_key(region));
+
+		if (skh_doc_node_type(region) != SKH_DOC_NODE_TEXT)
+			skh_validation_errors_add(settings->warnings, skh_doc_node_line(region),
+						  key, "expected the name of a region");
+	}
+}
+
 skh_settings_t *skh_settings_parse(skh_chunk_t text, skh_role_t role,
 				   skh_validation_errors_t *errors)
 {
@@ -235,6 +260,8 @@
 		skh_schema_read(skh_doc_node_find(settings->document, bounds_section.name),
 				bounds_section.name, 1, bounds_section.fields,
 				bounds_section.n_fields, settings, settings->warnings);
+	if (role == SKH_ROLE_GATEWAY)
+		read_regions(settings);
 	if (settings->store_endpoints && skh_doc_node_count(settings->store_endpoints) == 0)
 		skh_validation_errors_add(errors, skh_doc_node_line(settings->store_endpoints),
 					  "store.endpoints", "at least one address is needed");
@@ -293,6 +320,29 @@
 			     : CLAMP(bound_ms / POLLS_PER_BOUND, 1, MAX_POLL_INTERVAL_MS);
 }
 
+GHashTable *skh_settings_new_regions(const skh_settings_t *settings)
+{
+	GHashTable *regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	const char *first = settings->region ? settings->region : "";
+	bool has_several = false;
+
+	for (size_t i = 0; i < count_regions(settings); i++) {
+		const skh_doc_node_t *node = skh_doc_node_at(settings->regions, i);
+		const char *region = skh_doc_node_text(node);
+
+		if (*region == '\0')
+			continue;
+		if (*first == '\0')
+			first = region;
+		has_several = has_several || strcmp(first, region) != 0;
+		(void)g_hash_table_replace(regions, g_strdup(skh_doc_node_key(node)),
+					   g_strdup(region));
+	}
+	if (!has_several)
+		g_hash_table_remove_all(regions);
+	return regions;
+}
+
 void skh_settings_log_warnings(const skh_settings_t *settings)
 {
 	for (size_t i = 0; i < skh_validation_errors_count(settings->warnings); i++) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -41,6 +41,9 @@
 	/* [instance] */
 	const char *id;
 	const char *failure_domain;
+	const char *region; /* NULL if not stated */
+	/* [regions]: the region of each failure domain; NULL if not stated */
+	const skh_doc_node_t *regions;
 	/* [http]: listener for callers */
 	const char *http_listen;
 	int64_t http_threads;
@@ -147,6 +150,13 @@
  */
 int64_t skh_settings_poll_interval_ms(const skh_settings_t *settings);
 
+/**
+ * skh_settings_new_regions() - the regions of the failure domains
+ * Return: table from domain to region, to be freed with g_hash_table_unref(); empty unless at least
+ *	two regions are named, since one region restricts nothing.
+ */
+GHashTable *skh_settings_new_regions(const skh_settings_t *settings);
+
 /** skh_settings_log_warnings() - log each value of [bounds] that is not used */
 void skh_settings_log_warnings(const skh_settings_t *settings);
 
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -119,6 +119,33 @@
 	skh_domain_status_free(status);
 }
 
+// Also a server whose domain has no region in the settings is not used.
+TEST(Backends, AServerOutsideTheAllowedRegionsIsNotSelected)
+{
+	Backends t;
+	GHashTable *regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_autoptr(GPtrArray) eu = g_ptr_array_new();
+	skh_target_pool_t *pool = skh_backends_get_or_create_pool(t.backends, "s");
+	const skh_homes_t homes = { eu, nullptr };
+
+	g_ptr_array_add(eu, const_cast<char *>("eu"));
+	t.add_to_list("one", "127.0.0.1", 1000);
+	EXPECT_EQ(skh_target_pool_find_home(pool, &homes), SKH_HOME_NO_SERVER);
+	g_hash_table_insert(regions, g_strdup("a"), g_strdup("us"));
+	g_hash_table_insert(regions, g_strdup("b"), g_strdup("eu"));
+	skh_backends_set_regions(t.backends, regions);
+	EXPECT_EQ(skh_target_pool_find_home(pool, &homes), SKH_HOME_NO_SERVER);
+	skh_target_pool_set_homes(pool, &homes);
+	EXPECT_EQ(t.select(), "-");
+	t.add_to_list("two", "127.0.0.2", 1000);
+	static_cast<skh_server_t *>(g_ptr_array_index(t.roster.servers, 1))->failure_domain[0] =
+		'b';
+	skh_backends_sync(t.backends, &t.roster, nullptr);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(t.select(), "two");
+	EXPECT_EQ(skh_target_pool_find_home(pool, &homes), SKH_HOME_SERVED);
+}
+
 TEST(Backends, AnOlderServerListedLaterIsNotUsed)
 {
 	Backends t;
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -118,6 +118,8 @@
 		{ "config_apply_ms = 4000\ndrain_notice_ms = 1500.5\n", 300 },
 		{ "drain_notice_ms = 1000000\n", 2000 },
 		{ "config_apply_ms = 3\n", 1 },
+		{ "domain_out_ms = 1500\n", 300 },
+		{ "drain_notice_ms = 1000\ndomain_out_ms = 5000\n", 200 },
 		{ "config_apply_ms = true\n", 400 },
 	};
 
@@ -140,6 +142,32 @@
 		  100);
 }
 
+// One region restricts nothing, and a wrong value is named.
+TEST(Settings, RegionsAreUsedIfThereAreSeveral)
+{
+	struct {
+		const char *regions;
+		guint size;
+		size_t n_warnings;
+	} const rows[] = {
+		{ "", 0, 0 },
+		{ "[regions]\n", 0, 0 },
+		{ "[regions]\na = \"eu\"\nb = \"eu\"\n", 0, 0 },
+		{ "[regions]\na = \"eu\"\n\"b.1\" = \"us\"\n", 2, 0 },
+		{ "[regions]\na = \"eu\"\nb = 7\nc = \"us\"\n", 2, 1 },
+	};
+
+	for (const auto &row : rows) {
+		const Parsed parsed(std::string(kGateway) + row.regions);
+		GHashTable *regions = skh_settings_new_regions(parsed.settings);
+
+		EXPECT_EQ(skh_validation_errors_count(parsed.errors), 0U) << row.regions;
+		EXPECT_EQ(skh_validation_errors_count(parsed.settings->warnings), row.n_warnings);
+		EXPECT_EQ(g_hash_table_size(regions), row.size) << row.regions;
+		g_hash_table_unref(regions);
+	}
+}
+
 // An instance's own keys stay strict: there a wrong value is a mistake of its operator.
 TEST(Settings, OwnKeysRejectFractionsAndKeepTheirDefault)
 {
