--- a/test/server_warmth_test.cc
+++ b/test/server_warmth_test.cc
@@ -1,6 +1,7 @@
 // Guards against more requests to a cold server than it takes: by gateways that know of it late, that
 // were suspended, have lost the store or have just started, and by the sum of all saved requests.
 #include "seeds.h"
+#include "server_selection.h"
 #include "server_warmth.h"
 
 #include <gtest/gtest.h>
@@ -362,3 +363,77 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, ColdServerFleet, testing::Values(5, 15, 52, 400));
+
+// --- Replay: a domain of 24 servers comes back cold at once beside 48 warm ones, under a burst ---
+
+namespace
+{
+constexpr size_t kServers = 72;
+constexpr size_t kCold = 24;
+constexpr uint32_t kSlots = 8;
+constexpr double kResponseMs = 60.0;
+constexpr int64_t kLate = 200 * kMs;
+// A request takes so many times as long at a server that has just become cold.
+constexpr double kColdFactor = 6.0;
+
+// Returns the ratio of late responses during the cold time.
+double place_burst(double penalty_requests, uint64_t seed)
+{
+	std::mt19937_64 random(seed);
+	std::vector<std::multiset<int64_t>> ends(kServers);
+	std::exponential_distribution<double> gap(5000.0); // requests a second
+	std::uniform_real_distribution<double> work(0.5, 1.5);
+	double now_s = 0.0;
+	int requests = 0;
+	int late = 0;
+
+	while ((now_s += gap(random)) < 3.0) {
+		const int64_t now = (int64_t)(now_s * 1e6);
+		const double left = 1.0 - now_s / 3.0;
+		std::vector<skh_candidate_t> candidates(kServers);
+
+		for (size_t i = 0; i < kServers; i++) {
+			while (!ends[i].empty() && *ends[i].begin() <= now)
+				ends[i].erase(ends[i].begin());
+			candidates[i].slots = kSlots;
+			candidates[i].running = (uint32_t)ends[i].size();
+			candidates[i].mean_latency_ms = kResponseMs;
+			candidates[i].slowdown = 1.0;
+			candidates[i].warmup_requests = i < kCold ? penalty_requests * left : 0.0;
+		}
+		skh_selection_input_t view = {};
+
+		view.candidates = candidates.data();
+		view.n_candidates = kServers;
+		view.random = random() >> 1;
+		view.now_us = now;
+		const int32_t selected = skh_select_server(&view);
+
+		requests++;
+		if (selected < 0) {
+			late++;
+			continue;
+		}
+		const double factor =
+			(size_t)selected < kCold ? 1.0 + (kColdFactor - 1.0) * left : 1.0;
+		const auto duration = (int64_t)(work(random) * factor * kResponseMs * 1e3);
+
+		late += duration > kLate;
+		ends[(size_t)selected].insert(now + duration);
+	}
+	return (double)late / requests;
+}
+} // namespace
+
+// Guards against late responses because cold servers are loaded like warm ones.
+TEST(ServerWarmth, FewerResponsesAreLateIfColdServersAreLoadedLess)
+{
+	double before = 0.0;
+	double after = 0.0;
+
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		before += place_burst(0.0, seed) / 4;
+		after += place_burst(4.0, seed) / 4;
+	}
+	EXPECT_LT(after, 0.8 * before);
+}
