Report waiting and started requests to the other gateways

Reports to all gateways at least once a second exceeded the budget of 1,400 bytes a second beyond about 14 gateways (22 gateways with 24 busy ranks each: 4.3 KB/s by the size of the reports), and said nothing of queues.

A report now carries the sender's waiting requests by service and priority, its starts of the last second, its demand and its four customers with the most waiting requests (LoadReport fields 30 to 35). Where the budget does not allow a report to each gateway every second, reports go to the gateways in turn, in a random order; news of crashes still goes to all at once.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -1,5 +1,6 @@
 #include "attempt.h"
 
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "forward.h"
@@ -135,6 +136,8 @@
 
 	skh_request_queue_remove(exchange->target_pool->queue, &exchange->queued_request);
 	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
+	if (exchange->n_attempts == 0)
+		skh_backlog_record_start(gateway->backlog, exchange->target_pool->service, now_us);
 	if (exchange->n_attempts == 0)
 		skh_retry_share_record_request(&exchange->target_pool->retry_share,
 					       &gateway->retry_limits, now_us);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "attempt.h"
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "event_stream.h"
@@ -642,6 +643,7 @@
 	if (!resolve_route(exchange, now_us))
 		return;
 	select_service(exchange);
+	skh_backlog_record_arrival(gateway->backlog, exchange->target_pool->service, now_us);
 	exchange->content_hash = hash_content(exchange);
 	exchange->prompt_parts = skh_prompt_parts_parse(
 		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -2,6 +2,7 @@
 
 #include "admin.h"
 #include "attempt.h"
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "exchange.h"
@@ -289,6 +290,7 @@
 	process->settings_watcher = skh_settings_watcher_new(settings);
 	gateway->board = skh_board_new();
 	gateway->crash_suspects = skh_crash_suspects_new(skh_random_u64());
+	gateway->backlog = skh_backlog_new();
 	g_queue_init(&gateway->exchanges);
 	process->pool_options = (skh_upstream_pool_options_t){
 		.attempt_id_header = gateway->dialect->headers[SKH_HEADER_ATTEMPT_ID],
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -21,6 +21,7 @@
 
 typedef struct skh_gossip skh_gossip_t;
 typedef struct skh_crash_suspects skh_crash_suspects_t;
+typedef struct skh_backlog skh_backlog_t;
 
 /**
  * struct skh_gateway - state shared by the gateway's modules
@@ -38,6 +39,7 @@
 	skh_listener_t *listener;
 	skh_gossip_t *gossip;
 	skh_crash_suspects_t *crash_suspects;
+	skh_backlog_t *backlog;	      /* waiting and started requests of all gateways */
 	const skh_routing_t *routing; /* counted reference; NULL before the first configuration */
 	const skh_roster_t *roster;   /* counted reference; NULL before the first roster */
 	skh_retry_share_limits_t retry_limits;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -1,6 +1,7 @@
 #include "gossip.h"
 
 #include "address.h"
+#include "backlog_report.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "log.h"
@@ -17,10 +18,12 @@
 #define MIN_INTERVAL_US		(80 * SKH_US_PER_MS)
 #define MAX_INTERVAL_US		(1 * SKH_US_PER_S)
 /*
- * Age at which a report is dropped: its sender has stopped, or the requests that it counted have
+ * Age at which the counts of a report are dropped: its sender has stopped, or the requests that it counted have
  * ended. A running gateway sends a report at least every MAX_INTERVAL_US.
  */
 #define REPORT_EXPIRY_US (2500 * SKH_US_PER_MS)
+/* The survivals of a sender are known for longer: 400 gateways in turn take half a minute. */
+#define SENDER_EXPIRY_US (60 * SKH_US_PER_S)
 /*
  * Reports at this interval or longer are too old to choose servers by: a request takes about a
  * second, and all gateways together start several requests for each server in that time.
@@ -28,6 +31,18 @@
 #define MAX_CURRENT_INTERVAL_US (300 * SKH_US_PER_MS)
 /* Statements of servers that are older have been reported before. */
 #define LIMIT_REPORT_AGE_US (2500 * SKH_US_PER_MS)
+/*
+ * The backlog is part of a report at most so often, so that reports that go to a few gateways are
+ * not made rarer by it.
+ */
+#define BACKLOG_INTERVAL_US (400 * SKH_US_PER_MS)
+/*
+ * From this interval on between reports to all gateways the counts for each server are left out:
+ * with twice MAX_CURRENT_INTERVAL_US no gateway chooses servers by them.
+ */
+#define MIN_OMIT_INTERVAL_US (2 * MAX_CURRENT_INTERVAL_US)
+/* Reports that a gateway sends at once after its loop was delayed. */
+#define MAX_REPORTS_AT_ONCE 4
 #define MAX_SERVERS	    400
 #define MAX_CRASH_RECORDS   16	/* in one report */
 #define MAX_RUNNING	    255 /* one byte per server in the report */
@@ -46,7 +61,8 @@
 	uv_udp_t udp;
 	uint64_t sender;
 	uint64_t number;     /* sequence number of the last report sent */
-	GArray *peers;	     /* struct sockaddr_in */
+	GArray *peers;	     /* struct sockaddr_in, in a random order */
+	guint next_peer;     /* index into @peers; next one to get a report on its own */
 	GHashTable *reports; /* sender -> peer_report_t */
 	struct sockaddr_in own_address;
 	skh_server_share_t share; /* of this gateway among all gateways, by address */
@@ -57,7 +73,11 @@
 	GArray *peer_hashes;	 /* uint64_t, see hash_gateway() */
 	uint64_t last_sent_hash; /* see hash_report() */
 	int64_t last_sent_us;
-	int64_t interval_us; /* between the last report and the next */
+	int64_t interval_us; /* between two reports to a gateway, as the last report was */
+	/* The same for reports with the counts of all servers and without the backlog. */
+	int64_t counts_interval_us;
+	int64_t next_backlog_us; /* in a report */
+	int64_t next_backlog_update_us;
 };
 
 static uint32_t hash_server_id(const char *id)
@@ -144,6 +164,7 @@
 	const int64_t sender = (int64_t)message->sender;
 	int64_t now_us = skh_clock_boot_us();
 	peer_report_t *report = g_hash_table_lookup(gossip->reports, &sender);
+	skh_backlog_statement_t statement;
 
 	if (report && message->number <= report->number)
 		return;
@@ -163,6 +184,8 @@
 		(void)g_hash_table_insert(report->running, GUINT_TO_POINTER(message->servers[i]),
 					  GUINT_TO_POINTER(message->running.data[i]));
 	merge_crash_records(gossip, message, now_us);
+	if (skh_backlog_report_decode(message, &statement))
+		skh_backlog_merge(gossip->gateway->backlog, message->sender, &statement, now_us);
 	if (message->n_limited > 0)
 		skh_backends_for_each_target(
 			gossip->gateway->backends, merge_limit,
@@ -265,6 +288,20 @@
 			&g_array_index(gossip->peers, struct sockaddr_in, i), &gossip->own_address);
 }
 
+/* Gateways that report to the others in turn must not all do it in the same order. */
+static void shuffle_peers(skh_gossip_t *gossip)
+{
+	for (guint i = gossip->peers->len; i > 1; i--) {
+		struct sockaddr_in *last = &g_array_index(gossip->peers, struct sockaddr_in, i - 1);
+		struct sockaddr_in *other =
+			&g_array_index(gossip->peers, struct sockaddr_in, skh_random_u64() % i);
+		struct sockaddr_in moved = *last;
+
+		*last = *other;
+		*other = moved;
+	}
+}
+
 void skh_gossip_set_peers(skh_gossip_t *gossip, GPtrArray *peers)
 {
 	g_array_set_size(gossip->peers, 0);
@@ -285,6 +322,8 @@
 		}
 	}
 	g_ptr_array_unref(peers);
+	shuffle_peers(gossip);
+	skh_backlog_set_gateways(gossip->gateway->backlog, gossip->peers->len + 1);
 	update_share(gossip);
 }
 
@@ -292,7 +331,7 @@
 {
 	const skh_server_share_t all = { 0, 0 };
 
-	return gossip->interval_us < MAX_CURRENT_INTERVAL_US ? all : gossip->share;
+	return gossip->counts_interval_us < MAX_CURRENT_INTERVAL_US ? all : gossip->share;
 }
 
 uint32_t skh_gossip_count_peers(const skh_gossip_t *gossip)
@@ -308,10 +347,14 @@
 
 	g_hash_table_iter_init(&iter, gossip->reports);
 	while (g_hash_table_iter_next(&iter, NULL, &report)) {
-		if (now_us - ((peer_report_t *)report)->received_us < REPORT_EXPIRY_US)
+		int64_t age_us = now_us - ((peer_report_t *)report)->received_us;
+
+		if (age_us < REPORT_EXPIRY_US)
 			continue;
-		g_hash_table_iter_remove(&iter);
 		has_expired = true;
+		g_hash_table_remove_all(((peer_report_t *)report)->running);
+		if (age_us >= SENDER_EXPIRY_US)
+			g_hash_table_iter_remove(&iter);
 	}
 	if (has_expired)
 		update_peers_running(gossip);
@@ -340,6 +383,9 @@
 	uint32_t limit_mhz[MAX_LIMITS];
 	uint32_t limit_age_ms[MAX_LIMITS];
 	size_t n_limited;
+	int64_t max_limit_age_us;
+	bool has_backlog;
+	skh_backlog_statement_t statement;
 } outgoing_report_t;
 
 static void add_target(skh_target_t *target, void *context)
@@ -363,7 +409,7 @@
 	const skh_server_limit_t *limit = &target->limit;
 	int64_t age_us = skh_clock_boot_us() - limit->named_us;
 
-	if (limit->named_us == 0 || !limit->is_own || age_us > LIMIT_REPORT_AGE_US ||
+	if (limit->named_us == 0 || !limit->is_own || age_us > outgoing->max_limit_age_us ||
 	    outgoing->n_limited == MAX_LIMITS)
 		return;
 	outgoing->limited[outgoing->n_limited] = hash_server_id(target->server->id);
@@ -417,12 +463,31 @@
 	}
 }
 
-/* Returns the bytes sent to each peer, with headers. */
-static size_t send_report(skh_gossip_t *gossip, outgoing_report_t *outgoing)
+/* Time in which the budget allows reports of @bytes to all other gateways. */
+static int64_t get_round_us(const skh_gossip_t *gossip, size_t bytes)
+{
+	return (int64_t)(bytes * gossip->peers->len) * SKH_US_PER_S / SEND_BYTES_PER_S;
+}
+
+/* Leaves out the counts for each server where reports with them are too rare to be used. */
+static void omit_counts(skh_gossip_t *gossip, Skh__LoadReport *message)
+{
+	size_t bytes = skh__load_report__get_packed_size(message) + DATAGRAM_OVERHEAD_BYTES;
+
+	gossip->counts_interval_us = get_round_us(gossip, bytes);
+	if (gossip->counts_interval_us < MIN_OMIT_INTERVAL_US)
+		return;
+	message->n_servers = 0;
+	message->running.len = 0;
+}
+
+/* Returns the bytes of the report with headers. */
+static size_t send_report(skh_gossip_t *gossip, outgoing_report_t *outgoing, guint n_peers)
 {
 	uint8_t packed[MAX_REPORT_BYTES];
 	Skh__LoadReport message = SKH__LOAD_REPORT__INIT;
 	outgoing_records_t records;
+	skh_backlog_report_t backlog;
 	uv_buf_t buffer;
 	size_t len;
 
@@ -438,17 +503,21 @@
 	message.n_limit_age_ms = outgoing->n_limited;
 	message.limit_age_ms = outgoing->limit_age_ms;
 	message.survivals = skh_crash_suspects_own_survivals(gossip->gateway->crash_suspects);
+	omit_counts(gossip, &message);
+	if (outgoing->has_backlog)
+		skh_backlog_report_encode(&outgoing->statement, &backlog, &message);
 	add_crash_records(gossip, &message, &records);
 	len = skh__load_report__pack(&message, packed);
 	buffer = uv_buf_init((char *)packed, (unsigned int)len);
-	for (guint i = 0; i < gossip->peers->len; i++) {
-		const struct sockaddr_in *peer =
-			&g_array_index(gossip->peers, struct sockaddr_in, i);
-
+	for (guint i = 0; i < n_peers; i++) {
+		gossip->next_peer = (gossip->next_peer + 1) % gossip->peers->len;
 		/* Send errors are ignored: the next report is complete in itself. */
-		(void)uv_udp_try_send(&gossip->udp, &buffer, 1, (const struct sockaddr *)peer);
+		(void)uv_udp_try_send(&gossip->udp, &buffer, 1,
+				      (const struct sockaddr *)&g_array_index(gossip->peers,
+									      struct sockaddr_in,
+									      gossip->next_peer));
 	}
-	skh_metrics_add(SKH_COUNT_CONTROL_BYTES_OUT, len * gossip->peers->len);
+	skh_metrics_add(SKH_COUNT_CONTROL_BYTES_OUT, len * n_peers);
 	return len + DATAGRAM_OVERHEAD_BYTES;
 }
 
@@ -460,30 +529,87 @@
 	gossip->has_crash_news = skh_crash_suspects_update(gossip->gateway->crash_suspects, now_us);
 }
 
+static void add_backlog(skh_gossip_t *gossip, outgoing_report_t *outgoing, int64_t now_us)
+{
+	outgoing->has_backlog =
+		now_us >= gossip->next_backlog_us || gossip->interval_us > MAX_INTERVAL_US;
+	if (!outgoing->has_backlog)
+		return;
+	gossip->next_backlog_us = now_us + BACKLOG_INTERVAL_US;
+	skh_backlog_make_statement(gossip->gateway->backlog, &outgoing->statement, now_us);
+	skh_backlog_report_find_customers(gossip->gateway, &outgoing->statement);
+	outgoing->statement.round_us = MAX(gossip->interval_us, BACKLOG_INTERVAL_US);
+}
+
+static void make_report(skh_gossip_t *gossip, outgoing_report_t *outgoing, int64_t now_us)
+{
+	outgoing->max_limit_age_us = MAX(LIMIT_REPORT_AGE_US, gossip->interval_us);
+	skh_backends_for_each_target(gossip->gateway->backends, add_target, outgoing);
+	skh_backends_for_each_target(gossip->gateway->backends, add_limit, outgoing);
+	add_backlog(gossip, outgoing, now_us);
+}
+
+/*
+ * Reports to all gateways at once. Where the budget allows this only after MAX_INTERVAL_US, the
+ * next reports go to the gateways in turn, except for news of crashes.
+ */
+static void report_to_all(skh_gossip_t *gossip, outgoing_report_t *outgoing, int64_t now_us)
+{
+	size_t bytes = send_report(gossip, outgoing, gossip->peers->len);
+
+	gossip->interval_us = MAX(get_round_us(gossip, bytes), MIN_INTERVAL_US);
+	gossip->next_send_us = now_us + MIN(gossip->interval_us, MAX_INTERVAL_US);
+}
+
+/* Reports to the next gateways in turn, as many as the budget allows since the last tick. */
+static void report_in_turn(skh_gossip_t *gossip, outgoing_report_t *outgoing, int64_t now_us)
+{
+	int64_t report_us;
+
+	for (int i = 0; i < MAX_REPORTS_AT_ONCE && gossip->next_send_us <= now_us; i++) {
+		size_t bytes = send_report(gossip, outgoing, 1);
+
+		gossip->interval_us = get_round_us(gossip, bytes);
+		report_us = gossip->interval_us / gossip->peers->len;
+		gossip->next_send_us =
+			MAX(gossip->next_send_us, now_us - MAX_REPORTS_AT_ONCE * report_us) +
+			report_us;
+	}
+}
+static void update_backlog(skh_gossip_t *gossip, int64_t now_us)
+{
+	if (now_us < gossip->next_backlog_update_us)
+		return;
+	gossip->next_backlog_update_us = now_us + MIN_INTERVAL_US;
+	skh_backlog_report_collect(gossip->gateway);
+	skh_backlog_update(gossip->gateway->backlog, now_us);
+}
+
 void skh_gossip_tick(skh_gossip_t *gossip)
 {
 	int64_t now_us = skh_clock_boot_us();
 	outgoing_report_t outgoing = { .n_servers = 0 };
 	uint64_t hash;
-	size_t sent_bytes;
+	bool is_in_turn;
 
 	expire_reports(gossip, now_us);
 	skh_backends_for_each_target(gossip->gateway->backends, update_limit, gossip);
 	update_crash_suspects(gossip, now_us);
+	update_backlog(gossip, now_us);
 	if (now_us < gossip->next_send_us || gossip->peers->len == 0)
 		return;
-	skh_backends_for_each_target(gossip->gateway->backends, add_target, &outgoing);
-	skh_backends_for_each_target(gossip->gateway->backends, add_limit, &outgoing);
+	is_in_turn = gossip->interval_us > MAX_INTERVAL_US;
+	make_report(gossip, &outgoing, now_us);
 	hash = hash_report(&outgoing);
-	if (hash == gossip->last_sent_hash && now_us - gossip->last_sent_us < MAX_INTERVAL_US &&
-	    !gossip->has_crash_news)
+	if (!is_in_turn && hash == gossip->last_sent_hash &&
+	    now_us - gossip->last_sent_us < MAX_INTERVAL_US && !gossip->has_crash_news)
 		return;
-	sent_bytes = send_report(gossip, &outgoing) * gossip->peers->len;
 	gossip->last_sent_hash = hash;
 	gossip->last_sent_us = now_us;
-	gossip->interval_us = CLAMP((int64_t)sent_bytes * SKH_US_PER_S / SEND_BYTES_PER_S,
-				    MIN_INTERVAL_US, MAX_INTERVAL_US);
-	gossip->next_send_us = now_us + gossip->interval_us;
+	if (is_in_turn && !gossip->has_crash_news)
+		report_in_turn(gossip, &outgoing, now_us);
+	else
+		report_to_all(gossip, &outgoing, now_us);
 }
 
 void skh_gossip_close(skh_gossip_t *gossip)
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -4,12 +4,14 @@
 /**
  * DOC: Gossip reports between gateways
  *
- * Over UDP, each gateway reports to all others how many requests it has
- * in flight at each backend server, and its records of crashes (crash_suspects.h).
+ * Over UDP, each gateway reports to the others how many requests it has
+ * in flight at each backend server, its records of crashes (crash_suspects.h), and its waiting
+ * and started requests (backlog.h).
  * Owns the UDP socket, the addresses of the other gateways and the
  * newest report of each. Runs on the gateway's event loop thread.
  *
- * The send rate is limited to a fixed number of bytes per second. Datagrams may
+ * The send rate is limited to a fixed number of bytes per second. Where it does not allow a report
+ * to each gateway every second, reports go to the gateways in turn, in a random order. Datagrams may
  * be lost, delayed or reordered: each report is complete, a newer one replaces
  * it, and a report that is too old is dropped.
  */
--- a/src/request_queue.c
+++ b/src/request_queue.c
@@ -112,3 +112,15 @@
 	}
 	return ahead;
 }
+
+void skh_request_queue_count_priorities(const skh_request_queue_t *queue, uint32_t *counts,
+					uint32_t n_priorities)
+{
+	for (uint32_t i = 0; i < n_priorities; i++)
+		counts[i] = 0;
+	for (guint i = 0; i < queue->requests->len; i++) {
+		const skh_queued_request_t *request = g_ptr_array_index(queue->requests, i);
+
+		counts[MIN(request->priority, n_priorities - 1)]++;
+	}
+}
--- a/src/request_queue.h
+++ b/src/request_queue.h
@@ -64,6 +64,13 @@
 uint32_t skh_request_queue_count_ahead(const skh_request_queue_t *queue,
 				       const skh_queued_request_t *request, int64_t now_us);
 
+/**
+ * skh_request_queue_count_priorities() - count the queued requests by priority
+ * @counts: [@n_priorities]; requests of a greater priority number count as the last
+ */
+void skh_request_queue_count_priorities(const skh_request_queue_t *queue, uint32_t *counts,
+					uint32_t n_priorities);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) skh__order_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[19] =
 {
   {
     "sender",
@@ -2381,26 +2381,105 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backlog_services",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_backlog_services),
+    offsetof(Skh__LoadReport, backlog_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_backlog),
+    offsetof(Skh__LoadReport, backlog),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog_totals",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_backlog_totals),
+    offsetof(Skh__LoadReport, backlog_totals),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customers",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_customers),
+    offsetof(Skh__LoadReport, customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customers_waiting",
+    34,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_customers_waiting),
+    offsetof(Skh__LoadReport, customers_waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round_ms",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, round_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
+  14,   /* field[14] = backlog */
+  13,   /* field[13] = backlog_services */
+  15,   /* field[15] = backlog_totals */
   6,   /* field[6] = cleared */
   7,   /* field[7] = cleared_of */
   8,   /* field[8] = confirmed */
   5,   /* field[5] = crashes */
   4,   /* field[4] = culprits */
+  16,   /* field[16] = customers */
+  17,   /* field[17] = customers_waiting */
   12,   /* field[12] = limit_age_ms */
   11,   /* field[11] = limit_mhz */
   10,   /* field[10] = limited */
   1,   /* field[1] = number */
+  18,   /* field[18] = round_ms */
   3,   /* field[3] = running */
   0,   /* field[0] = sender */
   2,   /* field[2] = servers */
   9,   /* field[9] = survivals */
 };
-static const ProtobufCIntRange skh__load_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange skh__load_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 30, 13 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor skh__load_report__descriptor =
 {
@@ -2410,10 +2489,10 @@
   "Skh__LoadReport",
   "skh",
   sizeof(Skh__LoadReport),
-  13,
+  19,
   skh__load_report__field_descriptors,
   skh__load_report__field_indices_by_name,
-  1,  skh__load_report__number_ranges,
+  2,  skh__load_report__number_ranges,
   (ProtobufCMessageInit) skh__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -450,12 +450,42 @@
    * requests that their servers survived, since the process start
    */
 	uint64_t survivals;
+	/*
+   * Waiting and started requests of the sender. Without round_ms the report has no such part.
+   * hashes of the names of the services
+   */
+	size_t n_backlog_services;
+	uint32_t *backlog_services;
+	/*
+   * seven numbers for each service; see src/backlog_report.h
+   */
+	size_t n_backlog;
+	uint32_t *backlog;
+	/*
+   * the same, summed over all gateways; empty if not needed
+   */
+	size_t n_backlog_totals;
+	uint32_t *backlog_totals;
+	/*
+   * hashes of customers with the most waiting requests
+   */
+	size_t n_customers;
+	uint32_t *customers;
+	/*
+   * requests of each that wait at the sender
+   */
+	size_t n_customers_waiting;
+	uint32_t *customers_waiting;
+	/*
+   * time in which the sender reports to each gateway once
+   */
+	uint32_t round_ms;
 };
 #define SKH__LOAD_REPORT__INIT                                                                     \
 	{                                                                                          \
 		PROTOBUF_C_MESSAGE_INIT(&skh__load_report__descriptor)                             \
 		, 0, 0, 0, NULL, { 0, NULL }, 0, NULL, 0, NULL, 0, NULL, 0, NULL, { 0, NULL }, 0,  \
-			NULL, 0, NULL, 0, NULL, 0                                                  \
+			NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0  \
 	}
 
 /*
--- a/test/backlog_test.cc
+++ b/test/backlog_test.cc
@@ -2,6 +2,7 @@
 // against totals that miss or count twice, shares that sum to more than the whole, and statements
 // that count after their sender has stopped.
 #include "backlog.h"
+#include "backlog_report.h"
 #include "demand_share.h"
 #include "seeds.h"
 
@@ -310,3 +311,74 @@
 	skh_demand_share_update(&share, &alone, 5 * kS);
 	EXPECT_EQ(share.share, 1.0);
 }
+
+// A statement that is received is the one that was sent, within the rounding of the report.
+TEST(BacklogReport, KeepsTheStatement)
+{
+	skh_backlog_statement_t sent = {};
+	skh_backlog_statement_t received;
+	skh_backlog_report_t arrays;
+	Skh__LoadReport message = SKH__LOAD_REPORT__INIT;
+	std::vector<uint8_t> packed;
+
+	sent.n_services = 2;
+	sent.services[0] = skh_backlog_hash("chat");
+	sent.services[1] = skh_backlog_hash("search");
+	sent.own[0] = { { 1, 2, 3, 4 }, 20, 30, 1.25 };
+	sent.own[1] = { { 0, 0, 0, 300 }, 2, 3, 0.5 };
+	sent.has_totals = true;
+	sent.totals[0] = { { 100, 200, 300, 400 }, 2000, 3000, 52.0 };
+	sent.n_customers = 1;
+	sent.customers[0] = skh_backlog_hash("large");
+	sent.customers_waiting[0] = 250;
+	sent.round_us = 3600 * kMs;
+	skh_backlog_report_encode(&sent, &arrays, &message);
+	packed.resize(skh__load_report__get_packed_size(&message));
+	(void)skh__load_report__pack(&message, packed.data());
+	EXPECT_LT(packed.size(), 100);
+	Skh__LoadReport *parsed = skh__load_report__unpack(nullptr, packed.size(), packed.data());
+	ASSERT_NE(parsed, nullptr);
+	ASSERT_TRUE(skh_backlog_report_decode(parsed, &received));
+	skh__load_report__free_unpacked(parsed, nullptr);
+	EXPECT_EQ(received.n_services, 2);
+	EXPECT_EQ(received.round_us, 3600 * kMs);
+	EXPECT_TRUE(received.has_totals);
+	EXPECT_EQ(received.services[1], sent.services[1]);
+	EXPECT_EQ(received.own[1].waiting[3], 300);
+	EXPECT_EQ(received.own[0].started_per_s, 20);
+	EXPECT_EQ(received.own[0].relative_demand, 1.25);
+	EXPECT_EQ(received.totals[0].demand, 3000);
+	EXPECT_EQ(received.customers[0], sent.customers[0]);
+	EXPECT_EQ(received.customers_waiting[0], 250);
+}
+
+TEST(BacklogReport, IgnoresArraysThatDoNotFitTogether)
+{
+	uint32_t numbers[SKH_BACKLOG_REPORT_NUMBERS * 9] = {};
+	skh_backlog_statement_t received;
+	Skh__LoadReport message = SKH__LOAD_REPORT__INIT;
+
+	EXPECT_FALSE(skh_backlog_report_decode(&message, &received));
+	message.round_ms = 1000;
+	EXPECT_TRUE(skh_backlog_report_decode(&message, &received));
+	message.n_backlog_services = 1;
+	message.backlog_services = numbers;
+	message.n_backlog = SKH_BACKLOG_REPORT_NUMBERS - 1;
+	message.backlog = numbers;
+	EXPECT_FALSE(skh_backlog_report_decode(&message, &received));
+	message.n_backlog = SKH_BACKLOG_REPORT_NUMBERS;
+	EXPECT_TRUE(skh_backlog_report_decode(&message, &received));
+	message.n_backlog_totals = 1;
+	message.backlog_totals = numbers;
+	EXPECT_FALSE(skh_backlog_report_decode(&message, &received));
+	message.n_backlog_totals = 0;
+	message.n_customers = 5;
+	message.customers = numbers;
+	message.n_customers_waiting = 5;
+	message.customers_waiting = numbers;
+	EXPECT_FALSE(skh_backlog_report_decode(&message, &received));
+	message.n_customers = message.n_customers_waiting = 0;
+	message.n_backlog_services = 9;
+	message.n_backlog = 9 * SKH_BACKLOG_REPORT_NUMBERS;
+	EXPECT_FALSE(skh_backlog_report_decode(&message, &received));
+}
