Divide a service that reports leave out equally

A statement leaves out services without requests.

A gateway whose statement does not name a service counts with the relative demand of one without requests. The test passes at 5, 22 and 52 gateways.

--- a/src/backlog.c
+++ b/src/backlog.c
@@ -19,6 +19,7 @@
 	recent_events_t starts;
 	double waiting[SKH_BACKLOG_PRIORITIES]; /* at this gateway */
 	skh_demand_share_t share;
+	double reporting;	     /* gateways whose statements name the service, weighted */
 	skh_backlog_counts_t others; /* statements of the other gateways, weighted */
 	skh_backlog_counts_t totals; /* of all gateways */
 } service_t;
@@ -32,7 +33,8 @@
 	GHashTable *services; /* hash of the name -> service_t */
 	GHashTable *senders;  /* sender -> sender_t */
 	uint32_t n_gateways;
-	bool is_sampled; /* some sender does not reach all gateways in the window */
+	double reporting; /* gateways whose statements count, weighted */
+	bool is_sampled;  /* some sender does not reach all gateways in the window */
 };
 
 skh_backlog_t *skh_backlog_new(void)
@@ -227,14 +229,17 @@
 static void add_statement(skh_backlog_t *backlog, const sender_t *sender, int64_t now_us)
 {
 	const skh_backlog_statement_t *statement = &sender->statement;
+	double weight = get_weight(sender, now_us);
 
+	backlog->reporting += weight;
 	for (size_t i = 0; i < statement->n_services; i++) {
 		service_t *service = g_hash_table_lookup(backlog->services,
 							 GUINT_TO_POINTER(statement->services[i]));
 
-		if (service)
-			add_counts(&service->others, &statement->own[i],
-				   get_weight(sender, now_us));
+		if (!service)
+			continue;
+		service->reporting += weight;
+		add_counts(&service->others, &statement->own[i], weight);
 	}
 }
 
@@ -264,6 +269,7 @@
 	gpointer sender;
 
 	backlog->is_sampled = false;
+	backlog->reporting = 0.0;
 	g_hash_table_iter_init(&iter, backlog->senders);
 	while (g_hash_table_iter_next(&iter, NULL, &sender)) {
 		backlog->is_sampled = backlog->is_sampled || !reaches_all(sender);
@@ -300,11 +306,16 @@
 static void update_share(const skh_backlog_t *backlog, service_t *service, int64_t now_us)
 {
 	const skh_backlog_counts_t own = count_own(service, now_us);
+	/* A statement leaves out services that its sender has not heard of for a while. */
+	double unmentioned =
+		MAX(backlog->reporting - service->reporting, 0.0) *
+		skh_demand_share_idle_demand(service->totals.demand / backlog->n_gateways);
 	const skh_demand_view_t view = {
 		.demand = own.demand,
 		.total_demand = service->totals.demand,
 		.others_relative_demand =
-			MAX(service->totals.relative_demand - own.relative_demand, 0.0),
+			MAX(service->totals.relative_demand - own.relative_demand, 0.0) +
+			unmentioned,
 		.n_gateways = backlog->n_gateways,
 		.n_reports = g_hash_table_size(backlog->senders),
 	};
@@ -319,8 +330,10 @@
 
 	(void)g_hash_table_foreach_remove(backlog->senders, has_expired, &now_us);
 	g_hash_table_iter_init(&iter, backlog->services);
-	while (g_hash_table_iter_next(&iter, NULL, &service))
+	while (g_hash_table_iter_next(&iter, NULL, &service)) {
 		((service_t *)service)->others = (skh_backlog_counts_t){ .demand = 0.0 };
+		((service_t *)service)->reporting = 0.0;
+	}
 	sum_statements(backlog, now_us);
 	average_totals(backlog, now_us);
 	g_hash_table_iter_init(&iter, backlog->services);
--- a/src/demand_share.c
+++ b/src/demand_share.c
@@ -14,6 +14,11 @@
 	return SKH_DEMAND_SHARE_MAX_CHANGE_PER_S * MAX(value, usual) * elapsed_s;
 }
 
+double skh_demand_share_idle_demand(double mean_demand)
+{
+	return DEMAND_PRIOR / (mean_demand + DEMAND_PRIOR);
+}
+
 static double find_relative_demand(const skh_demand_share_t *share, const skh_demand_view_t *view,
 				   double elapsed_s)
 {
--- a/src/demand_share.h
+++ b/src/demand_share.h
@@ -50,6 +50,12 @@
 	uint32_t n_reports;	       /* other gateways whose reports are current */
 } skh_demand_view_t;
 
+/**
+ * skh_demand_share_idle_demand() - relative demand of a gateway without any demand
+ * @mean_demand: mean demand of a gateway
+ */
+double skh_demand_share_idle_demand(double mean_demand);
+
 /** skh_demand_share_update() - compute relative demand and share; without reports the equal one */
 void skh_demand_share_update(skh_demand_share_t *share, const skh_demand_view_t *view,
 			     int64_t now_us);
--- a/test/backlog_test.cc
+++ b/test/backlog_test.cc
@@ -34,9 +34,9 @@
 {
       public:
 	explicit Fleet(uint32_t n_gateways, double lost_ratio = 0.0)
-	    : is_silent(n_gateways), waiting(n_gateways), arrivals_per_s(n_gateways),
-	      credit_bytes(n_gateways), peers(n_gateways), next_peer(n_gateways),
-	      lost_ratio(lost_ratio)
+	    : is_silent(n_gateways), network(n_gateways), senders(n_gateways), waiting(n_gateways),
+	      arrivals_per_s(n_gateways), credit_bytes(n_gateways), peers(n_gateways),
+	      next_peer(n_gateways), lost_ratio(lost_ratio)
 	{
 		for (uint32_t i = 0; i < n_gateways; i++) {
 			backlogs.emplace_back(skh_backlog_new());
@@ -45,6 +45,7 @@
 				if (peer != i)
 					peers[i].push_back(peer);
 			std::shuffle(peers[i].begin(), peers[i].end(), random);
+			senders[i] = i + 1;
 			credit_bytes[i] = static_cast<double>(random() % 100);
 		}
 	}
@@ -81,7 +82,9 @@
 	}
 
 	std::vector<BacklogPtr> backlogs;
-	std::vector<bool> is_silent; // neither sends nor receives
+	std::vector<bool> is_silent;   // neither sends nor receives
+	std::vector<uint32_t> network; // gateways hear only those of the same number
+	std::vector<uint64_t> senders;
 	std::vector<uint32_t> waiting;
 	std::vector<double> arrivals_per_s;
 	int64_t now_us = 100 * kS;
@@ -116,10 +119,10 @@
 		skh_backlog_make_statement(backlogs[gateway].get(), &statement, now_us);
 		statement.round_us = static_cast<int64_t>(n_peers * kReportBytes / kBytesPerS * kS);
 		peer = peers[gateway][next_peer[gateway]++ % n_peers];
-		if (is_silent[gateway] || is_silent[peer] ||
+		if (is_silent[gateway] || is_silent[peer] || network[gateway] != network[peer] ||
 		    std::uniform_real_distribution<double>()(random) < lost_ratio)
 			return;
-		skh_backlog_merge(backlogs[peer].get(), gateway + 1, &statement, now_us);
+		skh_backlog_merge(backlogs[peer].get(), senders[gateway], &statement, now_us);
 	}
 
 	std::vector<double> credit_bytes;
@@ -231,6 +234,24 @@
 	}
 }
 
+// Guards against a gateway that takes the whole of a service that no report mentions, or that only
+// one gateway uses.
+TEST(Backlog, AServiceThatIsHardlyUsedIsDividedToo)
+{
+	for (uint32_t n_gateways : { 5U, 22U, 52U }) {
+		Fleet fleet(n_gateways);
+
+		fleet.run(10 * kS);
+		EXPECT_NEAR(fleet.sum_shares(), 1.0, 0.08) << n_gateways;
+		fleet.arrivals_per_s[0] = 50;
+		fleet.run(3 * kS);
+		EXPECT_LT(fleet.sum_shares(), 1.1) << n_gateways;
+		fleet.run(15 * kS);
+		EXPECT_NEAR(fleet.sum_shares(), 1.0, 0.1) << n_gateways;
+		EXPECT_GT(fleet.share(0), std::min(0.5, 8.0 / n_gateways)) << n_gateways;
+	}
+}
+
 TEST(Backlog, AFrozenGatewayLosesItsShareAndRegainsIt)
 {
 	for (uint32_t n_gateways : { 5U, 22U }) {
@@ -254,6 +275,109 @@
 	}
 }
 
+// Each part has the whole, but no more; afterwards both together have it.
+TEST(Backlog, TheSharesOfEachPartOfADividedNetworkSumToTheWhole)
+{
+	for (uint32_t n_gateways : { 15U, 22U, 52U }) {
+		Fleet fleet(n_gateways);
+
+		std::fill(fleet.arrivals_per_s.begin(), fleet.arrivals_per_s.end(), 20);
+		fleet.run(6 * kS);
+		for (uint32_t i = 0; i < n_gateways; i++)
+			fleet.network[i] = i % 3 == 0;
+		fleet.run(12 * kS);
+		for (uint32_t part : { 0U, 1U }) {
+			double sum = 0.0;
+
+			for (uint32_t i = 0; i < n_gateways; i++)
+				sum += fleet.network[i] == part ? fleet.share(i) : 0.0;
+			EXPECT_LT(sum, 1.06) << n_gateways;
+			EXPECT_GT(sum, 0.7) << n_gateways;
+		}
+		std::fill(fleet.network.begin(), fleet.network.end(), 0);
+		fleet.run(8 * kS);
+		EXPECT_NEAR(fleet.sum_shares(), 1.0, 0.08) << n_gateways;
+	}
+}
+
+// Without reports, or with none for 5 s, a gateway counts on its own queue and an equal share.
+TEST(Backlog, AGatewayWithoutReportsUsesItsOwnFigures)
+{
+	Fleet fleet(15);
+
+	std::fill(fleet.waiting.begin(), fleet.waiting.end(), 6);
+	for (uint32_t i = 0; i < 15; i++)
+		fleet.arrivals_per_s[i] = i < 5 ? 60 : 5;
+	fleet.run(8 * kS);
+	EXPECT_GT(fleet.share(0), 1.2 / 15);
+	EXPECT_NEAR(skh_backlog_waiting_ahead(fleet.backlogs[0].get(), kService, 1), 84, 1);
+	for (uint32_t i = 0; i < 15; i++)
+		fleet.network[i] = i;
+	fleet.run(5 * kS);
+	for (uint32_t i = 0; i < 15; i++) {
+		EXPECT_EQ(skh_backlog_waiting_ahead(fleet.backlogs[i].get(), kService, 1), 0);
+		EXPECT_NEAR(fleet.share(i), 1.0 / 15, 0.0001);
+	}
+}
+
+// A gateway that starts again reports under another sender; its old statement must expire.
+TEST(Backlog, ARestartedGatewayCountsOnceAfterTheExpiry)
+{
+	Fleet fleet(15);
+
+	std::fill(fleet.waiting.begin(), fleet.waiting.end(), 6);
+	fleet.run(5 * kS);
+	fleet.backlogs[3].reset(skh_backlog_new());
+	skh_backlog_set_gateways(fleet.backlogs[3].get(), 15);
+	fleet.senders[3] = 1003;
+	fleet.run(4 * kS);
+	EXPECT_NEAR(skh_backlog_waiting_ahead(fleet.backlogs[0].get(), kService, 1), 84, 0.001);
+	EXPECT_NEAR(skh_backlog_waiting_ahead(fleet.backlogs[3].get(), kService, 1), 84, 0.001);
+}
+
+// Guards against shares of some gateways that are full while those of others are idle, when the
+// traffic of three domains swings by 0.55 with phases of its own.
+TEST(Backlog, SharesFollowDomainsThatSwing)
+{
+	for (uint32_t n_gateways : { 5U, 15U, 22U, 52U, 400U }) {
+		Fleet fleet(n_gateways);
+		const double mean_per_s = 20.0;
+		const double capacity_per_s = 1.15 * mean_per_s * n_gateways;
+		double unmet_equally = 0.0;
+		double unmet = 0.0;
+		double sum = 0.0;
+		double worst_sum = 0.0;
+
+		for (int step = 0; step < 300; step++) {
+			double at_s = step * 0.1;
+			double sum_shares = 0.0;
+
+			for (uint32_t i = 0; i < n_gateways; i++)
+				fleet.arrivals_per_s[i] =
+					mean_per_s *
+					(1.0 +
+					 0.55 * std::sin(2.0 * M_PI * (at_s / 13.0 + i % 3 / 3.0)));
+			fleet.run(100 * kMs);
+			for (uint32_t i = 0; step > 60 && i < n_gateways; i++) {
+				double wanted = fleet.arrivals_per_s[i];
+
+				sum += wanted;
+				sum_shares += fleet.share(i);
+				unmet_equally +=
+					std::max(0.0, wanted - capacity_per_s / n_gateways);
+				unmet += std::max(0.0, wanted - capacity_per_s * fleet.share(i));
+			}
+			worst_sum = std::max(worst_sum, sum_shares);
+		}
+		printf("%u gateways: unmet with equal shares %.3f, by demand %.3f, largest sum of "
+		       "shares %.3f\n",
+		       n_gateways, unmet_equally / sum, unmet / sum, worst_sum);
+		EXPECT_GT(unmet_equally / sum, 0.09) << n_gateways;
+		EXPECT_LT(unmet, 0.72 * unmet_equally) << n_gateways;
+		EXPECT_LT(worst_sum, 1.1) << n_gateways;
+	}
+}
+
 TEST(Backlog, LostReportsLeaveTheTotalsNearTheTruth)
 {
 	for (uint32_t n_gateways : { 15U, 52U, 400U }) {
