Place by the load that servers state, failure domain and KV cache

With 15 and more gateways a gateway knew only its own requests at a server. The penalties of slow ranks and of failures, which are in requests of all gateways, were added to own counts of 0 or 1: each of many gateways left a slightly slow rank out, and the others got more than they take. Whether reports are current enough was decided by their age alone. KV cache and failure domain were unknown.

A gateway with a share of the servers now takes into account what a server said of its load in its last response (Skylarkhead-Server-Load), and penalties count by the gateway's part. Reports further apart than 0.3 s are used where a server gets at most 0.15 requests between two of them. Of equally loaded servers one of the own failure domain is selected; with a share only where servers state their load. A server gets no request whose tokens do not fit beside those in flight (kv-capacity). A gateway logs its share of a service's capacity when it changes by a quarter.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -105,6 +105,7 @@
 						     .outcome = outcome,
 						     .latency_us = latency_us };
 
+		exchange->target->cache_tokens -= exchange->cache_tokens;
 		skh_target_end_attempt(exchange->target, &result, skh_clock_boot_us());
 	}
 	exchange->target = NULL;
@@ -157,6 +158,7 @@
 	exchange->attempt_status = 0;
 	skh_attempt_discard_body(exchange);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
+	target->cache_tokens += exchange->cache_tokens;
 	skh_log(SKH_LOG_INFO, PART, "Request sent to a server.",
 		"id=%s server=%s send=%u queued_ms=%" PRId64 " running=%u peers=%u waiting=%u"
 		" config=%" PRId64 " config_age_ms=%" PRId64 " list=%" PRId64,
@@ -220,6 +222,8 @@
 {
 	const char *leaving = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LEAVING));
+	const char *load = skh_http_message_header(
+		response, skh_exchange_header_name(exchange, SKH_HEADER_LOAD));
 	const char *retry_after = skh_http_message_header(response, "Retry-After");
 	const char *limit = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LIMIT));
@@ -227,6 +231,12 @@
 	/* Another instance at the server's address speaks for itself. */
 	if (response->parser.status_code == 421)
 		return;
+	/* A server that rejected the request does not count it. */
+	if (load)
+		skh_target_record_load(exchange->target, load,
+				       exchange->target->own_in_flight -
+					       (response->parser.status_code / 100 != 2),
+				       now_us);
 	if (leaving && strcmp(leaving, "1") == 0)
 		skh_target_record_leaving(exchange->target);
 	/* What ends a limit has to come from the server itself, not from something before it. */
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -51,6 +51,7 @@
 	int64_t queue_duration_us; /* total time in the queue */
 	int64_t first_event_us;	   /* time of the first event or the response; 0 before */
 	double expected_tokens;	   /* estimated work */
+	double cache_tokens;	   /* prompt and expected output tokens */
 	skh_queued_request_t queued_request;
 	GPtrArray *excluded_targets; /* skh_target_t not to retry at; counted references */
 	skh_target_t *target;	     /* server of the current attempt, or NULL */
--- a/src/backends.c
+++ b/src/backends.c
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "rank_liveness.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define PART "backends"
@@ -17,7 +18,9 @@
 #define FULL_PAUSE_US (60 * SKH_US_PER_MS)
 /* The roster holds a stopped server until its entry expires after three missed heartbeats. */
 #define WRONG_INSTANCE_PAUSE_US (4 * SKH_US_PER_S)
-#define RATE_SLOT_US		(500 * SKH_US_PER_MS)
+/* About the time that a request takes; what a server stated before tells no more. */
+#define LOAD_EXPIRY_US (2 * SKH_US_PER_S)
+#define RATE_SLOT_US   (500 * SKH_US_PER_MS)
 /* Longest pause that a server can ask for, so that a garbled header does not end its use. */
 #define MAX_RETRY_AFTER_S 600.0
 /*
@@ -35,6 +38,7 @@
 	const skh_upstream_pool_options_t *options;
 	GHashTable *targets;	    /* id -> skh_target_t */
 	GHashTable *pools;	    /* service -> skh_target_pool_t */
+	char *failure_domain;	    /* of the gateway; NULL if unknown */
 	char *slowdowns;	    /* "\naddress slowdown" for each slow rank */
 	skh_server_lost_fn on_lost; /* may be NULL */
 	void *on_lost_context;
@@ -89,9 +93,16 @@
 	g_hash_table_unref(backends->targets);
 	g_hash_table_unref(backends->pools);
 	g_free(backends->slowdowns);
+	g_free(backends->failure_domain);
 	g_free(backends);
 }
 
+void skh_backends_set_failure_domain(skh_backends_t *backends, const char *failure_domain)
+{
+	g_free(backends->failure_domain);
+	backends->failure_domain = g_strdup(failure_domain);
+}
+
 skh_target_pool_t *skh_backends_get_or_create_pool(skh_backends_t *backends, const char *name)
 {
 	skh_target_pool_t *pool = g_hash_table_lookup(backends->pools, name);
@@ -209,6 +220,8 @@
 	target->references = 1;
 	target->slowdown = 1.0;
 	target->is_listed = true;
+	target->is_in_other_domain = backends->failure_domain && server->failure_domain &&
+				     strcmp(backends->failure_domain, server->failure_domain) != 0;
 	update_slowdown(target, backends->slowdowns);
 	g_ptr_array_add(target->target_pool->targets, target);
 	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
@@ -294,6 +307,7 @@
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
 		pool->max_connections = service->max_connections;
+		pool->cache_capacity = service->engine_spec.cache_tokens;
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
 						       : TYPICAL_FIRST_EVENT_PLAIN_MS;
@@ -317,6 +331,38 @@
 	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
 }
 
+/* Tokens of a request in the KV cache, by those in flight. */
+static double find_mean_cache_tokens(const skh_target_pool_t *pool)
+{
+	double tokens = 0.0;
+	uint32_t running = 0;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		tokens += target->cache_tokens;
+		running += target->own_in_flight;
+	}
+	return running > 0 ? tokens / running : pool->next_cache_tokens;
+}
+
+/*
+ * Whether the next request does not fit beside those in flight. The other gateways' requests are
+ * taken to be like the own ones. A server without requests is never full.
+ */
+static bool is_cache_full(const skh_target_t *target, bool has_reports, double mean_tokens,
+			  int64_t now_us)
+{
+	const skh_target_pool_t *pool = target->target_pool;
+	bool is_stated = target->stated_us != 0 && now_us - target->stated_us < LOAD_EXPIRY_US;
+	uint32_t stated_others = is_stated ? target->stated_others : 0;
+	uint32_t others = has_reports ? target->peers_running : stated_others;
+	double tokens = target->cache_tokens + mean_tokens * others;
+
+	return pool->cache_capacity > 0.0 && target->own_in_flight + others > 0 &&
+	       tokens + pool->next_cache_tokens > pool->cache_capacity;
+}
+
 skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
 				     skh_server_share_t share, int64_t now_us)
 {
@@ -329,6 +375,7 @@
 				       .random = skh_random_u64() >> 1,
 				       .now_us = now_us,
 				       .share = share };
+	double mean_tokens = find_mean_cache_tokens(pool);
 	int32_t selected;
 
 	for (guint i = 0; i < pool->targets->len; i++) {
@@ -338,7 +385,12 @@
 			.slots = target->server->slots,
 			.running = target->own_in_flight +
 				   (share.count == 0 ? target->peers_running : 0),
+			.others_running = target->stated_others,
+			.others_us = target->stated_us,
+			.is_in_other_domain = target->is_in_other_domain,
 			.expected_tokens = target->expected_tokens,
+			.is_cache_full =
+				is_cache_full(target, share.count == 0, mean_tokens, now_us),
 			.mean_latency_ms = target->mean_latency_ms,
 			.slowdown = target->slowdown,
 			.failure_ratio = target->failure_ratio,
@@ -498,6 +550,22 @@
 			"server=%s per_s=%.2f", target->server->id, limit_per_s);
 }
 
+void skh_target_record_load(skh_target_t *target, const char *load, uint32_t own_running,
+			    int64_t now_us)
+{
+	unsigned int running = 0;
+	unsigned int queued = 0;
+	unsigned int slots = 0;
+
+	if (sscanf(load, "%6u,%6u,%6u", &running, &queued, &slots) != 3) {
+		skh_log(SKH_LOG_DEBUG, PART, "Server's load is not three numbers.",
+			"server=%s value=%.32s", target->server->id, load);
+		return;
+	}
+	target->stated_others = running + queued - MIN(running + queued, own_running);
+	target->stated_us = now_us;
+}
+
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us)
 {
 	record_failure(target, SKH_TARGET_OUTCOME_UNREACHABLE, now_us);
--- a/src/backends.h
+++ b/src/backends.h
@@ -43,7 +43,11 @@
 	int64_t busy_since_us;	  /* time since which requests have been in flight */
 	int64_t last_received_us; /* time of the last response bytes */
 	double expected_tokens;	  /* expected tokens of the requests in flight */
+	double cache_tokens;	  /* tokens of the requests in flight, complete */
 	uint32_t peers_running;	  /* requests of the other gateways, by their reports */
+	uint32_t stated_others;	  /* the same by the server's last statement of its load */
+	int64_t stated_us;	  /* time of that statement; 0 for none */
+	bool is_in_other_domain;  /* its failure domain is not the gateway's */
 	double mean_latency_ms;
 	double slowdown; /* slowdown of a rank, as its coordinator reports; 1 is normal */
 	double failure_ratio;
@@ -69,6 +73,9 @@
 	bool is_lock_step;
 	skh_group_breaker_t breaker; /* circuit breaker of a lock-step group */
 	uint32_t max_connections;
+	double logged_share;	  /* share of the capacity in the last log line about it */
+	double cache_capacity;	  /* tokens that fit into a server's KV cache; 0 if not limited */
+	double next_cache_tokens; /* of the request that the next selection is for, complete */
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
 	int64_t newest_slot;			      /* newest time slot in @completed */
@@ -100,6 +107,13 @@
 void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
 		       const skh_routing_t *routing);
 
+/**
+ * skh_backends_set_failure_domain() - sets the gateway's failure domain; before the first server
+ *
+ * Of equally loaded servers those of this domain are preferred.
+ */
+void skh_backends_set_failure_domain(skh_backends_t *backends, const char *failure_domain);
+
 /** skh_backends_get_or_create_pool() - returns the pool of service @name, creates it if missing */
 skh_target_pool_t *skh_backends_get_or_create_pool(skh_backends_t *backends, const char *name);
 /** skh_backends_find_target() - returns the listed server called @id, or NULL; borrowed */
@@ -194,6 +208,14 @@
  */
 void skh_target_record_limit(skh_target_t *target, const char *per_s, int64_t now_us);
 
+/**
+ * skh_target_record_load() - record the load that the server stated in a response
+ * @load: running and queued requests and slots, separated by commas; other forms are ignored
+ * @own_running: requests of this gateway among them
+ */
+void skh_target_record_load(skh_target_t *target, const char *load, uint32_t own_running,
+			    int64_t now_us);
+
 /** skh_target_mark_unreachable() - counts a failure and avoids the server for a back-off time */
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us);
 /** skh_target_unref() - drops a reference; the last one frees @target and its connections */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -301,9 +301,10 @@
 		}
 		if (pool->is_lock_step && !skh_group_breaker_can_send(&pool->breaker, now_us))
 			return;
-		target = skh_target_pool_select(pool, exchange->excluded_targets,
-						skh_gossip_get_share(exchange->gateway->gossip),
-						now_us);
+		pool->next_cache_tokens = exchange->cache_tokens;
+		target = skh_target_pool_select(
+			pool, exchange->excluded_targets,
+			skh_gossip_get_share(exchange->gateway->gossip, pool), now_us);
 		if (!target)
 			return;
 		skh_attempt_send(exchange, target, now_us);
@@ -478,7 +479,7 @@
  * A prompt token is weighted as a tenth of an output token, because an engine processes a prompt
  * in chunks, interleaved with the decoding of other requests.
  */
-static double estimate_tokens(const skh_exchange_t *exchange)
+static void estimate_tokens(skh_exchange_t *exchange)
 {
 	const char *token_counts = request_header(exchange, SKH_HEADER_TOKENS);
 	const char *length_hint = request_header(exchange, SKH_HEADER_LENGTH_HINT);
@@ -488,7 +489,8 @@
 
 	if (length_hint && g_ascii_strtod(length_hint, NULL) > 0.0)
 		output_tokens = MIN(output_tokens, g_ascii_strtod(length_hint, NULL));
-	return prompt_tokens / 10.0 + output_tokens;
+	exchange->expected_tokens = prompt_tokens / 10.0 + output_tokens;
+	exchange->cache_tokens = prompt_tokens + output_tokens;
 }
 
 /* Identifies a request by customer and content, so that a resend under a new id is recognized. */
@@ -647,7 +649,7 @@
 	exchange->content_hash = hash_content(exchange);
 	exchange->prompt_parts = skh_prompt_parts_parse(
 		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
-	exchange->expected_tokens = estimate_tokens(exchange);
+	estimate_tokens(exchange);
 	if (!admit(exchange, now_us))
 		return;
 	remaining_us = exchange->deadline_us - now_us;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -305,6 +305,7 @@
 	(void)uv_timer_init(&gateway->loop, &process->tick_timer);
 	process->tick_timer.data = process;
 	gateway->backends = skh_backends_new(&gateway->loop, &process->pool_options);
+	skh_backends_set_failure_domain(gateway->backends, settings->failure_domain);
 	skh_backends_set_lost_fn(gateway->backends, skh_attempt_on_server_lost, gateway);
 }
 
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -24,11 +24,6 @@
 #define REPORT_EXPIRY_US (2500 * SKH_US_PER_MS)
 /* The survivals of a sender are known for longer: 400 gateways in turn take half a minute. */
 #define SENDER_EXPIRY_US (60 * SKH_US_PER_S)
-/*
- * Reports at this interval or longer are too old to choose servers by: a request takes about a
- * second, and all gateways together start several requests for each server in that time.
- */
-#define MAX_CURRENT_INTERVAL_US (300 * SKH_US_PER_MS)
 /* Statements of servers that are older have been reported before. */
 #define LIMIT_REPORT_AGE_US (2500 * SKH_US_PER_MS)
 /*
@@ -36,11 +31,10 @@
  * not made rarer by it.
  */
 #define BACKLOG_INTERVAL_US (400 * SKH_US_PER_MS)
-/*
- * From this interval on between reports to all gateways the counts for each server are left out:
- * with twice MAX_CURRENT_INTERVAL_US no gateway chooses servers by them.
- */
-#define MIN_OMIT_INTERVAL_US (2 * MAX_CURRENT_INTERVAL_US)
+/* A share is logged when it has changed by this part of an equal share. */
+#define MIN_LOGGED_CHANGE 0.25
+/* Above this interval between reports with the counts for each server no gateway uses them. */
+#define MAX_COUNTS_INTERVAL_US (1200 * SKH_US_PER_MS)
 /* Reports that a gateway sends at once after its loop was delayed. */
 #define MAX_REPORTS_AT_ONCE 4
 #define MAX_SERVERS	    400
@@ -327,11 +321,20 @@
 	update_share(gossip);
 }
 
-skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip)
+/* @interval_us: time between two reports with the counts of all servers */
+static bool can_use_counts(const skh_gossip_t *gossip, const skh_target_pool_t *pool,
+			   int64_t interval_us)
+{
+	return skh_selection_can_use_reports(
+		interval_us, skh_backlog_start_rate(gossip->gateway->backlog, pool->service),
+		pool->targets->len);
+}
+
+skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip, const skh_target_pool_t *pool)
 {
 	const skh_server_share_t all = { 0, 0 };
 
-	return gossip->counts_interval_us < MAX_CURRENT_INTERVAL_US ? all : gossip->share;
+	return can_use_counts(gossip, pool, gossip->counts_interval_us) ? all : gossip->share;
 }
 
 uint32_t skh_gossip_count_peers(const skh_gossip_t *gossip)
@@ -469,13 +472,32 @@
 	return (int64_t)(bytes * gossip->peers->len) * SKH_US_PER_S / SEND_BYTES_PER_S;
 }
 
-/* Leaves out the counts for each server where reports with them are too rare to be used. */
+/* Context of check_counts() */
+typedef struct counts_check {
+	const skh_gossip_t *gossip;
+	bool is_needed;
+} counts_check_t;
+
+/* Another gateway may use counts that this one does not: its reports may be half as long. */
+static void check_counts(skh_target_pool_t *pool, void *context)
+{
+	counts_check_t *check = context;
+
+	check->is_needed =
+		check->is_needed ||
+		can_use_counts(check->gossip, pool, check->gossip->counts_interval_us / 2);
+}
+
+/* Leaves out the counts for each server where no gateway uses them. */
 static void omit_counts(skh_gossip_t *gossip, Skh__LoadReport *message)
 {
 	size_t bytes = skh__load_report__get_packed_size(message) + DATAGRAM_OVERHEAD_BYTES;
+	counts_check_t check = { .gossip = gossip };
 
 	gossip->counts_interval_us = get_round_us(gossip, bytes);
-	if (gossip->counts_interval_us < MIN_OMIT_INTERVAL_US)
+	if (gossip->counts_interval_us <= MAX_COUNTS_INTERVAL_US)
+		skh_backends_for_each_pool(gossip->gateway->backends, check_counts, &check);
+	if (check.is_needed)
 		return;
 	message->n_servers = 0;
 	message->running.len = 0;
@@ -576,6 +598,22 @@
 			report_us;
 	}
 }
+static void log_share(skh_target_pool_t *pool, void *context)
+{
+	const skh_gossip_t *gossip = context;
+	const skh_backlog_t *backlog = gossip->gateway->backlog;
+	double share = skh_demand_share(backlog, pool->service);
+	double equal = 1.0 / (gossip->peers->len + 1);
+
+	if (ABS(share - pool->logged_share) < MIN_LOGGED_CHANGE * equal)
+		return;
+	pool->logged_share = share;
+	skh_log(SKH_LOG_INFO, PART, "Share of a service's capacity changed.",
+		"service=%s share=%.4f equal=%.4f starts_per_s=%.1f waiting_elsewhere=%.0f",
+		pool->service, share, equal, skh_backlog_start_rate(backlog, pool->service),
+		skh_backlog_waiting_ahead(backlog, pool->service, SKH_BACKLOG_PRIORITIES));
+}
+
 static void update_backlog(skh_gossip_t *gossip, int64_t now_us)
 {
 	if (now_us < gossip->next_backlog_update_us)
@@ -583,6 +621,7 @@
 	gossip->next_backlog_update_us = now_us + MIN_INTERVAL_US;
 	skh_backlog_report_collect(gossip->gateway);
 	skh_backlog_update(gossip->gateway->backlog, now_us);
+	skh_backends_for_each_pool(gossip->gateway->backends, log_share, gossip);
 }
 
 void skh_gossip_tick(skh_gossip_t *gossip)
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -40,11 +40,11 @@
 uint32_t skh_gossip_count_peers(const skh_gossip_t *gossip);
 
 /**
- * skh_gossip_get_share() - the servers that this gateway prefers; see server_selection.h
+ * skh_gossip_get_share() - the servers of @pool that this gateway prefers; see server_selection.h
  *
- * Not used while reports are frequent, so that the other gateways' counts are current.
+ * Not used while the other gateways' counts are current; see skh_selection_can_use_reports().
  */
-skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip);
+skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip, const skh_target_pool_t *pool);
 
 /** skh_gossip_tick() - sends a report when one is due and drops reports that are too old */
 void skh_gossip_tick(skh_gossip_t *gossip);
--- a/src/routing.h
+++ b/src/routing.h
@@ -67,6 +67,7 @@
 	double link_mbps;	    /* bandwidth for copying experts to a rank, in Mbit/s */
 	double step_ms;		    /* duration of a step without requests */
 	double step_ms_per_request; /* added duration of a step per generating request */
+	double cache_tokens;	    /* tokens that fit into a rank's KV cache; 0 if not limited */
 	uint32_t steps_per_pass;    /* steps in a pass, which all ranks of a group begin together */
 } skh_engine_spec_t;
 
--- a/src/server_selection.h
+++ b/src/server_selection.h
@@ -17,7 +17,12 @@
  * that all select the least loaded server by the same old counts send it more than it can
  * take. Instead each one counts only its own requests and prefers its share of the servers:
  * disjoint shares spread the load without a message, and requests that a share has no room
- * for go to other servers.
+ * for go to other servers. What a server said of its load in a recent response corrects this:
+ * each gateway hears most often of the servers that it uses most. Penalties that stand for
+ * requests of all gateways count by this gateway's part of them, so that a server that is a
+ * little slow gets a little less from all gateways and not nothing from each of them.
+ *
+ * Of equally loaded servers one of the gateway's own failure domain is selected.
  *
  * Pure functions without state; any thread may call them. Times are in microseconds
  * on one monotonic clock.
@@ -63,6 +68,12 @@
 	int64_t avoid_until_us; /* end of the avoidance period after a failure; 0 for none */
 	int64_t full_until_us;	/* counts as full until then, after a rejection; 0 for none */
 	bool is_excluded;	/* not eligible: leaving, or already tried by the request */
+	/* Beyond load and failures: */
+	bool is_cache_full;	 /* the request does not fit into its KV cache */
+	bool is_in_other_domain; /* not in the failure domain of the gateway */
+	/* Used with a share only: */
+	uint32_t others_running; /* requests of other gateways, by the server's last statement */
+	int64_t others_us;	 /* time of that statement; 0 for none */
 } skh_candidate_t;
 
 /** struct skh_selection_input - all candidates of a service */
@@ -76,6 +87,16 @@
 	skh_server_share_t share; /* if used, candidates are in the order of positions */
 } skh_selection_input_t;
 
+/**
+ * skh_selection_can_use_reports() - whether to select by the counts that other gateways report
+ * @interval_us: time between two reports of a gateway
+ * @starts_per_s: requests that all gateways start at the @n_servers servers of the service
+ *
+ * Return: true if reports are frequent, or if few requests reach a server between two reports.
+ * Otherwise the own counts and a share of the servers are to be used.
+ */
+bool skh_selection_can_use_reports(int64_t interval_us, double starts_per_s, uint32_t n_servers);
+
 /**
  * skh_select_server() - select the server for one attempt
  *
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -57,6 +57,82 @@
 	}
 };
 
+// The path to another failure domain takes longer and its bytes are paid for.
+TEST(Backends, AServerOfTheOwnFailureDomainIsSelectedOnEqualTerms)
+{
+	Backends t;
+
+	skh_backends_set_failure_domain(t.backends, "b");
+	t.add_to_list("one", "127.0.0.1", 1000);
+	t.add_to_list("two", "127.0.0.2", 1000);
+	skh_target_t *one = skh_backends_find_target(t.backends, "one");
+	skh_target_t *two = skh_backends_find_target(t.backends, "two");
+
+	EXPECT_TRUE(one->is_in_other_domain);
+	two->is_in_other_domain = false;
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(t.select(), "two");
+	two->peers_running = 1;
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(t.select(), "one");
+}
+
+// Guards against requests that together do not fit into a server's KV cache.
+TEST(Backends, AServerGetsNoMoreTokensThanFitIntoItsCache)
+{
+	Backends t;
+
+	t.add_to_list("one", "127.0.0.1", 1000);
+	t.add_to_list("two", "127.0.0.2", 1000);
+	skh_target_t *one = skh_backends_find_target(t.backends, "one");
+	skh_target_t *two = skh_backends_find_target(t.backends, "two");
+	skh_target_pool_t *pool = one->target_pool;
+
+	pool->cache_capacity = 1000.0;
+	pool->next_cache_tokens = 300.0;
+	one->own_in_flight = 1;
+	one->cache_tokens = 800.0;
+	two->own_in_flight = 2;
+	two->cache_tokens = 500.0;
+	EXPECT_EQ(t.select(), "two");
+	// With the reported request of another gateway, of 1,300 / 3 tokens like the own ones.
+	two->peers_running = 1;
+	EXPECT_EQ(t.select(), "-");
+	pool->next_cache_tokens = 50.0;
+	EXPECT_EQ(t.select(), "one");
+	// A request that fits nowhere goes to a server without others.
+	pool->next_cache_tokens = 2000.0;
+	EXPECT_EQ(t.select(), "-");
+	one->own_in_flight = 0;
+	one->cache_tokens = 0.0;
+	EXPECT_EQ(t.select(), "one");
+	pool->cache_capacity = 0.0;
+	two->own_in_flight = 0;
+	two->peers_running = 0;
+	one->own_in_flight = 3;
+	one->cache_tokens = 1e6;
+	EXPECT_EQ(t.select(), "two");
+	one->own_in_flight = 0;
+}
+
+TEST(Backends, AServerStatesTheRequestsOfOtherGateways)
+{
+	Backends t;
+	int64_t now_us = skh_clock_boot_us();
+
+	t.add_to_list("one", "127.0.0.1", 1000);
+	skh_target_t *target = skh_backends_find_target(t.backends, "one");
+
+	for (const char *load : { "", "7", "7,1", "seven,1,10", "-", ",," })
+		skh_target_record_load(target, load, 2, now_us);
+	EXPECT_EQ(target->stated_us, 0);
+	skh_target_record_load(target, "7,1,10", 2, now_us);
+	EXPECT_EQ(target->stated_others, 6U);
+	EXPECT_EQ(target->stated_us, now_us);
+	skh_target_record_load(target, "1,0,10", 2, now_us + 1);
+	EXPECT_EQ(target->stated_others, 0U);
+}
+
 TEST(Backends, OnlyTheLaterStartedOfTwoServersAtAnAddressIsUsed)
 {
 	Backends t;
