Let a stated load fill the KV cache less as it gets older

A statement of up to 2 s ago counted in full for the KV cache, so that a server that was busy then took no request of the gateway. It now loses its weight over that time, as in the selection.

--- a/src/backends.c
+++ b/src/backends.c
@@ -346,6 +346,18 @@
 	return running > 0 ? tokens / running : pool->next_cache_tokens;
 }
 
+/* Requests of other gateways; a statement of the server counts less as it gets older. */
+static double estimate_others(const skh_target_t *target, bool has_reports, int64_t now_us)
+{
+	int64_t age_us = now_us - target->stated_us;
+
+	if (has_reports)
+		return target->peers_running;
+	if (target->stated_us == 0 || age_us >= LOAD_EXPIRY_US)
+		return 0.0;
+	return target->stated_others * (1.0 - (double)age_us / (double)LOAD_EXPIRY_US);
+}
+
 /*
  * Whether the next request does not fit beside those in flight. The other gateways' requests are
  * taken to be like the own ones. A server without requests is never full.
@@ -354,12 +366,10 @@
 			  int64_t now_us)
 {
 	const skh_target_pool_t *pool = target->target_pool;
-	bool is_stated = target->stated_us != 0 && now_us - target->stated_us < LOAD_EXPIRY_US;
-	uint32_t stated_others = is_stated ? target->stated_others : 0;
-	uint32_t others = has_reports ? target->peers_running : stated_others;
+	double others = estimate_others(target, has_reports, now_us);
 	double tokens = target->cache_tokens + mean_tokens * others;
 
-	return pool->cache_capacity > 0.0 && target->own_in_flight + others > 0 &&
+	return pool->cache_capacity > 0.0 && (target->own_in_flight > 0 || others > 0.0) &&
 	       tokens + pool->next_cache_tokens > pool->cache_capacity;
 }
 
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -106,6 +106,17 @@
 	one->own_in_flight = 0;
 	one->cache_tokens = 0.0;
 	EXPECT_EQ(t.select(), "one");
+	// With a share, the server's statement counts in place of reports.
+	one->own_in_flight = 1;
+	one->cache_tokens = 300.0;
+	two->own_in_flight = 3;
+	pool->next_cache_tokens = 300.0;
+	int64_t now_us = skh_clock_boot_us();
+
+	EXPECT_EQ(skh_target_pool_select(pool, nullptr, { 0, 1 }, now_us), one);
+	skh_target_record_load(one, "4,0,10", 1, now_us);
+	EXPECT_EQ(skh_target_pool_select(pool, nullptr, { 0, 1 }, now_us), two);
+	EXPECT_EQ(skh_target_pool_select(pool, nullptr, { 0, 1 }, now_us + 2 * kSecondUs), one);
 	pool->cache_capacity = 0.0;
 	two->own_in_flight = 0;
 	two->peers_running = 0;
--- a/test/placement_replay_test.cc
+++ b/test/placement_replay_test.cc
@@ -609,6 +609,32 @@
 	EXPECT_NE(t.select(), SKH_SELECTION_NONE);
 }
 
+// Guards against a server that each of many gateways leaves out after one failure there, since its
+// own count elsewhere never reaches the penalty for the requests of all gateways.
+TEST(PlacementReplay, AFailureCountsByThePartOfTheGateway)
+{
+	ShareSelection t;
+
+	t.view.share = { 0, 20 };
+	for (uint32_t i = 0; i < 6; i++)
+		t.candidates[i].running = i == 0 ? 9 : 1;
+	t.candidates[3].running = 0;
+	t.candidates[3].failure_ratio = 0.15;
+	for (t.view.random = 0; t.view.random < 6; t.view.random++) {
+		EXPECT_EQ(t.select(), 3);
+		EXPECT_NE(select_before(t.view), 3);
+	}
+	t.candidates[1].running = 0;
+	for (t.view.random = 0; t.view.random < 6; t.view.random++)
+		EXPECT_EQ(t.select(), 1);
+	// One that fails nearly all requests is left out.
+	t.candidates[3].failure_ratio = 0.9;
+	for (uint32_t i = 0; i < 6; i++)
+		t.candidates[i].running = i != 3;
+	for (t.view.random = 0; t.view.random < 6; t.view.random++)
+		EXPECT_NE(t.select(), 3);
+}
+
 TEST(PlacementReplay, TheOwnDomainIsPreferredOnEqualTermsOnly)
 {
 	ShareSelection t;
