--- a/src/attempt.c
+++ b/src/attempt.c
@@ -1,5 +1,6 @@
 #include "attempt.h"
 
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "forward.h"
@@ -163,6 +164,7 @@
 						     .outcome = outcome,
 						     .latency_us = latency_us };
 
+		exchange->target->cache_tokens -= exchange->cache_tokens;
 		skh_target_end_attempt(exchange->target, &result, skh_clock_boot_us());
 	}
 	exchange->target = NULL;
@@ -194,6 +196,8 @@
 
 	skh_request_queue_remove(exchange->target_pool->queue, &exchange->queued_request);
 	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
+	if (exchange->n_attempts == 0)
+		skh_backlog_record_start(gateway->backlog, exchange->target_pool->service, now_us);
 	if (exchange->n_attempts == 0)
 		skh_retry_share_record_request(&exchange->target_pool->retry_share,
 					       &gateway->retry_limits, now_us);
@@ -215,6 +219,7 @@
 	exchange->attempt_status = 0;
 	skh_attempt_discard_body(exchange);
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
+	target->cache_tokens += exchange->cache_tokens;
 	skh_log(SKH_LOG_INFO, PART, "Request sent to a server.",
 		"id=%s server=%s group=%s probe=%d send=%u queued_ms=%" PRId64
 		" running=%u peers=%u waiting=%u"
@@ -280,6 +285,8 @@
 {
 	const char *leaving = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LEAVING));
+	const char *load = skh_http_message_header(
+		response, skh_exchange_header_name(exchange, SKH_HEADER_LOAD));
 	const char *retry_after = skh_http_message_header(response, "Retry-After");
 	const char *limit = skh_http_message_header(
 		response, skh_exchange_header_name(exchange, SKH_HEADER_LIMIT));
@@ -291,6 +298,12 @@
 		return;
 	if (cold)
 		skh_target_record_cold(exchange->target, cold, now_us);
+	/* A server that rejected the request does not count it. */
+	if (load)
+		skh_target_record_load(exchange->target, load,
+				       exchange->target->own_in_flight -
+					       (response->parser.status_code / 100 != 2),
+				       now_us);
 	if (leaving && strcmp(leaving, "1") == 0)
 		skh_target_record_leaving(exchange->target);
 	/* What ends a limit has to come from the server itself, not from something before it. */
--- a/src/backends.c
+++ b/src/backends.c
@@ -6,6 +6,7 @@
 #include "pool_groups.h"
 #include "rank_liveness.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define PART "backends"
@@ -19,7 +20,9 @@
 #define FULL_PAUSE_US (60 * SKH_US_PER_MS)
 /* The roster holds a stopped server until its entry expires after three missed heartbeats. */
 #define WRONG_INSTANCE_PAUSE_US (4 * SKH_US_PER_S)
-#define RATE_SLOT_US		(500 * SKH_US_PER_MS)
+/* About the time that a request takes; what a server stated before tells no more. */
+#define LOAD_EXPIRY_US (2 * SKH_US_PER_S)
+#define RATE_SLOT_US   (500 * SKH_US_PER_MS)
 /* Longest pause that a server can ask for, so that a garbled header does not end its use. */
 #define MAX_RETRY_AFTER_S 600.0
 /*
@@ -49,6 +52,7 @@
 	GHashTable *regions; /* failure domain -> region; empty if homes are not checked */
 	double cold_overage; /* see struct skh_warmth_spec */
 	double cold_slack;
+	char *failure_domain;	    /* of the gateway; NULL if unknown */
 	skh_server_lost_fn on_lost; /* may be NULL */
 	void *on_lost_context;
 };
@@ -106,9 +110,16 @@
 	g_hash_table_unref(backends->pools);
 	g_hash_table_unref(backends->regions);
 	g_free(backends->slowdowns);
+	g_free(backends->failure_domain);
 	g_free(backends);
 }
 
+void skh_backends_set_failure_domain(skh_backends_t *backends, const char *failure_domain)
+{
+	g_free(backends->failure_domain);
+	backends->failure_domain = g_strdup(failure_domain);
+}
+
 skh_target_pool_t *skh_backends_get_or_create_pool(skh_backends_t *backends, const char *name)
 {
 	skh_target_pool_t *pool = g_hash_table_lookup(backends->pools, name);
@@ -278,6 +289,8 @@
 	target->references = 1;
 	target->slowdown = 1.0;
 	target->is_listed = true;
+	target->is_in_other_domain = backends->failure_domain && server->failure_domain &&
+				     strcmp(backends->failure_domain, server->failure_domain) != 0;
 	update_slowdown(target, backends->slowdowns);
 	update_domain(target, backends->domains);
 	update_region(NULL, target, backends->regions);
@@ -382,6 +395,7 @@
 		pool->warmth_spec =
 			(skh_warmth_spec_t){ service->cold_start_us, service->cold_per_s,
 					     backends->cold_overage, backends->cold_slack };
+		pool->cache_capacity = service->engine_spec.cache_tokens;
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
 						       : TYPICAL_FIRST_EVENT_PLAIN_MS;
@@ -429,6 +443,48 @@
 	       now_us >= get_accepts_from_us(target, now_us);
 }
 
+/* Tokens of a request in the KV cache, by those in flight. */
+static double find_mean_cache_tokens(const skh_target_pool_t *pool)
+{
+	double tokens = 0.0;
+	uint32_t running = 0;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		tokens += target->cache_tokens;
+		running += target->own_in_flight;
+	}
+	return running > 0 ? tokens / running : pool->next_cache_tokens;
+}
+
+/* Requests of other gateways; a statement of the server counts less as it gets older. */
+static double estimate_others(const skh_target_t *target, bool has_reports, int64_t now_us)
+{
+	int64_t age_us = now_us - target->stated_us;
+
+	if (has_reports)
+		return target->peers_running;
+	if (target->stated_us == 0 || age_us >= LOAD_EXPIRY_US)
+		return 0.0;
+	return target->stated_others * (1.0 - (double)age_us / (double)LOAD_EXPIRY_US);
+}
+
+/*
+ * Whether the next request does not fit beside those in flight. The other gateways' requests are
+ * taken to be like the own ones. A server without requests is never full.
+ */
+static bool is_cache_full(const skh_target_t *target, bool has_reports, double mean_tokens,
+			  int64_t now_us)
+{
+	const skh_target_pool_t *pool = target->target_pool;
+	double others = estimate_others(target, has_reports, now_us);
+	double tokens = target->cache_tokens + mean_tokens * others;
+
+	return pool->cache_capacity > 0.0 && (target->own_in_flight > 0 || others > 0.0) &&
+	       tokens + pool->next_cache_tokens > pool->cache_capacity;
+}
+
 static skh_target_t *select_target(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
 				   skh_server_share_t share, bool probe_only, int64_t now_us)
 {
@@ -441,6 +497,7 @@
 				       .random = skh_random_u64() >> 1,
 				       .now_us = now_us,
 				       .share = share };
+	double mean_tokens = find_mean_cache_tokens(pool);
 	int32_t selected;
 
 	for (guint i = 0; i < pool->targets->len; i++) {
@@ -450,7 +507,12 @@
 			.slots = target->server->slots,
 			.running = target->own_in_flight +
 				   (share.count == 0 ? target->peers_running : 0),
+			.others_running = target->stated_others,
+			.others_us = target->stated_us,
+			.is_in_other_domain = target->is_in_other_domain,
 			.expected_tokens = target->expected_tokens,
+			.is_cache_full =
+				is_cache_full(target, share.count == 0, mean_tokens, now_us),
 			.mean_latency_ms = target->mean_latency_ms,
 			.slowdown = target->slowdown,
 			.warmup_requests = get_warmup_requests(target, now_us),
@@ -750,6 +812,22 @@
 			"server=%s per_s=%.2f", target->server->id, limit_per_s);
 }
 
+void skh_target_record_load(skh_target_t *target, const char *load, uint32_t own_running,
+			    int64_t now_us)
+{
+	unsigned int running = 0;
+	unsigned int queued = 0;
+	unsigned int slots = 0;
+
+	if (sscanf(load, "%6u,%6u,%6u", &running, &queued, &slots) != 3) {
+		skh_log(SKH_LOG_DEBUG, PART, "Server's load is not three numbers.",
+			"server=%s value=%.32s", target->server->id, load);
+		return;
+	}
+	target->stated_others = running + queued - MIN(running + queued, own_running);
+	target->stated_us = now_us;
+}
+
 void skh_target_mark_unreachable(skh_target_t *target, int64_t now_us)
 {
 	record_failure(target, SKH_TARGET_OUTCOME_UNREACHABLE, now_us);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "attempt.h"
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "event_stream.h"
@@ -337,9 +338,11 @@
 /* A server for the request; a probe of an unhealthy group comes first if the request has the time. */
 static skh_target_t *place(const skh_exchange_t *exchange, int64_t now_us)
 {
-	skh_server_share_t share = skh_gossip_get_share(exchange->gateway->gossip);
+	skh_server_share_t share =
+		skh_gossip_get_share(exchange->gateway->gossip, exchange->target_pool);
 	skh_target_t *target = NULL;
 
+	exchange->target_pool->next_cache_tokens = exchange->cache_tokens;
 	if (exchange->queued_request.dispatch_objective_us - now_us >= MIN_PROBE_SLACK_US)
 		target = skh_target_pool_select_probe(exchange->target_pool,
 						      exchange->excluded_targets, share, now_us);
@@ -717,7 +720,7 @@
  * A prompt token is weighted as a tenth of an output token, because an engine processes a prompt
  * in chunks, interleaved with the decoding of other requests.
  */
-static double estimate_tokens(const skh_exchange_t *exchange)
+static void estimate_tokens(skh_exchange_t *exchange)
 {
 	const char *token_counts = request_header(exchange, SKH_HEADER_TOKENS);
 	const char *length_hint = request_header(exchange, SKH_HEADER_LENGTH_HINT);
@@ -727,7 +730,8 @@
 
 	if (length_hint && g_ascii_strtod(length_hint, NULL) > 0.0)
 		output_tokens = MIN(output_tokens, g_ascii_strtod(length_hint, NULL));
-	return prompt_tokens / 10.0 + output_tokens;
+	exchange->expected_tokens = prompt_tokens / 10.0 + output_tokens;
+	exchange->cache_tokens = prompt_tokens + output_tokens;
 }
 
 /* Identifies a request by customer and content, so that a resend under a new id is recognized. */
@@ -904,10 +908,11 @@
 		return;
 	select_service(exchange);
 	set_homes(exchange);
+	skh_backlog_record_arrival(gateway->backlog, exchange->target_pool->service, now_us);
 	exchange->content_hash = hash_content(exchange);
 	exchange->prompt_parts = skh_prompt_parts_parse(
 		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
-	exchange->expected_tokens = estimate_tokens(exchange);
+	estimate_tokens(exchange);
 	if (!admit(exchange, now_us))
 		return;
 	remaining_us = exchange->deadline_us - now_us;
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -4,12 +4,14 @@
 /**
  * DOC: Gossip reports between gateways
  *
- * Over UDP, each gateway reports to all others how many requests it has
- * in flight at each backend server, and its records of crashes (crash_suspects.h).
+ * Over UDP, each gateway reports to the others how many requests it has
+ * in flight at each backend server, its records of crashes (crash_suspects.h), and its waiting
+ * and started requests (backlog.h).
  * Owns the UDP socket, the addresses of the other gateways and the
  * newest report of each. Runs on the gateway's event loop thread.
  *
- * The send rate is limited to a fixed number of bytes per second. Datagrams may
+ * The send rate is limited to a fixed number of bytes per second. Where it does not allow a report
+ * to each gateway every second, reports go to the gateways in turn, in a random order. Datagrams may
  * be lost, delayed or reordered: each report is complete, a newer one replaces
  * it, and a report that is too old is dropped.
  */
@@ -38,11 +40,11 @@
 uint32_t skh_gossip_count_peers(const skh_gossip_t *gossip);
 
 /**
- * skh_gossip_get_share() - the servers that this gateway prefers; see server_selection.h
+ * skh_gossip_get_share() - the servers of @pool that this gateway prefers; see server_selection.h
  *
- * Not used while reports are frequent, so that the other gateways' counts are current.
+ * Not used while the other gateways' counts are current; see skh_selection_can_use_reports().
  */
-skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip);
+skh_server_share_t skh_gossip_get_share(const skh_gossip_t *gossip, const skh_target_pool_t *pool);
 
 /** skh_gossip_tick() - sends a report when one is due and drops reports that are too old */
 void skh_gossip_tick(skh_gossip_t *gossip);
