Reject at arrival what can't be served in time, limit the concurrency of a group by its gap objective

A lock-step group with all slots in use runs passes that exceed the gap objective of its streams, so every response is late, although two thirds of the slots serve nearly as many on time. The queue's order assumed a first event after 150 ms; under load it takes twice as long, so that requests sent at the last moment were late. After a stop the completion rate was that of the stop, the backlog filled all slots and the first passes processed all its prompts at once.

concurrency_limit.c computes how many requests a rank may run from the gaps between events. wait_forecast.c measures the time to the first event and forecasts the wait from what runs and how long; admission and a check each tick reject what can't be served in time. return_schedule.c spreads returns and recognises them. fair_order.c ranks late requests behind the next priority's that can be on time, shares a priority among customers and keeps a floor for the least urgent priority. load_control.c combines them for a service and paces the starts after a stop. The gateways' shares of the capacity are still equal. A request that is served now leaves the queue by skh_request_queue_start(); RequestQueue.AfterABurst... uses it, its expectations are unchanged.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -133,7 +133,7 @@
 		.last_event_id = exchange->event_stream.last_event_id,
 	};
 
-	skh_request_queue_remove(exchange->target_pool->queue, &exchange->queued_request);
+	skh_request_queue_start(exchange->target_pool->queue, &exchange->queued_request);
 	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
 	if (exchange->n_attempts == 0)
 		skh_retry_share_record_request(&exchange->target_pool->retry_share,
@@ -276,6 +276,20 @@
 			    exchange->first_event_us - exchange->received_us);
 }
 
+/* Events of a stream arrive once a pass of its group, so their distance is a pass's duration. */
+static void record_pass(skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_load_control_t *load = &exchange->target_pool->load;
+
+	if (exchange->first_event_us == 0)
+		skh_wait_forecast_record_first_event(&load->forecast, now_us - exchange->sent_us);
+	else if (exchange->attempt_is_streaming && exchange->last_event_us != 0)
+		skh_concurrency_limit_record_gap(&load->limit, now_us - exchange->last_event_us,
+						 exchange->route->gap_objective_us, now_us);
+	exchange->last_event_us = now_us;
+	exchange->n_passes++;
+}
+
 static void forward_events(skh_exchange_t *exchange, skh_chunk_t bytes)
 {
 	skh_buffer_t out = SKH_BUFFER_INIT;
@@ -283,6 +297,7 @@
 
 	exchange->target->last_received_us = skh_clock_boot_us();
 	if (out.len > 0) {
+		record_pass(exchange, exchange->target->last_received_us);
 		exchange->target->own_streaming += !exchange->attempt_is_streaming;
 		exchange->attempt_is_streaming = true;
 		skh_group_breaker_record_response(&exchange->target_pool->breaker);
@@ -385,6 +400,10 @@
 	if (exchange->state != SKH_EXCHANGE_RESPONDING)
 		begin_response(exchange, true, 0);
 	record_completion(exchange);
+	if (exchange->n_attempts == 1)
+		skh_wait_forecast_record_end(&exchange->target_pool->load.forecast,
+					     exchange->n_passes,
+					     skh_clock_boot_us() - exchange->sent_us);
 	skh_exchange_log_end(exchange, "streamed", exchange->response_status, "-");
 	skh_attempt_release(exchange, SKH_TARGET_OUTCOME_SUCCEEDED,
 			    exchange->first_event_us ? exchange->first_event_us - exchange->sent_us
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -50,6 +50,9 @@
 	int64_t sent_us;	   /* start of the current attempt */
 	int64_t queue_duration_us; /* total time in the queue */
 	int64_t first_event_us;	   /* time of the first event or the response; 0 before */
+	int64_t origin_us;	   /* @received_us, or of the request that was told to return */
+	int64_t last_event_us;	   /* time of the last event; 0 if the gap to the next is unknown */
+	uint32_t n_passes;	   /* passes that brought an event */
 	double expected_tokens;	   /* estimated work */
 	skh_queued_request_t queued_request;
 	GPtrArray *excluded_targets; /* skh_target_t not to retry at; counted references */
--- a/src/backends.c
+++ b/src/backends.c
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "rank_liveness.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define PART "backends"
@@ -30,6 +31,12 @@
 #define TYPICAL_FIRST_EVENT_RANK_MS  150
 #define TYPICAL_FIRST_EVENT_PLAIN_MS 80
 
+/*
+ * Longest time to the first event that the order of the queue allows for. Typical objectives are
+ * 500 ms; a longer time would count every request as late.
+ */
+#define MAX_FIRST_EVENT_US (400 * SKH_US_PER_MS)
+
 struct skh_backends {
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *options;
@@ -293,6 +300,12 @@
 
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
+		pool->pass_cost = (skh_pass_cost_t){
+			.steps_per_pass = service->engine_spec.steps_per_pass,
+			.step_ms = service->engine_spec.step_ms,
+			.step_ms_per_request = service->engine_spec.step_ms_per_request,
+		};
+		pool->rank_slots = service->engine_spec.request_slots;
 		pool->max_connections = service->max_connections;
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
@@ -377,6 +390,62 @@
 	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
 }
 
+skh_load_view_t skh_target_pool_get_load(const skh_target_pool_t *pool, uint32_t n_gateways,
+					 int64_t now_us)
+{
+	bool is_stopped = skh_group_breaker_is_tripped(&pool->breaker) ||
+			  !skh_group_breaker_can_send(&pool->breaker, now_us);
+	skh_load_view_t view = {
+		.share = 1.0 / MAX(n_gateways, 1),
+		.completions_per_s = skh_target_pool_completion_rate(pool, now_us),
+		.is_lock_step = pool->is_lock_step,
+		.is_blocked = pool->is_blocked,
+		.is_stopped = pool->is_lock_step && is_stopped,
+	};
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		view.own_running += target->own_in_flight;
+		view.peers_running += target->peers_running;
+		if (is_retired(target))
+			continue;
+		view.ranks++;
+		view.slots += target->server->slots;
+	}
+	return view;
+}
+
+static void log_limit(const skh_target_pool_t *pool, const skh_load_view_t *view)
+{
+	const skh_concurrency_limit_t *limit = &pool->load.limit;
+	uint32_t own = skh_load_control_own_limit(&pool->load, view);
+
+	skh_log(SKH_LOG_INFO, PART, "Concurrency limit of a group changed.",
+		"service=%s reason=%s per_rank=%.1f own=%" PRId64 " running=%u peers=%u"
+		" pass_ms=%" PRId64 " skew=%.2f spread=%.2f gap_objective_ms=%" PRId64,
+		pool->service, skh_limit_reason_name(limit->reason), limit->per_rank,
+		own == UINT32_MAX ? -1 : (int64_t)own, view->own_running, view->peers_running,
+		limit->mean_pass_us / SKH_US_PER_MS, limit->skew, limit->spread,
+		limit->gap_objective_us / SKH_US_PER_MS);
+}
+
+void skh_target_pool_update_load(skh_target_pool_t *pool, uint32_t n_gateways, int64_t now_us)
+{
+	skh_load_view_t view;
+	int64_t typical_us = pool->typical_first_event_ms * SKH_US_PER_MS;
+	int64_t first_event_us;
+
+	if (!pool->is_lock_step)
+		return;
+	view = skh_target_pool_get_load(pool, n_gateways, now_us);
+	if (skh_load_control_update(&pool->load, &view, &pool->pass_cost, pool->rank_slots, now_us))
+		log_limit(pool, &view);
+	first_event_us = skh_wait_forecast_first_event_us(&pool->load.forecast, typical_us);
+	skh_request_queue_set_delay(pool->queue,
+				    MIN(first_event_us, MAX_FIRST_EVENT_US) - typical_us);
+}
+
 static void advance_rate_slots(skh_target_pool_t *pool, int64_t now_us)
 {
 	int64_t slot = now_us / RATE_SLOT_US;
--- a/src/backends.h
+++ b/src/backends.h
@@ -11,6 +11,7 @@
  */
 
 #include "group_breaker.h"
+#include "load_control.h"
 #include "request_queue.h"
 #include "retry_share.h"
 #include "roster.h"
@@ -68,6 +69,10 @@
 	skh_retry_share_t retry_share;
 	bool is_lock_step;
 	skh_group_breaker_t breaker; /* circuit breaker of a lock-step group */
+	skh_load_control_t load;     /* limit of concurrency, forecasts, returns */
+	skh_pass_cost_t pass_cost;   /* of a lock-step group; zero if unknown */
+	uint32_t rank_slots;	     /* request slots of a rank; 0 if unknown */
+	bool is_blocked;	     /* the last attempt to send found no room */
 	uint32_t max_connections;
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
@@ -125,6 +130,16 @@
  */
 void skh_backends_set_slowdowns(skh_backends_t *backends, const char *text);
 
+/**
+ * skh_target_pool_get_load() - the load of the service as this gateway sees it
+ * @n_gateways: gateways in all, which get equal shares of the capacity
+ */
+skh_load_view_t skh_target_pool_get_load(const skh_target_pool_t *pool, uint32_t n_gateways,
+					 int64_t now_us);
+
+/** skh_target_pool_update_load() - compute the limit of concurrency anew and log its changes */
+void skh_target_pool_update_load(skh_target_pool_t *pool, uint32_t n_gateways, int64_t now_us);
+
 /** skh_target_pool_has_servers() - true when a server is neither leaving nor superseded */
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -221,13 +221,22 @@
 {
 	int64_t time_to_first_event_us =
 		exchange->target_pool->typical_first_event_ms * SKH_US_PER_MS + RESPONSE_TRANSIT_US;
-	int64_t abandoned_at_us = exchange->received_us + caller_timeout_us(exchange);
+	bool is_resumed = exchange->state == SKH_EXCHANGE_RESPONDING;
+	/* The caller of a stream leaves some time after the last event that it got. */
+	int64_t waits_since_us = is_resumed && exchange->last_event_us != 0
+					 ? exchange->last_event_us
+					 : exchange->received_us;
+	int64_t abandoned_at_us = waits_since_us + caller_timeout_us(exchange);
 
 	exchange->queued_request = (skh_queued_request_t){
+		.is_resumed = is_resumed,
+		.has_returned = exchange->origin_us != exchange->received_us,
+		.customer =
+			skh_chunk_hash(skh_chunk_from_string(skh_exchange_customer(exchange)), 0),
 		.was_rejected_as_probe = exchange->rejected_probes > 0,
 		.priority = skh_exchange_priority(exchange),
 		.enqueued_us = now_us,
-		.dispatch_objective_us = exchange->received_us + exchange->route->objective_us -
+		.dispatch_objective_us = exchange->origin_us + exchange->route->objective_us -
 					 time_to_first_event_us,
 		.expires_us = MIN(exchange->deadline_us, abandoned_at_us) - time_to_first_event_us,
 		.index = -1,
@@ -243,16 +252,35 @@
 	skh_exchange_dispatch(exchange->gateway);
 }
 
-/* Estimates the queueing time from the completion rate; 0 if the rate is unknown. */
-static int64_t expected_wait_us(const skh_exchange_t *exchange, int64_t now_us)
+static uint32_t count_gateways(const skh_gateway_t *gateway)
 {
-	double completions_per_s = skh_target_pool_completion_rate(exchange->target_pool, now_us);
-	uint32_t ahead = skh_request_queue_count_ahead(exchange->target_pool->queue,
-						       &exchange->queued_request, now_us);
+	return skh_gossip_count_peers(gateway->gossip) + 1;
+}
 
-	if (completions_per_s <= 0.0)
-		return 0;
-	return (int64_t)((double)(ahead + 1) / completions_per_s * (double)SKH_US_PER_S);
+static skh_load_view_t get_load(const skh_exchange_t *exchange, int64_t now_us)
+{
+	return skh_target_pool_get_load(exchange->target_pool, count_gateways(exchange->gateway),
+					now_us);
+}
+
+/*
+ * Returns the Retry-After for a request that would have waited too long; 0 if it could not be
+ * served after one that its caller honours either.
+ */
+static int64_t schedule_return_ms(const skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_target_pool_t *pool = exchange->target_pool;
+	const skh_load_view_t load = get_load(exchange, now_us);
+	const skh_rejected_request_t rejected = {
+		.queued = &exchange->queued_request,
+		.content_hash = exchange->content_hash,
+		.origin_us = exchange->origin_us,
+		.deadline_us = exchange->deadline_us,
+	};
+	int64_t pause_us = skh_load_control_schedule_return(&pool->load, &load, pool->queue,
+							    &rejected, now_us);
+
+	return (pause_us + SKH_US_PER_MS - 1) / SKH_US_PER_MS;
 }
 
 /* A request that tests a suspected part keeps this role until it ends. */
@@ -282,12 +310,32 @@
 		       : skh_request_queue_peek(pool->queue, now_us);
 }
 
+/*
+ * Whether the load of the group lets the next request start; records why not. A stream that is
+ * continued holds its place, and a probe of a group is no load.
+ */
+static bool can_start(skh_target_pool_t *pool, const skh_load_view_t *load,
+		      const skh_queued_request_t *queued_request, int64_t now_us)
+{
+	if (!pool->is_lock_step || queued_request->is_resumed || load->is_stopped)
+		return true;
+	if (skh_load_control_is_paced(&pool->load, load, now_us))
+		return false;
+	pool->is_blocked = !skh_load_control_can_start(&pool->load, load, queued_request->priority);
+	return !pool->is_blocked;
+}
+
 static void dispatch_pool(skh_target_pool_t *pool, void *context)
 {
 	int64_t now_us = skh_clock_boot_us();
 	skh_queued_request_t *queued_request;
+	skh_load_view_t load = { 0 };
 
-	(void)context;
+	pool->is_blocked = false;
+	if (skh_request_queue_length(pool->queue) == 0)
+		return;
+	if (pool->is_lock_step)
+		load = skh_target_pool_get_load(pool, count_gateways(context), now_us);
 	while ((queued_request = peek_next(pool, now_us)) != NULL) {
 		skh_exchange_t *exchange = exchange_from_queued(queued_request);
 		skh_target_t *target;
@@ -300,11 +348,16 @@
 		}
 		if (pool->is_lock_step && !skh_group_breaker_can_send(&pool->breaker, now_us))
 			return;
+		if (!can_start(pool, &load, queued_request, now_us))
+			return;
 		target = skh_target_pool_select(pool, exchange->excluded_targets,
 						skh_gossip_get_share(exchange->gateway->gossip),
 						now_us);
+		pool->is_blocked = target == NULL;
 		if (!target)
 			return;
+		skh_load_control_record_start(&pool->load, &load, now_us);
+		load.own_running++;
 		skh_attempt_send(exchange, target, now_us);
 	}
 }
@@ -314,18 +367,24 @@
 	if (gateway->is_dispatching)
 		return;
 	gateway->is_dispatching = true;
-	skh_backends_for_each_pool(gateway->backends, dispatch_pool, NULL);
+	skh_backends_for_each_pool(gateway->backends, dispatch_pool, gateway);
 	gateway->is_dispatching = false;
 }
 
-static void end_expired(skh_exchange_t *exchange, int64_t accepts_from_us, int64_t now_us)
+/* Ends a request that waits. */
+static void end_waiting(skh_exchange_t *exchange, int64_t accepts_from_us, int64_t now_us,
+			const char *reason)
 {
-	int64_t wait_us = MAX(expected_wait_us(exchange, now_us), accepts_from_us - now_us);
+	skh_target_pool_t *pool = exchange->target_pool;
+	int64_t retry_after_ms =
+		accepts_from_us > now_us
+			? skh_exchange_retry_after_ms(exchange,
+						      (accepts_from_us - now_us) / SKH_US_PER_MS)
+			: schedule_return_ms(exchange, now_us);
 
-	end_unserved(exchange, SKH_OVERLOADED,
-		     skh_exchange_retry_after_ms(
-			     exchange, MAX(wait_us / SKH_US_PER_MS, SKH_DEFAULT_RETRY_AFTER_MS)),
-		     "no server had capacity in time");
+	skh_request_queue_remove(pool->queue, &exchange->queued_request);
+	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
+	end_unserved(exchange, SKH_OVERLOADED, retry_after_ms, reason);
 }
 
 static void end_expired_in_pool(skh_target_pool_t *pool, void *context)
@@ -338,14 +397,38 @@
 	/* A request that expires before any server accepts one is not kept until then. */
 	while ((queued_request = skh_request_queue_find_expired(
 			pool->queue, MAX(now_us, accepts_from_us))) != NULL) {
-		skh_exchange_t *exchange = exchange_from_queued(queued_request);
+		skh_metrics_add(SKH_COUNT_REJECTED_WAITED, 1);
+		end_waiting(exchange_from_queued(queued_request), accepts_from_us, now_us,
+			    "no server had capacity in time");
+	}
+}
 
-		skh_request_queue_remove(pool->queue, queued_request);
-		exchange->queue_duration_us += now_us - queued_request->enqueued_us;
-		end_expired(exchange, accepts_from_us, now_us);
+/* Requests behind more than the servers can serve in time get their rejection at once. */
+static void end_unservable_in_pool(skh_target_pool_t *pool, void *context)
+{
+	int64_t now_us = skh_clock_boot_us();
+	g_autoptr(GPtrArray) found = NULL;
+	skh_load_view_t load;
+
+	if (!pool->is_lock_step || skh_request_queue_length(pool->queue) == 0)
+		return;
+	load = skh_target_pool_get_load(pool, count_gateways(context), now_us);
+	if (!load.is_blocked && !load.is_stopped)
+		return;
+	found = g_ptr_array_new();
+	skh_load_control_find_unservable(&pool->load, &load, pool->queue, found, now_us);
+	for (guint i = 0; i < found->len; i++) {
+		skh_metrics_add(SKH_COUNT_REJECTED_BACKLOG, 1);
+		end_waiting(exchange_from_queued(g_ptr_array_index(found, i)), 0, now_us,
+			    "more requests wait than can be served in time");
 	}
 }
 
+static void update_load(skh_target_pool_t *pool, void *context)
+{
+	skh_target_pool_update_load(pool, count_gateways(context), skh_clock_boot_us());
+}
+
 /* Retries the target's requests elsewhere, where the retry policy allows. */
 static void retry_all_elsewhere(skh_gateway_t *gateway, skh_target_t *target)
 {
@@ -413,8 +496,10 @@
 void skh_exchange_tick(skh_gateway_t *gateway)
 {
 	skh_backends_for_each_pool(gateway->backends, abandon_lost_ranks, gateway);
+	skh_backends_for_each_pool(gateway->backends, update_load, gateway);
 	skh_backends_for_each_pool(gateway->backends, end_expired_in_pool, NULL);
 	skh_exchange_dispatch(gateway);
+	skh_backends_for_each_pool(gateway->backends, end_unservable_in_pool, gateway);
 }
 
 /* --- Callers --- */
@@ -461,6 +546,8 @@
 	if (!exchange->upstream_paused || !exchange->upstream)
 		return;
 	exchange->upstream_paused = false;
+	/* The next gap is the caller's. */
+	exchange->last_event_us = 0;
 	skh_upstream_set_paused(exchange->upstream, false);
 }
 
@@ -511,6 +598,7 @@
 	exchange->request = request;
 	exchange->link.data = exchange;
 	exchange->received_us = skh_caller_conn_received_us(conn);
+	exchange->origin_us = exchange->received_us;
 	exchange->queued_request.index = -1;
 	exchange->excluded_targets = g_ptr_array_new();
 	exchange->response_headers = g_string_new(NULL);
@@ -590,7 +678,7 @@
 static bool admit(skh_exchange_t *exchange, int64_t now_us)
 {
 	int64_t accepts_from_us;
-	int64_t wait_us;
+	skh_load_view_t load;
 
 	if (is_crash_suspect(exchange, now_us)) {
 		reject_crash_suspect(exchange);
@@ -622,15 +710,33 @@
 			"the group of servers is down");
 		return false;
 	}
-	wait_us = expected_wait_us(exchange, now_us);
-	if (now_us + wait_us <= exchange->queued_request.expires_us)
+	load = get_load(exchange, now_us);
+	if (!load.is_blocked && !load.is_stopped)
 		return true;
-	skh_exchange_reject(exchange, SKH_OVERLOADED,
-			    skh_exchange_retry_after_ms(exchange, wait_us / SKH_US_PER_MS),
+	if (skh_load_control_can_serve(&exchange->target_pool->load, &load,
+				       exchange->target_pool->queue, &exchange->queued_request,
+				       now_us))
+		return true;
+	skh_metrics_add(SKH_COUNT_REJECTED_FORECAST, 1);
+	skh_exchange_reject(exchange, SKH_OVERLOADED, schedule_return_ms(exchange, now_us),
 			    "the expected wait is too long");
 	return false;
 }
 
+static void record_arrival(skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_load_control_t *load = &exchange->target_pool->load;
+	int64_t origin_us = skh_return_schedule_take(&load->returns, exchange->content_hash,
+						     exchange->deadline_us, now_us);
+
+	if (origin_us != 0) {
+		exchange->origin_us = origin_us;
+		skh_metrics_add(SKH_COUNT_RETURNED, 1);
+	}
+	skh_load_control_record_arrival(load, skh_exchange_priority(exchange),
+					exchange->deadline_us - now_us, now_us);
+}
+
 static void on_request(void *context, skh_caller_conn_t *conn, const skh_http_message_t *request)
 {
 	skh_gateway_t *gateway = context;
@@ -643,6 +749,7 @@
 		return;
 	select_service(exchange);
 	exchange->content_hash = hash_content(exchange);
+	record_arrival(exchange, now_us);
 	exchange->prompt_parts = skh_prompt_parts_parse(
 		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
 	exchange->expected_tokens = estimate_tokens(exchange);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,13 @@
 	[SKH_COUNT_ENGINE_ORDERS] = { "engine_orders", "Orders sent to engines" },
 	[SKH_COUNT_MAP_CHANGES] = { "map_changes", "Expert maps put in use" },
 	[SKH_COUNT_MAP_FAILURES] = { "map_failures", "Changes of expert maps that failed" },
+	[SKH_COUNT_REJECTED_FORECAST] = { "rejected_forecast",
+					  "Requests rejected at arrival for a long wait" },
+	[SKH_COUNT_REJECTED_BACKLOG] = { "rejected_backlog",
+					 "Waiting requests rejected as not servable in time" },
+	[SKH_COUNT_REJECTED_WAITED] = { "rejected_waited",
+					"Requests rejected after waiting in vain" },
+	[SKH_COUNT_RETURNED] = { "returned", "Requests that came back when they were told to" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -54,6 +54,10 @@
 	SKH_COUNT_ENGINE_ORDERS,
 	SKH_COUNT_MAP_CHANGES,
 	SKH_COUNT_MAP_FAILURES,
+	SKH_COUNT_REJECTED_FORECAST, /* at arrival: would have waited too long */
+	SKH_COUNT_REJECTED_BACKLOG,  /* while waiting: can't be served in time any more */
+	SKH_COUNT_REJECTED_WAITED,   /* at the end of the time that they could wait */
+	SKH_COUNT_RETURNED,
 	SKH_COUNTER_COUNT
 } skh_counter_t;
 
--- a/src/request_queue.h
+++ b/src/request_queue.h
@@ -7,8 +7,9 @@
  * Orders the requests that wait for a server of one service. After a burst beyond
  * capacity, first-in-first-out order would make every request miss its latency
  * objective for as long as the backlog lasts. The queue serves lower priority numbers
- * first. Within a priority, requests that can still meet their objective come first,
- * and late requests get the remaining capacity. The owner rejects the requests that
+ * first. Within a priority, requests that can still meet their objective come first. A late
+ * request goes after those of the next priority that can meet theirs, and a customer delays
+ * only its own requests (fair_order.h). The owner rejects the requests that
  * skh_request_queue_find_expired() finds, so that no request waits that can't be served
  * any more.
  *
@@ -33,6 +34,10 @@
 	int64_t expires_us;	       /* time from which the request can't be served any more */
 	int32_t index;		       /* position in the queue's array; -1 if not queued */
 	bool was_rejected_as_probe;    /* rejected as a probe of a tripped group */
+	bool is_resumed;	       /* a stream that is continued at another server */
+	bool has_returned;	       /* came back at the time that it was told */
+	uint64_t customer;	       /* hash of the customer's name */
+	double fair_tag;	       /* set by the queue, see fair_order.h */
 } skh_queued_request_t;
 
 typedef struct skh_request_queue skh_request_queue_t;
@@ -41,9 +46,29 @@
 void skh_request_queue_free(skh_request_queue_t *queue);
 
 void skh_request_queue_enqueue(skh_request_queue_t *queue, skh_queued_request_t *request);
+/** skh_request_queue_remove() - take out a request that is not served */
 void skh_request_queue_remove(skh_request_queue_t *queue, skh_queued_request_t *request);
+/** skh_request_queue_start() - take out a request that is served now */
+void skh_request_queue_start(skh_request_queue_t *queue, skh_queued_request_t *request);
 uint32_t skh_request_queue_length(const skh_request_queue_t *queue);
 
+/**
+ * skh_request_queue_set_delay() - set how much longer than assumed the first event takes now
+ * @delay_us: beyond what @dispatch_objective_us and @expires_us allow for; 0 at first
+ */
+void skh_request_queue_set_delay(skh_request_queue_t *queue, int64_t delay_us);
+
+/** skh_request_queue_is_late() - whether @request can't meet its objective any more if sent now */
+bool skh_request_queue_is_late(const skh_request_queue_t *queue,
+			       const skh_queued_request_t *request, int64_t now_us);
+
+/** skh_request_queue_is_expired() - whether @request is not worth sending at @now_us any more */
+bool skh_request_queue_is_expired(const skh_request_queue_t *queue,
+				  const skh_queued_request_t *request, int64_t now_us);
+
+/** skh_request_queue_sort() - the waiting requests in the order of service, without the floor */
+GPtrArray *skh_request_queue_sort(const skh_request_queue_t *queue, int64_t now_us);
+
 /** skh_request_queue_peek() - get the next request without removing it; NULL if empty */
 skh_queued_request_t *skh_request_queue_peek(const skh_request_queue_t *queue, int64_t now_us);
 
@@ -64,6 +89,13 @@
 uint32_t skh_request_queue_count_ahead(const skh_request_queue_t *queue,
 				       const skh_queued_request_t *request, int64_t now_us);
 
+/** skh_request_queue_count_equal() - those of the request's own priority among them */
+uint32_t skh_request_queue_count_equal(const skh_request_queue_t *queue,
+				       const skh_queued_request_t *request, int64_t now_us);
+
+/** skh_request_queue_least_urgent() - the least urgent priority that waits; 0 if none does */
+uint32_t skh_request_queue_least_urgent(const skh_request_queue_t *queue);
+
 #ifdef __cplusplus
 }
 #endif
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -226,7 +226,9 @@
 		if (arrives && next < requests.size()) {
 			skh_queued_request_t &request = requests[next++];
 
-			request = { 1, now, now + 400 * kMs, now + 1800 * kMs, -1, false };
+			request = { 1,	now,   now + 400 * kMs, now + 1800 * kMs,
+				    -1, false, false,		false,
+				    0,	0.0 };
 			// With objectives after the end of the run, requests are served in order of arrival.
 			if (is_fifo)
 				request.dispatch_objective_us = now + 100 * kS;
@@ -237,7 +239,7 @@
 		if (now % (20 * kMs) != 0)
 			continue;
 		if (skh_queued_request_t *first = skh_request_queue_peek(queue, now)) {
-			skh_request_queue_remove(queue, first);
+			skh_request_queue_start(queue, first);
 			in_time += now <= first->enqueued_us + 400 * kMs;
 		}
 	}
@@ -257,9 +259,9 @@
 TEST(RequestQueue, AHigherPriorityIsServedFirst)
 {
 	skh_request_queue_t *queue = skh_request_queue_new();
-	skh_queued_request_t low = { 2, 0, kS, 2 * kS, -1, false };
-	skh_queued_request_t high = { 1, 5, 2 * kS, 3 * kS, -1, false };
-	skh_queued_request_t arriving = { 2, 6, 3 * kS, 4 * kS, -1, false };
+	skh_queued_request_t low = { 2, 0, kS, 2 * kS, -1, false, false, false, 0, 0.0 };
+	skh_queued_request_t high = { 1, 5, 2 * kS, 3 * kS, -1, false, false, false, 0, 0.0 };
+	skh_queued_request_t arriving = { 2, 6, 3 * kS, 4 * kS, -1, false, false, false, 0, 0.0 };
 
 	skh_request_queue_enqueue(queue, &low);
 	skh_request_queue_enqueue(queue, &high);
--- /dev/null
+++ b/test/overload_replay_test.cc
@@ -0,0 +1,473 @@
+// Replays of a lock-step group under overload. Each states what the policy of d21531b does on the
+// same load: first by priority, then what can be on time by its objective with an assumed time to
+// the first event of 150 ms, no limit of concurrency, and admission by the completions of 3.5 s.
+#include "overload_replay.h"
+
+#include "load_control.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <deque>
+#include <map>
+
+using namespace overload;
+
+namespace
+{
+
+constexpr int64_t kTransit = 20 * kMs;
+constexpr int64_t kTypicalFirstEvent = 150 * kMs;
+
+class OldPolicy : public Policy
+{
+      public:
+	explicit OldPolicy(const Site &site) : site(site)
+	{
+	}
+
+	Verdict admit(Request *request, const View &, int64_t now) override
+	{
+		int64_t wait = expected_wait(request, now);
+
+		if (queue.empty() || now + wait <= expires(request))
+			return { true, 0 };
+		return { false, retry_after(request, wait, now) };
+	}
+
+	void enqueue(Request *request, int64_t) override
+	{
+		queue.push_back(request);
+	}
+
+	Request *next(const View &, int64_t now) override
+	{
+		Request *first = nullptr;
+
+		for (auto *request : queue) {
+			if (!first || is_before(request, first, now))
+				first = request;
+		}
+		return first;
+	}
+
+	void start(Request *request, const View &, int64_t) override
+	{
+		remove(request);
+	}
+	void remove(Request *request) override
+	{
+		queue.erase(std::find(queue.begin(), queue.end(), request));
+	}
+
+	Request *reject(const View &, int64_t now, int64_t *retry) override
+	{
+		for (auto *request : queue) {
+			if (now < expires(request))
+				continue;
+			*retry = retry_after(request, expected_wait(request, now), now);
+			remove(request);
+			return request;
+		}
+		return nullptr;
+	}
+
+	void on_end(const Request *, int64_t now) override
+	{
+		completions.push_back(now);
+	}
+
+      private:
+	int64_t objective(const Request *request) const
+	{
+		return request->received_us + site.objective_us[request->priority] -
+		       kTypicalFirstEvent - kTransit;
+	}
+
+	static int64_t expires(const Request *request)
+	{
+		return std::min(request->deadline_us, request->received_us + 2 * kS) -
+		       kTypicalFirstEvent - kTransit;
+	}
+
+	bool is_before(const Request *a, const Request *b, int64_t now) const
+	{
+		bool a_can_meet = now <= objective(a);
+
+		if (a->priority != b->priority)
+			return a->priority < b->priority;
+		if (a_can_meet != (now <= objective(b)))
+			return a_can_meet;
+		return a_can_meet ? objective(a) < objective(b) : expires(a) < expires(b);
+	}
+
+	int64_t expected_wait(const Request *request, int64_t now)
+	{
+		int64_t ahead = 0;
+
+		while (!completions.empty() && completions.front() < now - 3500 * kMs)
+			completions.pop_front();
+		for (auto *other : queue)
+			ahead += !is_before(request, other, now);
+		return completions.empty() ? 0
+					   : (ahead + 1) * 3500 * kMs /
+						     static_cast<int64_t>(completions.size());
+	}
+
+	static int64_t retry_after(const Request *request, int64_t wait, int64_t now)
+	{
+		return std::min(std::max(wait, 500 * kMs) + 200 * kMs,
+				(request->deadline_us - now) / 3);
+	}
+
+	const Site &site;
+	std::vector<Request *> queue;
+	std::deque<int64_t> completions;
+};
+
+std::unique_ptr<Policy> make_old(const Site &site)
+{
+	return std::make_unique<OldPolicy>(site);
+}
+
+class NewPolicy : public Policy
+{
+      public:
+	explicit NewPolicy(const Site &site) : site(site), queue(skh_request_queue_new())
+	{
+	}
+	~NewPolicy() override
+	{
+		skh_request_queue_free(queue);
+	}
+
+	Verdict admit(Request *request, const View &view, int64_t now) override
+	{
+		uint64_t hash = reinterpret_cast<uintptr_t>(request);
+		skh_load_view_t load = make_load_view(view);
+
+		skh_load_control_record_arrival(&control, request->priority,
+						request->deadline_us - now, now);
+		items[request].request = request;
+		skh_queued_request_t &queued = items[request].queued;
+		queued = {};
+		queued.priority = request->priority;
+		queued.enqueued_us = now;
+		queued.index = -1;
+		queued.customer = request->customer;
+		int64_t origin =
+			skh_return_schedule_take(&control.returns, hash, request->deadline_us, now);
+		queued.has_returned = origin != 0;
+		queued.dispatch_objective_us = (origin ? origin : now) +
+					       site.objective_us[request->priority] -
+					       kTypicalFirstEvent - kTransit;
+		queued.expires_us = std::min(request->deadline_us, now + 2 * kS) -
+				    kTypicalFirstEvent - kTransit;
+		if (skh_request_queue_length(queue) == 0)
+			return { true, 0 };
+		if (skh_load_control_can_serve(&control, &load, queue, &queued, now))
+			return { true, 0 };
+		return { false, schedule(request, view, now) };
+	}
+
+	void enqueue(Request *request, int64_t) override
+	{
+		skh_request_queue_enqueue(queue, &items[request].queued);
+	}
+
+	Request *next(const View &view, int64_t now) override
+	{
+		skh_load_view_t load = make_load_view(view);
+
+		skh_queued_request_t *first = skh_request_queue_peek(queue, now);
+
+		is_paced = skh_load_control_is_paced(&control, &load, now);
+		return first && !is_paced &&
+				       skh_load_control_can_start(&control, &load, first->priority)
+			       ? find(first)
+			       : nullptr;
+	}
+
+	void start(Request *request, const View &view, int64_t now) override
+	{
+		skh_load_view_t load = make_load_view(view);
+
+		skh_load_control_record_start(&control, &load, now);
+		skh_request_queue_start(queue, &items[request].queued);
+	}
+	void remove(Request *request) override
+	{
+		skh_request_queue_remove(queue, &items[request].queued);
+	}
+
+	Request *reject(const View &view, int64_t now, int64_t *retry) override
+	{
+		if (unservable.empty()) {
+			skh_load_view_t load = make_load_view(view);
+			GPtrArray *found = g_ptr_array_new();
+
+			skh_load_control_find_unservable(&control, &load, queue, found, now);
+			for (guint i = 0; i < found->len; i++)
+				unservable.push_back(find(static_cast<skh_queued_request_t *>(
+					g_ptr_array_index(found, i))));
+			g_ptr_array_unref(found);
+		}
+		if (unservable.empty())
+			return nullptr;
+		Request *request = unservable.front();
+		unservable.pop_front();
+		*retry = schedule(request, view, now);
+		remove(request);
+		return request;
+	}
+
+	bool is_waiting_for_pace() const override
+	{
+		return is_paced;
+	}
+	void on_event(const Request *, int64_t gap, int64_t now) override
+	{
+		skh_concurrency_limit_record_gap(&control.limit, gap, site.gap_objective_us, now);
+	}
+	void on_first_event(const Request *request, int64_t now) override
+	{
+		skh_wait_forecast_record_first_event(&control.forecast, now - request->sent_us);
+	}
+	void on_end(const Request *request, int64_t now) override
+	{
+		if (request->events == request->length)
+			skh_wait_forecast_record_end(&control.forecast, request->events,
+						     now - request->sent_us);
+	}
+	void on_tick(const View &view, int64_t now) override
+	{
+		skh_pass_cost_t cost = { site.steps, site.step_ms, site.step_ms_per_request };
+		skh_load_view_t load = make_load_view(view);
+
+		skh_load_control_update(&control, &load, &cost, site.slots, now);
+		skh_request_queue_set_delay(
+			queue, std::min(skh_wait_forecast_first_event_us(&control.forecast,
+									 kTypicalFirstEvent),
+					kMaxFirstEvent) -
+				       kTypicalFirstEvent);
+	}
+
+      private:
+	static constexpr int64_t kMaxFirstEvent = 400 * kMs;
+
+	skh_load_view_t make_load_view(const View &view) const
+	{
+		skh_load_view_t load = {};
+
+		load.ranks = site.ranks;
+		load.slots = site.ranks * site.slots;
+		load.own_running = view.own_running;
+		load.peers_running = view.peers_running;
+		load.share = 1.0 / site.gateways;
+		load.is_lock_step = true;
+		load.is_blocked = view.is_blocked;
+		load.is_stopped = view.is_silent;
+		return load;
+	}
+
+	int64_t schedule(const Request *request, const View &view, int64_t now)
+	{
+		skh_load_view_t load = make_load_view(view);
+		skh_rejected_request_t rejected = { &items[request].queued,
+						    reinterpret_cast<uintptr_t>(request),
+						    request->origin_us, request->deadline_us };
+
+		return skh_load_control_schedule_return(&control, &load, queue, &rejected, now);
+	}
+
+	struct Item {
+		skh_queued_request_t queued;
+		Request *request;
+	};
+
+	static Request *find(skh_queued_request_t *queued)
+	{
+		return reinterpret_cast<Item *>(queued)->request;
+	}
+
+	const Site &site;
+	skh_request_queue_t *queue;
+	skh_load_control_t control = {};
+	std::map<const Request *, Item> items;
+	std::deque<Request *> unservable;
+	bool is_paced = false;
+};
+
+std::unique_ptr<Policy> make_new(const Site &site)
+{
+	return std::make_unique<NewPolicy>(site);
+}
+
+void print(const char *load, const char *policy, const Replay &replay, double from_s, double to_s)
+{
+	Tally all = replay.tally(from_s, to_s);
+
+	std::printf("%-28s %-4s worth %.3f running %.0f longest pass %.0f ms |", load, policy,
+		    all.worth(), replay.mean_running(), replay.longest_pass_ms(from_s));
+	for (int priority = 0; priority < kPriorities; priority++) {
+		Tally tally = replay.tally(from_s, to_s, priority);
+
+		std::printf(" p%d %u: %u on time, %u late, %u rejected, %u left |", priority,
+			    tally.offered, tally.on_time, tally.late, tally.rejected,
+			    tally.abandoned);
+	}
+	std::printf("\n");
+}
+
+// Expert demand has shifted: passes take 2.3 times as long until the map follows.
+Site make_shifted(double factor)
+{
+	Site site;
+
+	site.skew = [factor](double at) { return at >= 3 && at < 18 ? factor : 1.0; };
+	return site;
+}
+
+// The group stops for 5 s and has a shifted demand for 6 s afterwards.
+Site make_stop()
+{
+	Site site;
+
+	site.is_stopped = [](double at) { return at >= 3 && at < 8; };
+	site.skew = [](double at) { return at >= 8 && at < 14 ? 2.0 : 1.0; };
+	return site;
+}
+
+Site make_slow_ranks()
+{
+	Site site;
+
+	site.skew = [](double at) { return at >= 3 && at < 12 ? 6.0 : 1.0; };
+	return site;
+}
+
+Site make_burst()
+{
+	Site site;
+
+	site.skew = [](double) { return 1.9; };
+	site.burst = [](double at, int priority) {
+		return at >= 3 && at < 15 && priority == 2 ? 2.5 : 1.0;
+	};
+	return site;
+}
+
+Site make_large_customer()
+{
+	Site site;
+
+	site.skew = [](double) { return 1.6; };
+	site.large_customer = 10;
+	return site;
+}
+
+} // namespace
+
+struct Comparison {
+	std::unique_ptr<Replay> before, after;
+
+	Comparison(const char *load, const Site &site, double to_s)
+	    : before(std::make_unique<Replay>(site, make_old)),
+	      after(std::make_unique<Replay>(site, make_new))
+	{
+		before->run();
+		after->run();
+		print(load, "old", *before, kFrom, to_s);
+		print(load, "new", *after, kFrom, to_s);
+	}
+
+	static constexpr double kFrom = 2;
+};
+
+// Nothing is limited, delayed or rejected while servers have room.
+TEST(OverloadReplay, ChangesNothingOnALightLoad)
+{
+	for (uint32_t gateways : { 5U, 15U, 22U, 52U }) {
+		Site site;
+
+		site.gateways = gateways;
+		Comparison both("light", site, 25);
+		Tally all = both.after->tally(2, 25);
+
+		EXPECT_EQ(all.on_time, all.offered);
+	}
+}
+
+// Before: every slot is used, so that every gap exceeds the objective and all responses are late.
+TEST(OverloadReplay, KeepsTheGapObjectiveWhenPassesAreLonger)
+{
+	for (uint32_t gateways : { 5U, 15U, 22U, 52U }) {
+		Site site = make_shifted(1.8);
+
+		site.gateways = gateways;
+		Comparison both("shifted 1.8", site, 25);
+		Tally before = both.before->tally(4, 18), after = both.after->tally(4, 18);
+
+		EXPECT_LT(before.on_time, before.offered / 20);
+		EXPECT_GT(after.on_time, after.offered * 2 / 5);
+		EXPECT_GT(both.after->tally(4, 18, 0).on_time,
+			  both.after->tally(4, 18, 0).offered * 3 / 4);
+	}
+}
+
+TEST(OverloadReplay, ServesMoreOnTimeWhenPassesAreTwiceAsLong)
+{
+	Comparison both("shifted 2.3", make_shifted(2.3), 25);
+
+	EXPECT_GT(both.after->tally(2, 25).on_time, both.before->tally(2, 25).on_time * 5 / 4);
+	EXPECT_GT(both.after->tally(2, 25, 0).on_time, both.before->tally(2, 25, 0).on_time * 2);
+	EXPECT_GT(both.after->tally(2, 25).worth(), both.before->tally(2, 25).worth() - 0.02);
+}
+
+// The gap objective is out of reach, so nothing is gained by a limit.
+TEST(OverloadReplay, LosesLittleWhereTheObjectiveIsOutOfReach)
+{
+	Comparison shifted("shifted 3.5", make_shifted(3.5), 25);
+	Comparison slow("slow ranks", make_slow_ranks(), 25);
+
+	EXPECT_GT(shifted.after->tally(2, 25).worth(), shifted.before->tally(2, 25).worth() - 0.03);
+	EXPECT_GT(slow.after->tally(2, 25).worth(), slow.before->tally(2, 25).worth() - 0.05);
+	EXPECT_GE(slow.after->tally(2, 25).on_time, slow.before->tally(2, 25).on_time);
+}
+
+// Before: after a stop of 5 s, the backlog fills all slots and is served late for 6 s.
+TEST(OverloadReplay, AfterAStopWhatCanBeOnTimeGoesFirst)
+{
+	Comparison both("stop", make_stop(), 25);
+
+	EXPECT_GT(both.after->tally(2, 25, 0).on_time, both.before->tally(2, 25, 0).on_time);
+	EXPECT_GT(both.after->tally(8, 15).on_time, both.before->tally(8, 15).on_time * 5 / 4);
+	EXPECT_GT(both.after->tally(2, 25).worth(), both.before->tally(2, 25).worth() - 0.04);
+}
+
+// Before: the least urgent kind takes the slots of the others, and nothing is on time.
+TEST(OverloadReplay, ABurstOfTheLeastUrgentKindLeavesTheOthersOnTime)
+{
+	Comparison both("burst", make_burst(), 25);
+	Tally before = both.before->tally(2, 25, 0), urgent = both.after->tally(2, 25, 0);
+	Tally least = both.after->tally(2, 25, 2);
+
+	EXPECT_LT(before.on_time, before.offered / 20);
+	EXPECT_GT(urgent.on_time, urgent.offered * 3 / 4);
+	// The floor: some of the least urgent kind are served, although the others would fill all.
+	EXPECT_GT(least.served(), 60U);
+	EXPECT_GT(both.after->tally(2, 25).worth(), both.before->tally(2, 25).worth() + 0.1);
+}
+
+// Before: a customer with ten times the share of others delays all of them.
+TEST(OverloadReplay, ALargeCustomerDelaysItself)
+{
+	Comparison both("large customer", make_large_customer(), 25);
+	Tally all = both.after->tally(2, 25), large = both.after->tally(2, 25, -1, 0);
+	double others =
+		static_cast<double>(all.served() - large.served()) / (all.offered - large.offered);
+
+	EXPECT_GT(both.after->tally(2, 25).worth(), both.before->tally(2, 25).worth() + 0.1);
+	EXPECT_GT(others, static_cast<double>(large.served()) / large.offered);
+	EXPECT_GT(large.served(), large.offered / 10);
+}
