--- a/src/backends.c
+++ b/src/backends.c
@@ -2,9 +2,9 @@
 
 #include "clock.h"
 #include "log.h"
+#include "pool_groups.h"
 #include "rank_liveness.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 #define PART "backends"
@@ -31,12 +31,6 @@
 #define TYPICAL_FIRST_EVENT_RANK_MS  150
 #define TYPICAL_FIRST_EVENT_PLAIN_MS 80
 
-/*
- * Longest time to the first event that the order of the queue allows for. Typical objectives are
- * 500 ms; a longer time would count every request as late.
- */
-#define MAX_FIRST_EVENT_US (400 * SKH_US_PER_MS)
-
 struct skh_backends {
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *options;
@@ -51,6 +45,7 @@
 {
 	skh_target_pool_t *pool = data;
 
+	skh_pool_groups_clear(pool);
 	(void)g_ptr_array_free(pool->targets, TRUE);
 	skh_request_queue_free(pool->queue);
 	g_free(pool->service);
@@ -62,6 +57,7 @@
 	skh_target_t *target = data;
 
 	target->is_listed = false;
+	skh_pool_groups_on_ended(target);
 	(void)g_ptr_array_remove(target->target_pool->targets, target);
 	skh_target_unref(target);
 }
@@ -110,6 +106,7 @@
 	pool->targets = g_ptr_array_new();
 	pool->queue = skh_request_queue_new();
 	pool->typical_first_event_ms = TYPICAL_FIRST_EVENT_PLAIN_MS;
+	skh_pool_groups_init(pool);
 	g_hash_table_insert(backends->pools, pool->service, pool);
 	return pool;
 }
@@ -167,6 +164,8 @@
 	if (is_added_newer && !other->is_superseded)
 		report_lost(addition->backends, other);
 	other->is_superseded = other->is_superseded || is_added_newer;
+	if (is_added_newer)
+		skh_pool_groups_on_ended(other);
 	added->is_superseded = added->is_superseded || !is_added_newer;
 	skh_log(SKH_LOG_INFO, PART,
 		"Address has a newer instance; the older one gets no new requests.",
@@ -205,6 +204,13 @@
 	g_hash_table_foreach(backends->targets, update_target_slowdown, backends->slowdowns);
 }
 
+void skh_backends_set_members(skh_backends_t *backends, const char *service, const char *group,
+			      const char *text, int64_t revision)
+{
+	skh_pool_groups_apply_notice(skh_backends_get_or_create_pool(backends, service), group,
+				     text, revision, skh_clock_boot_us());
+}
+
 static void add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
@@ -218,10 +224,10 @@
 	target->is_listed = true;
 	update_slowdown(target, backends->slowdowns);
 	g_ptr_array_add(target->target_pool->targets, target);
-	skh_group_breaker_record_rank_start(&target->target_pool->breaker, skh_clock_boot_us());
 	g_hash_table_insert(backends->targets, target->server->id, target);
 	g_hash_table_foreach(backends->targets, mark_superseded,
 			     &(added_target_t){ .backends = backends, .target = target });
+	skh_pool_groups_on_listed(target, skh_clock_boot_us());
 	skh_log(SKH_LOG_INFO, PART, "Server is listed.", "server=%s service=%s address=%s:%u",
 		server->id, server->service, server->host, server->port);
 }
@@ -300,11 +306,10 @@
 
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
-		pool->pass_cost = (skh_pass_cost_t){
-			.steps_per_pass = service->engine_spec.steps_per_pass,
-			.step_ms = service->engine_spec.step_ms,
-			.step_ms_per_request = service->engine_spec.step_ms_per_request,
-		};
+		pool->step_ms = service->engine_spec.step_ms;
+		pool->step_ms_per_request = service->engine_spec.step_ms_per_request;
+		pool->expert_time_ratio = service->engine_spec.expert_time_ratio;
+		pool->steps_per_pass = service->engine_spec.steps_per_pass;
 		pool->rank_slots = service->engine_spec.request_slots;
 		pool->max_connections = service->max_connections;
 		pool->typical_first_event_ms = service->has_engine_spec
@@ -313,8 +318,7 @@
 	}
 }
 
-/* A server that never gets new requests again. */
-static bool is_retired(const skh_target_t *target)
+bool skh_target_is_retired(const skh_target_t *target)
 {
 	return target->server->is_leaving || target->has_announced_leaving || target->is_superseded;
 }
@@ -330,8 +334,8 @@
 	return MAX(target->rejects_until_us, skh_server_limit_free_from_us(&target->limit, now_us));
 }
 
-skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
-				     skh_server_share_t share, int64_t now_us)
+static skh_target_t *select_target(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
+				   skh_server_share_t share, bool probe_only, int64_t now_us)
 {
 	g_autofree skh_candidate_t *candidates = g_new0(skh_candidate_t, pool->targets->len + 1);
 	skh_selection_input_t view = { .candidates = candidates,
@@ -357,21 +361,37 @@
 			.failure_ratio = target->failure_ratio,
 			.avoid_until_us = target->avoid_until_us,
 			.full_until_us = target->full_until_us,
-			.is_excluded = is_retired(target) ||
+			.is_excluded = skh_target_is_retired(target) ||
 				       now_us < target->wrong_instance_until_us ||
 				       now_us < get_accepts_from_us(target, now_us) ||
 				       is_excluded(excluded_targets, target),
 		};
 	}
-	selected = skh_select_server(&view);
+	selected = pool->is_lock_step
+			   ? skh_pool_groups_select(pool, &view, excluded_targets, probe_only)
+			   : skh_select_server(&view);
 	return selected == SKH_SELECTION_NONE ? NULL
 					      : g_ptr_array_index(pool->targets, (guint)selected);
 }
 
+skh_target_t *skh_target_pool_select(skh_target_pool_t *pool, const GPtrArray *excluded_targets,
+				     skh_server_share_t share, int64_t now_us)
+{
+	return select_target(pool, excluded_targets, share, false, now_us);
+}
+
+skh_target_t *skh_target_pool_select_probe(skh_target_pool_t *pool,
+					   const GPtrArray *excluded_targets,
+					   skh_server_share_t share, int64_t now_us)
+{
+	return pool->is_lock_step ? select_target(pool, excluded_targets, share, true, now_us)
+				  : NULL;
+}
+
 bool skh_target_pool_has_servers(const skh_target_pool_t *pool)
 {
 	for (guint i = 0; i < pool->targets->len; i++) {
-		if (!is_retired(g_ptr_array_index(pool->targets, i)))
+		if (!skh_target_is_retired(g_ptr_array_index(pool->targets, i)))
 			return true;
 	}
 	return false;
@@ -384,68 +404,12 @@
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
 
-		if (!is_retired(target))
+		if (!skh_target_is_retired(target))
 			earliest_us = MIN(earliest_us, get_accepts_from_us(target, now_us));
 	}
 	return earliest_us == INT64_MAX || earliest_us <= now_us ? 0 : earliest_us;
 }
 
-skh_load_view_t skh_target_pool_get_load(const skh_target_pool_t *pool, uint32_t n_gateways,
-					 int64_t now_us)
-{
-	bool is_stopped = skh_group_breaker_is_tripped(&pool->breaker) ||
-			  !skh_group_breaker_can_send(&pool->breaker, now_us);
-	skh_load_view_t view = {
-		.share = 1.0 / MAX(n_gateways, 1),
-		.completions_per_s = skh_target_pool_completion_rate(pool, now_us),
-		.is_lock_step = pool->is_lock_step,
-		.is_blocked = pool->is_blocked,
-		.is_stopped = pool->is_lock_step && is_stopped,
-	};
-
-	for (guint i = 0; i < pool->targets->len; i++) {
-		const skh_target_t *target = g_ptr_array_index(pool->targets, i);
-
-		view.own_running += target->own_in_flight;
-		view.peers_running += target->peers_running;
-		if (is_retired(target))
-			continue;
-		view.ranks++;
-		view.slots += target->server->slots;
-	}
-	return view;
-}
-
-static void log_limit(const skh_target_pool_t *pool, const skh_load_view_t *view)
-{
-	const skh_concurrency_limit_t *limit = &pool->load.limit;
-	uint32_t own = skh_load_control_own_limit(&pool->load, view);
-
-	skh_log(SKH_LOG_INFO, PART, "Concurrency limit of a group changed.",
-		"service=%s reason=%s per_rank=%.1f own=%" PRId64 " running=%u peers=%u"
-		" pass_ms=%" PRId64 " skew=%.2f spread=%.2f gap_objective_ms=%" PRId64,
-		pool->service, skh_limit_reason_name(limit->reason), limit->per_rank,
-		own == UINT32_MAX ? -1 : (int64_t)own, view->own_running, view->peers_running,
-		limit->mean_pass_us / SKH_US_PER_MS, limit->skew, limit->spread,
-		limit->gap_objective_us / SKH_US_PER_MS);
-}
-
-void skh_target_pool_update_load(skh_target_pool_t *pool, uint32_t n_gateways, int64_t now_us)
-{
-	skh_load_view_t view;
-	int64_t typical_us = pool->typical_first_event_ms * SKH_US_PER_MS;
-	int64_t first_event_us;
-
-	if (!pool->is_lock_step)
-		return;
-	view = skh_target_pool_get_load(pool, n_gateways, now_us);
-	if (skh_load_control_update(&pool->load, &view, &pool->pass_cost, pool->rank_slots, now_us))
-		log_limit(pool, &view);
-	first_event_us = skh_wait_forecast_first_event_us(&pool->load.forecast, typical_us);
-	skh_request_queue_set_delay(pool->queue,
-				    MIN(first_event_us, MAX_FIRST_EVENT_US) - typical_us);
-}
-
 static void advance_rate_slots(skh_target_pool_t *pool, int64_t now_us)
 {
 	int64_t slot = now_us / RATE_SLOT_US;
@@ -489,11 +453,11 @@
 	for (guint i = 0; i < pool->targets->len; i++) {
 		const skh_target_t *other = g_ptr_array_index(pool->targets, i);
 
-		if (other != target)
+		if (other != target && other->group == target->group)
 			view.group_last_received_us =
 				MAX(view.group_last_received_us, other->last_received_us);
 	}
-	return pool->is_lock_step && skh_rank_liveness_is_unreachable(&view);
+	return pool->is_lock_step && target->group && skh_rank_liveness_is_unreachable(&view);
 }
 
 void skh_target_begin_attempt(skh_target_t *target, double expected_tokens, int64_t now_us)
--- a/src/concurrency_limit.h
+++ b/src/concurrency_limit.h
@@ -59,6 +59,7 @@
 	int64_t window_longest_us;
 	uint32_t n_gaps;
 	int64_t gap_objective_us; /* the shortest of the streams; 0 for none */
+	double logged_per_rank;	  /* limit when a change was last reported */
 } skh_concurrency_limit_t;
 
 /** struct skh_concurrency_input - load of the group at an update */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "exchange.h"
 #include "gossip.h"
 #include "log.h"
+#include "pool_groups.h"
 #include "process.h"
 #include "settings_watcher.h"
 
@@ -38,6 +39,8 @@
 #define MAX_STORED_RECORDS_A_TICK 32
 #define CRASH_WRITE_INTERVAL_US	  (100 * SKH_US_PER_MS)
 
+#define GROUP_METRICS_INTERVAL_US SKH_US_PER_S
+
 typedef struct gateway_process {
 	skh_gateway_t gateway;
 	skh_upstream_pool_options_t pool_options;
@@ -47,6 +50,7 @@
 	skh_store_t *store;
 	skh_settings_watcher_t *settings_watcher;
 	int64_t next_crash_write_us;
+	int64_t next_group_metrics_us;
 	int64_t store_era;	      /* in which the crash records were stored */
 	uint64_t last_peers_change;   /* newest change that skh_feed_get_gateways() returned */
 	uint64_t last_notices_change; /* newest change that skh_feed_get_slow_ranks() returned */
@@ -143,6 +147,31 @@
 		MAX(MIN_GATEWAYS, skh_gossip_count_peers(gateway->gossip) + 1);
 }
 
+static void update_members(gateway_process_t *process)
+{
+	g_autoptr(GPtrArray) notices = skh_feed_take_members(process->gateway.feed);
+
+	for (guint i = 0; notices && i < notices->len; i++) {
+		const skh_feed_members_t *notice = g_ptr_array_index(notices, i);
+
+		skh_backends_set_members(process->gateway.backends, notice->service, notice->group,
+					 notice->text, notice->revision);
+	}
+}
+
+static void publish_pool_metrics(skh_target_pool_t *pool, void *now_us)
+{
+	skh_pool_groups_publish_metrics(pool, *(const int64_t *)now_us);
+}
+
+static void publish_group_metrics(gateway_process_t *process, int64_t now_us)
+{
+	if (now_us < process->next_group_metrics_us)
+		return;
+	process->next_group_metrics_us = now_us + GROUP_METRICS_INTERVAL_US;
+	skh_backends_for_each_pool(process->gateway.backends, publish_pool_metrics, &now_us);
+}
+
 static void update_slowdowns(gateway_process_t *process)
 {
 	g_autofree char *notices =
@@ -270,6 +299,8 @@
 	sync_crash_records(process, now_us);
 	reload_settings(process, now_us);
 	update_peers(process);
+	update_members(process);
+	publish_group_metrics(process, now_us);
 	update_slowdowns(process);
 	update_ready(process, now_us);
 	skh_exchange_tick(&process->gateway);
--- a/src/load_control.c
+++ b/src/load_control.c
@@ -28,24 +28,24 @@
 /* Of a pass, before one was seen. */
 #define TYPICAL_PASS_US ((int64_t)80000)
 
-double skh_load_control_total_running(const skh_load_view_t *view)
+double skh_group_load_running(const skh_group_load_t *load)
 {
-	double by_share = view->share > 0.0 ? view->own_running / view->share : 0.0;
+	double by_share = load->share > 0.0 ? load->own_running / load->share : 0.0;
 
-	return MAX((double)view->own_running + view->peers_running, by_share * OWN_SHARE_WEIGHT);
+	return MAX((double)load->own_running + load->peers_running, by_share * OWN_SHARE_WEIGHT);
 }
 
-uint32_t skh_load_control_own_limit(const skh_load_control_t *control, const skh_load_view_t *view)
+double skh_group_load_own_limit(const skh_concurrency_limit_t *limit, const skh_group_load_t *load)
 {
-	double total = control->limit.per_rank * view->ranks;
-	double own = total * view->share;
-	double room = total - (skh_load_control_total_running(view) - view->own_running);
+	double total = limit->per_rank * load->ranks;
+	double own = total * load->share;
+	double room = total - (skh_group_load_running(load) - load->own_running);
 
-	if (control->limit.per_rank <= 0.0)
-		return UINT32_MAX;
+	if (total <= 0.0)
+		return 0.0;
 	if (room > own)
 		own += (room - own) / 2.0;
-	return (uint32_t)MAX(own + 0.5, 1.0);
+	return MAX(floor(own + 0.5), 1.0);
 }
 
 void skh_load_control_record_arrival(skh_load_control_t *control, uint32_t priority,
@@ -60,25 +60,36 @@
 					    (double)(timeout_us - control->timeout_us));
 }
 
-bool skh_load_control_update(skh_load_control_t *control, const skh_load_view_t *view,
-			     const skh_pass_cost_t *cost, uint32_t rank_slots, int64_t now_us)
+bool skh_load_control_update_limit(const skh_load_control_t *control,
+				   skh_concurrency_limit_t *limit, const skh_group_load_t *load,
+				   const skh_pass_cost_t *cost, uint32_t rank_slots, int64_t now_us)
 {
 	const skh_concurrency_input_t input = {
 		.cost = *cost,
 		.slots = rank_slots,
-		.running_per_rank = skh_load_control_total_running(view) / MAX(view->ranks, 1),
+		.running_per_rank = skh_group_load_running(load) / MAX(load->ranks, 1),
 		.passes = control->forecast.passes,
 		.timeout_us = control->timeout_us,
 	};
-	bool has_new_reason = skh_concurrency_limit_update(&control->limit, &input, now_us);
+	bool has_new_reason = skh_concurrency_limit_update(limit, &input, now_us);
 
-	if (!has_new_reason &&
-	    fabs(control->limit.per_rank - control->logged_per_rank) < REPORTED_CHANGE)
+	if (!has_new_reason && fabs(limit->per_rank - limit->logged_per_rank) < REPORTED_CHANGE)
 		return false;
-	control->logged_per_rank = control->limit.per_rank;
+	limit->logged_per_rank = limit->per_rank;
 	return true;
 }
 
+uint32_t skh_load_control_max_running(const skh_load_control_t *control, double own_limit,
+				      uint32_t priority)
+{
+	double urgency = skh_wait_forecast_urgency(&control->forecast, priority);
+
+	if (own_limit <= 0.0)
+		return 0;
+	/* The requests that run vary by about the root of their number. */
+	return (uint32_t)MAX(ceil(own_limit + urgency * sqrt(own_limit)), 1.0);
+}
+
 static double pace_burst(const skh_load_view_t *view)
 {
 	return MAX(view->ranks * view->share * STARTS_PER_RANK, MIN_PACE_BURST);
@@ -87,8 +98,7 @@
 static double find_pace_tokens(const skh_load_control_t *control, const skh_load_view_t *view,
 			       int64_t now_us)
 {
-	int64_t pass_us =
-		control->limit.mean_pass_us > 0 ? control->limit.mean_pass_us : TYPICAL_PASS_US;
+	int64_t pass_us = view->pass_us > 0 ? view->pass_us : TYPICAL_PASS_US;
 	double burst = pace_burst(view);
 	double refill = burst * (double)(now_us - control->paced_us) / (double)pass_us;
 
@@ -108,30 +118,16 @@
 	return view->is_lock_step && find_pace_tokens(control, view, now_us) < 1.0;
 }
 
-bool skh_load_control_can_start(const skh_load_control_t *control, const skh_load_view_t *view,
-				uint32_t priority)
-{
-	uint32_t own_limit = skh_load_control_own_limit(control, view);
-	double allowed = own_limit;
-
-	if (own_limit == UINT32_MAX)
-		return true;
-	/* The requests that run vary by about the root of their number. */
-	allowed += skh_wait_forecast_urgency(&control->forecast, priority) * sqrt(own_limit);
-	return view->own_running < MAX(allowed, 1.0);
-}
-
 /* Requests that this gateway can expect to run at a time. */
-static double find_capacity(const skh_load_control_t *control, const skh_load_view_t *view)
+static double find_capacity(const skh_load_view_t *view)
 {
-	uint32_t own_limit = skh_load_control_own_limit(control, view);
-	double expected = own_limit != UINT32_MAX ? own_limit : view->slots * view->share;
+	double expected = view->own_limit > 0.0 ? view->own_limit : view->slots * view->share;
 
 	/* Servers may also refuse for a moment that have room. */
 	if (view->is_blocked)
 		expected *= BLOCKED_RATIO;
-	return own_limit != UINT32_MAX && !view->is_blocked ? expected
-							    : MAX(expected, view->own_running);
+	return view->own_limit > 0.0 && !view->is_blocked ? expected
+							  : MAX(expected, view->own_running);
 }
 
 /* Requests a second that this gateway can expect to send; 0 if unknown. */
@@ -139,8 +135,7 @@
 {
 	if (!view->is_lock_step)
 		return view->completions_per_s;
-	return skh_wait_forecast_rate(&control->forecast, find_capacity(control, view),
-				      control->limit.mean_pass_us);
+	return skh_wait_forecast_rate(&control->forecast, find_capacity(view), view->pass_us);
 }
 
 static int64_t forecast_wait(const skh_load_control_t *control, const skh_load_view_t *view,
@@ -153,7 +148,7 @@
 		at.is_behind_equal = false;
 		at.has_floor = false;
 	} else if (!view->is_blocked) {
-		at.free = MAX(find_capacity(control, view) - view->own_running, 0.0);
+		at.free = MAX(find_capacity(view) - view->own_running, 0.0);
 	}
 	return skh_wait_forecast_wait_us(&control->forecast, &at, now_us);
 }
--- a/src/load_control.h
+++ b/src/load_control.h
@@ -7,7 +7,7 @@
  * What a gateway decides about the queue of one service under load: how many of its requests may
  * run, whether a request can be served in time, which waiting requests can't be any more, and when
  * a rejected caller shall come back. Combines concurrency_limit.h, wait_forecast.h and
- * return_schedule.h.
+ * return_schedule.h; pool_load.h applies it to a service's servers.
  *
  * Load pattern: many gateways that each see a part of the traffic in front of one lock-step group.
  * The limit of the group is divided by the gateways' shares; what the others leave unused, by their
@@ -31,33 +31,40 @@
 
 /** struct skh_load_control - state of one service; zero-initialised nothing is known */
 typedef struct skh_load_control {
-	skh_concurrency_limit_t limit;
 	skh_wait_forecast_t forecast;
 	skh_return_schedule_t returns;
 	double pace_tokens; /* requests that may start at @paced_us */
 	int64_t paced_us;
-	int64_t timeout_us;	/* from arrival to deadline, of recent requests */
-	double logged_per_rank; /* limit when a change was last reported */
+	int64_t timeout_us; /* from arrival to deadline, of recent requests */
 } skh_load_control_t;
 
-/** struct skh_load_view - the service as the gateway sees it now */
+/** struct skh_group_load - a lock-step group as the gateway sees it now */
+typedef struct skh_group_load {
+	uint32_t ranks; /* servers that take requests */
+	uint32_t own_running;
+	uint32_t peers_running; /* requests of the other gateways, by their last reports */
+	double share;		/* of the capacity for this gateway, 0 to 1 */
+} skh_group_load_t;
+
+/** struct skh_load_view - a service as the gateway sees it now */
 typedef struct skh_load_view {
 	uint32_t ranks; /* servers that take requests */
 	uint32_t slots; /* of all of them */
 	uint32_t own_running;
-	uint32_t peers_running;	  /* requests of the other gateways, by their last reports */
 	double share;		  /* of the capacity for this gateway, 0 to 1 */
+	double own_limit;	  /* requests that this gateway may run; 0 for no limit */
+	int64_t pass_us;	  /* duration of a pass; 0 if unknown */
 	double completions_per_s; /* of this gateway; 0 if unknown */
 	bool is_lock_step;
 	bool is_blocked; /* the last attempt to send found no room, for another reason than the pace */
 	bool is_stopped; /* the servers answer nothing or reject everything */
 } skh_load_view_t;
 
-/** skh_load_control_total_running() - requests of all gateways that run; an estimate */
-double skh_load_control_total_running(const skh_load_view_t *view);
+/** skh_group_load_running() - requests of all gateways that run in the group; an estimate */
+double skh_group_load_running(const skh_group_load_t *load);
 
-/** skh_load_control_own_limit() - requests that this gateway may run; UINT32_MAX for no limit */
-uint32_t skh_load_control_own_limit(const skh_load_control_t *control, const skh_load_view_t *view);
+/** skh_group_load_own_limit() - requests that this gateway may run there; 0 for no limit */
+double skh_group_load_own_limit(const skh_concurrency_limit_t *limit, const skh_group_load_t *load);
 
 /**
  * skh_load_control_record_arrival() - count a new request
@@ -67,25 +74,30 @@
 				     int64_t timeout_us, int64_t now_us);
 
 /**
- * skh_load_control_update() - compute the limit anew
+ * skh_load_control_update_limit() - compute the limit of a group anew
  * @rank_slots: request slots of a rank
  *
  * To be called every few ms.
  *
  * Return: true if the limit's reason has changed, or its value by one request a rank.
  */
-bool skh_load_control_update(skh_load_control_t *control, const skh_load_view_t *view,
-			     const skh_pass_cost_t *cost, uint32_t rank_slots, int64_t now_us);
+bool skh_load_control_update_limit(const skh_load_control_t *control,
+				   skh_concurrency_limit_t *limit, const skh_group_load_t *load,
+				   const skh_pass_cost_t *cost, uint32_t rank_slots,
+				   int64_t now_us);
 
 /**
- * skh_load_control_can_start() - whether the limit leaves room for a request
+ * skh_load_control_max_running() - requests that may run for another one of @priority to start
+ * @own_limit: of this gateway in a group; 0 for no limit
  *
  * Among few requests, arrivals and ends vary too much to start urgent ones in time under a fixed
  * limit. An urgent request may exceed this gateway's limit by as much as less urgent ones stay
  * below it; on average the limit is kept.
+ *
+ * Return: 1 or more; 0 for no limit.
  */
-bool skh_load_control_can_start(const skh_load_control_t *control, const skh_load_view_t *view,
-				uint32_t priority);
+uint32_t skh_load_control_max_running(const skh_load_control_t *control, double own_limit,
+				      uint32_t priority);
 
 /**
  * skh_load_control_is_paced() - whether a start has to wait because others have just started
--- a/test/overload_replay_test.cc
+++ b/test/overload_replay_test.cc
@@ -180,12 +180,15 @@
 		skh_load_view_t load = make_load_view(view);
 
 		skh_queued_request_t *first = skh_request_queue_peek(queue, now);
+		uint32_t max_running = 0;
 
 		is_paced = skh_load_control_is_paced(&control, &load, now);
-		return first && !is_paced &&
-				       skh_load_control_can_start(&control, &load, first->priority)
-			       ? find(first)
-			       : nullptr;
+		if (first)
+			max_running = skh_load_control_max_running(&control, load.own_limit,
+								   first->priority);
+		if (!first || is_paced || (max_running > 0 && view.own_running >= max_running))
+			return nullptr;
+		return find(first);
 	}
 
 	void start(Request *request, const View &view, int64_t now) override
@@ -227,7 +230,7 @@
 	}
 	void on_event(const Request *, int64_t gap, int64_t now) override
 	{
-		skh_concurrency_limit_record_gap(&control.limit, gap, site.gap_objective_us, now);
+		skh_concurrency_limit_record_gap(&limit, gap, site.gap_objective_us, now);
 	}
 	void on_first_event(const Request *request, int64_t now) override
 	{
@@ -242,9 +245,9 @@
 	void on_tick(const View &view, int64_t now) override
 	{
 		skh_pass_cost_t cost = { site.steps, site.step_ms, site.step_ms_per_request };
-		skh_load_view_t load = make_load_view(view);
+		skh_group_load_t load = make_group_load(view);
 
-		skh_load_control_update(&control, &load, &cost, site.slots, now);
+		skh_load_control_update_limit(&control, &limit, &load, &cost, site.slots, now);
 		skh_request_queue_set_delay(
 			queue, std::min(skh_wait_forecast_first_event_us(&control.forecast,
 									 kTypicalFirstEvent),
@@ -255,15 +258,22 @@
       private:
 	static constexpr int64_t kMaxFirstEvent = 400 * kMs;
 
+	skh_group_load_t make_group_load(const View &view) const
+	{
+		return { site.ranks, view.own_running, view.peers_running, 1.0 / site.gateways };
+	}
+
 	skh_load_view_t make_load_view(const View &view) const
 	{
+		skh_group_load_t group = make_group_load(view);
 		skh_load_view_t load = {};
 
 		load.ranks = site.ranks;
 		load.slots = site.ranks * site.slots;
 		load.own_running = view.own_running;
-		load.peers_running = view.peers_running;
-		load.share = 1.0 / site.gateways;
+		load.share = group.share;
+		load.own_limit = skh_group_load_own_limit(&limit, &group);
+		load.pass_us = limit.mean_pass_us;
 		load.is_lock_step = true;
 		load.is_blocked = view.is_blocked;
 		load.is_stopped = view.is_silent;
@@ -293,6 +303,7 @@
 	const Site &site;
 	skh_request_queue_t *queue;
 	skh_load_control_t control = {};
+	skh_concurrency_limit_t limit = {};
 	std::map<const Request *, Item> items;
 	std::deque<Request *> unservable;
 	bool is_paced = false;
