--- a/src/exchange.c
+++ b/src/exchange.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "attempt.h"
+#include "backlog.h"
 #include "clock.h"
 #include "crash_suspects.h"
 #include "event_stream.h"
@@ -261,15 +262,10 @@
 	skh_exchange_dispatch(exchange->gateway);
 }
 
-static uint32_t count_gateways(const skh_gateway_t *gateway)
-{
-	return skh_gossip_count_peers(gateway->gossip) + 1;
-}
-
 static skh_load_view_t get_load(const skh_gateway_t *gateway, const skh_target_pool_t *pool,
 				int64_t now_us)
 {
-	return skh_pool_load_get(pool, 1.0 / count_gateways(gateway), now_us);
+	return skh_pool_load_get(pool, skh_demand_share(gateway->backlog, pool->service), now_us);
 }
 
 /*
@@ -434,7 +430,10 @@
 
 static void update_load(skh_target_pool_t *pool, void *context)
 {
-	skh_pool_load_update(pool, 1.0 / count_gateways(context), skh_clock_boot_us());
+	const skh_gateway_t *gateway = context;
+
+	skh_pool_load_update(pool, skh_demand_share(gateway->backlog, pool->service),
+			     skh_clock_boot_us());
 }
 
 /* Retries the target's requests elsewhere, where the retry policy allows. */
@@ -817,6 +816,7 @@
 	if (!resolve_route(exchange, now_us))
 		return;
 	select_service(exchange);
+	skh_backlog_record_arrival(gateway->backlog, exchange->target_pool->service, now_us);
 	exchange->content_hash = hash_content(exchange);
 	record_arrival(exchange, now_us);
 	exchange->prompt_parts = skh_prompt_parts_parse(
--- a/src/request_queue.h
+++ b/src/request_queue.h
@@ -96,6 +96,13 @@
 /** skh_request_queue_least_urgent() - the least urgent priority that waits; 0 if none does */
 uint32_t skh_request_queue_least_urgent(const skh_request_queue_t *queue);
 
+/**
+ * skh_request_queue_count_priorities() - count the queued requests by priority
+ * @counts: [@n_priorities]; requests of a greater priority number count as the last
+ */
+void skh_request_queue_count_priorities(const skh_request_queue_t *queue, uint32_t *counts,
+					uint32_t n_priorities);
+
 #ifdef __cplusplus
 }
 #endif
