Test the load control's modules, replay lost reports, eager callers and 400 gateways

The replay's gateways send in another order each time: before, the last one lost all slots to the others when all slots were in use. Starts are paced at 1.5 prompts a rank and pass; the limit is raised by 0.4 requests a rank in a window.

--- a/src/concurrency_limit.c
+++ b/src/concurrency_limit.c
@@ -43,7 +43,7 @@
  * still start at about half the rate at which others end; with a greater step nothing starts for
  * half a second, and urgent requests become late.
  */
-#define RAISE_STEP 0.25
+#define RAISE_STEP 0.4
 #define LOWER_STEP 0.3
 /* Far below what the passes allow, the limit is raised by this part of the distance. */
 #define RAISE_RATIO 0.3
--- a/src/load_control.c
+++ b/src/load_control.c
@@ -21,10 +21,10 @@
 #define TIMEOUT_GAIN 0.05
 /* Requests a rank by which the limit changes before it is reported again. */
 #define REPORTED_CHANGE 1.0
-/* Requests that start on each rank in a pass; two and more prompts make a loaded pass too long. */
-#define STARTS_PER_RANK 1.0
+/* Requests that start on each rank in a pass; several prompts make a loaded pass too long. */
+#define STARTS_PER_RANK 1.5
 /* So many start together at any gateway: on a quiet group they are spread over the ranks. */
-#define MIN_PACE_BURST 4.0
+#define MIN_PACE_BURST 6.0
 /* Of a pass, before one was seen. */
 #define TYPICAL_PASS_US ((int64_t)80000)
 
@@ -37,12 +37,13 @@
 
 double skh_group_load_own_limit(const skh_concurrency_limit_t *limit, const skh_group_load_t *load)
 {
-	double total = limit->per_rank * load->ranks;
-	double own = total * load->share;
-	double room = total - (skh_group_load_running(load) - load->own_running);
+	double total, own, room;
 
-	if (total <= 0.0)
+	if (limit->per_rank <= 0.0)
 		return 0.0;
+	total = limit->per_rank * load->ranks;
+	own = total * load->share;
+	room = total - (skh_group_load_running(load) - load->own_running);
 	if (room > own)
 		own += (room - own) / 2.0;
 	return MAX(floor(own + 0.5), 1.0);
--- a/test/overload_replay.h
+++ b/test/overload_replay.h
@@ -151,8 +151,10 @@
 			run_group();
 			if (now % (20 * kMs) == 0)
 				tick();
+			/* In another order each time: who comes first takes the last slots. */
+			uint32_t first = random() % site.gateways;
 			for (uint32_t i = 0; i < site.gateways; i++)
-				dispatch(i);
+				dispatch((first + i) % site.gateways);
 		}
 	}
 
--- a/test/overload_replay_test.cc
+++ b/test/overload_replay_test.cc
@@ -482,3 +482,44 @@
 	EXPECT_GT(others, static_cast<double>(large.served()) / large.offered);
 	EXPECT_GT(large.served(), large.offered / 10);
 }
+
+// Without reports a gateway has its own figures and its equal part of the limit only.
+TEST(OverloadReplay, KeepsMostOfItsEffectWithoutReports)
+{
+	Site site = make_burst();
+
+	site.reports_are_lost = true;
+	Comparison lost("burst, reports lost", site, 25);
+	site.reports_are_lost = false;
+	site.report_age_s = 5;
+	Comparison old("burst, reports 5 s old", site, 25);
+
+	EXPECT_GT(lost.after->tally(2, 25).worth(), lost.before->tally(2, 25).worth() + 0.1);
+	EXPECT_GT(old.after->tally(2, 25).worth(), old.before->tally(2, 25).worth() + 0.1);
+}
+
+// Callers that come back after 50 ms three times, whatever they are told.
+TEST(OverloadReplay, CallersThatComeBackAtOnceDontDelayTheOthers)
+{
+	Site site = make_shifted(1.8);
+
+	site.eager_returns = 3;
+	Comparison both("eager callers", site, 25);
+
+	EXPECT_GT(both.after->tally(2, 25).worth(), both.before->tally(2, 25).worth() + 0.1);
+	EXPECT_GT(both.after->tally(4, 18, 0).on_time, both.after->tally(4, 18, 0).offered * 3 / 4);
+}
+
+// At 400 gateways a gateway runs two requests or fewer; the limit is kept on average only.
+TEST(OverloadReplay, FourHundredGateways)
+{
+	Site site = make_shifted(1.8);
+
+	site.gateways = 400;
+	site.ranks = 576;
+	site.requests_per_s *= 8;
+	site.seconds = 16;
+	Comparison both("400 gateways, shifted 1.8", site, 14);
+
+	EXPECT_GT(both.after->tally(2, 14).worth(), both.before->tally(2, 14).worth());
+}
