--- a/src/attempt.c
+++ b/src/attempt.c
@@ -135,7 +135,9 @@
 		.last_event_id = exchange->event_stream.last_event_id,
 	};
 
-	skh_request_queue_start(exchange->target_pool->queue, &exchange->queued_request);
+	skh_metrics_add(
+		SKH_COUNT_FLOOR_STARTS,
+		skh_request_queue_start(exchange->target_pool->queue, &exchange->queued_request));
 	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
 	if (exchange->n_attempts == 0)
 		skh_backlog_record_start(gateway->backlog, exchange->target_pool->service, now_us);
@@ -292,7 +294,8 @@
 		skh_wait_forecast_record_first_event(&load->forecast, now_us - exchange->sent_us);
 	else if (exchange->target->group && exchange->attempt_is_streaming &&
 		 exchange->last_event_us != 0)
-		skh_concurrency_limit_record_gap(&exchange->target->group->limit, now_us - exchange->last_event_us,
+		skh_concurrency_limit_record_gap(&exchange->target->group->limit,
+						 now_us - exchange->last_event_us,
 						 exchange->route->gap_objective_us, now_us);
 	exchange->last_event_us = now_us;
 	exchange->n_passes++;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -58,6 +58,8 @@
 	[SKH_COUNT_REJECTED_WAITED] = { "rejected_waited",
 					"Requests rejected after waiting in vain" },
 	[SKH_COUNT_RETURNED] = { "returned", "Requests that came back when they were told to" },
+	[SKH_COUNT_FLOOR_STARTS] = { "floor_starts",
+				     "Requests served by the floor of the least urgent priority" },
 	[SKH_COUNT_CLAIM_REPLAYS] = { "claim_replays", "Recorded answers given again" },
 };
 
@@ -83,6 +85,9 @@
 	[SKH_GROUP_METRIC_MOVED] = { { "group_moved_total",
 				       "Requests moved from the silent group to others" },
 				     "counter" },
+	[SKH_GROUP_METRIC_LIMIT] = { { "group_limit", "Requests that may run; 0 for no limit" },
+				     "gauge" },
+	[SKH_GROUP_METRIC_PASS_MS] = { { "group_pass_ms", "Recent duration of a pass" }, "gauge" },
 };
 
 /* Values of one group; guarded by the lock. */
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -58,6 +58,7 @@
 	SKH_COUNT_REJECTED_BACKLOG,  /* while waiting: can't be served in time any more */
 	SKH_COUNT_REJECTED_WAITED,   /* at the end of the time that they could wait */
 	SKH_COUNT_RETURNED,
+	SKH_COUNT_FLOOR_STARTS, /* starts of the least urgent priority before more urgent ones */
 	SKH_COUNTER_COUNT
 } skh_counter_t;
 
@@ -91,6 +92,8 @@
 	SKH_GROUP_METRIC_RUNNING, /* requests of this gateway */
 	SKH_GROUP_METRIC_PROBES,  /* requests sent while the group was not ready */
 	SKH_GROUP_METRIC_MOVED,	  /* requests moved to other groups because of silence */
+	SKH_GROUP_METRIC_LIMIT,	  /* requests that this gateway may run there; 0 for no limit */
+	SKH_GROUP_METRIC_PASS_MS, /* recent duration of a pass; 0 if unknown */
 	SKH_GROUP_METRIC_COUNT
 } skh_group_metric_t;
 
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -367,6 +367,8 @@
 		[SKH_GROUP_METRIC_READY] = skh_target_group_is_ready(group, now_us),
 		[SKH_GROUP_METRIC_PROBES] = (int64_t)group->probes,
 		[SKH_GROUP_METRIC_MOVED] = (int64_t)group->moved,
+		[SKH_GROUP_METRIC_LIMIT] = (int64_t)group->own_limit,
+		[SKH_GROUP_METRIC_PASS_MS] = group->limit.mean_pass_us / 1000,
 	};
 
 	for (guint i = 0; i < pool->targets->len; i++) {
--- a/src/request_queue.c
+++ b/src/request_queue.c
@@ -72,16 +72,19 @@
 	return least_urgent;
 }
 
-void skh_request_queue_start(skh_request_queue_t *queue, skh_queued_request_t *request)
+bool skh_request_queue_start(skh_request_queue_t *queue, skh_queued_request_t *request)
 {
 	uint32_t most_urgent;
 	uint32_t least_urgent = find_least_urgent(queue, &most_urgent);
+	bool is_by_floor =
+		skh_fair_order_is_floor_due(queue->order) && request->priority == least_urgent;
 
 	if (request->index < 0)
-		return;
+		return false;
 	take_out(queue, request);
 	skh_fair_order_start(queue->order, request->priority, request->customer, request->fair_tag,
 			     least_urgent, least_urgent == most_urgent);
+	return is_by_floor;
 }
 
 uint32_t skh_request_queue_length(const skh_request_queue_t *queue)
--- a/src/request_queue.h
+++ b/src/request_queue.h
@@ -48,8 +48,11 @@
 void skh_request_queue_enqueue(skh_request_queue_t *queue, skh_queued_request_t *request);
 /** skh_request_queue_remove() - take out a request that is not served */
 void skh_request_queue_remove(skh_request_queue_t *queue, skh_queued_request_t *request);
-/** skh_request_queue_start() - take out a request that is served now */
-void skh_request_queue_start(skh_request_queue_t *queue, skh_queued_request_t *request);
+/**
+ * skh_request_queue_start() - take out a request that is served now
+ * Return: true if it is served by the floor of the least urgent priority.
+ */
+bool skh_request_queue_start(skh_request_queue_t *queue, skh_queued_request_t *request);
 uint32_t skh_request_queue_length(const skh_request_queue_t *queue);
 
 /**
