--- a/src/group_selection.h
+++ b/src/group_selection.h
@@ -12,9 +12,9 @@
  *
  * Ready groups come first: of those with a free slot the one whose next pass is expected to be
  * the shortest with the request in it, and of equal ones the one with fewer requests for each
- * rank. A pass takes as long as the slowest rank's part. A slow rank without requests still
- * delays the group's passes by its share of the experts' work. A group in which an attempt of the
- * request failed before comes after the others.
+ * rank. A pass takes as long as the slowest rank's part, and a slow rank also delays the experts'
+ * work, until the coordinator has moved most of it to other ranks. A group in which an attempt of
+ * the request failed before comes after the others.
  *
  * An unhealthy group gets requests only as probes: at the breaker's pace (group_breaker.h) while
  * no group is ready, and rarely otherwise. With one group the result is that of
@@ -36,11 +36,10 @@
 typedef struct skh_group_candidate {
 	bool is_joint;		 /* its servers run passes together */
 	bool is_ready;		 /* it answers; if not, it gets only probes */
-	bool is_probe_due;	 /* a probe may be sent while no group is ready */
+	bool can_send;		 /* its breaker allows a request, see group_breaker.h */
 	bool is_spare_probe_due; /* a probe may be sent while another group is ready */
 	bool is_left;		 /* an attempt of this request has failed there */
 	bool is_at_limit;	 /* it may run no further request of this gateway */
-	uint32_t own_running;	 /* requests of this gateway in the group */
 } skh_group_candidate_t;
 
 /**
