--- a/src/backends.c
+++ b/src/backends.c
@@ -391,6 +391,8 @@
 		pool->step_ms = service->engine_spec.step_ms;
 		pool->step_ms_per_request = service->engine_spec.step_ms_per_request;
 		pool->expert_time_ratio = service->engine_spec.expert_time_ratio;
+		pool->steps_per_pass = service->engine_spec.steps_per_pass;
+		pool->rank_slots = service->engine_spec.request_slots;
 		pool->max_connections = service->max_connections;
 		pool->warmth_spec =
 			(skh_warmth_spec_t){ service->cold_start_us, service->cold_per_s,
--- a/src/backends.h
+++ b/src/backends.h
@@ -11,6 +11,7 @@
  */
 
 #include "domain_status.h"
+#include "load_control.h"
 #include "request_queue.h"
 #include "retry_share.h"
 #include "roster.h"
@@ -92,6 +93,10 @@
 	double step_ms;		      /* costs of the service's engine, see routing.h */
 	double step_ms_per_request;
 	double expert_time_ratio;
+	uint32_t steps_per_pass;
+	uint32_t rank_slots;	 /* request slots of a rank; 0 if unknown */
+	skh_load_control_t load; /* forecasts, returns and pace, see pool_load.h */
+	bool is_blocked;	 /* the last attempt to send found no room */
 	uint32_t max_connections;
 	skh_warmth_spec_t warmth_spec; /* bound of its cold servers */
 	const skh_homes_t *homes;      /* of the request being placed; NULL: any region */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "pool_groups.h"
+#include "pool_load.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -239,13 +240,22 @@
 {
 	int64_t time_to_first_event_us =
 		exchange->target_pool->typical_first_event_ms * SKH_US_PER_MS + RESPONSE_TRANSIT_US;
-	int64_t abandoned_at_us = exchange->received_us + caller_timeout_us(exchange);
+	bool is_resumed = exchange->state == SKH_EXCHANGE_RESPONDING;
+	/* The caller of a stream leaves some time after the last event that it got. */
+	int64_t waits_since_us = is_resumed && exchange->last_event_us != 0
+					 ? exchange->last_event_us
+					 : exchange->received_us;
+	int64_t abandoned_at_us = waits_since_us + caller_timeout_us(exchange);
 
 	exchange->queued_request = (skh_queued_request_t){
+		.is_resumed = is_resumed,
+		.has_returned = exchange->origin_us != exchange->received_us,
+		.customer =
+			skh_chunk_hash(skh_chunk_from_string(skh_exchange_customer(exchange)), 0),
 		.was_rejected_as_probe = exchange->rejected_probes > 0,
 		.priority = skh_exchange_priority(exchange),
 		.enqueued_us = now_us,
-		.dispatch_objective_us = exchange->received_us + exchange->route->objective_us -
+		.dispatch_objective_us = exchange->origin_us + exchange->route->objective_us -
 					 time_to_first_event_us,
 		.expires_us = MIN(exchange->deadline_us, abandoned_at_us) - time_to_first_event_us,
 		.index = -1,
@@ -261,16 +271,30 @@
 	skh_exchange_dispatch(exchange->gateway);
 }
 
-/* Estimates the queueing time from the completion rate; 0 if the rate is unknown. */
-static int64_t expected_wait_us(const skh_exchange_t *exchange, int64_t now_us)
+static skh_load_view_t get_load(const skh_gateway_t *gateway, const skh_target_pool_t *pool,
+				int64_t now_us)
 {
-	double completions_per_s = skh_target_pool_completion_rate(exchange->target_pool, now_us);
-	uint32_t ahead = skh_request_queue_count_ahead(exchange->target_pool->queue,
-						       &exchange->queued_request, now_us);
+	return skh_pool_load_get(pool, skh_demand_share(gateway->backlog, pool->service), now_us);
+}
+
+/*
+ * Returns the Retry-After for a request that would have waited too long; 0 if it could not be
+ * served after one that its caller honours either.
+ */
+static int64_t schedule_return_ms(const skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_target_pool_t *pool = exchange->target_pool;
+	const skh_load_view_t load = get_load(exchange->gateway, exchange->target_pool, now_us);
+	const skh_rejected_request_t rejected = {
+		.queued = &exchange->queued_request,
+		.content_hash = exchange->content_hash,
+		.origin_us = exchange->origin_us,
+		.deadline_us = exchange->deadline_us,
+	};
+	int64_t pause_us = skh_load_control_schedule_return(&pool->load, &load, pool->queue,
+							    &rejected, now_us);
 
-	if (completions_per_s <= 0.0)
-		return 0;
-	return (int64_t)((double)(ahead + 1) / completions_per_s * (double)SKH_US_PER_S);
+	return (pause_us + SKH_US_PER_MS - 1) / SKH_US_PER_MS;
 }
 
 static bool has_homes(const skh_exchange_t *exchange)
@@ -404,7 +428,13 @@
 {
 	int64_t now_us = skh_clock_boot_us();
 	skh_queued_request_t *queued_request;
+	skh_load_view_t load = { 0 };
 
+	pool->is_blocked = false;
+	if (skh_request_queue_length(pool->queue) == 0)
+		return;
+	if (pool->is_lock_step)
+		load = get_load(gateway, pool, now_us);
 	/* Checked first, because news of domains may end queued requests. */
 	while (skh_gateway_may_send(gateway, now_us) &&
 	       (queued_request = peek_next(pool, now_us)) != NULL) {
@@ -419,11 +449,22 @@
 			reject_crash_suspect(exchange);
 			continue;
 		}
+		if (pool->is_lock_step && !queued_request->is_resumed && !load.is_stopped) {
+			if (skh_load_control_is_paced(&pool->load, &load, now_us))
+				return;
+			skh_pool_load_set_allowed(pool, queued_request->priority);
+		} else {
+			skh_pool_load_lift_limits(pool);
+		}
 		target = select_target(exchange, deferred, now_us);
-		if (target)
-			skh_attempt_send(exchange, target, now_us);
-		else if (!defer(exchange, deferred))
+		if (!target && defer(exchange, deferred))
+			continue;
+		pool->is_blocked = !target && !load.is_stopped;
+		if (!target)
 			return;
+		skh_load_control_record_start(&pool->load, &load, now_us);
+		load.own_running++;
+		skh_attempt_send(exchange, target, now_us);
 	}
 }
 
@@ -445,14 +486,20 @@
 	gateway->is_dispatching = false;
 }
 
-static void end_expired(skh_exchange_t *exchange, int64_t accepts_from_us, int64_t now_us)
+/* Ends a request that waits. */
+static void end_waiting(skh_exchange_t *exchange, int64_t accepts_from_us, int64_t now_us,
+			const char *reason)
 {
-	int64_t wait_us = MAX(expected_wait_us(exchange, now_us), accepts_from_us - now_us);
-
-	end_unserved(exchange, SKH_OVERLOADED,
-		     skh_exchange_retry_after_ms(
-			     exchange, MAX(wait_us / SKH_US_PER_MS, SKH_DEFAULT_RETRY_AFTER_MS)),
-		     "no server had capacity in time");
+	skh_target_pool_t *pool = exchange->target_pool;
+	int64_t retry_after_ms =
+		accepts_from_us > now_us
+			? skh_exchange_retry_after_ms(exchange,
+						      (accepts_from_us - now_us) / SKH_US_PER_MS)
+			: schedule_return_ms(exchange, now_us);
+
+	skh_request_queue_remove(pool->queue, &exchange->queued_request);
+	exchange->queue_duration_us += now_us - exchange->queued_request.enqueued_us;
+	end_unserved(exchange, SKH_OVERLOADED, retry_after_ms, reason);
 }
 
 /* Requests for a service without a domain in service are not kept until they expire. */
@@ -484,14 +531,41 @@
 	/* A request that expires before any server accepts one is not kept until then. */
 	while ((queued_request = skh_request_queue_find_expired(
 			pool->queue, MAX(now_us, accepts_from_us))) != NULL) {
-		skh_exchange_t *exchange = exchange_from_queued(queued_request);
+		skh_metrics_add(SKH_COUNT_REJECTED_WAITED, 1);
+		end_waiting(exchange_from_queued(queued_request), accepts_from_us, now_us,
+			    "no server had capacity in time");
+	}
+}
 
-		skh_request_queue_remove(pool->queue, queued_request);
-		exchange->queue_duration_us += now_us - queued_request->enqueued_us;
-		end_expired(exchange, accepts_from_us, now_us);
+/* Requests behind more than the servers can serve in time get their rejection at once. */
+static void end_unservable_in_pool(skh_target_pool_t *pool, void *context)
+{
+	int64_t now_us = skh_clock_boot_us();
+	g_autoptr(GPtrArray) found = NULL;
+	skh_load_view_t load;
+
+	if (!pool->is_lock_step || skh_request_queue_length(pool->queue) == 0)
+		return;
+	load = get_load(context, pool, now_us);
+	if (!load.is_blocked && !load.is_stopped)
+		return;
+	found = g_ptr_array_new();
+	skh_load_control_find_unservable(&pool->load, &load, pool->queue, found, now_us);
+	for (guint i = 0; i < found->len; i++) {
+		skh_metrics_add(SKH_COUNT_REJECTED_BACKLOG, 1);
+		end_waiting(exchange_from_queued(g_ptr_array_index(found, i)), 0, now_us,
+			    "more requests wait than can be served in time");
 	}
 }
 
+static void update_load(skh_target_pool_t *pool, void *context)
+{
+	const skh_gateway_t *gateway = context;
+
+	skh_pool_load_update(pool, skh_demand_share(gateway->backlog, pool->service),
+			     skh_clock_boot_us());
+}
+
 /* Retries the target's requests elsewhere, where the retry policy allows. */
 static void retry_all_elsewhere(skh_gateway_t *gateway, skh_target_t *target)
 {
@@ -661,8 +735,10 @@
 	skh_backends_for_each_pool(gateway->backends, abandon_lost_ranks, gateway);
 	if (gateway->has_home_changes)
 		end_all_homeless(gateway);
+	skh_backends_for_each_pool(gateway->backends, update_load, gateway);
 	skh_backends_for_each_pool(gateway->backends, end_expired_in_pool, NULL);
 	skh_exchange_dispatch(gateway);
+	skh_backends_for_each_pool(gateway->backends, end_unservable_in_pool, gateway);
 }
 
 /* --- Callers --- */
@@ -704,6 +780,8 @@
 static void on_writable(void *context, void *data)
 {
 	(void)context;
+	/* The next gap is the caller's. */
+	((skh_exchange_t *)data)->last_event_us = 0;
 	skh_attempt_resume_reading(data);
 }
 
@@ -755,6 +833,7 @@
 	exchange->request = request;
 	exchange->link.data = exchange;
 	exchange->received_us = skh_caller_conn_received_us(conn);
+	exchange->origin_us = exchange->received_us;
 	exchange->queued_request.index = -1;
 	exchange->excluded_targets = g_ptr_array_new();
 	exchange->response_headers = g_string_new(NULL);
@@ -840,7 +919,7 @@
 static bool admit(skh_exchange_t *exchange, int64_t now_us)
 {
 	int64_t accepts_from_us;
-	int64_t wait_us;
+	skh_load_view_t load;
 
 	if (is_crash_suspect(exchange, now_us)) {
 		reject_crash_suspect(exchange);
@@ -887,15 +966,33 @@
 	if (skh_domain_status_is_resuming(exchange->gateway->domains, now_us) &&
 	    !skh_gateway_may_send(exchange->gateway, now_us))
 		return true;
-	wait_us = expected_wait_us(exchange, now_us);
-	if (now_us + wait_us <= exchange->queued_request.expires_us)
+	load = get_load(exchange->gateway, exchange->target_pool, now_us);
+	if (!load.is_blocked && !load.is_stopped)
+		return true;
+	if (skh_load_control_can_serve(&exchange->target_pool->load, &load,
+				       exchange->target_pool->queue, &exchange->queued_request,
+				       now_us))
 		return true;
-	skh_exchange_reject(exchange, SKH_OVERLOADED,
-			    skh_exchange_retry_after_ms(exchange, wait_us / SKH_US_PER_MS),
+	skh_metrics_add(SKH_COUNT_REJECTED_FORECAST, 1);
+	skh_exchange_reject(exchange, SKH_OVERLOADED, schedule_return_ms(exchange, now_us),
 			    "the expected wait is too long");
 	return false;
 }
 
+static void record_arrival(skh_exchange_t *exchange, int64_t now_us)
+{
+	skh_load_control_t *load = &exchange->target_pool->load;
+	int64_t origin_us = skh_return_schedule_take(&load->returns, exchange->content_hash,
+						     exchange->deadline_us, now_us);
+
+	if (origin_us != 0) {
+		exchange->origin_us = origin_us;
+		skh_metrics_add(SKH_COUNT_RETURNED, 1);
+	}
+	skh_load_control_record_arrival(load, skh_exchange_priority(exchange),
+					exchange->deadline_us - now_us, now_us);
+}
+
 static void on_request(void *context, skh_caller_conn_t *conn, const skh_http_message_t *request)
 {
 	skh_gateway_t *gateway = context;
@@ -910,6 +1007,7 @@
 	set_homes(exchange);
 	skh_backlog_record_arrival(gateway->backlog, exchange->target_pool->service, now_us);
 	exchange->content_hash = hash_content(exchange);
+	record_arrival(exchange, now_us);
 	exchange->prompt_parts = skh_prompt_parts_parse(
 		request_header(exchange, SKH_HEADER_PROMPT_PARTS), exchange->target_pool->service);
 	estimate_tokens(exchange);
--- a/src/target_group.h
+++ b/src/target_group.h
@@ -14,6 +14,7 @@
  * monotonic clock.
  */
 
+#include "concurrency_limit.h"
 #include "group_breaker.h"
 #include "members_notice.h"
 
@@ -35,17 +36,21 @@
 typedef struct skh_target_group {
 	char *name;
 	skh_group_breaker_t breaker;
-	bool has_failed;	     /* an attempt was lost there since the last response */
-	bool was_silent;	     /* requests had to leave it since the last response */
-	int64_t next_spare_probe_us; /* earliest probe while another group is ready */
-	bool is_reported_down;	     /* the log says that the group is down */
-	uint32_t max_running;	     /* limit of this gateway's requests there; 0 for none */
-	GHashTable *members;	     /* address -> skh_group_member_t, by the last notice */
-	int64_t epoch;		     /* of the last notice */
-	uint64_t arrival;	     /* arrival number of the last notice; 0 before */
-	int64_t notice_revision;     /* store revision of the last notice; 0 before */
-	uint64_t probes;	     /* requests sent while the group was not ready */
-	uint64_t moved;		     /* requests moved to other groups because of silence */
+	bool has_failed;	       /* an attempt was lost there since the last response */
+	bool was_silent;	       /* requests had to leave it since the last response */
+	int64_t next_spare_probe_us;   /* earliest probe while another group is ready */
+	bool is_reported_down;	       /* the log says that the group is down */
+	uint32_t max_running;	       /* limit of this gateway's requests there; 0 for none */
+	skh_concurrency_limit_t limit; /* of all gateways' requests; see pool_load.h */
+	double own_limit;	       /* this gateway's part of it; 0 for none */
+	double own_limit_per_rank;
+	bool was_ready_at_tick;	 /* at the last skh_pool_load_update() */
+	GHashTable *members;	 /* address -> skh_group_member_t, by the last notice */
+	int64_t epoch;		 /* of the last notice */
+	uint64_t arrival;	 /* arrival number of the last notice; 0 before */
+	int64_t notice_revision; /* store revision of the last notice; 0 before */
+	uint64_t probes;	 /* requests sent while the group was not ready */
+	uint64_t moved;		 /* requests moved to other groups because of silence */
 } skh_target_group_t;
 
 /** skh_target_group_new() - group without members; @name is copied */
