Bound servers that are listed before their service names a cold time

Cause: a gateway that starts lists the servers before it applies the configuration, so the first entry counted as the servers' present state although it may be older than their domain's return.

Change: the servers of a service that begins to name a cold time count as cold until a later entry.

Result: the new test fails before the change (the server is selected at once) and passes after it.

--- a/src/backends.c
+++ b/src/backends.c
@@ -345,6 +345,20 @@
 	g_ptr_array_sort(((skh_target_pool_t *)value)->targets, compare_target_ids);
 }
 
+/* Servers that were listed before the service named a cold time may be cold, see add_target(). */
+static void set_warmth_spec(skh_target_pool_t *pool, const skh_warmth_spec_t *spec)
+{
+	bool was_set = skh_warmth_spec_is_set(&pool->warmth_spec);
+
+	pool->warmth_spec = *spec;
+	for (guint i = 0; !was_set && skh_warmth_spec_is_set(spec) && i < pool->targets->len; i++) {
+		skh_target_t *target = g_ptr_array_index(pool->targets, i);
+
+		skh_server_warmth_begin(&target->warmth, spec, target->server->era,
+					target->server->revision, skh_clock_boot_us());
+	}
+}
+
 void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
 		       const skh_routing_t *routing)
 {
@@ -363,9 +377,9 @@
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
 		pool->max_connections = service->max_connections;
-		pool->warmth_spec =
-			(skh_warmth_spec_t){ service->cold_start_us, service->cold_per_s,
-					     backends->cold_overage, backends->cold_slack };
+		set_warmth_spec(
+			pool, &(skh_warmth_spec_t){ service->cold_start_us, service->cold_per_s,
+						    backends->cold_overage, backends->cold_slack });
 		pool->typical_first_event_ms = service->has_engine_spec
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
 						       : TYPICAL_FIRST_EVENT_PLAIN_MS;
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -119,6 +119,36 @@
 	skh_domain_status_free(status);
 }
 
+// Guards against a burst by a gateway that has just started: the list may be read before the
+// configuration, and the entries may be older than the return of the servers' domain.
+TEST(Backends, AServerListedFirstCountsAsColdUntilALaterEntry)
+{
+	Backends t;
+	skh_routing_t *routing = skh_routing_new();
+	skh_service_info_t service = {};
+
+	service.name = g_strdup("s");
+	service.cold_start_us = 3 * kSecondUs;
+	service.cold_per_s = 26.0;
+	g_array_append_val(routing->services, service);
+	t.add_to_list("one", "127.0.0.1", 1000);
+	EXPECT_EQ(t.select(), "one");
+	skh_backends_set_cold_bounds(t.backends, 1.5, 5.0);
+	skh_backends_sync(t.backends, nullptr, routing);
+	EXPECT_EQ(t.select(), "-");
+	skh_target_t *target = skh_backends_find_target(t.backends, "one");
+	const int64_t now = skh_clock_boot_us();
+
+	skh_server_warmth_record_entry(&target->warmth, 0, 0, 0, now, now);
+	EXPECT_EQ(t.select(), "-") << "the entry that was read first";
+	skh_server_warmth_record_entry(&target->warmth, 0, 0, 1, now + kSecondUs, now + kSecondUs);
+	EXPECT_FALSE(skh_server_warmth_is_cold(&target->warmth, now + kSecondUs));
+	t.add_to_list("two", "127.0.0.2", 1000);
+	EXPECT_TRUE(skh_server_warmth_is_cold(&skh_backends_find_target(t.backends, "two")->warmth,
+					      skh_clock_boot_us()));
+	skh_routing_free(routing);
+}
+
 // Also a server whose domain has no region in the settings is not used.
 TEST(Backends, AServerOutsideTheAllowedRegionsIsNotSelected)
 {
