Forecast the wait for the pace, return what waits after the backlog, let urgent ones exceed more

The rate before the first pass was half of what the group could start. Returns were given the wait of a late request behind all new ones, so that hardly any was scheduled; they come after what waits now, at the rate that new requests leave.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -417,8 +417,6 @@
 	if (!pool->is_lock_step || skh_request_queue_length(pool->queue) == 0)
 		return;
 	load = get_load(context, pool, now_us);
-	if (!load.is_blocked && !load.is_stopped)
-		return;
 	found = g_ptr_array_new();
 	skh_load_control_find_unservable(&pool->load, &load, pool->queue, found, now_us);
 	for (guint i = 0; i < found->len; i++) {
@@ -783,8 +781,6 @@
 		return false;
 	}
 	load = get_load(exchange->gateway, exchange->target_pool, now_us);
-	if (!load.is_blocked && !load.is_stopped)
-		return true;
 	if (skh_load_control_can_serve(&exchange->target_pool->load, &load,
 				       exchange->target_pool->queue, &exchange->queued_request,
 				       now_us))
--- a/src/load_control.c
+++ b/src/load_control.c
@@ -21,12 +21,17 @@
 #define TIMEOUT_GAIN 0.05
 /* Requests a rank by which the limit changes before it is reported again. */
 #define REPORTED_CHANGE 1.0
+/*
+ * Requests by which the most urgent ones may exceed the limit, in roots of it: the number that runs
+ * varies by about the root of its mean.
+ */
+#define URGENT_DEVIATIONS 1.3
 /* Requests that start on each rank in a pass; several prompts make a loaded pass too long. */
 #define STARTS_PER_RANK 1.5
 /* So many start together at any gateway: on a quiet group they are spread over the ranks. */
 #define MIN_PACE_BURST 6.0
 /* Of a pass, before one was seen. */
-#define TYPICAL_PASS_US ((int64_t)80000)
+#define TYPICAL_PASS_US ((int64_t)40000)
 
 double skh_group_load_running(const skh_group_load_t *load)
 {
@@ -87,8 +92,7 @@
 
 	if (own_limit <= 0.0)
 		return 0;
-	/* The requests that run vary by about the root of their number. */
-	return (uint32_t)MAX(ceil(own_limit + urgency * sqrt(own_limit)), 1.0);
+	return (uint32_t)MAX(ceil(own_limit + URGENT_DEVIATIONS * urgency * sqrt(own_limit)), 1.0);
 }
 
 static double pace_burst(const skh_load_view_t *view)
@@ -96,12 +100,16 @@
 	return MAX(view->ranks * view->share * STARTS_PER_RANK, MIN_PACE_BURST);
 }
 
+static int64_t pace_pass(const skh_load_view_t *view)
+{
+	return view->pass_us > 0 ? view->pass_us : TYPICAL_PASS_US;
+}
+
 static double find_pace_tokens(const skh_load_control_t *control, const skh_load_view_t *view,
 			       int64_t now_us)
 {
-	int64_t pass_us = view->pass_us > 0 ? view->pass_us : TYPICAL_PASS_US;
 	double burst = pace_burst(view);
-	double refill = burst * (double)(now_us - control->paced_us) / (double)pass_us;
+	double refill = burst * (double)(now_us - control->paced_us) / (double)pace_pass(view);
 
 	return MIN(control->pace_tokens + refill, burst);
 }
@@ -139,11 +147,20 @@
 	return skh_wait_forecast_rate(&control->forecast, find_capacity(view), view->pass_us);
 }
 
+/* Time until the pace lets a request start. */
+static int64_t find_pace_wait(const skh_load_view_t *view, double ahead)
+{
+	return view->is_lock_step ? (int64_t)(ahead / pace_burst(view) * (double)pace_pass(view))
+				  : 0;
+}
+
 static int64_t forecast_wait(const skh_load_control_t *control, const skh_load_view_t *view,
 			     const skh_wait_position_t *position, int64_t now_us)
 {
 	skh_wait_position_t at = *position;
 
+	if (!view->is_blocked && !view->is_stopped)
+		return find_pace_wait(view, position->ahead);
 	if (!view->is_lock_step) {
 		at.priority = 0;
 		at.is_behind_equal = false;
@@ -151,7 +168,8 @@
 	} else if (!view->is_blocked) {
 		at.free = MAX(find_capacity(view) - view->own_running, 0.0);
 	}
-	return skh_wait_forecast_wait_us(&control->forecast, &at, now_us);
+	return MAX(skh_wait_forecast_wait_us(&control->forecast, &at, now_us),
+		   find_pace_wait(view, position->ahead));
 }
 
 int64_t skh_load_control_wait_us(const skh_load_control_t *control, const skh_load_view_t *view,
@@ -220,9 +238,9 @@
 					 const skh_rejected_request_t *rejected, int64_t now_us)
 {
 	double rate = find_rate(control, view);
-	/* It will be late then, so that new requests which can be on time go before it. */
-	int64_t wait_us =
-		skh_load_control_wait_us(control, view, queue, rejected->queued, true, now_us);
+	double ahead = skh_request_queue_count_ahead(queue, rejected->queued, now_us) + 1.0;
+	/* What arrives until then is in the rate of returns. */
+	int64_t wait_us = rate > 0.0 ? (int64_t)(ahead / rate * 1e6) : 0;
 	const skh_return_request_t request = {
 		.content_hash = rejected->content_hash,
 		.origin_us = rejected->origin_us,
