--- a/src/metrics.c
+++ b/src/metrics.c
@@ -196,8 +196,8 @@
 		write_series(out, row->name, series);
 }
 
-void skh_metrics_set_group(const char *service, const char *group,
-			   const int64_t values[SKH_GROUP_METRIC_COUNT])
+void skh_metrics_set_group_values(const char *service, const char *group,
+				  const int64_t values[SKH_GROUP_METRIC_COUNT])
 {
 	g_autofree char *key = g_strdup_printf("%s\n%s", service, group);
 	group_values_t *entry;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -90,9 +90,9 @@
 	SKH_GROUP_METRIC_COUNT
 } skh_group_metric_t;
 
-/** skh_metrics_set_group() - set all values of a group; the names are copied */
-void skh_metrics_set_group(const char *service, const char *group,
-			   const int64_t values[SKH_GROUP_METRIC_COUNT]);
+/** skh_metrics_set_group_values() - set all values of a group; the names are copied */
+void skh_metrics_set_group_values(const char *service, const char *group,
+				  const int64_t values[SKH_GROUP_METRIC_COUNT]);
 
 /** skh_metrics_write() - append all metrics to @out in the Prometheus text format */
 void skh_metrics_write(skh_buffer_t *out);
--- a/src/pool_groups.c
+++ b/src/pool_groups.c
@@ -410,7 +410,7 @@
 	for (guint i = 0; i < pool->targets->len; i++)
 		values[SKH_GROUP_METRIC_SERVERS] +=
 			((const skh_target_t *)g_ptr_array_index(pool->targets, i))->group == group;
-	skh_metrics_set_group(pool->service, group->name, values);
+	skh_metrics_set_group_values(pool->service, group->name, values);
 }
 
 void skh_pool_groups_publish_metrics(const skh_target_pool_t *pool, int64_t now_us)
