--- a/src/metrics.c
+++ b/src/metrics.c
@@ -254,8 +254,8 @@
 	g_mutex_unlock(&own_group_lock);
 }
 
-void skh_metrics_set_group(const char *service, const char *group,
-			   const int64_t values[SKH_GROUP_METRIC_COUNT])
+void skh_metrics_set_group_values(const char *service, const char *group,
+				  const int64_t values[SKH_GROUP_METRIC_COUNT])
 {
 	g_autofree char *key = g_strdup_printf("%s\n%s", service, group);
 	group_values_t *entry;
