Take no quiet store for an outage

Cause: a poll without changes waits for 1 s and starts up to 0.6 s after the response before it, so that 1.6 s passed without a response, and more than 1.5 s counts as an outage. Change: the time for which the store may hold the call does not count.

--- a/src/attempt.h
+++ b/src/attempt.h
@@ -44,8 +44,6 @@
 	uint64_t content_hash; /* hash of request target, customer and body */
 	skh_prompt_parts_t prompt_parts;
 	int64_t response_begun_us; /* first body byte of the current attempt; 0 before */
-	bool is_crash_test;	   /* tests a suspected prompt part */
-	bool has_survived;	   /* the current attempt has, see crash_suspects.h */
 	int64_t received_us;
 	int64_t deadline_us;	   /* earlier of the caller's deadline and the route's timeout */
 	int64_t sent_us;	   /* start of the current attempt */
@@ -63,18 +61,20 @@
 	uint32_t n_attempts;	     /* attempts so far */
 	uint32_t possible_runs;	     /* attempts that may have run */
 	uint32_t rejected_probes;    /* attempts rejected while the group's breaker was tripped */
-	bool is_group_probe;	     /* the current attempt probes a group that is not ready */
 	int64_t next_move_us;	     /* earliest next try to leave a silent group */
-	bool upstream_paused;	     /* the response is not read, as the caller is slow */
 	int64_t paused_since_us;     /* start of the current or latest pause */
-	bool was_unread; /* the current attempt was paused long enough for a server to give up */
-	size_t pending_charge;	    /* bytes of @event_stream that the memory budget counts */
-	skh_buffer_t response_body; /* body of a response that is not streamed */
+	size_t pending_charge;	     /* bytes of @event_stream that the memory budget counts */
+	skh_buffer_t response_body;  /* body of a response that is not streamed */
 	GString *response_headers;
-	int32_t response_status;   /* status for the caller */
-	int32_t attempt_status;	   /* status of the current attempt; 0 before its head */
-	bool attempt_is_streaming; /* current attempt has delivered an event */
+	int32_t response_status; /* status for the caller */
+	int32_t attempt_status;	 /* status of the current attempt; 0 before its head */
 	char response_reason[64];
+	bool is_crash_test;   /* tests a suspected prompt part */
+	bool has_survived;    /* the current attempt has, see crash_suspects.h */
+	bool is_group_probe;  /* the current attempt probes a group that is not ready */
+	bool upstream_paused; /* the response is not read, as the caller is slow */
+	bool was_unread; /* the current attempt was paused long enough for a server to give up */
+	bool attempt_is_streaming; /* current attempt has delivered an event */
 	bool response_is_signed;
 	bool response_is_framed; /* did not end with its connection */
 	bool reported_not_run;	 /* server reported that it did not run the request */
--- a/src/backends.h
+++ b/src/backends.h
@@ -40,7 +40,6 @@
 	skh_target_pool_t *target_pool;
 	skh_upstream_pool_t *upstream_pool;
 	uint32_t references;
-	bool is_listed;		  /* the server is in the roster */
 	uint32_t own_in_flight;	  /* requests of this gateway in flight at the server */
 	uint32_t own_streaming;	  /* requests in flight whose response has begun */
 	uint32_t own_paused;	  /* streams among them that are not read, as callers are slow */
@@ -51,7 +50,6 @@
 	uint32_t peers_running;	  /* requests of the other gateways, by their reports */
 	uint32_t stated_others;	  /* the same by the server's last statement of its load */
 	int64_t stated_us;	  /* time of that statement; 0 for none */
-	bool is_in_other_domain;  /* its failure domain is not the gateway's */
 	double mean_latency_ms;
 	double slowdown; /* slowdown of a rank, as its coordinator reports; 1 is normal */
 	double failure_ratio;
@@ -59,22 +57,24 @@
 	int64_t avoid_until_us;
 	int64_t full_until_us;
 	skh_server_limit_t limit;
-	int64_t rejects_until_us;   /* the server wants no requests of this gateway until then */
-	bool has_losses;	    /* requests were lost there since its last response */
-	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
+	int64_t rejects_until_us; /* the server wants no requests of this gateway until then */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
-	bool is_superseded;		 /* a server that started later is listed at the address */
 	/* Of servers of lock-step services, see pool_groups.h: */
 	skh_target_group_t *group; /* owned by the pool; NULL while the server stands alone */
 	int64_t group_epoch;	   /* of the notice that named the server last */
 	uint64_t group_arrival;	   /* arrival number of that notice */
 	int64_t listed_us;	   /* when the server was listed */
 	uint64_t listed_arrival; /* arrival number of the last notice when the server was listed */
-	bool has_served;	 /* has responded since it was listed or last rejected a request */
-	bool is_domain_out;	 /* its failure domain is out of service */
 	const char *region;	 /* interned; NULL if unknown */
 	skh_server_warmth_t warmth;
-	bool was_cold; /* at the last update */
+	bool is_listed;		    /* the server is in the roster */
+	bool is_in_other_domain;    /* its failure domain is not the gateway's */
+	bool has_losses;	    /* requests were lost there since its last response */
+	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
+	bool is_superseded;	    /* a server that started later is listed at the address */
+	bool has_served;    /* has responded since it was listed or last rejected a request */
+	bool is_domain_out; /* its failure domain is out of service */
+	bool was_cold;	    /* at the last update */
 };
 
 #define SKH_TARGET_POOL_RATE_SLOTS 8
--- a/src/feed.c
+++ b/src/feed.c
@@ -84,16 +84,18 @@
 			&feed->stop);
 }
 
-static void record_response(skh_feed_t *feed)
+/* @wait_us: time for which the store may have held the call until something changed */
+static void record_response(skh_feed_t *feed, int64_t wait_us)
 {
 	int64_t now_us = skh_clock_boot_us();
+	int64_t silent_us =
+		now_us - feed->last_response_us - MIN(now_us - feed->poll_started_us, wait_us);
 
 	/* Entries may also have expired while this process was suspended or could not poll. */
-	if (now_us - feed->last_response_us > UNAVAILABLE_AFTER_US && feed->last_response_us != 0) {
+	if (silent_us > UNAVAILABLE_AFTER_US && feed->last_response_us != 0) {
 		feed->recovered_us = now_us;
 		skh_log(SKH_LOG_INFO, PART, "Store is back after an outage.",
-			"silent_ms=%" G_GINT64_FORMAT,
-			(now_us - feed->last_response_us) / SKH_US_PER_MS);
+			"silent_ms=%" G_GINT64_FORMAT, silent_us / SKH_US_PER_MS);
 	}
 	feed->is_unavailable = false;
 	feed->backoff_us = 0;
@@ -466,7 +468,7 @@
 
 	if (!store->ops->range(store, feed->options.dialect->operators_prefix, true, &pairs, err))
 		return false;
-	record_response(feed);
+	record_response(feed, 0);
 	*revision = pairs.store_revision;
 	*is_new_era = has_era_changed(feed);
 	if (!*is_new_era)
@@ -545,13 +547,13 @@
 				"Store history was compacted; reading the full state.",
 				"revision=%" G_GINT64_FORMAT, feed->read_revision);
 			feed->read_revision = 0;
-			record_response(feed);
+			record_response(feed, wait_ms * SKH_US_PER_MS);
 			(void)has_era_changed(feed);
 			return true;
 		}
 		return false;
 	}
-	record_response(feed);
+	record_response(feed, wait_ms * SKH_US_PER_MS);
 	if (!has_era_changed(feed)) {
 		apply_changes(feed, &changes);
 		feed->read_revision = MAX(feed->read_revision, changes.store_revision);
