--- a/soak/soak.py
+++ b/soak/soak.py
@@ -191,6 +191,19 @@
                 "timeout-ms": 3000, "latency-goal-ms": 500, "priority": 1, "service": service,
                 "max-attempts": 2, "public": False, **more}
 
+    @staticmethod
+    def wait_listening(port):
+        """Waits for the store's stand-in, which takes a second to start on a busy machine."""
+        deadline = time.monotonic() + 10.0
+        while True:
+            try:
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+                return
+            except OSError:
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(0.05)
+
     def put_config(self):
         """Writes the next configuration version, with its own API key and the previous version's."""
         with self.lock:
@@ -502,6 +515,7 @@
             self.gateway_proxies.append(Proxy(self.gateway_port(i) + 5, self.gateway_port(i)))
         for i in range(self.options.ranks):
             self.start_balancer(i)
+        self.wait_listening(self.base)
         self.put_config()
         for i in range(self.options.gateways):
             self.wait_ready(i)
