--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -323,7 +323,7 @@
         begun = self.group.step
         if op == "prepare":
             if self.armed or version <= self.max_version:
-                return 200 if version == self.prepared and not self.armed else 409
+                return 409
             self.max_version = self.prepared = version
             self.prepared_map, self.ready = order["mapping"], time.monotonic() + 0.05
         elif op == "arm":
