--- a/review/4/case.py
+++ b/review/4/case.py
@@ -59,7 +59,7 @@
     # --- Servers ---
 
     def serve(self, number):
-        async def handle(request):
+        async def handle(request, _connection):
             attempt = request.headers.get("skylarkhead-attempt-id", "-")
             if request.headers.get("skylarkhead-expect-instance") != f"i-{number}":
                 return fleet.response(421, b"")
