Review case: second copies of answers pass for answers to orders

Cause: calls of balancers to model servers have no attempt id, so upstream.c takes any response on the connection as the one that is due; polls and orders share connections.

The case shows: with "extra late" and applied_late of the site at once, a rank counts as armed that is not, the hold is released, and passes begin with different maps.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -79,8 +79,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + bytes(body)
 
 
+SILENT = object()  # instead of a response: none is sent, and the connection stays open
+
+
 class HttpServer:
-    """Serves one port; handle(request) returns the bytes of a response, or None to close."""
+    """Serves one port; handle(request, connection) returns the bytes of a response, SILENT, or None
+    to close. @connection is a dictionary that lasts as long as the connection.
+    """
 
     def __init__(self, port, handle):
         self.port, self.handle, self.server, self.writers = port, handle, None, set()
@@ -90,12 +95,15 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        connection = {}
         try:
             while True:
                 request = await read_request(reader)
-                data = await self.handle(request)
+                data = await self.handle(request, connection)
                 if data is None:
                     break
+                if data is SILENT:
+                    continue
                 writer.write(data)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, OSError, ValueError):
@@ -187,7 +195,7 @@
     def answer(self, status, body):
         return response(status, body, (("Store-Era", self.era),))
 
-    async def handle(self, request):
+    async def handle(self, request, _connection):
         path, query = request.path, request.query
         if path == "/v1/kv-key":
             item = self.items.get(query.get("key", ""))
@@ -268,8 +276,10 @@
         self.fence = self.max_version = self.prepared = self.armed = self.armed_step = 0
         self.held = self.version = self.sequence = self.beats = 0
         self.prepared_map, self.ready, self.map = None, 0.0, group.first_map()
-        self.answers = self.spoiled = 0
+        self.answers = self.spoiled = self.extras = self.late_orders = 0
         self.spoil = None  # function of (request, body) that returns the bytes to hand out
+        self.repeats = None  # function that says whether a second copy of an answer is sent later
+        self.delays = None  # function that returns the delay of an order without an answer, or None
         self.http = HttpServer(port, self.handle)
 
     def entry(self):
@@ -279,7 +289,15 @@
                            "phase": "unified", "models": [], "sequence": self.beats,
                            "born": self.born})
 
-    async def handle(self, request):
+    async def handle(self, request, connection):
+        # A second copy of an earlier answer comes where the answer to this request is expected.
+        extra = connection.pop("extra", b"")
+        self.extras += bool(extra)
+        delay = self.delays(request) if self.delays and request.path == "/v1/order" else None
+        if delay is not None:
+            self.late_orders += 1
+            asyncio.get_running_loop().call_later(delay, self.order, request.json())
+            return extra or SILENT
         self.answers += 1
         status, body = self.answer(request)
         body = json.dumps(body, separators=(",", ":")).encode()
@@ -288,7 +306,10 @@
             if spoiled != body:
                 self.spoiled += 1
             body = spoiled
-        return response(status, body, (("Content-Type", "application/json"),))
+        data = response(status, body, (("Content-Type", "application/json"),))
+        if self.repeats and self.repeats(request):
+            connection["extra"] = data
+        return extra + data
 
     def answer(self, request):
         group = self.group
