--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Checks what the scripted cases need: their stand-ins are Python and need no build. The programs
+# Checks what the scripted cases need. Their stand-ins are in Python and need no build; the programs
 # under test come from the build line of deploy/system.toml.
 set -eu
 cd "$(dirname "$0")"
-python3 - <<'PYTHON'
+command -v python3 >/dev/null || { echo "python3 is missing" >&2; exit 1; }
+python3 -B - <<'PYTHON'
 import ast
 import pathlib
 import sys
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import signal
@@ -422,6 +423,13 @@
 
 # --- Programs under test ---
 
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent():
+    """Runs in the child: no program outlives a script that is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 class Programs:
     def __init__(self, work):
@@ -437,7 +445,8 @@
     def restart(self, name):
         with open(os.path.join(self.work, f"{name}.log"), "ab") as log:
             self.running[name] = subprocess.Popen(
-                self.commands[name], stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT)
+                self.commands[name], stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT,
+                preexec_fn=die_with_parent)
 
     def signal(self, name, number):
         self.running[name].send_signal(number)
