--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,11 +11,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standin"))
 import fleet  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+TROUBLE = os.environ.get("TROUBLE", "1") == "1"
+SHIFTS = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=shift: the shifts of demand alone
 SEED = int(os.environ.get("SEED", "1"))
 RANKS = 12
 RUN_S = 95.0
-SHIFT_S = 3.2  # of the demand for experts; the site's days have the same
+SHIFT_S = 3.2 if SHIFTS else None  # expert_shift; the gap_s of the site's days
 GARBLE_AT_S, GARBLE_FOR_S = (6.0, 23.0, 40.0, 57.0, 74.0), 6.2  # the site: for 6.3 s at most
 GARBLING_RANKS = (1, 3, 4, 6, 8, 9, 11)  # share 0.6 of 12 servers, the site's largest
 SPOILED_SHARE = 0.05  # of the answers of such a server, the site's largest x
@@ -115,7 +116,7 @@
 
     def judge(self):
         group = self.group
-        if group.changes < 2 or (TROUBLE and self.n_spoiled == 0):
+        if group.changes < 1 or (TROUBLE and self.n_spoiled == 0):
             raise fleet.CannotRun(f"{group.changes} map changes, {self.n_spoiled} wrong answers")
         self.record(f"{group.step} passes, {group.changes} map changes, {self.n_spoiled} of "
                     f"{sum(r.answers for r in group.ranks)} answers wrong, {self.exits} exits; "
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,8 +10,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standin"))
 import fleet  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+TROUBLE = os.environ.get("TROUBLE", "1") == "1"
+SHIFTS = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=shift: the shifts of demand alone
 RANKS = 12
+SHIFT_S = 3.2 if SHIFTS else None  # expert_shift; the gap_s of the site's days
 RUN_S = 95.0
 GARBLE_AT_S, GARBLE_FOR_S = (0.0, 30.0, 60.0), 6.0  # the site: for 6.3 s at most
 GARBLING_RANKS = (1, 3, 4, 6, 8, 9, 11)  # share 0.6 of 12 servers, the site's largest
@@ -98,7 +100,7 @@
     start = time.monotonic()
     record = Record(os.path.join(HERE, "record.txt"), start)
     ports = fleet.free_ports(1 + 3 * RANKS)
-    store, group = fleet.Store(ports[0]), fleet.Group(ports[1:1 + RANKS])
+    store, group = fleet.Store(ports[0]), fleet.Group(ports[1:1 + RANKS], shift_s=SHIFT_S)
     store.put("op/config", config(group))
     programs, exits = fleet.Programs(work), {}
     tasks = [asyncio.create_task(t) for t in (store.run(), group.run(), beat(store, group))]
