Check the numbers in engine responses and rank reports

Cause: an expert number in an engine's list of experts was taken as it came, kept, sent to each new coordinator and used as an index when the skew was computed, before any check of the map.

Change: reports, counts and lists of experts are checked where they are decoded, and reports of other processes when they are recorded; a list is used once two reads agree; a complete map that leaves out an expert is collected anew. Log lines name the engine.

The maps in two tests of group_size_test.cc named experts that the spec does not have, or one twice; they name different existing ones now, and the checks are the same.

--- a/fuzz/fuzz_fleet.c
+++ b/fuzz/fuzz_fleet.c
@@ -3,8 +3,9 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-#define N_SETS	2
-#define N_SLOTS 4
+#define N_SETS	  2
+#define N_SLOTS	  4
+#define N_EXPERTS 8
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -14,6 +15,9 @@
 	skh_routing_t *routing;
 	skh_engine_report_t report;
 	skh_engine_counts_t counts;
+	static const skh_engine_spec_t spec = { .expert_sets = N_SETS,
+						.experts_per_set = N_EXPERTS,
+						.slots_per_rank = N_SLOTS };
 	uint32_t map[N_SETS * N_SLOTS];
 	int64_t version;
 
@@ -27,6 +31,6 @@
 	(void)dialect->read_report(text, &report, &err);
 	if (dialect->read_counts(text, &counts, &err))
 		g_free(counts.counts);
-	(void)dialect->read_map(text, N_SETS, N_SLOTS, map, &version, &err);
+	(void)dialect->read_map(text, &spec, map, &version, &err);
 	return 0;
 }
--- a/src/group/coordinator.c
+++ b/src/group/coordinator.c
@@ -485,6 +485,14 @@
 
 	if (!should_plan && !needs_repair)
 		return;
+	if (!skh_mapplan_is_valid(&view->engine_spec, view->n_ranks, view->map)) {
+		skh_log(SKH_LOG_WARNING, PART,
+			"Reported maps leave out an expert; waiting for new reports of all ranks.",
+			"ranks=%u version=%" PRId64, view->n_ranks,
+			view->ranks[view->own_rank].report.map_version);
+		skh_groupview_forget_maps(view);
+		return;
+	}
 	memcpy(view->next_map, view->map, skh_groupview_map_size(view) * sizeof(uint32_t));
 	coordinator->plan = (skh_mapplan_result_t){ 0 };
 	if (should_plan) {
--- a/src/group/count_codec.c
+++ b/src/group/count_codec.c
@@ -1,5 +1,6 @@
 #include "count_codec.h"
 
+#include <glib.h>
 #include <math.h>
 #include <string.h>
 
@@ -29,7 +30,7 @@
 			packed[i / 2] |= (uint8_t)(quantize_count(counts[i], max_count)
 						   << (i % 2 * STEP_BITS));
 	}
-	return (uint32_t)max_count;
+	return (uint32_t)MIN(max_count, (double)UINT32_MAX);
 }
 
 void skh_count_codec_decode_add(const uint8_t *packed, size_t n, uint32_t max_count, double *sums)
--- a/src/group/groupview.c
+++ b/src/group/groupview.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "mapplan.h"
 #include "metrics.h"
 
 #include <inttypes.h>
@@ -172,15 +173,44 @@
 	view->ranks[rank].has_map = true;
 }
 
-static void store_reported_map(skh_groupview_t *view, uint32_t rank, const Skh__RankReport *message)
+static bool is_log_due(skh_groupview_t *view, int64_t now_us)
+{
+	if (now_us - view->last_logged_us <= LOG_INTERVAL_US)
+		return false;
+	view->last_logged_us = now_us;
+	return true;
+}
+
+static void reject_map(skh_groupview_t *view, const Skh__RankReport *message, int64_t now_us)
+{
+	skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
+	if (is_log_due(view, now_us))
+		skh_log(SKH_LOG_WARNING, PART,
+			"Rank's map has an unknown expert, or one twice, and is ignored.",
+			"rank=%u engine=%s version=%" PRId64, message->rank, message->engine,
+			message->map_version);
+}
+
+static void store_reported_map(skh_groupview_t *view, uint32_t rank, const Skh__RankReport *message,
+			       int64_t now_us)
 {
 	size_t n_entries = (size_t)view->engine_spec.expert_sets * view->engine_spec.slots_per_rank;
 	const skh_engine_report_t *report = &view->ranks[rank].report;
 
 	/* A map of another epoch or version, such as from before a change, is ignored. */
-	if (message->map_known && message->n_map == n_entries && message->epoch == report->epoch &&
-	    message->map_version == report->map_version)
+	if (!message->map_known || message->n_map != n_entries || message->epoch != report->epoch ||
+	    message->map_version != report->map_version)
+		return;
+	if (skh_mapplan_is_rank_map_valid(&view->engine_spec, message->map))
 		store_rank_map(view, rank, message->map);
+	else
+		reject_map(view, message, now_us);
+}
+
+void skh_groupview_forget_maps(skh_groupview_t *view)
+{
+	for (uint32_t rank = 0; rank < view->n_ranks; rank++)
+		view->ranks[rank].has_map = false;
 }
 
 static void measure_pass_duration(skh_groupview_t *view, int64_t pass, int64_t now_us)
@@ -198,12 +228,12 @@
 static void reject_report(skh_groupview_t *view, const Skh__RankReport *message, int64_t now_us)
 {
 	skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
-	if (now_us - view->last_logged_us <= LOG_INTERVAL_US)
-		return;
-	view->last_logged_us = now_us;
-	skh_log(SKH_LOG_WARNING, PART, "Rank's report is out of bounds and ignored.",
-		"rank=%u size=%u max_size=%u engine=%s", message->rank, message->size,
-		SKH_GROUPVIEW_MAX_RANKS, message->engine);
+	if (is_log_due(view, now_us))
+		skh_log(SKH_LOG_WARNING, PART, "Rank's report is out of bounds and ignored.",
+			"rank=%u size=%u max_size=%u epoch=%" PRId64 " pass=%" PRId64
+			" slowdown=%g engine=%s",
+			message->rank, message->size, SKH_GROUPVIEW_MAX_RANKS, message->epoch,
+			message->pass, message->pace, message->engine);
 }
 
 /* A report without a group comes from a process whose engine is in none, or from an old release. */
@@ -211,12 +241,10 @@
 				  int64_t now_us)
 {
 	skh_metrics_add(SKH_COUNT_FOREIGN_REPORTS, 1);
-	if (now_us - view->last_logged_us <= LOG_INTERVAL_US)
-		return;
-	view->last_logged_us = now_us;
-	skh_log(SKH_LOG_INFO, PART, "Report of another group is ignored.",
-		"rank=%u engine=%s reported_bytes=%zu", message->rank, message->engine,
-		strlen(message->group));
+	if (is_log_due(view, now_us))
+		skh_log(SKH_LOG_INFO, PART, "Report of another group is ignored.",
+			"rank=%u engine=%s reported_bytes=%zu", message->rank, message->engine,
+			strlen(message->group));
 }
 
 static void finish_poll(skh_groupview_t *view, uint32_t rank)
@@ -265,6 +293,14 @@
 		finish_poll(view, rank);
 }
 
+static bool is_report_in_bounds(const Skh__RankReport *message)
+{
+	return message->rank < message->size && message->size <= SKH_GROUPVIEW_MAX_RANKS &&
+	       message->epoch >= 0 && message->pass >= 0 && message->map_version >= 0 &&
+	       message->prepared >= 0 && message->armed >= 0 && message->held >= 0 &&
+	       message->pace > 0.0 && message->pace <= SKH_ENGINE_MAX_SLOWDOWN;
+}
+
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
 				 bool is_own_rank, int64_t now_us)
 {
@@ -287,7 +323,7 @@
 		reject_foreign_report(view, message, now_us);
 		return false;
 	}
-	if (message->rank >= message->size || message->size > SKH_GROUPVIEW_MAX_RANKS) {
+	if (!is_report_in_bounds(message)) {
 		reject_report(view, message, now_us);
 		return false;
 	}
@@ -307,7 +343,7 @@
 	}
 	state->last_received_us = now_us;
 	update_state(view, message->rank, &report, 0, now_us);
-	store_reported_map(view, message->rank, message);
+	store_reported_map(view, message->rank, message, now_us);
 	return true;
 }
 
@@ -341,9 +377,10 @@
 	if (status != 200 || tag >= view->n_ranks)
 		return;
 	map = g_new0(uint32_t, (size_t)n_sets * n_slots + 1);
-	if (!view->options.dialect->read_map(body, n_sets, n_slots, map, &version, &err))
+	if (!view->options.dialect->read_map(body, &view->engine_spec, map, &version, &err))
 		skh_log(SKH_LOG_WARNING, PART, "Rank's expert map could not be parsed.",
-			"rank=%u reason=%s", tag, err.text);
+			"rank=%u engine=%s reason=%s", tag,
+			skh_engine_client_address(view->ranks[tag].engine), err.text);
 	else if (view->ranks[tag].has_report && version == view->ranks[tag].report.map_version)
 		store_rank_map(view, tag, map);
 	g_free(map);
@@ -372,7 +409,8 @@
 	}
 	if (!view->options.dialect->read_report(body, &report, &err)) {
 		skh_log(SKH_LOG_WARNING, PART, "Rank's report could not be parsed.",
-			"rank=%u reason=%s", tag, err.text);
+			"rank=%u engine=%s reason=%s", tag,
+			skh_engine_client_address(state->engine), err.text);
 		return;
 	}
 	if (!is_in_group(view, &report) || report.rank != tag) {
@@ -536,12 +574,10 @@
 
 		if (!missing)
 			continue;
-		if (now_us - view->last_logged_us > LOG_INTERVAL_US) {
-			view->last_logged_us = now_us;
+		if (is_log_due(view, now_us))
 			skh_log(SKH_LOG_INFO, PART,
 				"Group state is incomplete; no map change is possible.",
 				"rank=%u lacks=%s", rank, missing);
-		}
 		return false;
 	}
 	return true;
--- a/src/group/groupview.h
+++ b/src/group/groupview.h
@@ -160,6 +160,14 @@
 /** skh_groupview_is_held_too_long() - whether a rank is held for longer than a change needs */
 bool skh_groupview_is_held_too_long(const skh_groupview_t *view, int64_t now_us);
 
+/**
+ * skh_groupview_forget_maps() - wait for new reports of all ranks' maps
+ *
+ * For maps that can't be right together: each rank's part is sound by itself, but an expert is at
+ * no rank.
+ */
+void skh_groupview_forget_maps(skh_groupview_t *view);
+
 /** skh_groupview_map_size() - number of slots in a complete map */
 size_t skh_groupview_map_size(const skh_groupview_t *view);
 
--- a/src/group/mapplan.c
+++ b/src/group/mapplan.c
@@ -357,8 +357,7 @@
 		skh_mapplan_skew(engine_spec, n_ranks, shares, options->slowdowns, map);
 }
 
-static bool is_row_valid(const skh_engine_spec_t *engine_spec, const uint32_t *row,
-			 uint64_t *n_replicas)
+static bool is_row_valid(const skh_engine_spec_t *engine_spec, const uint32_t *row)
 {
 	for (uint32_t i = 0; i < engine_spec->slots_per_rank; i++) {
 		if (row[i] > engine_spec->experts_per_set)
@@ -367,10 +366,27 @@
 			if (row[j] == row[i])
 				return false;
 		}
+	}
+	return true;
+}
+
+bool skh_mapplan_is_rank_map_valid(const skh_engine_spec_t *engine_spec, const uint32_t *rank_map)
+{
+	for (uint32_t set = 0; set < engine_spec->expert_sets; set++) {
+		if (!is_row_valid(engine_spec,
+				  rank_map + (size_t)set * engine_spec->slots_per_rank))
+			return false;
+	}
+	return true;
+}
+
+static void add_replicas(const skh_engine_spec_t *engine_spec, const uint32_t *row,
+			 uint64_t *n_replicas)
+{
+	for (uint32_t i = 0; i < engine_spec->slots_per_rank; i++) {
 		if (row[i] > 0)
 			n_replicas[row[i] - 1]++;
 	}
-	return true;
 }
 
 bool skh_mapplan_is_valid(const skh_engine_spec_t *engine_spec, uint32_t n_ranks,
@@ -381,11 +397,14 @@
 
 	for (uint32_t set = 0; is_valid && set < engine_spec->expert_sets; set++) {
 		memset(n_replicas, 0, sizeof(*n_replicas) * engine_spec->experts_per_set);
-		for (uint32_t rank = 0; is_valid && rank < n_ranks; rank++)
-			is_valid = is_row_valid(engine_spec,
-						map + ((size_t)set * n_ranks + rank) *
-								engine_spec->slots_per_rank,
-						n_replicas);
+		for (uint32_t rank = 0; is_valid && rank < n_ranks; rank++) {
+			const uint32_t *row =
+				map + ((size_t)set * n_ranks + rank) * engine_spec->slots_per_rank;
+
+			is_valid = is_row_valid(engine_spec, row);
+			if (is_valid)
+				add_replicas(engine_spec, row, n_replicas);
+		}
 		for (uint32_t i = 0; i < engine_spec->experts_per_set; i++)
 			is_valid = is_valid && n_replicas[i] > 0;
 	}
--- a/src/group/mapplan.h
+++ b/src/group/mapplan.h
@@ -13,7 +13,7 @@
  * each load multiplied by the rank's slowdown, divided by the mean load at normal
  * speed; 1 is perfectly balanced when no rank is slow. A map holds expert + 1 in each
  * slot, or 0 for an empty slot, [sets][ranks][slots]; a placement (rebalance.h) holds
- * expert numbers from 0 instead and has no empty slots.
+ * expert numbers from 0 instead and has no empty slots. Plans and skews need a valid map.
  */
 
 #include "dialect.h"
@@ -68,6 +68,14 @@
 double skh_mapplan_skew(const skh_engine_spec_t *engine_spec, uint32_t n_ranks,
 			const double *shares, const double *slowdowns, const uint32_t *map);
 
+/**
+ * skh_mapplan_is_rank_map_valid() - check one rank's part of a map
+ * @rank_map: [sets][slots]
+ *
+ * Return: true when the rank holds no expert twice in a set and no slot has an unknown expert.
+ */
+bool skh_mapplan_is_rank_map_valid(const skh_engine_spec_t *engine_spec, const uint32_t *rank_map);
+
 /**
  * skh_mapplan_is_valid() - check a map
  *
--- a/src/group/rank_poller.c
+++ b/src/group/rank_poller.c
@@ -36,6 +36,8 @@
 	bool has_engine_spec;
 	skh_engine_spec_t engine_spec;
 	skh_rank_snapshot_t snapshot;
+	uint32_t *read_map;	  /* the last map read, like @snapshot.map */
+	int64_t read_map_version; /* version of @read_map; -1 before the first one */
 	double *last_counts;  /* counts at the last read; NULL before the engine spec is known */
 	double *count_deltas; /* difference between the last two reads */
 	uint32_t n_counts;    /* entries of @last_counts and of @count_deltas */
@@ -62,12 +64,14 @@
 	poller->ops = ops;
 	poller->context = context;
 	poller->pass_duration_us = INITIAL_PASS_US;
+	poller->read_map_version = -1;
 	return poller;
 }
 
 void skh_rank_poller_free(skh_rank_poller_t *poller)
 {
 	g_free(poller->snapshot.map);
+	g_free(poller->read_map);
 	g_free(poller->last_counts);
 	g_free(poller->count_deltas);
 	g_free(poller);
@@ -82,6 +86,7 @@
 	poller->engine_spec = *engine_spec;
 	poller->snapshot.n_map = engine_spec->expert_sets * engine_spec->slots_per_rank;
 	poller->snapshot.map = g_new0(uint32_t, poller->snapshot.n_map);
+	poller->read_map = g_new0(uint32_t, poller->snapshot.n_map);
 	poller->n_counts = engine_spec->expert_sets * engine_spec->experts_per_set;
 	poller->last_counts = g_new0(double, poller->n_counts);
 	poller->count_deltas = g_new0(double, poller->n_counts);
@@ -110,6 +115,7 @@
 {
 	poller->n_groups++;
 	poller->snapshot.has_map = false;
+	poller->read_map_version = -1;
 	poller->has_last_counts = false;
 	poller->pass_duration_us = INITIAL_PASS_US;
 	poller->pass_end_seen_us = 0;
@@ -124,8 +130,8 @@
 	bool group_changed;
 
 	if (!poller->dialect->read_report(body, &report, &err)) {
-		skh_log(SKH_LOG_WARNING, PART, "Engine report could not be parsed.", "reason=%s",
-			err.text);
+		skh_log(SKH_LOG_WARNING, PART, "Engine report could not be parsed.",
+			"engine=%s reason=%s", skh_engine_client_address(poller->client), err.text);
 		return;
 	}
 	group_changed = !poller->snapshot.has_report ||
@@ -206,7 +212,7 @@
 
 	if (!poller->dialect->read_counts(body, &counts, &err)) {
 		skh_log(SKH_LOG_WARNING, PART, "Engine token counts could not be parsed.",
-			"reason=%s", err.text);
+			"engine=%s reason=%s", skh_engine_client_address(poller->client), err.text);
 		return;
 	}
 	if (counts.n == poller->n_counts) {
@@ -233,23 +239,35 @@
 	g_free(counts.counts);
 }
 
+/*
+ * A map is used once two reads in a row agree: it is read once for each version, and a wrong
+ * number that is the number of an expert can't be told from a right one.
+ */
 static void handle_map(skh_rank_poller_t *poller, skh_chunk_t body)
 {
-	int64_t version;
+	size_t map_bytes = poller->snapshot.n_map * sizeof(uint32_t);
+	g_autofree uint32_t *last_map = g_memdup2(poller->read_map, map_bytes);
+	int64_t last_version = poller->read_map_version;
 	skh_error_t err;
 
-	if (!poller->dialect->read_map(body, poller->engine_spec.expert_sets,
-				       poller->engine_spec.slots_per_rank, poller->snapshot.map,
-				       &version, &err)) {
+	if (!poller->dialect->read_map(body, &poller->engine_spec, poller->read_map,
+				       &poller->read_map_version, &err)) {
+		poller->read_map_version = -1;
 		skh_log(SKH_LOG_WARNING, PART, "Engine expert map could not be parsed.",
-			"reason=%s", err.text);
+			"engine=%s reason=%s", skh_engine_client_address(poller->client), err.text);
 		return;
 	}
 	/* The map has changed since the report was read; poll it again. */
-	if (version != poller->snapshot.report.map_version)
+	if (poller->read_map_version != poller->snapshot.report.map_version)
 		return;
+	if (last_version != poller->read_map_version ||
+	    memcmp(last_map, poller->read_map, map_bytes) != 0) {
+		poller->next_poll_us[POLL_MAP] = 0;
+		return;
+	}
+	memcpy(poller->snapshot.map, poller->read_map, map_bytes);
 	poller->snapshot.has_map = true;
-	poller->snapshot.map_version = version;
+	poller->snapshot.map_version = poller->read_map_version;
 	poller->snapshot.map_epoch = poller->snapshot.report.epoch;
 	poller->ops->on_change(poller->context);
 }
--- a/src/store/dialect.h
+++ b/src/store/dialect.h
@@ -44,6 +44,8 @@
 
 /* Longest name of a group, with its terminating zero. */
 #define SKH_GROUP_NAME_SIZE 64
+/* A greater slowdown is an error of its sender: no group makes progress with such a rank. */
+#define SKH_ENGINE_MAX_SLOWDOWN 1000.0
 
 /** struct skh_engine_report - state of an engine, as it reports it */
 typedef struct skh_engine_report {
@@ -117,8 +119,11 @@
 	skh_server_t *(*read_server)(const char *id, skh_chunk_t text, skh_error_t *err);
 	bool (*read_report)(skh_chunk_t text, skh_engine_report_t *report, skh_error_t *err);
 	bool (*read_counts)(skh_chunk_t text, skh_engine_counts_t *counts, skh_error_t *err);
-	/* Parses the rank's part of the map in use: expert + 1 by [set][slot], 0 if empty. */
-	bool (*read_map)(skh_chunk_t text, uint32_t sets, uint32_t slots, uint32_t *map,
+	/*
+	 * Parses the rank's part of the map in use: expert + 1 by [set][slot], 0 if empty. A map
+	 * with an expert that @spec does not have, or twice in a set, is invalid.
+	 */
+	bool (*read_map)(skh_chunk_t text, const skh_engine_spec_t *spec, uint32_t *map,
 			 int64_t *version, skh_error_t *err);
 	/* Returns the order as JSON; free with free(). */
 	char *(*write_order)(const skh_mapchange_order_t *order);
--- a/test/group_reports_test.cc
+++ b/test/group_reports_test.cc
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -58,12 +59,17 @@
 	View(const View &) = delete;
 	View &operator=(const View &) = delete;
 
-	// All slots of the reported map hold @expert.
+	// The reported map has @expert in each set.
 	bool record(const char *group, uint32_t rank, const std::string &engine, uint32_t expert,
 		    uint32_t n_ranks = kRanks)
+	{
+		return record_map(group, rank, engine, { expert, 0, expert, 0 }, n_ranks, 1.0);
+	}
+
+	bool record_map(const char *group, uint32_t rank, const std::string &engine,
+			std::vector<uint32_t> map, uint32_t n_ranks, double slowdown)
 	{
 		Skh__RankReport message = SKH__RANK_REPORT__INIT;
-		std::vector<uint32_t> map(kSets * kSlots, expert);
 
 		message.service = const_cast<char *>("model");
 		message.group = const_cast<char *>(group);
@@ -73,7 +79,7 @@
 		message.size = n_ranks;
 		message.open = 1;
 		message.epoch = 1;
-		message.pace = 1.0;
+		message.pace = slowdown;
 		message.sender = std::hash<std::string>()(engine);
 		message.number = ++number;
 		message.map_known = 1;
@@ -147,6 +153,39 @@
 	EXPECT_EQ(skh_metrics_get(SKH_COUNT_FOREIGN_REPORTS) - before, 5U);
 }
 
+// Reports of other processes are as untrusted as the engines' responses that they pass on.
+TEST(GroupReports, MapsWithUnknownOrRepeatedExpertsAreIgnored)
+{
+	View view("a");
+	const std::vector<uint32_t> wrong_maps[] = {
+		{ 1, 9, 3, 0 }, { 1, 777777778, 3, 0 }, { 1, 0, 3, UINT32_MAX }, { 2, 2, 3, 0 }
+	};
+
+	for (uint32_t rank = 0; rank < kRanks; rank++)
+		EXPECT_TRUE(view.record("a", rank, engine_of('a', rank), 1 + rank));
+	ASSERT_TRUE(skh_groupview_is_complete(&view.view, kMs));
+	for (const std::vector<uint32_t> &map : wrong_maps) {
+		/* The rest of the report is used: the rank is alive. */
+		EXPECT_TRUE(view.record_map("a", 1, engine_of('a', 1), map, kRanks, 1.0));
+		EXPECT_EQ(view.expert(1), 2U);
+	}
+	EXPECT_TRUE(skh_groupview_is_complete(&view.view, kMs));
+	EXPECT_TRUE(view.record("a", 1, engine_of('a', 1), 8));
+	EXPECT_EQ(view.expert(1), 8U);
+}
+
+// A slowdown that is no number made each plan a sum of such numbers.
+TEST(GroupReports, ReportsWithSlowdownsOutOfRangeAreIgnored)
+{
+	View view("a");
+
+	for (double slowdown : { 0.0, -1.0, 1e9, (double)INFINITY, (double)NAN })
+		EXPECT_FALSE(view.record_map("a", 1, engine_of('a', 1), { 1, 0, 1, 0 }, kRanks,
+					     slowdown))
+			<< slowdown;
+	EXPECT_TRUE(view.record_map("a", 1, engine_of('a', 1), { 1, 0, 1, 0 }, kRanks, 9.0));
+}
+
 namespace
 {
 
--- a/test/group_size_test.cc
+++ b/test/group_size_test.cc
@@ -301,10 +301,13 @@
 TEST(GroupSize, ViewIsCompleteOnceAllRanksHaveReported)
 {
 	for (uint32_t n_ranks : kGroupSizes) {
-		const skh_engine_spec_t spec = make_spec(n_ranks);
-		View view(spec);
+		skh_engine_spec_t spec = make_spec(n_ranks);
 		std::vector<uint32_t> rank_map(kSets * kSlots);
 
+		/* Each slot has an expert of its own. */
+		spec.experts_per_set = n_ranks * kSlots + kSets * kSlots;
+		View view(spec);
+
 		for (uint32_t rank = 0; rank < n_ranks; rank++) {
 			ASSERT_FALSE(skh_groupview_is_complete(&view.view, kMs)) << n_ranks;
 			for (uint32_t i = 0; i < rank_map.size(); i++)
@@ -320,7 +323,7 @@
 TEST(GroupSize, ViewFollowsAGroupThatGrowsAndShrinks)
 {
 	const skh_engine_spec_t spec = make_spec(65);
-	const std::vector<uint32_t> rank_map(kSets * kSlots, 1);
+	const std::vector<uint32_t> rank_map = { 1, 2, 3, 3, 1, 2 };
 	View view(spec);
 
 	for (uint32_t n_ranks : { 3U, 65U, 2U, 129U, 1U }) {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -1,9 +1,12 @@
-// Guards against misread expert counts in the platform's engine format.
+// Guards against misread reports, expert counts and expert maps in the platform's engine format, and
+// against numbers that are used unchecked: engines may send any bytes.
 #include "dialect.h"
 
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace
 {
@@ -53,8 +56,14 @@
 
 TEST(Platform, InvalidCountsAreRejected)
 {
-	for (const char *text : { "", "7", "[1,2]", "{}", R"({"counts":5})", R"({"counts":[1,2)",
-				  R"({"counts":[1,2]} and more)", "\xff\xfe" }) {
+	const std::string deep = R"({"counts":)" + std::string(5000, '[');
+
+	for (const char *text :
+	     { "", "7", "[1,2]", "{}", R"({"counts":5})", R"({"counts":[1,2)",
+	       R"({"counts":[1,2]} and more)", "\xff\xfe", R"({"counts":[[[1]]]})",
+	       R"({"counts":[1,-2]})", R"({"counts":[1e300]})", R"({"counts":[1e999]})",
+	       R"({"step":1e300,"counts":[1]})", R"({"epoch":-1,"counts":[1]})",
+	       R"({"epoch":1.5,"counts":[1]})", deep.c_str() }) {
 		Counts counts(text);
 
 		EXPECT_FALSE(counts.is_valid) << text;
@@ -62,6 +71,110 @@
 	}
 }
 
+struct Report {
+	skh_engine_report_t report;
+	skh_error_t err = {};
+	bool is_valid;
+
+	explicit Report(const std::string &text)
+	{
+		is_valid = find_dialect()->read_report(skh_chunk_make(text.data(), text.size()),
+						       &report, &err);
+	}
+};
+
+TEST(Platform, ReportsAreReadWithAndWithoutAGroup)
+{
+	Report grouped(R"({"group":{"name":"g","epoch":3,"rank":2,"state":"open"},"size":4,
+		"step":81,"mapping":7,"prepared":{"version":9,"experts":[]},"armed":null,"held":82,
+		"pace":1.5,"sequence":5})");
+
+	ASSERT_TRUE(grouped.is_valid) << grouped.err.text;
+	EXPECT_TRUE(grouped.report.is_group_open);
+	EXPECT_EQ(grouped.report.rank, 2U);
+	EXPECT_EQ(grouped.report.group_size, 4U);
+	EXPECT_EQ(grouped.report.epoch, 3);
+	EXPECT_EQ(grouped.report.pass, 81);
+	EXPECT_EQ(grouped.report.map_version, 7);
+	EXPECT_EQ(grouped.report.prepared_version, 9);
+	EXPECT_EQ(grouped.report.armed_version, 0);
+	EXPECT_EQ(grouped.report.held_pass, 82);
+	EXPECT_EQ(grouped.report.slowdown, 1.5);
+
+	Report alone(R"({"phase":"unified","busy":false})");
+
+	ASSERT_TRUE(alone.is_valid) << alone.err.text;
+	EXPECT_FALSE(alone.report.is_in_group);
+	EXPECT_EQ(alone.report.slowdown, 1.0);
+	/* The platform names a group before it has a size. */
+	EXPECT_TRUE(Report(R"({"group":{"name":"g","epoch":0,"rank":3}})").is_valid);
+}
+
+// A rank of 4294967298 used to be rank 2, and a version of 1e300 was undefined behaviour.
+TEST(Platform, ReportsWithNumbersOutOfRangeAreRejected)
+{
+	const std::pair<const char *, const char *> cases[] = {
+		{ R"({"group":{"name":"g","epoch":1,"rank":4294967298,"size":4}})", "group" },
+		{ R"({"group":{"name":"g","epoch":1,"rank":4,"size":4}})", "group" },
+		{ R"({"group":{"name":"g","epoch":1,"rank":-1,"size":4}})", "group" },
+		{ R"({"group":{"name":"g","epoch":1,"size":4}})", "group" },
+		{ R"({"group":{"name":"g","rank":1,"size":4}})", "group" },
+		{ R"({"group":{"name":"g","epoch":1e300,"rank":1},"size":4})", "group" },
+		{ R"({"group":{"name":"g","epoch":1,"rank":1},"size":-4})", "group" },
+		{ R"({"step":-1})", "step" },
+		{ R"({"mapping":1e300})", "mapping" },
+		{ R"({"prepared":{"version":0.5}})", "prepared" },
+		{ R"({"armed":-7})", "armed" },
+		{ R"({"held":9007199254740994})", "held" },
+		{ R"({"sequence":-1})", "sequence" },
+		{ R"({"pace":0})", "pace" },
+		{ R"({"pace":-1.0})", "pace" },
+		{ R"({"pace":1e9})", "pace" },
+	};
+
+	for (const auto &[text, field] : cases) {
+		Report report(text);
+
+		EXPECT_FALSE(report.is_valid) << text;
+		EXPECT_NE(std::string(report.err.text).find(field), std::string::npos) << text;
+	}
+	EXPECT_FALSE(Report(std::string(5000, '[')).is_valid);
+}
+
+// Two sets of four experts, two slots: expert + 1 by set and slot, or an empty list if it is invalid.
+std::vector<uint32_t> read_map(const std::string &text)
+{
+	skh_engine_spec_t spec = {};
+	std::vector<uint32_t> map(4, 99);
+	int64_t version;
+	skh_error_t err;
+
+	spec.expert_sets = 2;
+	spec.experts_per_set = 4;
+	spec.slots_per_rank = 2;
+	if (!find_dialect()->read_map(skh_chunk_make(text.data(), text.size()), &spec, map.data(),
+				      &version, &err))
+		map.clear();
+	return map;
+}
+
+// An expert beyond the last one ended the coordinator's process, which counts replicas by expert.
+TEST(Platform, MapsWithUnknownOrRepeatedExpertsAreRejected)
+{
+	EXPECT_EQ(read_map(R"({"mapping":{"version":7,"experts":[[0,3],[2]]}})"),
+		  (std::vector<uint32_t>{ 1, 4, 3, 0 }));
+	for (const char *experts :
+	     { "[[0,4],[2]]", "[[0,777777777],[2]]", "[[0,-1],[2]]", "[[0,4294967296],[2]]",
+	       "[[0,1.0],[2]]", "[[0,\"1\"],[2]]", "[[0,[1]],[2]]", "[[0,0],[2]]", "[[0,1,2],[3]]",
+	       "[[0,1]]", "[[0],[1],[2]]", "[0,1]", "7" }) {
+		EXPECT_TRUE(read_map(std::string(R"({"mapping":{"version":7,"experts":)") +
+				     experts + "}}")
+				    .empty())
+			<< experts;
+	}
+	EXPECT_TRUE(read_map(R"({"mapping":{"version":-1,"experts":[[0,3],[2]]}})").empty());
+}
+
 // Guards against requests in a region that is not allowed, through a value that was not understood.
 TEST(Platform, AllowedRegionsAndColdTimesAreReadAndWrongValuesAreNamed)
 {
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -45,6 +45,12 @@
  *       "late"                   execute the order after LATE_ORDER_DELAY_US
  *       "drop"                   don't execute the order
  *                                with "from":OP, beginning with the next order OP
+ *     {"spoil":FIELD,"value":V,"count":N}
+ *                                on a rank, put the wrong number V into the next N responses to
+ *                                requests for its state that have FIELD:
+ *       "experts"                the second expert of the first set
+ *       "rank", "epoch"          of the group
+ *       other                    the field of that name in the report
  */
 #define _GNU_SOURCE
 #include "standin.h"
@@ -111,6 +117,9 @@
 	char order_fault_from
 		[16]; /* operation that the faults begin with; "" once they have begun */
 	int64_t n_order_faults;
+	char spoiled_field[16];
+	int64_t spoiled_value;
+	int64_t n_spoils;
 	/* Used by ranks only: */
 	int64_t fencing_token;
 	int64_t max_version; /* highest version prepared so far */
@@ -453,30 +462,55 @@
 		      : standin_respond(connection, status, json_object());
 }
 
-static json_t *report_to_json(const server_t *rank)
+/* Whether the next response is to have a wrong number in @field. */
+static bool take_spoil(server_t *rank, const char *field)
+{
+	if (rank->n_spoils == 0 || strcmp(rank->spoiled_field, field) != 0)
+		return false;
+	rank->n_spoils--;
+	return true;
+}
+
+/* Spoils a field of a report, which is in "group" or at the top level. */
+static json_t *spoil_report(server_t *rank, json_t *report)
+{
+	json_t *group = json_object_get(report, "group");
+	json_t *owner = json_object_get(group, rank->spoiled_field) ? group : report;
+
+	if (json_object_get(owner, rank->spoiled_field) && take_spoil(rank, rank->spoiled_field))
+		json_object_set_new(owner, rank->spoiled_field, json_integer(rank->spoiled_value));
+	return report;
+}
+
+static json_t *report_to_json(server_t *rank)
 {
 	bool is_prepared = g_get_monotonic_time() >= rank->ready_us;
+	json_t *report =
+		json_pack("{s:s, s:{s:s, s:i, s:i, s:s}, s:i, s:I, s:I, s:I, s:I, s:I, s:i}",
+			  "phase", "unified", "group", "name", group_name, "epoch", 1, "rank",
+			  rank->rank, "state", "open", "size", n_ranks, "step", (json_int_t)pass,
+			  "mapping", (json_int_t)rank->map_version, "prepared",
+			  (json_int_t)(is_prepared ? rank->prepared_version : 0), "armed",
+			  (json_int_t)rank->armed_version, "held", (json_int_t)rank->held_pass,
+			  "sequence", 1);
 
-	return json_pack("{s:s, s:{s:s, s:i, s:i, s:s}, s:i, s:I, s:I, s:I, s:I, s:I, s:i}",
-			 "phase", "unified", "group", "name", group_name, "epoch", 1, "rank",
-			 rank->rank, "state", "open", "size", n_ranks, "step", (json_int_t)pass,
-			 "mapping", (json_int_t)rank->map_version, "prepared",
-			 (json_int_t)(is_prepared ? rank->prepared_version : 0), "armed",
-			 (json_int_t)rank->armed_version, "held", (json_int_t)rank->held_pass,
-			 "sequence", 1);
+	return spoil_report(rank, report);
 }
 
 /* With "lists" in the query, the experts that @rank holds; else the demand of all experts. */
-static json_t *expert_demand_to_json(struct mg_connection *connection, const server_t *rank)
+static json_t *expert_demand_to_json(struct mg_connection *connection, server_t *rank)
 {
 	const char *query = mg_get_request_info(connection)->query_string;
 	json_t *list = json_array();
 
 	if (query && strstr(query, "lists")) {
 		for (int set = 0; set < N_SETS; set++)
-			json_array_append(list,
-					  json_array_get(json_array_get(rank->map, (size_t)set),
-							 (size_t)rank->rank));
+			json_array_append_new(list, json_deep_copy(json_array_get(
+							    json_array_get(rank->map, (size_t)set),
+							    (size_t)rank->rank)));
+		if (take_spoil(rank, "experts"))
+			(void)json_array_set_new(json_array_get(list, 0), 1,
+						 json_integer(rank->spoiled_value));
 		return json_pack("{s:I, s:i, s:{s:I, s:o}}", "step", (json_int_t)pass, "epoch", 1,
 				 "mapping", "version", (json_int_t)rank->map_version, "experts",
 				 list);
@@ -747,6 +781,7 @@
 	const char *order_fault = json_string_value(json_object_get(json, "order"));
 	const char *from = json_string_value(json_object_get(json, "from"));
 	const char *zone = json_string_value(json_object_get(json, "zone"));
+	const char *spoiled_field = json_string_value(json_object_get(json, "spoil"));
 
 	if (json_is_true(json_object_get(json, "draining")))
 		server->is_draining = true;
@@ -784,6 +819,12 @@
 		(void)g_strlcpy(server->order_fault_from, from ? from : "",
 				sizeof(server->order_fault_from));
 	}
+	if (spoiled_field) {
+		(void)g_strlcpy(server->spoiled_field, spoiled_field,
+				sizeof(server->spoiled_field));
+		server->spoiled_value = get_integer(json, "value");
+		server->n_spoils = get_integer(json, "count");
+	}
 	json_decref(json);
 	return json_object();
 }
