Leave no event out of a response because of its id

Cause: an event whose id was not above the last one was dropped as a duplicate within a response, too, and the id of the first event was taken as it came.

Change: an event is dropped only if another server repeats it after a resume. An id that does not follow makes another server send the event again, or is passed on where none may be asked. A stream resumes only after an id that two events, or the service's numbering, agree on, and is complete only behind the last emitted event.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -175,6 +175,18 @@
 
 static const skh_upstream_ops_t upstream_ops;
 
+/* Returns the id that the first event should have, or -1 if it is not known. */
+static int64_t expected_first_event(const skh_exchange_t *exchange)
+{
+	const char *last_event = skh_http_message_header(
+		exchange->request, skh_exchange_header_name(exchange, SKH_HEADER_LAST_EVENT));
+	int64_t id;
+
+	if (!last_event)
+		return exchange->target_pool->first_event_id;
+	return g_ascii_string_to_signed(last_event, 10, 0, INT32_MAX, &id, NULL) ? id + 1 : -1;
+}
+
 void skh_attempt_send(skh_exchange_t *exchange, skh_target_t *target, int64_t now_us)
 {
 	skh_buffer_t bytes = SKH_BUFFER_INIT;
@@ -220,7 +232,9 @@
 	exchange->has_survived = false;
 	exchange->was_unread = false;
 	exchange->attempt_status = 0;
+	exchange->has_logged_order = false;
 	skh_attempt_discard_body(exchange);
+	skh_event_stream_expect_first(&exchange->event_stream, expected_first_event(exchange));
 	skh_target_begin_attempt(target, exchange->expected_tokens, now_us);
 	target->cache_tokens += exchange->cache_tokens;
 	skh_log(SKH_LOG_INFO, PART, "Request sent to a server.",
@@ -348,6 +362,8 @@
 }
 
 static void finish_attempt(skh_exchange_t *exchange, skh_attempt_end_t end);
+static skh_retry_decision_t decide_retry(const skh_exchange_t *exchange, skh_attempt_end_t end,
+					 int64_t now_us, skh_retry_policy_input_t *view);
 
 static void record_first_byte(skh_exchange_t *exchange)
 {
@@ -399,11 +415,58 @@
 	exchange->n_passes++;
 }
 
+/* Once a response; a server may number all events wrongly. */
+static void log_event_out_of_order(skh_exchange_t *exchange, bool is_accepted)
+{
+	skh_metrics_add(SKH_COUNT_EVENTS_OUT_OF_ORDER, 1);
+	if (exchange->has_logged_order)
+		return;
+	exchange->has_logged_order = true;
+	skh_log(SKH_LOG_WARNING, PART,
+		is_accepted ? "Event's id does not follow the last one; the event is passed on."
+			    : "Event's id does not follow the last one; the response is given up.",
+		"id=%s server=%s last_event=%" PRId64 " resuming=%d", exchange->attempt_id,
+		exchange->target->server->id, exchange->event_stream.last_event_id,
+		exchange->event_stream.is_resuming);
+}
+
+/*
+ * The server's event has an id that does not follow. Another server can send it again; if none may
+ * be asked, the caller gets what the server sends.
+ */
+static bool should_accept_event(const skh_exchange_t *exchange)
+{
+	skh_retry_policy_input_t view;
+
+	return !exchange->event_stream.is_resuming &&
+	       decide_retry(exchange, SKH_END_STREAM_BROKEN, skh_clock_boot_us(), &view) !=
+		       SKH_RETRY_DECISION_RETRY;
+}
+
+/* Appends the complete events to @out; returns false if the server's stream can't go on. */
+static bool read_events(skh_exchange_t *exchange, skh_chunk_t bytes, skh_buffer_t *out)
+{
+	skh_event_stream_t *events = &exchange->event_stream;
+	skh_event_stream_status_t status = skh_event_stream_feed(events, bytes, out);
+
+	while (status == SKH_EVENT_STREAM_OUT_OF_ORDER) {
+		bool is_accepted = should_accept_event(exchange);
+
+		log_event_out_of_order(exchange, is_accepted);
+		if (!is_accepted)
+			return false;
+		skh_event_stream_accept_next(events);
+		status = skh_event_stream_feed(events, skh_chunk_make(NULL, 0), out);
+	}
+	if (!exchange->is_continuation && skh_event_stream_learned_first(events) >= 0)
+		exchange->target_pool->first_event_id = skh_event_stream_learned_first(events);
+	return status == SKH_EVENT_STREAM_OK && has_room_for_event(exchange);
+}
+
 static void forward_events(skh_exchange_t *exchange, skh_chunk_t bytes)
 {
 	skh_buffer_t out = SKH_BUFFER_INIT;
-	bool is_contiguous = skh_event_stream_feed(&exchange->event_stream, bytes, &out) &&
-			     has_room_for_event(exchange);
+	bool can_go_on = read_events(exchange, bytes, &out);
 
 	skh_attempt_count_pending(exchange);
 	exchange->target->last_received_us = skh_clock_boot_us();
@@ -421,7 +484,7 @@
 			pause_reading(exchange);
 	}
 	skh_buffer_free(&out);
-	if (!is_contiguous)
+	if (!can_go_on)
 		finish_attempt(exchange, SKH_END_STREAM_BROKEN);
 }
 
@@ -506,8 +569,8 @@
 
 static void end_stream(skh_exchange_t *exchange)
 {
-	/* A response that ends in the middle of an event is incomplete. */
-	if (!skh_event_stream_is_at_boundary(&exchange->event_stream)) {
+	/* A response that ends in the middle of an event, or before new events, is incomplete. */
+	if (!skh_event_stream_is_complete(&exchange->event_stream)) {
 		finish_attempt(exchange, SKH_END_STREAM_BROKEN);
 		return;
 	}
@@ -618,7 +681,7 @@
 		target->references++;
 		g_ptr_array_add(exchange->excluded_targets, target);
 	}
-	skh_event_stream_discard_pending(&exchange->event_stream);
+	skh_event_stream_resume(&exchange->event_stream);
 	skh_exchange_enqueue(exchange, now_us);
 }
 
@@ -680,6 +743,7 @@
 		.is_retry_blocked = skh_crash_suspects_is_retry_blocked(gateway->crash_suspects,
 									&traits, now_us),
 		.has_response_begun = exchange->state == SKH_EXCHANGE_RESPONDING,
+		.can_resume = skh_event_stream_can_resume(&exchange->event_stream),
 		.now_us = now_us,
 		.deadline_us = exchange->deadline_us,
 	};
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -69,12 +69,13 @@
 	int32_t response_status; /* status for the caller */
 	int32_t attempt_status;	 /* status of the current attempt; 0 before its head */
 	char response_reason[64];
-	bool awaits_config;   /* arrived before the first configuration was loaded */
-	bool is_continuation; /* of a stream that its caller has received a part of */
-	bool is_crash_test;   /* tests a suspected prompt part */
-	bool has_survived;    /* the current attempt has, see crash_suspects.h */
-	bool is_group_probe;  /* the current attempt probes a group that is not ready */
-	bool upstream_paused; /* the response is not read, as the caller is slow */
+	bool awaits_config;    /* arrived before the first configuration was loaded */
+	bool is_continuation;  /* of a stream that its caller has received a part of */
+	bool is_crash_test;    /* tests a suspected prompt part */
+	bool has_logged_order; /* an event of the current attempt was out of order */
+	bool has_survived;     /* the current attempt has, see crash_suspects.h */
+	bool is_group_probe;   /* the current attempt probes a group that is not ready */
+	bool upstream_paused;  /* the response is not read, as the caller is slow */
 	bool was_unread; /* the current attempt was paused long enough for a server to give up */
 	bool attempt_is_streaming; /* current attempt has delivered an event */
 	bool response_is_signed;
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -131,6 +131,7 @@
 	pool->targets = g_ptr_array_new();
 	pool->queue = skh_request_queue_new();
 	pool->typical_first_event_ms = TYPICAL_FIRST_EVENT_PLAIN_MS;
+	pool->first_event_id = -1;
 	skh_pool_groups_init(pool);
 	g_hash_table_insert(backends->pools, pool->service, pool);
 	return pool;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -103,6 +103,8 @@
 	double logged_share;	       /* share of the capacity in the last log line about it */
 	double cache_capacity;	  /* tokens that fit into a server's KV cache; 0 if not limited */
 	double next_cache_tokens; /* of the request that the next selection is for, complete */
+	/* Id of the first event of its streams, as servers number them; -1 until it is known. */
+	int64_t first_event_id;
 	int64_t typical_first_event_ms; /* time to the first event or the complete response */
 	double completed[SKH_TARGET_POOL_RATE_SLOTS]; /* successful requests by time slot */
 	int64_t newest_slot;			      /* newest time slot in @completed */
--- a/src/gateway/retry_policy.c
+++ b/src/gateway/retry_policy.c
@@ -5,6 +5,8 @@
 	if (view->n_attempts >= SKH_RETRY_POLICY_MAX_ATTEMPTS ||
 	    view->now_us + SKH_RETRY_POLICY_MIN_TIME_LEFT_US >= view->deadline_us)
 		return false;
+	if (view->has_response_begun && !view->can_resume)
+		return false;
 	/* If an attempt may have run, a retry at another server may run the request once more. */
 	if (view->possible_runs > 0 &&
 	    (view->retry_mode == SKH_RETRY_MODE_NEVER || view->possible_runs >= view->max_runs))
--- a/src/gateway/retry_policy.h
+++ b/src/gateway/retry_policy.h
@@ -37,6 +37,7 @@
 	bool has_retry_budget;	 /* the retry budget has room */
 	bool is_retry_blocked;	 /* the request is a crash suspect */
 	bool has_response_begun; /* the caller has received a part of a response */
+	bool can_resume;	 /* another server can be told where to go on after that part */
 	int64_t now_us;
 	int64_t deadline_us; /* the caller's deadline or the route's timeout */
 } skh_retry_policy_input_t;
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -130,6 +130,7 @@
 			view.end = static_cast<skh_attempt_end_t>(end);
 			view.possible_runs = possible_runs;
 			view.has_response_begun = true;
+			view.can_resume = true;
 			view.n_attempts = SKH_RETRY_POLICY_MAX_ATTEMPTS;
 			EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_CLOSE_STREAM)
 				<< "end " << end << " runs " << possible_runs;
@@ -137,6 +138,21 @@
 	}
 }
 
+// Without a certain position, another server would leave out events or send them twice.
+TEST(RetryPolicy, AStreamResumesOnlyAtACertainPosition)
+{
+	skh_retry_policy_input_t view = make_lost_view(SKH_RETRY_MODE_RESUME_STREAM);
+
+	view.end = SKH_END_STREAM_BROKEN;
+	view.has_response_begun = true;
+	view.can_resume = true;
+	EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_RETRY);
+	view.can_resume = false;
+	EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_CLOSE_STREAM);
+	view.has_response_begun = false;
+	EXPECT_EQ(skh_retry_policy_decide(&view), SKH_RETRY_DECISION_RETRY);
+}
+
 // Reference rule: a request that may have run is retried only if its retry mode allows that.
 TEST(RetryPolicy, NeverRetriesMoreThanTheReferenceRuleAllows)
 {
@@ -470,18 +486,20 @@
 	skh_buffer_t out = SKH_BUFFER_INIT;
 
 	skh_event_stream_init(&events);
-	EXPECT_TRUE(
-		skh_event_stream_feed(&events, make_chunk("id: 1\ndata: a\n\nid: 2\nda"), &out));
+	EXPECT_EQ(skh_event_stream_feed(&events, make_chunk("id: 1\ndata: a\n\nid: 2\nda"), &out),
+		  SKH_EVENT_STREAM_OK);
 	EXPECT_EQ(to_string(out), "id: 1\ndata: a\n\n");
 	EXPECT_EQ(events.last_event_id, 1);
-	EXPECT_FALSE(skh_event_stream_is_at_boundary(&events));
-	skh_event_stream_discard_pending(&events);
-	EXPECT_TRUE(skh_event_stream_feed(
-		&events, make_chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), &out));
+	EXPECT_FALSE(skh_event_stream_is_complete(&events));
+	skh_event_stream_resume(&events);
+	EXPECT_EQ(skh_event_stream_feed(&events, make_chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+					&out),
+		  SKH_EVENT_STREAM_OK);
 	EXPECT_EQ(to_string(out), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-	EXPECT_TRUE(skh_event_stream_is_at_boundary(&events));
+	EXPECT_TRUE(skh_event_stream_is_complete(&events));
 	// A gap in the event ids is an error.
-	EXPECT_FALSE(skh_event_stream_feed(&events, make_chunk("id: 4\ndata: d\n\n"), &out));
+	EXPECT_EQ(skh_event_stream_feed(&events, make_chunk("id: 4\ndata: d\n\n"), &out),
+		  SKH_EVENT_STREAM_OUT_OF_ORDER);
 	skh_buffer_free(&out);
 	skh_event_stream_clear(&events);
 }
@@ -495,7 +513,8 @@
 
 	skh_event_stream_init(&events);
 	while (fed <= 4 * SKH_EVENT_STREAM_MAX_EVENT_BYTES &&
-	       skh_event_stream_feed(&events, skh_chunk_make(piece.data(), piece.size()), &out))
+	       skh_event_stream_feed(&events, skh_chunk_make(piece.data(), piece.size()), &out) ==
+		       SKH_EVENT_STREAM_OK)
 		fed += piece.size();
 	EXPECT_EQ(fed, SKH_EVENT_STREAM_MAX_EVENT_BYTES);
 	EXPECT_EQ(out.len, 0U);
@@ -512,15 +531,182 @@
 		skh_buffer_t out = SKH_BUFFER_INIT;
 
 		skh_event_stream_init(&events);
-		EXPECT_TRUE(
-			skh_event_stream_feed(&events, make_chunk(stream.substr(0, split)), &out));
-		EXPECT_TRUE(skh_event_stream_feed(&events, make_chunk(stream.substr(split)), &out));
+		EXPECT_EQ(skh_event_stream_feed(&events, make_chunk(stream.substr(0, split)), &out),
+			  SKH_EVENT_STREAM_OK);
+		EXPECT_EQ(skh_event_stream_feed(&events, make_chunk(stream.substr(split)), &out),
+			  SKH_EVENT_STREAM_OK);
 		EXPECT_EQ(to_string(out), stream);
 		skh_buffer_free(&out);
 		skh_event_stream_clear(&events);
 	}
 }
 
+namespace
+{
+
+// The stream of one caller; @to_caller is what it has received.
+struct Stream {
+	skh_event_stream_t events;
+	std::string to_caller;
+
+	explicit Stream(int64_t expected_first_id = -1)
+	{
+		skh_event_stream_init(&events);
+		skh_event_stream_expect_first(&events, expected_first_id);
+	}
+	~Stream()
+	{
+		skh_event_stream_clear(&events);
+	}
+	Stream(const Stream &) = delete;
+	Stream &operator=(const Stream &) = delete;
+
+	bool feed(const std::string &text)
+	{
+		skh_buffer_t out = SKH_BUFFER_INIT;
+		skh_event_stream_status_t status =
+			skh_event_stream_feed(&events, make_chunk(text), &out);
+
+		to_caller += to_string(out);
+		skh_buffer_free(&out);
+		return status == SKH_EVENT_STREAM_OK;
+	}
+
+	// Passes on what the server sends where no other server can be asked.
+	void feed_all(const std::string &text)
+	{
+		for (bool is_in_order = feed(text); !is_in_order; is_in_order = feed(""))
+			skh_event_stream_accept_next(&events);
+	}
+};
+
+std::string event(const std::string &id, int piece)
+{
+	return "id: " + id + "\ndata: piece " + std::to_string(piece) + "\n\n";
+}
+
+std::string events_between(int first, int last)
+{
+	std::string text;
+
+	for (int i = first; i <= last; i++)
+		text += event(std::to_string(i), i);
+	return text;
+}
+
+const char *const kWrongIds[] = { "0", "1", "3", "9", "99", "x", "", "-1", "99999999999999999999" };
+
+} // namespace
+
+// A wrong id of the first event made the gateway drop the events up to that id, and the stream ended
+// as complete.
+TEST(EventStream, NoEventOfAResponseIsDroppedForAWrongId)
+{
+	for (int wrong = 1; wrong <= 6; wrong++) {
+		for (const char *id : kWrongIds) {
+			const std::string sent = events_between(1, wrong - 1) + event(id, wrong) +
+						 events_between(wrong + 1, 6);
+			Stream stream;
+
+			stream.feed_all(sent);
+			EXPECT_EQ(stream.to_caller, sent) << wrong << " " << id;
+			EXPECT_TRUE(skh_event_stream_is_complete(&stream.events));
+		}
+	}
+}
+
+// After any break, another server goes on after the last event, or none is asked.
+TEST(EventStream, AStreamWithAWrongIdResumesWithoutLossOrNotAtAll)
+{
+	for (int wrong = 1; wrong <= 6; wrong++) {
+		for (const char *id : kWrongIds) {
+			Stream stream;
+
+			/* The connection breaks, unless the id is found to be wrong first. */
+			(void)stream.feed(events_between(1, wrong - 1) + event(id, wrong));
+			if (!skh_event_stream_can_resume(&stream.events))
+				continue;
+			int last = static_cast<int>(stream.events.last_event_id);
+
+			skh_event_stream_resume(&stream.events);
+			EXPECT_TRUE(stream.feed(events_between(last + 1, 6)));
+			EXPECT_TRUE(skh_event_stream_is_complete(&stream.events));
+			EXPECT_EQ(std::count(stream.to_caller.begin(), stream.to_caller.end(), 'p'),
+				  6)
+				<< wrong << " " << id << ": " << stream.to_caller;
+		}
+	}
+}
+
+TEST(EventStream, PositionIsCertainOnceTwoIdsAgree)
+{
+	Stream odd;
+
+	EXPECT_TRUE(skh_event_stream_can_resume(&odd.events));
+	EXPECT_TRUE(odd.feed(event("40", 1)));
+	EXPECT_FALSE(skh_event_stream_can_resume(&odd.events));
+	EXPECT_EQ(skh_event_stream_learned_first(&odd.events), -1);
+	EXPECT_TRUE(odd.feed(event("41", 2)));
+	EXPECT_TRUE(skh_event_stream_can_resume(&odd.events));
+	EXPECT_EQ(skh_event_stream_learned_first(&odd.events), 40);
+
+	Stream continued(40);
+
+	EXPECT_TRUE(continued.feed(event("40", 40)));
+	EXPECT_TRUE(skh_event_stream_can_resume(&continued.events));
+
+	Stream without_ids;
+
+	EXPECT_TRUE(without_ids.feed("data: a\n\ndata: b\n\n"));
+	EXPECT_FALSE(skh_event_stream_can_resume(&without_ids.events));
+	EXPECT_TRUE(skh_event_stream_is_complete(&without_ids.events));
+}
+
+// A server that resumes a stream has a wrong id in its first event: events of two runs would be
+// joined with one missing.
+TEST(EventStream, ResumedEventsHaveToFollowTheLastOne)
+{
+	for (const char *id : { "2", "3", "4", "6", "9" }) {
+		Stream stream;
+
+		EXPECT_TRUE(stream.feed(events_between(1, 4)));
+		skh_event_stream_resume(&stream.events);
+		EXPECT_FALSE(stream.feed(event(id, 5) + event("6", 6))) << id;
+		EXPECT_EQ(stream.to_caller, events_between(1, 4)) << id;
+	}
+
+	/* All events again, but not up to the last one. */
+	Stream repeated;
+
+	EXPECT_TRUE(repeated.feed(events_between(1, 4)));
+	skh_event_stream_resume(&repeated.events);
+	EXPECT_TRUE(repeated.feed(events_between(1, 2)));
+	EXPECT_FALSE(skh_event_stream_is_complete(&repeated.events));
+	EXPECT_TRUE(repeated.feed(events_between(3, 6)));
+	EXPECT_TRUE(skh_event_stream_is_complete(&repeated.events));
+	EXPECT_EQ(repeated.to_caller, events_between(1, 6));
+}
+
+// Calm traffic: comments, retry times and an end marker have no id.
+TEST(EventStream, EventsWithoutAnIdPass)
+{
+	const std::string sent = ": open\n\nretry: 200\n\n" + events_between(0, 3) +
+				 ": still here\n\n" + events_between(4, 4) + "data: [DONE]\n\n";
+	Stream stream;
+
+	EXPECT_TRUE(stream.feed(sent));
+	EXPECT_EQ(stream.to_caller, sent);
+	EXPECT_TRUE(skh_event_stream_is_complete(&stream.events));
+
+	Stream resumed;
+
+	EXPECT_TRUE(resumed.feed(events_between(0, 4)));
+	skh_event_stream_resume(&resumed.events);
+	EXPECT_TRUE(resumed.feed(": open\n\ndata: [DONE]\n\n"));
+	EXPECT_TRUE(skh_event_stream_is_complete(&resumed.events));
+	EXPECT_EQ(resumed.to_caller, events_between(0, 4) + ": open\n\ndata: [DONE]\n\n");
+}
+
 // --- HTTP messages ---
 
 namespace
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -28,6 +28,10 @@
  *       "extra"                  send a second response after the first
  *       "unframed"               send a body without a length, then close
  *       "cut"                    close a stream within its third event
+ *       "cut_first"              close a stream after its first event, which has a wrong id
+ *       "first_id"               put a wrong digit into the id of a stream's first event
+ *       "middle_id"              the same in the third event
+ *       "last_id"                the same in the last event
  *       "endless_head"           send header lines until the caller closes
  *       "endless_body"           send a body in chunks until the caller closes
  *       "endless_event"          send an event that does not end until the caller closes
@@ -569,9 +573,19 @@
 	g_mutex_unlock(&lock);
 }
 
+static bool has_wrong_id(const char *fault, int event, bool is_first)
+{
+	if (strcmp(fault, "first_id") == 0 || strcmp(fault, "cut_first") == 0)
+		return is_first;
+	if (strcmp(fault, "middle_id") == 0)
+		return event == 2;
+	return strcmp(fault, "last_id") == 0 && event == EVENTS_PER_STREAM - 1;
+}
+
 static int send_stream(struct mg_connection *connection, server_t *server, const char *attempt,
-		       bool should_close)
+		       const char *fault)
 {
+	bool should_close = strcmp(fault, "cut") == 0;
 	const int crashes_before = server->n_crashes;
 	bool is_crashing = has_crash_part(connection);
 	g_autofree char *head = make_head(server, attempt, 200);
@@ -582,7 +596,8 @@
 	write_text(connection,
 		   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
 	for (int i = first_event; i < EVENTS_PER_STREAM; i++) {
-		g_autofree char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
+		int id = has_wrong_id(fault, i, i == first_event) ? (i + 9) % 10 : i;
+		g_autofree char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", id, i);
 		g_autofree char *text = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
 		(void)usleep(EVENT_INTERVAL_US);
@@ -591,6 +606,8 @@
 		if (server->n_crashes != crashes_before)
 			return standin_close_connection(connection);
 		write_text(connection, text);
+		if (strcmp(fault, "cut_first") == 0)
+			return standin_close_connection(connection);
 		if (should_close && i == first_event + 1) {
 			write_text(connection, "10\r\nid: 9\nda");
 			return standin_close_connection(connection);
@@ -725,6 +742,19 @@
 		n_over_limit++;
 }
 
+/* Whether the request is served as usual, but for a part of the response. */
+static bool is_within_response(const char *fault)
+{
+	static const char *const faults[] = { "cut",	   "cut_first", "first_id",
+					      "middle_id", "last_id",	"extra" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		if (strcmp(fault, faults[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
 static int handle_request(struct mg_connection *connection, server_t *server)
 {
 	const char *path = mg_get_request_info(connection)->local_uri;
@@ -758,12 +788,12 @@
 	g_mutex_unlock(&lock);
 	if (slow)
 		(void)usleep((useconds_t)atoi(slow + strlen("/slow")) * US_PER_MS);
-	if (*fault && strcmp(fault, "cut") != 0 && strcmp(fault, "extra") != 0)
+	if (*fault && !is_within_response(fault))
 		return apply_fault(connection, server, attempt, fault);
 	if (strstr(path, "/stream/flood"))
 		return send_flood(connection, server, attempt);
 	if (strstr(path, "/stream/"))
-		return send_stream(connection, server, attempt, strcmp(fault, "cut") == 0);
+		return send_stream(connection, server, attempt, fault);
 	send_response(connection, server, attempt, 200, *body ? body : "ok");
 	if (strcmp(fault, "extra") == 0)
 		send_response(connection, server, attempt, 200, "again");
