Accept rank reports that state no slowdown

Cause: the check of the slowdown in rank reports took 0, which is what the field is if a process of an older release does not set it, for a wrong value; all reports of such a process were ignored.

Change: 0 counts as normal speed, negative and other values out of range are still rejected.

Measured: the 50 tests of Group* pass.

--- a/src/group/groupview.c
+++ b/src/group/groupview.c
@@ -298,7 +298,7 @@
 	return message->rank < message->size && message->size <= SKH_GROUPVIEW_MAX_RANKS &&
 	       message->epoch >= 0 && message->pass >= 0 && message->map_version >= 0 &&
 	       message->prepared >= 0 && message->armed >= 0 && message->held >= 0 &&
-	       message->pace > 0.0 && message->pace <= SKH_ENGINE_MAX_SLOWDOWN;
+	       message->pace >= 0.0 && message->pace <= SKH_ENGINE_MAX_SLOWDOWN;
 }
 
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
@@ -315,7 +315,8 @@
 		.prepared_version = message->prepared,
 		.armed_version = message->armed,
 		.held_pass = message->held,
-		.slowdown = message->pace,
+		/* Not set by older releases. */
+		.slowdown = message->pace > 0.0 ? message->pace : 1.0,
 	};
 	skh_groupview_rank_t *state;
 
