Keep a rank's engine through a map change, and confirm what engines say

Cause: a report gave its rank to the engine that it named, also during a map change, so that orders went to the wrong engine and its answers counted for the rank. Shown by the logs of a run: four engines changed their rank in the 150 ms of a change that ended with eleven ranks on the new map and one on the old.

Change: a changed state is used once two responses agree; within an epoch a rank has one engine; no rank gets another one during a change; the size is that of the own engine; only an order makes a rank prepared or armed.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -54,6 +54,8 @@
 	[SKH_COUNT_MAP_FAILURES] = { "map_failures", "Changes of expert maps that failed" },
 	[SKH_COUNT_EVENTS_OUT_OF_ORDER] = { "events_out_of_order",
 					    "Stream events whose id does not follow the last one" },
+	[SKH_COUNT_CONTRADICTING_REPORTS] = { "contradicting_reports",
+					      "Rank reports that contradict another one" },
 	[SKH_COUNT_FOREIGN_REPORTS] = { "foreign_reports", "Rank reports of another group" },
 	[SKH_COUNT_FOREIGN_ORDERS] = { "foreign_orders", "Orders for another group rejected" },
 	[SKH_COUNT_READS_PAUSED] = { "reads_paused",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -55,6 +55,7 @@
 	SKH_COUNT_MAP_CHANGES,
 	SKH_COUNT_MAP_FAILURES,
 	SKH_COUNT_EVENTS_OUT_OF_ORDER, /* events of streams whose id does not follow */
+	SKH_COUNT_CONTRADICTING_REPORTS, /* rank reports that contradict another engine's */
 	SKH_COUNT_FOREIGN_REPORTS,     /* rank reports of another group or of none */
 	SKH_COUNT_FOREIGN_ORDERS,      /* orders for a group that the engine is not in */
 	SKH_COUNT_READS_PAUSED,	       /* reading from a server stopped because of its caller */
--- a/src/group/balancer.c
+++ b/src/group/balancer.c
@@ -457,6 +457,7 @@
 		.dialect = balancer->dialect,
 		.pool_options = &balancer->pool_options,
 		.group = balancer->group->name,
+		.n_ranks = balancer->group->n_ranks,
 		.skew_weight = (double)balancer->settings->skew_weight,
 		.cost_weight = (double)balancer->settings->cost_weight,
 	};
--- a/src/group/coordinator.c
+++ b/src/group/coordinator.c
@@ -100,6 +100,12 @@
 		coordinator->last_abandoned = *last;
 }
 
+static void set_changing(skh_coordinator_t *coordinator, bool is_changing)
+{
+	coordinator->is_changing = is_changing;
+	coordinator->view.is_pinned = is_changing;
+}
+
 /* A change in progress is for a group that no longer exists, so it ends. */
 static void adapt_to_group_size(skh_coordinator_t *coordinator)
 {
@@ -116,7 +122,7 @@
 	coordinator->needs_repair =
 		coordinator->needs_repair ||
 		(coordinator->is_changing && coordinator->change.held_since_us != 0);
-	coordinator->is_changing = false;
+	set_changing(coordinator, false);
 	coordinator->n_ranks = n_ranks;
 	g_free(coordinator->slowdowns);
 	skh_order_sender_resize(coordinator->sender, n_ranks);
@@ -162,6 +168,7 @@
 		.dialect = options->dialect,
 		.pool_options = options->pool_options,
 		.group = options->group,
+		.n_ranks = options->n_ranks,
 		.on_rank_state = on_rank_state,
 		.on_poll_done = on_poll_done,
 		.context = coordinator,
@@ -371,7 +378,7 @@
 	view->next_epoch = epoch;
 	view->next_version = fence;
 	view->switch_pass = 0;
-	coordinator->is_changing = true;
+	set_changing(coordinator, true);
 	coordinator->change_started_us = now_us;
 	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
 		if (view->ranks[rank].has_report)
@@ -516,7 +523,7 @@
 /* Ends the change in progress because its copies were planned for demand that has since shifted. */
 static void withdraw_change(skh_coordinator_t *coordinator, int64_t now_us)
 {
-	coordinator->is_changing = false;
+	set_changing(coordinator, false);
 	record_end(coordinator, "shift", now_us);
 	skh_log(SKH_LOG_INFO, PART, "Map change withdrawn because demand shifted.",
 		"version=%" PRId64 " took_ms=%" PRId64 " reason=shift", coordinator->change.version,
@@ -554,7 +561,7 @@
 
 	if (!succeeded && change->phase != SKH_MAPCHANGE_FAILED)
 		return;
-	coordinator->is_changing = false;
+	set_changing(coordinator, false);
 	if (succeeded && !change->is_repair)
 		skh_groupview_adopt_next_map(&coordinator->view, change->switch_pass, now_us);
 	/* A change that failed after a hold may leave a rank armed or held. */
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -25,6 +25,7 @@
 	const skh_dialect_t *dialect;
 	const skh_upstream_pool_options_t *pool_options;
 	const char *group; /* name of the group; copied */
+	uint32_t n_ranks;  /* size of the group, by the engine beside this process */
 	double skew_weight;
 	double cost_weight;
 } skh_coordinator_options_t;
--- a/src/group/groupview.c
+++ b/src/group/groupview.c
@@ -281,6 +281,9 @@
 		return;
 	state->confirmed_us = 0;
 	state->is_poll_pending = false;
+	state->poll_filter = (skh_report_filter_t){ 0 };
+	state->has_report = false;
+	state->has_map = false;
 	/* An engine that restarted as another rank is not the former rank any more. */
 	for (uint32_t other = 0; other < view->n_ranks; other++) {
 		const skh_groupview_rank_t *former = &view->ranks[other];
@@ -293,6 +296,95 @@
 		finish_poll(view, rank);
 }
 
+static bool has_engine_at(const skh_groupview_t *view, uint32_t rank, const char *address)
+{
+	const skh_groupview_rank_t *state = &view->ranks[rank];
+
+	return state->engine && !state->has_left &&
+	       strcmp(skh_engine_client_address(state->engine), address) == 0;
+}
+
+/* Returns the rank whose engine is at @address; the number of ranks if there is none. */
+static uint32_t find_rank_of(const skh_groupview_t *view, const char *address)
+{
+	uint32_t rank = 0;
+
+	while (rank < view->n_ranks && !has_engine_at(view, rank, address))
+		rank++;
+	return rank;
+}
+
+/* Whether a report of @epoch is older than what is known, unless the rank beside this process agrees. */
+static bool is_older_epoch(const skh_groupview_t *view, int64_t epoch, int64_t known_epoch)
+{
+	bool is_own_epoch = view->has_own_rank && epoch == view->ranks[view->own_rank].report.epoch;
+
+	return epoch < known_epoch && !is_own_epoch;
+}
+
+/* Whether another engine is known to be @rank in the epoch, or in a later one. */
+static bool is_rank_taken(const skh_groupview_t *view, uint32_t rank, const char *address,
+			  int64_t epoch, int64_t now_us)
+{
+	const skh_groupview_rank_t *state = &view->ranks[rank];
+	int64_t known_epoch = state->report.epoch;
+
+	if (!state->engine || !state->has_report || state->has_left ||
+	    strcmp(skh_engine_client_address(state->engine), address) == 0)
+		return false;
+	return view->is_pinned ||
+	       ((epoch == known_epoch || is_older_epoch(view, epoch, known_epoch)) &&
+		now_us - state->state_updated_us <= MAX_STATE_AGE_US);
+}
+
+static void log_contradiction(skh_groupview_t *view, const char *address, uint32_t rank,
+			      uint32_t known_rank, int64_t epoch, int64_t now_us)
+{
+	const skh_engine_client_t *known = rank < view->n_ranks ? view->ranks[rank].engine : NULL;
+
+	skh_metrics_add(SKH_COUNT_CONTRADICTING_REPORTS, 1);
+	if (is_log_due(view, now_us))
+		skh_log(SKH_LOG_WARNING, PART,
+			"Rank's report contradicts another one and is ignored.",
+			"engine=%s rank=%u known_rank=%d known_engine=%s epoch=%" PRId64
+			" changing_map=%d",
+			address, rank, known_rank < view->n_ranks ? (int)known_rank : -1,
+			known ? skh_engine_client_address(known) : "-", epoch, view->is_pinned);
+}
+
+/* The group was formed again, which ends a map change: the rank beside this process says so. */
+static bool is_new_own_epoch(const skh_groupview_t *view, bool is_own_rank, int64_t epoch)
+{
+	return is_own_rank && view->has_own_rank &&
+	       epoch > view->ranks[view->own_rank].report.epoch;
+}
+
+/*
+ * Whether the engine at @address may be @rank. A number that differs from the engine's own one of
+ * the same epoch shows that one of the two is wrong, so the known one is forgotten, too.
+ */
+static bool accept_rank(skh_groupview_t *view, uint32_t rank, const char *address, int64_t epoch,
+			bool is_own_rank, int64_t now_us)
+{
+	uint32_t known_rank;
+	int64_t known_epoch;
+	bool is_known;
+
+	if (has_engine_at(view, rank, address) || is_new_own_epoch(view, is_own_rank, epoch))
+		return true;
+	known_rank = find_rank_of(view, address);
+	is_known = known_rank < view->n_ranks && view->ranks[known_rank].has_report;
+	known_epoch = is_known ? view->ranks[known_rank].report.epoch : 0;
+	if (!is_rank_taken(view, rank, address, epoch, now_us) &&
+	    !(is_known && (view->is_pinned || epoch == known_epoch ||
+			   is_older_epoch(view, epoch, known_epoch))))
+		return true;
+	log_contradiction(view, address, rank, known_rank, epoch, now_us);
+	if (is_known && !view->is_pinned && epoch == known_epoch)
+		forget_engine(view, known_rank, rank);
+	return false;
+}
+
 static bool is_report_in_bounds(const Skh__RankReport *message)
 {
 	return message->rank < message->size && message->size <= SKH_GROUPVIEW_MAX_RANKS &&
@@ -324,7 +416,8 @@
 		reject_foreign_report(view, message, now_us);
 		return false;
 	}
-	if (!is_report_in_bounds(message)) {
+	if (!is_report_in_bounds(message) ||
+	    (view->options.n_ranks != 0 && message->size != view->options.n_ranks)) {
 		reject_report(view, message, now_us);
 		return false;
 	}
@@ -333,10 +426,13 @@
 	/* Datagrams may arrive out of order. */
 	if (message->sender == state->sender_id && message->number <= state->sequence)
 		return false;
+	if (!accept_rank(view, message->rank, message->engine, message->epoch, is_own_rank, now_us))
+		return false;
 	state->sender_id = message->sender;
 	state->sequence = message->number;
 	set_engine(view, message->rank, message->engine);
-	(void)set_client(view, &state->relay, message->relay);
+	if (!view->is_pinned || !state->relay)
+		(void)set_client(view, &state->relay, message->relay);
 	if (is_own_rank) {
 		view->own_rank = message->rank;
 		view->has_own_rank = true;
@@ -396,12 +492,28 @@
 			      on_map_response, view);
 }
 
+/* During a map change, the engine stays known, but gets no direct order before it names its rank. */
+static void handle_other_rank(skh_groupview_t *view, uint32_t rank,
+			      const skh_engine_report_t *report)
+{
+	skh_groupview_rank_t *state = &view->ranks[rank];
+
+	state->confirmed_us = 0;
+	if (view->is_pinned)
+		log_contradiction(view, skh_engine_client_address(state->engine), report->rank,
+				  rank, report->epoch, skh_clock_boot_us());
+	else
+		forget_engine(view, rank, report->rank);
+}
+
 static void handle_poll_response(skh_groupview_t *view, uint32_t tag, int32_t status,
 				 skh_chunk_t body)
 {
 	skh_groupview_rank_t *state = &view->ranks[tag];
+	int64_t now_us = skh_clock_boot_us();
 	skh_engine_report_t report;
 	skh_error_t err;
+	bool is_new;
 
 	if (status != 200) {
 		/* An address from a notice whose engine does not respond may be out of date. */
@@ -414,14 +526,23 @@
 			skh_engine_client_address(state->engine), err.text);
 		return;
 	}
+	is_new = !skh_report_filter_accept(&state->poll_filter, &report, state->poll_started_us);
 	if (!is_in_group(view, &report) || report.rank != tag) {
-		forget_engine(view, tag, report.rank);
+		handle_other_rank(view, tag, &report);
 		return;
 	}
 	state->has_left = false;
 	state->confirmed_us = state->poll_started_us;
 	state->confirmed_epoch = report.epoch;
-	update_state(view, tag, &report, state->poll_started_us, skh_clock_boot_us());
+	if (is_new && state->has_report) {
+		/* The engine is alive; what it says has to be confirmed by the next response. */
+		state->next_poll_us = 0;
+		state->state_updated_us = now_us;
+		view->options.on_rank_state(view->options.context, tag, state->poll_started_us,
+					    now_us);
+		return;
+	}
+	update_state(view, tag, &report, state->poll_started_us, now_us);
 	if (!view->ranks[tag].has_map)
 		request_map(view, tag);
 }
@@ -444,18 +565,6 @@
 	return false;
 }
 
-static bool has_engine_at(const skh_groupview_t *view, const char *address)
-{
-	for (uint32_t rank = 0; rank < view->n_ranks; rank++) {
-		const skh_engine_client_t *client = view->ranks[rank].engine;
-
-		if (client && !view->ranks[rank].has_left &&
-		    strcmp(skh_engine_client_address(client), address) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void on_probe_response(void *context, uint32_t tag, int32_t status, skh_chunk_t body)
 {
 	skh_groupview_t *view = context;
@@ -466,16 +575,18 @@
 	view->probe_started_us = 0;
 	if (status != 200 || !view->options.dialect->read_report(body, &report, &err) ||
 	    !is_in_group(view, &report) || report.group_size != view->n_ranks ||
-	    report.rank >= view->n_ranks ||
-	    (view->ranks[report.rank].engine && !view->ranks[report.rank].has_left))
+	    report.rank >= view->n_ranks || view->is_pinned ||
+	    (view->ranks[report.rank].engine && !view->ranks[report.rank].has_left) ||
+	    find_rank_of(view, skh_engine_client_address(view->probe_client)) < view->n_ranks)
 		return;
+	/* The state is taken from a poll, which has to name the same rank. */
 	set_engine(view, report.rank, skh_engine_client_address(view->probe_client));
-	update_state(view, report.rank, &report, 0, skh_clock_boot_us());
+	skh_groupview_poll_rank(view, report.rank, skh_clock_boot_us());
 }
 
 bool skh_groupview_probe_engine(skh_groupview_t *view, const char *address, int64_t now_us)
 {
-	if (has_engine_at(view, address))
+	if (find_rank_of(view, address) < view->n_ranks)
 		return true;
 	if (view->probe_started_us != 0)
 		return false;
@@ -529,7 +640,8 @@
 	for (uint32_t i = 0; i < notice->n_members; i++) {
 		const skh_member_t *member = &notice->members[i];
 
-		if (view->ranks[member->rank].engine || has_engine_at(view, member->address))
+		if (view->ranks[member->rank].engine ||
+		    find_rank_of(view, member->address) < view->n_ranks)
 			continue;
 		set_engine(view, member->rank, member->address);
 		skh_groupview_poll_rank(view, member->rank, now_us);
--- a/src/group/groupview.h
+++ b/src/group/groupview.h
@@ -14,6 +14,7 @@
 #include "engine_client.h"
 #include "mapchange.h"
 #include "members_notice.h"
+#include "report_filter.h"
 #include "wire.pb-c.h"
 
 #ifdef __cplusplus
@@ -33,7 +34,8 @@
 	uint64_t sender_id;
 	uint64_t sequence;
 	skh_engine_report_t report;
-	bool has_map; /* the rank's part of the view's @map is known */
+	skh_report_filter_t poll_filter; /* of the responses to polls */
+	bool has_map;			 /* the rank's part of the view's @map is known */
 	/* @engine is not this rank any more, or a notice named it and it does not respond. */
 	bool has_left;
 	/* When the last poll was sent whose response named this group; 0 if none did. */
@@ -52,6 +54,8 @@
 	const skh_dialect_t *dialect;
 	const skh_upstream_pool_options_t *pool_options;
 	const char *group; /* name of the group; copied; reports of other groups are ignored */
+	uint32_t
+		n_ranks; /* reports of another size are ignored; 0 takes the size from any report */
 	/* Called after an update of @rank's state; @poll_started_us is 0 unless a poll caused it. */
 	void (*on_rank_state)(void *context, uint32_t rank, int64_t poll_started_us,
 			      int64_t now_us);
@@ -81,6 +85,11 @@
 	int64_t next_epoch;
 	int64_t next_version;
 	int64_t switch_pass; /* pass in which the group switched to @next_map */
+	/*
+	 * Written by the coordinator: a map change is in progress, in which the orders to a rank and
+	 * the responses to them belong to one engine. No rank gets another engine or relay.
+	 */
+	bool is_pinned;
 	/* Private: */
 	int64_t last_pass; /* pass of @own_rank at @last_pass_us */
 	int64_t last_pass_us;
@@ -101,7 +110,11 @@
  * skh_groupview_record_report() - record the state and map in a rank's report
  * @message: borrowed
  * @is_own_rank: the report is from the rank beside this process
- * Return: false if the report is invalid, of another group or not newer than the last one of its sender.
+ *
+ * Within an epoch a rank has one engine and an engine one rank. A report that contradicts this is
+ * rejected. If an engine names two ranks, neither is known until its next report.
+ * Return: false if the report is invalid, of another group, contradicts another engine's or is not
+ * newer than the last one of its sender.
  */
 bool skh_groupview_record_report(skh_groupview_t *view, const Skh__RankReport *message,
 				 bool is_own_rank, int64_t now_us);
--- a/src/group/mapchange.c
+++ b/src/group/mapchange.c
@@ -122,7 +122,7 @@
 
 static bool has_copies(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
 {
-	return rank->report.prepared_version == change->version;
+	return rank->has_prepared && rank->report.prepared_version == change->version;
 }
 
 static bool is_armed(const skh_mapchange_t *change, const skh_mapchange_rank_t *rank)
@@ -277,9 +277,10 @@
 	state->report = *report;
 	state->has_reported = true;
 	state->reported_us = now_us;
-	if (report->armed_version == change->version)
+	/* Only an order of this change leads to its version; without one, the number is wrong. */
+	if (report->armed_version == change->version && state->may_be_armed)
 		state->is_armed = true;
-	if (report->prepared_version == change->version)
+	if (report->prepared_version == change->version && state->may_be_prepared)
 		state->has_prepared = true;
 	/* The report shows why the rank rejected the prepare order. */
 	if (change->phase == SKH_MAPCHANGE_PREPARE && report->armed_version != 0)
@@ -419,6 +420,7 @@
 		return false;
 	state->is_order_pending = true;
 	state->may_be_armed = state->may_be_armed || order->op == SKH_ENGINE_ARM;
+	state->may_be_prepared = state->may_be_prepared || order->op == SKH_ENGINE_PREPARE;
 	if (change->phase == SKH_MAPCHANGE_PREPARE && order->op == SKH_ENGINE_HOLD) {
 		change->guard_pass = order->pass;
 		change->held_since_us = change->held_since_us ? change->held_since_us : now_us;
--- a/src/group/mapchange.h
+++ b/src/group/mapchange.h
@@ -96,6 +96,7 @@
 	skh_engine_report_t report; /* newest report */
 	int64_t reported_us;	    /* when @report was received */
 	bool has_responded;	  /* has responded to an order of this change, so knows the fence */
+	bool may_be_prepared;	  /* a prepare order was sent */
 	bool has_prepared;	  /* has accepted the prepare order of this change */
 	bool is_armed;		  /* is armed for this change */
 	bool may_be_armed;	  /* an arm order was sent and may take effect now or later */
--- a/src/group/rank_poller.c
+++ b/src/group/rank_poller.c
@@ -3,8 +3,8 @@
 #include "clock.h"
 #include "group_id.h"
 #include "log.h"
+#include "report_filter.h"
 
-#include <math.h>
 #include <string.h>
 
 #define PART		   "rank"
@@ -36,6 +36,7 @@
 	bool has_engine_spec;
 	skh_engine_spec_t engine_spec;
 	skh_rank_snapshot_t snapshot;
+	skh_report_filter_t filter;
 	uint32_t *read_map;	  /* the last map read, like @snapshot.map */
 	int64_t read_map_version; /* version of @read_map; -1 before the first one */
 	double *last_counts;  /* counts at the last read; NULL before the engine spec is known */
@@ -92,24 +93,6 @@
 	poller->count_deltas = g_new0(double, poller->n_counts);
 }
 
-/* A smaller relative change of a rank's slowdown doesn't count as a change of its state. */
-#define SLOWDOWN_CHANGE_RATIO 0.1
-
-static bool has_state_changed(const skh_engine_report_t *a, const skh_engine_report_t *b)
-{
-	return fabs(a->slowdown - b->slowdown) > SLOWDOWN_CHANGE_RATIO * b->slowdown ||
-	       a->epoch != b->epoch || a->is_group_open != b->is_group_open ||
-	       a->map_version != b->map_version || a->prepared_version != b->prepared_version ||
-	       a->armed_version != b->armed_version || a->held_pass != b->held_pass ||
-	       a->rank != b->rank;
-}
-
-static bool has_group_changed(const skh_engine_report_t *a, const skh_engine_report_t *b)
-{
-	return a->is_in_group != b->is_in_group || a->group_size != b->group_size ||
-	       strcmp(a->group, b->group) != 0;
-}
-
 /* Map, counts and passes of the old group say nothing about the new one. */
 static void begin_group(skh_rank_poller_t *poller)
 {
@@ -121,10 +104,31 @@
 	poller->pass_end_seen_us = 0;
 }
 
+/* Only a change of what names the rank is logged; the others come with each order. */
+static void log_unconfirmed(const skh_rank_poller_t *poller)
+{
+	const skh_engine_report_t *known = &poller->filter.accepted;
+	const skh_engine_report_t *said = &poller->filter.last;
+	g_autofree char *group = NULL;
+
+	if (!poller->filter.has_accepted ||
+	    (!skh_report_filter_has_new_group(known, said) && known->rank == said->rank &&
+	     known->epoch == said->epoch))
+		return;
+	group = skh_group_id_escape(said->group);
+	skh_log(SKH_LOG_INFO, PART,
+		"Engine names itself differently; the next response has to confirm that.",
+		"engine=%s group=%s rank=%u known_rank=%u size=%u epoch=%" G_GINT64_FORMAT
+		" known_epoch=%" G_GINT64_FORMAT,
+		skh_engine_client_address(poller->client), said->is_in_group ? group : "-",
+		said->rank, known->rank, said->group_size, said->epoch, known->epoch);
+}
+
 static void handle_report(skh_rank_poller_t *poller, skh_chunk_t body)
 {
 	skh_engine_report_t report;
 	skh_error_t err;
+	skh_engine_report_t before = poller->snapshot.report;
 	bool changed;
 	bool epoch_changed;
 	bool group_changed;
@@ -134,11 +138,17 @@
 			"engine=%s reason=%s", skh_engine_client_address(poller->client), err.text);
 		return;
 	}
-	group_changed = !poller->snapshot.has_report ||
-			has_group_changed(&report, &poller->snapshot.report);
-	changed = group_changed || has_state_changed(&report, &poller->snapshot.report);
-	epoch_changed = group_changed || report.epoch != poller->snapshot.report.epoch ||
-			report.is_group_open != poller->snapshot.report.is_group_open;
+	if (!skh_report_filter_accept(&poller->filter, &report, poller->report_requested_us)) {
+		log_unconfirmed(poller);
+		skh_rank_poller_poll_now(poller);
+		return;
+	}
+	group_changed =
+		!poller->snapshot.has_report || skh_report_filter_has_new_group(&before, &report);
+	changed = group_changed || skh_report_filter_has_new_state(&before, &report) ||
+		  skh_report_filter_has_new_slowdown(&before, &report);
+	epoch_changed = group_changed || report.epoch != before.epoch ||
+			report.is_group_open != before.is_group_open;
 	if (changed) {
 		g_autofree char *group = skh_group_id_escape(report.group);
 
--- a/src/group/rankrelay.c
+++ b/src/group/rankrelay.c
@@ -66,6 +66,7 @@
 	int64_t confirmed_us; /* @asked_us if @engine has named @group; 0 before */
 	char *body;
 	uint32_t n_attempts;
+	bool has_other_group; /* the engine's last response named another group or epoch */
 } pending_order_t;
 
 static uint64_t compute_map_hash(const uint32_t *map, size_t n_slots)
@@ -406,10 +407,17 @@
 	}
 	if (!report.is_in_group || strcmp(report.group, pending->group) != 0 ||
 	    report.epoch != pending->epoch) {
+		/* One response may be wrong; a second one has to confirm it. */
+		if (!pending->has_other_group) {
+			pending->has_other_group = true;
+			retry_or_finish(pending, 0);
+			return;
+		}
 		skh_metrics_add(SKH_COUNT_FOREIGN_ORDERS, 1);
 		finish_order(pending, SKH_RANKRELAY_STATUS_OTHER_GROUP);
 		return;
 	}
+	pending->has_other_group = false;
 	pending->confirmed_us = pending->asked_us;
 	/* Asks again if this process was frozen before it could read the response. */
 	if (is_confirmed(pending))
--- a/test/mapchange_test.cc
+++ b/test/mapchange_test.cc
@@ -997,3 +997,49 @@
 	EXPECT_GT(count_violations(InjectedFault::kConstantFence, 400), 0U);
 	EXPECT_GT(count_violations(InjectedFault::kNoGuardHold, 120), 0U);
 }
+
+namespace
+{
+
+skh_mapchange_order_t next_order(skh_mapchange_t *change, uint32_t rank)
+{
+	skh_mapchange_order_t order = {};
+
+	EXPECT_TRUE(skh_mapchange_next_order(change, rank, 1000 * kMs, &order));
+	return order;
+}
+
+} // namespace
+
+// A report with a wrong number made a rank count as prepared or armed that had got no such order; the
+// hold was then released while the rank kept the old map.
+TEST(MapChange, OnlyAnOrderMakesARankPreparedOrArmed)
+{
+	const skh_mapchange_options_t options = { 2, 0, 0, 1, 7, 7, 0, false };
+	skh_mapchange_t change = {};
+	skh_engine_report_t report = {};
+
+	report.epoch = 1;
+	report.pass = 10;
+	skh_mapchange_init(&change, &options, 1000 * kMs);
+	report.prepared_version = 7;
+	report.armed_version = 7;
+	skh_mapchange_record_report(&change, 1, &report, 1000 * kMs);
+	EXPECT_FALSE(change.ranks[1].has_prepared);
+	EXPECT_FALSE(change.ranks[1].is_armed);
+
+	report.armed_version = 0;
+	report.prepared_version = 0;
+	for (uint32_t rank : { 0U, 1U })
+		skh_mapchange_record_report(&change, rank, &report, 1000 * kMs);
+	EXPECT_EQ(next_order(&change, 1).op, SKH_ENGINE_PREPARE);
+	/* The response is lost; the report shows that the order was carried out. */
+	skh_mapchange_record_result(&change, 1, SKH_MAPCHANGE_ORDER_NO_RESPONSE, 1000 * kMs);
+	report.prepared_version = 7;
+	skh_mapchange_record_report(&change, 1, &report, 1000 * kMs);
+	EXPECT_TRUE(change.ranks[1].has_prepared);
+	report.armed_version = 7;
+	skh_mapchange_record_report(&change, 1, &report, 1000 * kMs);
+	EXPECT_FALSE(change.ranks[1].is_armed);
+	skh_mapchange_clear(&change);
+}
