Take no rejection without an id on a kept connection for an answer

Cause: a rejection without an attempt id counted for whatever request the connection carried, also if it was a copy of an earlier one.

Change: on a kept connection such a rejection makes the attempt lost instead of not run; attempts after the first use new connections.

The new test of upstream_test.cc got the copy as the answer before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -194,7 +194,9 @@
 	skh_upstream_request_t upstream_request = {
 		.attempt_id = exchange->attempt_id,
 		.is_head_request = exchange->request->parser.method == HTTP_HEAD,
-		.use_new_connection = exchange->route->retry_mode == SKH_RETRY_MODE_NEVER,
+		/* A kept connection may still carry a copy of the response to the last attempt. */
+		.use_new_connection = exchange->route->retry_mode == SKH_RETRY_MODE_NEVER ||
+				      exchange->n_attempts > 0,
 	};
 	skh_forwarded_request_t forwarded = {
 		.dialect = gateway->dialect,
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "clock.h"
+#include "log.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,6 +9,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define PART		     "upstream"
 #define KEEPALIVE_IDLE_S     1 /* idle time before the first TCP keepalive probe */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     3
@@ -41,6 +43,7 @@
 	skh_buffer_t bytes; /* request not written yet */
 	char *attempt_id;
 	bool is_head_request;
+	bool is_reused;	      /* the connection has carried another request before */
 	bool request_written; /* write begun; the server may have received a part */
 	bool write_pending;
 	bool skip_response; /* response being read belongs to another request */
@@ -257,10 +260,14 @@
 		close_upstream(g_queue_peek_head(&pool->idle));
 }
 
+static const char *response_id(const skh_upstream_t *upstream, const skh_http_message_t *response)
+{
+	return skh_http_message_header(response, upstream->pool->options->attempt_id_header);
+}
+
 static bool is_matching_response(const skh_upstream_t *upstream, const skh_http_message_t *response)
 {
-	const char *id =
-		skh_http_message_header(response, upstream->pool->options->attempt_id_header);
+	const char *id = response_id(upstream, response);
 
 	if (!upstream->attempt_id)
 		return true;
@@ -270,6 +277,29 @@
 	return strcmp(id, upstream->attempt_id) == 0;
 }
 
+/*
+ * A rejection without an id on a kept connection may be of an earlier request, sent once more: the
+ * server may run this one.
+ */
+static bool is_doubtful_rejection(const skh_upstream_t *upstream,
+				  const skh_http_message_t *response)
+{
+	return upstream->is_reused && upstream->attempt_id && !response_id(upstream, response) &&
+	       response->parser.status_code >= 400;
+}
+
+static void log_doubtful_rejection(const skh_upstream_t *upstream,
+				   const skh_http_message_t *response)
+{
+	char host[INET_ADDRSTRLEN] = "";
+
+	(void)uv_ip4_name(&upstream->pool->address, host, sizeof(host));
+	skh_log(SKH_LOG_WARNING, PART,
+		"Rejection on a kept connection names no request; the request may run.",
+		"id=%s server=%s:%u status=%u", upstream->attempt_id, host,
+		ntohs(upstream->pool->address.sin_port), response->parser.status_code);
+}
+
 static bool on_head(void *context, skh_http_message_t *response)
 {
 	skh_upstream_t *upstream = context;
@@ -277,6 +307,10 @@
 	response->skip_body = upstream->is_head_request;
 	if (response->parser.status_code < 200)
 		return true;
+	if (is_doubtful_rejection(upstream, response)) {
+		log_doubtful_rejection(upstream, response);
+		return false;
+	}
 	upstream->skip_response = !is_matching_response(upstream, response);
 	if (upstream->skip_response)
 		return true;
@@ -472,6 +506,7 @@
 
 	if (is_new)
 		upstream = new_upstream(pool);
+	upstream->is_reused = !is_new;
 	g_free(upstream->attempt_id);
 	upstream->attempt_id = g_strdup(request->attempt_id);
 	upstream->is_head_request = request->is_head_request;
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -26,6 +26,10 @@
  *       "garble"                 send an invalid status line, then close
  *       "half"                   send a part of the body, then close
  *       "extra"                  send a second response after the first
+ *       "again"                  on a connection that has carried a request before, send a
+ *                                rejection without an id before the response
+ *       "error_page"             send a signed page instead of the events of a stream
+ *       "no_content"             end a stream with status 204
  *       "unframed"               send a body without a length, then close
  *       "cut"                    close a stream within its third event
  *       "cut_first"              close a stream after its first event, which has a wrong id
@@ -163,6 +167,7 @@
 static char crash_part[32];
 static double expert_counts[MAX_EXPERT_COUNTS];
 static GHashTable *once_attempts; /* attempt ids of requests under /once/ */
+static GHashTable *caller_ports;  /* of connections that have carried a request */
 static GHashTable *all_attempts;  /* attempt ids of all requests that ran */
 static int registered_port_offset;
 
@@ -582,6 +587,18 @@
 	return strcmp(fault, "last_id") == 0 && event == EVENTS_PER_STREAM - 1;
 }
 
+static int send_page(struct mg_connection *connection, const server_t *server, const char *attempt,
+		     bool is_empty)
+{
+	g_autofree char *head = make_head(server, attempt, is_empty ? 204 : 200);
+
+	write_text(connection, head);
+	write_text(connection, is_empty ? "\r\n"
+					: "Content-Type: text/plain\r\nContent-Length: 24\r\n\r\n"
+					  "data: out of memory\n\n\n\n\n");
+	return is_empty ? 204 : 200;
+}
+
 static int send_stream(struct mg_connection *connection, server_t *server, const char *attempt,
 		       const char *fault)
 {
@@ -592,6 +609,8 @@
 	const char *last_event_id = mg_get_header(connection, "Last-Event-Id");
 	int first_event = last_event_id ? atoi(last_event_id) + 1 : 0;
 
+	if (strcmp(fault, "error_page") == 0 || strcmp(fault, "no_content") == 0)
+		return send_page(connection, server, attempt, strcmp(fault, "no_content") == 0);
 	write_text(connection, head);
 	write_text(connection,
 		   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -745,8 +764,9 @@
 /* Whether the request is served as usual, but for a part of the response. */
 static bool is_within_response(const char *fault)
 {
-	static const char *const faults[] = { "cut",	   "cut_first", "first_id",
-					      "middle_id", "last_id",	"extra" };
+	static const char *const faults[] = { "cut",	   "cut_first",	 "first_id",
+					      "middle_id", "last_id",	 "extra",
+					      "again",	   "error_page", "no_content" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
 		if (strcmp(fault, faults[i]) == 0)
@@ -761,6 +781,8 @@
 	const char *expected = mg_get_header(connection, "Skylarkhead-Expect-Instance");
 	const char *attempt = mg_get_header(connection, "Skylarkhead-Attempt-Id");
 	const char *slow = strstr(path, "/slow");
+	int caller_port = mg_get_request_info(connection)->remote_port;
+	bool is_kept;
 	g_autofree char *body = standin_read_body(connection);
 	char fault[sizeof(server->fault)] = "";
 
@@ -777,6 +799,7 @@
 	}
 	attempt = attempt ? attempt : "-";
 	g_mutex_lock(&lock);
+	is_kept = !g_hash_table_add(caller_ports, GINT_TO_POINTER(caller_port));
 	check_limit(server);
 	check_cold(server);
 	if (server->n_faults > 0) {
@@ -794,6 +817,9 @@
 		return send_flood(connection, server, attempt);
 	if (strstr(path, "/stream/"))
 		return send_stream(connection, server, attempt, fault);
+	if (strcmp(fault, "again") == 0 && is_kept)
+		write_text(connection, "HTTP/1.1 503 X\r\nSkylarkhead-Not-Executed: 1\r\n"
+				       "Content-Length: 0\r\n\r\n");
 	send_response(connection, server, attempt, 200, *body ? body : "ok");
 	if (strcmp(fault, "extra") == 0)
 		send_response(connection, server, attempt, 200, "again");
@@ -947,6 +973,7 @@
 	registered_port_offset = argc >= 5 ? atoi(argv[4]) : 0;
 	if (argc == 6)
 		(void)g_strlcpy(group_name, argv[5], sizeof(group_name));
+	caller_ports = g_hash_table_new(NULL, NULL);
 	all_attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	n_ranks = MIN(atoi(argv[3]), MAX_SERVERS - N_PLAIN);
 	once_attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -225,6 +225,48 @@
 	EXPECT_EQ(result.body, "new");
 }
 
+// A server sends an earlier rejection once more. It was taken as "not run" for the next request, which
+// the server runs.
+TEST(Upstream, RejectionWithoutAnIdOnAKeptConnectionIsNoAnswer)
+{
+	const std::string rejection = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+	LoopbackHarness harness;
+	RequestResult first;
+	RequestResult second;
+
+	(void)harness.send_request(&first, "one");
+	harness.respond(rejection);
+	harness.run_until_done(first);
+	EXPECT_TRUE(first.ended) << "on a new connection there is no other request";
+	(void)harness.send_request(&second, "two");
+	harness.respond(rejection);
+	harness.run_until_done(second);
+	EXPECT_TRUE(second.failed);
+	EXPECT_FALSE(second.ended);
+}
+
+// Calm traffic: rejections that name the request, and copies that name an earlier one.
+TEST(Upstream, RejectionsWithAnIdOnAKeptConnectionAreAnswers)
+{
+	LoopbackHarness harness;
+	RequestResult results[3];
+
+	(void)harness.send_request(&results[0], "one");
+	harness.respond("HTTP/1.1 503 X\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n");
+	harness.run_until_done(results[0]);
+	EXPECT_TRUE(results[0].ended);
+	(void)harness.send_request(&results[1], "two");
+	harness.respond("HTTP/1.1 429 X\r\nX-Id: two\r\nContent-Length: 0\r\n\r\n");
+	harness.run_until_done(results[1]);
+	EXPECT_TRUE(results[1].ended);
+	(void)harness.send_request(&results[2], "three");
+	harness.respond("HTTP/1.1 429 X\r\nX-Id: two\r\nContent-Length: 0\r\n\r\n"
+			"HTTP/1.1 200 OK\r\nX-Id: three\r\nContent-Length: 2\r\n\r\nok");
+	harness.run_until_done(results[2]);
+	EXPECT_TRUE(results[2].ended);
+	EXPECT_EQ(results[2].body, "ok");
+}
+
 TEST(Upstream, ConnectionWithLeftoverBytesIsNotReused)
 {
 	LoopbackHarness harness;
