Resume a stream only with a response of the same kind

Callers could find the text of a page in the middle of their stream (reported by another operator).

Cause: a stream that had broken off went on with any signed 2xx of the next server, also one that is no event stream, or has no body.

Change: status and content type of the response that resumes a stream are compared with those of its beginning.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -13,7 +13,8 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define PART "request"
+#define PART		  "request"
+#define EVENT_STREAM_TYPE "text/event-stream"
 /*
  * Servers disconnect when their data is not read for some seconds. A connection that closes after a
  * shorter pause was not closed for that reason.
@@ -332,6 +333,30 @@
 		skh_target_record_retry_after(exchange->target, retry_after, now_us);
 }
 
+static bool is_event_stream(const skh_http_message_t *response)
+{
+	const char *type = skh_http_message_header(response, "Content-Type");
+
+	return type && g_ascii_strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) == 0;
+}
+
+/*
+ * Whether the events of a successful response may follow those that the caller has: an error page or
+ * an empty response is no rest of a stream.
+ */
+static bool can_continue_stream(const skh_exchange_t *exchange, const skh_http_message_t *response)
+{
+	if ((int32_t)response->parser.status_code == exchange->response_status &&
+	    (!exchange->is_event_stream || is_event_stream(response)))
+		return true;
+	skh_log(SKH_LOG_WARNING, PART,
+		"Server that was to resume a stream has sent another kind of response.",
+		"id=%s server=%s status=%u began_with=%" PRId32, exchange->attempt_id,
+		exchange->target->server->id, response->parser.status_code,
+		exchange->response_status);
+	return false;
+}
+
 /*
  * Stores the head for the caller; a stream that resumes at another server keeps the head of its
  * first response. Rejects a successful response that has no signature or has a Content-Encoding.
@@ -352,7 +377,8 @@
 	if (is_success)
 		record_alive(exchange);
 	if (exchange->state == SKH_EXCHANGE_RESPONDING)
-		return true;
+		return !is_success || can_continue_stream(exchange, response);
+	exchange->is_event_stream = is_event_stream(response);
 	store_response_head(exchange, response);
 	return true;
 }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -72,6 +72,7 @@
 	bool awaits_config;    /* arrived before the first configuration was loaded */
 	bool is_continuation;  /* of a stream that its caller has received a part of */
 	bool is_crash_test;    /* tests a suspected prompt part */
+	bool is_event_stream;  /* the response that the caller gets says so */
 	bool has_logged_order; /* an event of the current attempt was out of order */
 	bool has_survived;     /* the current attempt has, see crash_suspects.h */
 	bool is_group_probe;   /* the current attempt probes a group that is not ready */
