--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,6 +1,7 @@
 #include "backends.h"
 
 #include "clock.h"
+#include "dialect.h"
 #include "log.h"
 #include "metrics.h"
 #include "pool_groups.h"
@@ -25,6 +26,8 @@
 #define RATE_SLOT_US   (500 * SKH_US_PER_MS)
 /* Longest pause that a server can ask for, so that a garbled header does not end its use. */
 #define MAX_RETRY_AFTER_S 600.0
+/* More than any server takes; a greater limit is none. */
+#define MAX_LIMIT_PER_S 1e6
 /*
  * Requests sent beyond the slots of a server, or of a rank of a lock-step group: a slot is free at
  * the server before its last response arrives at the gateway.
@@ -211,6 +214,11 @@
 	const char *line = strstr(slowdowns, address);
 	double slowdown = line ? g_ascii_strtod(line + strlen(address), NULL) : 1.0;
 
+	if (!(slowdown > 0.0 && slowdown <= SKH_ENGINE_MAX_SLOWDOWN)) {
+		skh_log(SKH_LOG_WARNING, PART, "Slowdown of a rank is out of range and ignored.",
+			"server=%s value=%g", target->server->id, slowdown);
+		return;
+	}
 	if (slowdown != target->slowdown)
 		skh_log(SKH_LOG_INFO, PART, "Slowdown of a rank changed.", "server=%s pace=%.1f",
 			target->server->id, slowdown);
@@ -814,7 +822,8 @@
 	double limit_per_s = per_s ? g_ascii_strtod(per_s, &end) : 0.0;
 	bool was_limited = target->limit.per_s > 0.0;
 
-	if (per_s && (end == per_s || *end != '\0' || !(limit_per_s >= 0.0))) {
+	if (per_s && (end == per_s || *end != '\0' ||
+		      !(limit_per_s >= 0.0 && limit_per_s <= MAX_LIMIT_PER_S))) {
 		skh_log(SKH_LOG_DEBUG, PART, "Server's limit is not a number of requests a second.",
 			"server=%s value=%.32s", target->server->id, per_s);
 		return;
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -13,6 +13,8 @@
 #define KEEPALIVE_IDLE_S     1 /* idle time before the first TCP keepalive probe */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     3
+/* An hour; no connection stays idle for longer, whatever the server announces. */
+#define MAX_KEEP_ALIVE_S 3600
 
 typedef enum state {
 	STATE_CONNECTING,
@@ -225,9 +227,8 @@
 	int64_t timeout_us = upstream->pool->options->idle_timeout_us;
 
 	if (timeout_param) {
-		int64_t server_timeout_us =
-			g_ascii_strtoll(timeout_param + strlen("timeout="), NULL, 10) *
-			SKH_US_PER_S;
+		int64_t timeout_s = g_ascii_strtoll(timeout_param + strlen("timeout="), NULL, 10);
+		int64_t server_timeout_us = CLAMP(timeout_s, 0, MAX_KEEP_ALIVE_S) * SKH_US_PER_S;
 
 		/*
 		 * Half of the announced timeout, because the server closes the connection when its
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -43,6 +43,9 @@
 	if (!base64 || !*base64)
 		return g_strdup("");
 	bytes = g_base64_decode(base64, &len);
+	/* Not text; what stands before a zero byte may look complete. */
+	if (memchr(bytes, '\0', len))
+		return g_strdup("");
 	return g_strndup((const char *)bytes, len);
 }
 
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -175,6 +175,90 @@
 	EXPECT_TRUE(read_map(R"({"mapping":{"version":-1,"experts":[[0,3],[2]]}})").empty());
 }
 
+std::string make_entry(const std::string &slots, const std::string &address,
+		       const std::string &more = "")
+{
+	return R"({"service":"s","address":")" + address +
+	       R"(","zone":"z","version":"v","state":"ready","cold-remaining-ms":0,"sequence":1,"slots":)" +
+	       slots + more + "}";
+}
+
+bool is_server(const std::string &text, const char *id = "i-1")
+{
+	skh_error_t err = {};
+	skh_server_t *server =
+		find_dialect()->read_server(id, skh_chunk_make(text.data(), text.size()), &err);
+	bool is_valid = server != nullptr;
+
+	if (server) {
+		EXPECT_GT(server->slots, 0U) << text;
+		EXPECT_GT(server->port, 0U) << text;
+	} else {
+		EXPECT_STRNE(err.text, "");
+	}
+	skh_server_free(server);
+	return is_valid;
+}
+
+std::string nested(int depth)
+{
+	return std::string(static_cast<size_t>(depth), '[') +
+	       std::string(static_cast<size_t>(depth), ']');
+}
+
+// Another writer's entry: very deeply nested, with a number too large, or with a port out of range.
+// 2^32 slots were 0, and 2^32 + 5 were 5.
+TEST(Platform, OddEntriesNameNoServer)
+{
+	EXPECT_TRUE(is_server(make_entry("8", "10.0.0.1:80")));
+	EXPECT_TRUE(
+		is_server(make_entry("8", "10.0.0.1:80", R"(,"born":1764900000000,"x":[[7]])")));
+	for (const char *slots : { "0", "-1", "4294967296", "4294967301", "1e9", "8.5", "\"8\"",
+				   "99999999999999999999", "1e999", "null" })
+		EXPECT_FALSE(is_server(make_entry(slots, "10.0.0.1:80"))) << slots;
+	for (const char *address :
+	     { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+	       "10.0.0.1:", "10.0.0.1", "10.0.0.256:80", ":80", "host:80", "10.0.0.1:80x" })
+		EXPECT_FALSE(is_server(make_entry("8", address))) << address;
+	for (const char *more :
+	     { R"(,"born":-1)", R"(,"born":1.5)", R"(,"born":9223372036854775807)" })
+		EXPECT_FALSE(is_server(make_entry("8", "10.0.0.1:80", more))) << more;
+	for (int depth : { 3000, 200000 }) {
+		EXPECT_FALSE(is_server(make_entry("8", "10.0.0.1:80", ",\"x\":" + nested(depth))));
+		EXPECT_FALSE(is_server(nested(depth)));
+		EXPECT_FALSE(is_server(std::string(static_cast<size_t>(depth), '[')));
+	}
+	for (const char *id : { "", "a b", "a\r\nX-Y: z", "a\tb", "\x7f", "\xc3\xa9" })
+		EXPECT_FALSE(is_server(make_entry("8", "10.0.0.1:80"), id)) << id;
+	EXPECT_FALSE(is_server(make_entry("8", "10.0.0.1:80"), std::string(201, 'i').c_str()));
+}
+
+// Numbers out of range in an engine's part of the configuration: a map of 2^40 places was allocated.
+TEST(Platform, EnginesThatAreTooLargeAreNoEngines)
+{
+	for (const char *size : { R"("sets":4,"experts":72,"placements":8)",
+				  R"("sets":1000000000,"experts":72,"placements":8)",
+				  R"("sets":4,"experts":70000,"placements":8)",
+				  R"("sets":4,"experts":72,"placements":1e300)" }) {
+		const std::string text =
+			std::string(R"({"version":1,"services":[{"name":"s","engine":{)") + size +
+			"}}]}";
+		skh_error_t err;
+		skh_routing_t *routing =
+			find_dialect()->read_config(skh_chunk_make(text.data(), text.size()), &err);
+
+		ASSERT_NE(routing, nullptr);
+		const skh_service_info_t *service = skh_routing_get_service(routing, 0);
+
+		EXPECT_LE(static_cast<uint64_t>(service->engine_spec.expert_sets) *
+				  service->engine_spec.experts_per_set,
+			  1U << 20)
+			<< size;
+		EXPECT_LE(service->engine_spec.slots_per_rank, 1U << 20) << size;
+		skh_routing_free(routing);
+	}
+}
+
 // Guards against requests in a region that is not allowed, through a value that was not understood.
 TEST(Platform, AllowedRegionsAndColdTimesAreReadAndWrongValuesAreNamed)
 {
--- a/test/upstream_test.cc
+++ b/test/upstream_test.cc
@@ -359,3 +359,18 @@
 	harness.run_once();
 	EXPECT_EQ(harness.read_to_end(), ECONNRESET);
 }
+
+// A timeout of 2^62 seconds overflowed when it was converted.
+TEST(Upstream, AnnouncedIdleTimeoutsOfAnySizeAreRead)
+{
+	for (const char *timeout : { "4611686018427387904", "99999999999999999999", "-7", "x" }) {
+		LoopbackHarness harness;
+		RequestResult result;
+
+		(void)harness.send_request(&result, "a");
+		harness.respond(std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=") +
+				timeout + "\r\nContent-Length: 2\r\n\r\nok");
+		harness.run_until_done(result);
+		EXPECT_EQ(result.body, "ok") << timeout;
+	}
+}
