Use only counts of the epoch that the own engine has confirmed

The map of a group would no longer follow demand after counts with a wrong, later epoch: all others count as old then.

Change: the poller ignores counts of an epoch other than that of its engine's report; the coordinator ignores those of an epoch other than its own engine's, and with passes out of order.

--- a/src/group/coordinator.c
+++ b/src/group/coordinator.c
@@ -227,6 +227,13 @@
 		maybe_change_map(coordinator, now_us);
 }
 
+/* Counts of a later epoch than the group's would make all others count as old. */
+static bool is_sample_plausible(const skh_groupview_t *view, const skh_demand_sample_t *sample)
+{
+	return view->has_own_rank && sample->epoch == view->ranks[view->own_rank].report.epoch &&
+	       sample->from_pass >= 0 && sample->to_pass >= sample->from_pass;
+}
+
 static void decode_counts(skh_coordinator_t *coordinator, const Skh__RankReport *message,
 			  int64_t now_us)
 {
@@ -240,7 +247,8 @@
 	};
 
 	if (message->n_counts != n_counts ||
-	    message->counts.len != skh_count_codec_encoded_size(n_counts))
+	    message->counts.len != skh_count_codec_encoded_size(n_counts) ||
+	    !is_sample_plausible(&coordinator->view, &sample))
 		return;
 	memset(coordinator->counts, 0, n_counts * sizeof(double));
 	skh_count_codec_decode_add(message->counts.data, n_counts, message->greatest_count,
--- a/src/group/rank_poller.c
+++ b/src/group/rank_poller.c
@@ -225,7 +225,13 @@
 			"engine=%s reason=%s", skh_engine_client_address(poller->client), err.text);
 		return;
 	}
-	if (counts.n == poller->n_counts) {
+	if (counts.epoch != poller->snapshot.report.epoch) {
+		/* Those of a new epoch are read once the report has confirmed it. */
+		skh_log(SKH_LOG_DEBUG, PART, "Engine token counts of another epoch are ignored.",
+			"engine=%s epoch=%" G_GINT64_FORMAT " known_epoch=%" G_GINT64_FORMAT,
+			skh_engine_client_address(poller->client), counts.epoch,
+			poller->snapshot.report.epoch);
+	} else if (counts.n == poller->n_counts) {
 		skh_demand_sample_t sample = {
 			.counts = poller->count_deltas,
 			.epoch = counts.epoch,
--- a/test/group_orders_test.cc
+++ b/test/group_orders_test.cc
@@ -64,6 +64,8 @@
 
 		if (std::string(request->request_target->str) == "/v1/order")
 			n_orders++;
+		else if (std::string(request->request_target->str) == "/v1/picked")
+			body = make_counts();
 		else
 			body = "{\"group\":{\"name\":\"" + group +
 			       "\",\"epoch\":" + std::to_string(take_epoch()) +
@@ -79,6 +81,18 @@
 		skh_caller_conn_end_response(conn);
 	}
 
+	// Each read comes after another pass, in which each expert was chosen ten times.
+	std::string make_counts()
+	{
+		std::string count = std::to_string(10 * ++n_counts);
+		bool is_wrong = n_counts == wrong_counts || n_counts == wrong_counts + 1;
+		int64_t said_epoch = is_wrong ? epoch + 8 : epoch;
+
+		return "{\"step\":" + std::to_string(n_counts) +
+		       ",\"epoch\":" + std::to_string(said_epoch) + ",\"counts\":[" + count + "," +
+		       count + "," + count + "," + count + "]}";
+	}
+
 	int64_t take_epoch()
 	{
 		if (n_wrong_epochs == 0)
@@ -91,6 +105,8 @@
 	std::string group = "a";
 	int64_t epoch = 1;
 	int n_wrong_epochs = 0;
+	int n_counts = 0;
+	int wrong_counts = -1; // the first of two reads whose epoch is wrong
 	uint32_t rank = 1;
 	int n_orders = 0;
 	int n_reports = 0;
@@ -389,7 +405,10 @@
 				if (process->relay)
 					skh_rankrelay_reset(process->relay);
 			},
-			[](void *, const skh_demand_sample_t *) {},
+			[](void *context, const skh_demand_sample_t *sample) {
+				static_cast<Process *>(context)->sample_epochs.push_back(
+					sample->epoch);
+			},
 		};
 		const std::string &engine_address = world->engines[1]->address;
 
@@ -443,6 +462,7 @@
 	skh_engine_client_t *coordinator;
 	int n_groups = 0;
 	int32_t status = 0;
+	std::vector<int64_t> sample_epochs;
 };
 
 auto &processes = *new std::vector<Process *>();
@@ -505,6 +525,24 @@
 	EXPECT_EQ(world->engines[1]->n_orders, 1);
 }
 
+// After one sample of a later epoch, the coordinator took all others for old, and the map followed
+// demand no more.
+TEST(GroupRelay, CountsOfAnotherEpochAreIgnored)
+{
+	World *world = new_world();
+	Process *process = new_process(world);
+
+	process->poll();
+	skh_rank_poller_set_engine_spec(process->poller, &world->spec);
+	world->engines[1]->wrong_counts = 4;
+	for (int i = 0; i < 100 && process->sample_epochs.size() < 6; i++) {
+		skh_rank_poller_tick(process->poller, skh_clock_boot_us());
+		world->run(20);
+	}
+	EXPECT_EQ(process->sample_epochs, std::vector<int64_t>(6, 1));
+	EXPECT_GT(world->engines[1]->n_counts, 6);
+}
+
 TEST(GroupRelay, OrderToTheCoordinatorsEngineIsSentOnlyIfItNamesTheGroup)
 {
 	World *world = new_world();
