Send each order to an engine on a connection of its own

Cause: responses of engines name no request, so a copy on a kept connection counted as the answer to the next order, and a rank as armed or disarmed that was not.

--- a/src/group/engine_client.c
+++ b/src/group/engine_client.c
@@ -91,9 +91,10 @@
 }
 
 static void start_call(skh_engine_client_t *client, skh_buffer_t *message, int64_t timeout_us,
-		       call_t *call)
+		       bool use_new_connection, call_t *call)
 {
-	const skh_upstream_request_t request = { .bytes = skh_buffer_chunk(message) };
+	const skh_upstream_request_t request = { .bytes = skh_buffer_chunk(message),
+						 .use_new_connection = use_new_connection };
 
 	call->client = client;
 	call->link.data = call;
@@ -144,33 +145,48 @@
 	return client->address;
 }
 
-void skh_engine_client_get(skh_engine_client_t *client, const char *path, int64_t timeout_us,
-			   uint32_t tag, skh_engine_response_fn fn, void *context)
+static call_t *new_call(uint32_t tag, skh_engine_response_fn fn, void *context)
 {
 	call_t *call = g_new0(call_t, 1);
-	skh_buffer_t message = SKH_BUFFER_INIT;
 
 	call->tag = tag;
 	call->fn = fn;
 	call->context = context;
+	return call;
+}
+
+void skh_engine_client_get(skh_engine_client_t *client, const char *path, int64_t timeout_us,
+			   uint32_t tag, skh_engine_response_fn fn, void *context)
+{
+	skh_buffer_t message = SKH_BUFFER_INIT;
+
 	skh_buffer_printf(&message, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, client->address);
-	start_call(client, &message, timeout_us, call);
+	start_call(client, &message, timeout_us, false, new_call(tag, fn, context));
 }
 
-void skh_engine_client_post(skh_engine_client_t *client, const char *path, skh_chunk_t body,
-			    int64_t timeout_us, uint32_t tag, skh_engine_response_fn fn,
-			    void *context)
+static void post(skh_engine_client_t *client, const char *path, skh_chunk_t body,
+		 int64_t timeout_us, bool use_new_connection, call_t *call)
 {
-	call_t *call = g_new0(call_t, 1);
 	skh_buffer_t message = SKH_BUFFER_INIT;
 
-	call->tag = tag;
-	call->fn = fn;
-	call->context = context;
 	skh_buffer_printf(&message,
 			  "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
 			  "Content-Length: %zu\r\n\r\n",
 			  path, client->address, body.len);
 	skh_buffer_append(&message, body);
-	start_call(client, &message, timeout_us, call);
+	start_call(client, &message, timeout_us, use_new_connection, call);
+}
+
+void skh_engine_client_order(skh_engine_client_t *client, const char *path, skh_chunk_t body,
+			     int64_t timeout_us, uint32_t tag, skh_engine_response_fn fn,
+			     void *context)
+{
+	post(client, path, body, timeout_us, true, new_call(tag, fn, context));
+}
+
+void skh_engine_client_post(skh_engine_client_t *client, const char *path, skh_chunk_t body,
+			    int64_t timeout_us, uint32_t tag, skh_engine_response_fn fn,
+			    void *context)
+{
+	post(client, path, body, timeout_us, false, new_call(tag, fn, context));
 }
--- a/src/group/engine_client.h
+++ b/src/group/engine_client.h
@@ -55,7 +55,19 @@
 			   uint32_t tag, skh_engine_response_fn fn, void *context);
 
 /**
- * skh_engine_client_post() - send POST @path with the JSON document @body
+ * skh_engine_client_order() - send POST @path with the JSON document @body, an order to an engine
+ * @body: copied
+ *
+ * Opens a connection: responses of engines name no request, and on a kept connection a copy of an
+ * earlier response would count as the answer to the order. The other parameters are those of
+ * skh_engine_client_get().
+ */
+void skh_engine_client_order(skh_engine_client_t *client, const char *path, skh_chunk_t body,
+			     int64_t timeout_us, uint32_t tag, skh_engine_response_fn fn,
+			     void *context);
+
+/**
+ * skh_engine_client_post() - send POST @path with the document @body to another process of ours
  * @body: copied
  *
  * The other parameters are those of skh_engine_client_get().
--- a/src/group/order_sender.c
+++ b/src/group/order_sender.c
@@ -236,10 +236,10 @@
 {
 	char *body = sender->options.dialect->write_order(order);
 
-	skh_engine_client_post(sender->options.view->ranks[rank].engine,
-			       sender->options.dialect->order_path, skh_chunk_from_string(body),
-			       ORDER_TIMEOUT_US, order_tag(sender, rank), on_order_response,
-			       sender);
+	skh_engine_client_order(sender->options.view->ranks[rank].engine,
+				sender->options.dialect->order_path, skh_chunk_from_string(body),
+				ORDER_TIMEOUT_US, order_tag(sender, rank), on_order_response,
+				sender);
 	free(body);
 }
 
--- a/src/group/rankrelay.c
+++ b/src/group/rankrelay.c
@@ -428,9 +428,9 @@
 
 static void post_to_engine(pending_order_t *pending)
 {
-	skh_engine_client_post(pending->engine, pending->request->relay->dialect->order_path,
-			       skh_chunk_from_string(pending->body), ENGINE_TIMEOUT_US, 0,
-			       on_engine_response, pending);
+	skh_engine_client_order(pending->engine, pending->request->relay->dialect->order_path,
+				skh_chunk_from_string(pending->body), ENGINE_TIMEOUT_US, 0,
+				on_engine_response, pending);
 }
 
 static void send_to_engine(pending_order_t *pending)
