Learn a service's first event id from the second event only

Cause: a stream whose first event had the wrong id 9 passed its tenth event with the right id 10, and 9 counted as the id that the service's numbering begins with. A later stream with the same wrong first id could then have resumed behind events that nobody had sent. Found by reading the change.

Change: only the first two events of a stream tell where the numbering begins.

--- a/src/http/event_stream.c
+++ b/src/http/event_stream.c
@@ -30,10 +30,10 @@
 
 int64_t skh_event_stream_learned_first(const skh_event_stream_t *events)
 {
-	bool has_two_events =
-		events->first_event_id >= 0 && events->last_event_id == events->first_event_id + 1;
+	bool is_learned = events->n_events == 2 && events->is_position_certain &&
+			  events->last_event_id == events->first_event_id + 1;
 
-	return has_two_events && events->is_position_certain ? events->first_event_id : -1;
+	return is_learned ? events->first_event_id : -1;
 }
 
 void skh_event_stream_clear(skh_event_stream_t *events)
@@ -44,14 +44,14 @@
 void skh_event_stream_resume(skh_event_stream_t *events)
 {
 	skh_buffer_clear(&events->pending);
-	events->is_resuming = events->has_event;
+	events->is_resuming = events->n_events > 0;
 	events->repeated_id = -1;
 	events->accepts_next = false;
 }
 
 bool skh_event_stream_can_resume(const skh_event_stream_t *events)
 {
-	return !events->has_event || events->is_position_certain;
+	return events->n_events == 0 || events->is_position_certain;
 }
 
 void skh_event_stream_accept_next(skh_event_stream_t *events)
@@ -166,11 +166,11 @@
 
 static void record_emitted(skh_event_stream_t *events, const event_fields_t *fields)
 {
-	bool is_first = !events->has_event;
+	bool is_first = events->n_events == 0;
 
 	if (fields->id < 0 && !fields->has_data)
 		return;
-	events->has_event = true;
+	events->n_events++;
 	events->is_resuming = false;
 	events->accepts_next = false;
 	events->is_position_certain =
--- a/src/http/event_stream.h
+++ b/src/http/event_stream.h
@@ -36,7 +36,7 @@
 	int64_t last_event_id;	   /* id of the last emitted event that has an id; -1 for none */
 	int64_t first_event_id;	   /* id of the first emitted event that has an id; -1 for none */
 	int64_t expected_first_id; /* -1 if it is not known */
-	bool has_event;		   /* at least one event with data was emitted */
+	uint64_t n_events;	   /* emitted events with data or an id */
 	bool is_position_certain;  /* the last event has an id that agrees with the one before */
 	/* Another server resumes the stream and has sent no new event yet. */
 	bool is_resuming;
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -650,6 +650,12 @@
 	EXPECT_TRUE(skh_event_stream_can_resume(&odd.events));
 	EXPECT_EQ(skh_event_stream_learned_first(&odd.events), 40);
 
+	/* The wrong first id is followed by its successor later on. */
+	Stream wrong;
+
+	wrong.feed_all(event("4", 1) + events_between(2, 5));
+	EXPECT_EQ(skh_event_stream_learned_first(&wrong.events), -1);
+
 	Stream continued(40);
 
 	EXPECT_TRUE(continued.feed(event("40", 40)));
