--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -54,14 +54,14 @@
 	SKH_COUNT_ENGINE_ORDERS,
 	SKH_COUNT_MAP_CHANGES,
 	SKH_COUNT_MAP_FAILURES,
-	SKH_COUNT_EVENTS_OUT_OF_ORDER, /* events of streams whose id does not follow */
+	SKH_COUNT_EVENTS_OUT_OF_ORDER,	 /* events of streams whose id does not follow */
 	SKH_COUNT_CONTRADICTING_REPORTS, /* rank reports that contradict another engine's */
-	SKH_COUNT_FOREIGN_REPORTS,     /* rank reports of another group or of none */
-	SKH_COUNT_FOREIGN_ORDERS,      /* orders for a group that the engine is not in */
-	SKH_COUNT_READS_PAUSED,	       /* reading from a server stopped because of its caller */
-	SKH_COUNT_READS_RESUMED,       /* such reading resumed */
-	SKH_COUNT_STALLED_CALLERS,     /* connections closed for not reading */
-	SKH_COUNT_REQUESTS_DELAYED,    /* request bodies not read at once for lack of memory */
+	SKH_COUNT_FOREIGN_REPORTS,	 /* rank reports of another group or of none */
+	SKH_COUNT_FOREIGN_ORDERS,	 /* orders for a group that the engine is not in */
+	SKH_COUNT_READS_PAUSED,		 /* reading from a server stopped because of its caller */
+	SKH_COUNT_READS_RESUMED,	 /* such reading resumed */
+	SKH_COUNT_STALLED_CALLERS,	 /* connections closed for not reading */
+	SKH_COUNT_REQUESTS_DELAYED,	 /* request bodies not read at once for lack of memory */
 	SKH_COUNT_UNREAD_CLOSED, /* connections that servers closed while they were not read */
 	SKH_COUNT_DOMAINS_OUT,
 	SKH_COUNT_DOMAINS_BACK,
--- a/src/group/report_filter.h
+++ b/src/group/report_filter.h
@@ -36,7 +36,7 @@
 bool skh_report_filter_accept(skh_report_filter_t *filter, skh_engine_report_t *report,
 			      int64_t requested_us);
 
-/** skh_report_filter_has_new_group() - whether the engine is in another group, or in one of another size */
+/** skh_report_filter_has_new_group() - whether the engine's group or its size differs */
 bool skh_report_filter_has_new_group(const skh_engine_report_t *before,
 				     const skh_engine_report_t *after);
 
