--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -233,6 +233,22 @@
 	EXPECT_FALSE(is_server(make_entry("8", "10.0.0.1:80"), std::string(201, 'i').c_str()));
 }
 
+// A version in microseconds since 1970 is beyond the limit of times; as 0 it would count as older than the
+// one in force.
+TEST(Platform, VersionsOfAnySizeAreRead)
+{
+	for (const char *version : { "7", "1764900000000000", "9223372036854775807" }) {
+		const std::string text = std::string(R"({"version":)") + version + "}";
+		skh_error_t err;
+		skh_routing_t *routing =
+			find_dialect()->read_config(skh_chunk_make(text.data(), text.size()), &err);
+
+		ASSERT_NE(routing, nullptr);
+		EXPECT_EQ(std::to_string(routing->version), version);
+		skh_routing_free(routing);
+	}
+}
+
 // Numbers out of range in an engine's part of the configuration: a map of 2^40 places was allocated.
 TEST(Platform, EnginesThatAreTooLargeAreNoEngines)
 {
