--- a/review/standin-2/stand_ins.py
+++ b/review/standin-2/stand_ins.py
@@ -2,6 +2,7 @@
 describes it, and helpers that start the project's programs with small settings. All on loopback."""
 import asyncio
 import base64
+import copy
 import json
 import os
 import signal
@@ -48,6 +49,7 @@
         self.era = 1
         self.changed = asyncio.Event()
         self.stalled = False  # calls get no response while set
+        self.is_away = False  # connections are reset while set
         self.port = free_port()
         self.calls = 0
 
@@ -70,6 +72,15 @@
         self.changed = asyncio.Event()
         return self.revision
 
+    def take_copy(self):
+        return copy.deepcopy((self.items, self.log, self.revision, self.leases, self.next_lease))
+
+    def come_back_from(self, taken):
+        """The drill of letter 4: what was written since the copy is gone, leases too; revisions go
+        back and are given out again."""
+        self.items, self.log, self.revision, self.leases, self.next_lease = copy.deepcopy(taken)
+        self.era += 1
+
     def put(self, key, value):
         text = value if isinstance(value, (bytes, str)) else json.dumps(value)
         raw = text.encode() if isinstance(text, str) else text
@@ -152,9 +163,15 @@
             while True:
                 method, target, _, body = await read_request(reader)
                 self.calls += 1
+                if self.is_away:
+                    writer.transport.abort()
+                    return
                 status, answer = await self.handle(method, target, body)
                 while self.stalled:
                     await asyncio.sleep(0.02)
+                if self.is_away:
+                    writer.transport.abort()
+                    return
                 raw = json.dumps(answer).encode()
                 writer.write(b'HTTP/1.1 %d Answer\r\nContent-Type: application/json\r\n'
                              b'Store-Era: %d\r\nContent-Length: %d\r\n\r\n'
