--- a/review/6/case.py
+++ b/review/6/case.py
@@ -50,6 +50,7 @@
     gateway = stand_ins.Gateway(folder, proxy.port)
     gateway.start()
     late, lost, answers = [], [], {}
+    origin, every_server = time.monotonic(), list(servers)
     try:
         if not await gateway.wait_ready():
             record('the gateway did not become ready')
@@ -82,8 +83,11 @@
                 record(f'  request {attempt}, sent {(sent - removed) * 1000:.0f} ms after the '
                        f'removal, reaches {leaving.id}; the client gets {status}')
             leaving = servers[number % 3] = stand_ins.Server(f's-{number + 3}', 'ledger', WORK_S)
+            every_server.append(leaving)
             await leaving.start()
             store.put('servers/' + leaving.id, leaving.entry())
+        for line in stand_ins.list_requests(answers, every_server, origin):
+            record(line, quiet=True)
         statuses = {}
         for _, status in answers.values():
             statuses[status] = statuses.get(status, 0) + 1
@@ -96,9 +100,10 @@
 
 def main():
     with open(os.path.join(HERE, 'record.txt'), 'w') as out:
-        def record(line):
+        def record(line, quiet=False):
             print(line, file=out, flush=True)
-            print(line)
+            if not quiet:
+                print(line)
 
         try:
             code = asyncio.run(asyncio.wait_for(play(record), 100))
--- a/review/standin-2/stand_ins.py
+++ b/review/standin-2/stand_ins.py
@@ -326,6 +326,17 @@
         writer.close()
 
 
+def list_requests(answers, servers, origin):
+    """Lines for the record: what was sent, answered and run. @answers: attempt -> (sent, status)."""
+    runs = {}
+    for server in servers:
+        for at, attempt in server.arrivals:
+            runs.setdefault(attempt, []).append(f'{server.id} at {at - origin:.3f}')
+    for attempt, (sent, status) in sorted(answers.items(), key=lambda item: item[1][0]):
+        yield (f'    {sent - origin:.3f} s {attempt} answered {status or "nothing"}, run by '
+               + (', '.join(runs.get(attempt, [])) or 'none'))
+
+
 def config(version, routes, services, keys=('k1',)):
     """The operator's configuration; @routes are (name, kind, service, more fields)."""
     return {'version': version,
