--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 
+sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'standin-2'))
 import stand_ins  # noqa: E402
