Review case 11: after a drill alone, a withdrawn key is in use again

Cause: a gateway takes the first read of a new era for current. If the store goes away before the gateways have read the configuration that takes a key away, they read the older one from the copy and trust its keys until the operator has written again.

--- a/review/stand-ins-3/http1.py
+++ b/review/stand-ins-3/http1.py
@@ -4,7 +4,11 @@
 from urllib.parse import parse_qsl, urlsplit
 
 
-async def _serve(handle, reader, writer):
+class NoAnswer(Exception):
+    """Raised by a handler: the connection ends without an answer."""
+
+
+async def _serve(handle, headers_of, reader, writer):
     try:
         while True:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
@@ -16,15 +20,17 @@
             status, answer = await handle(method, url.path, dict(parse_qsl(url.query)),
                                           json.loads(body or b"{}"))
             text = json.dumps(answer).encode()
-            writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                         b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%s"
+                         b"Content-Length: %d\r\n\r\n" %
+                         (status, headers_of().encode(), len(text)) + text)
             await writer.drain()
-    except (asyncio.IncompleteReadError, ConnectionError):
+    except (asyncio.IncompleteReadError, ConnectionError, NoAnswer):
         pass
     finally:
         writer.close()
 
 
-async def serve(port, handle):
-    return await asyncio.start_server(lambda r, w: _serve(handle, r, w), "127.0.0.1", port,
-                                      limit=1 << 22)
+async def serve(port, handle, headers_of=lambda: ""):
+    """@headers_of: returns further header lines of an answer, each with its line end"""
+    return await asyncio.start_server(lambda r, w: _serve(handle, headers_of, r, w), "127.0.0.1",
+                                      port, limit=1 << 22)
--- a/review/stand-ins-3/store.py
+++ b/review/stand-ins-3/store.py
@@ -1,10 +1,11 @@
-"""Stand-in of the platform's metadata store (PROTOCOL.md, "The platform's metadata store")."""
+"""Stand-in of the platform's metadata store (PROTOCOL.md, "The platform's metadata store"; for the
+drill and the era, letter 4)."""
 import asyncio
 import base64
 import itertools
 import time
 
-from http1 import serve
+from http1 import NoAnswer, serve
 
 HISTORY_S = 20.0
 
@@ -15,6 +16,22 @@
         self.revision, self.compacted = 100, 0
         self.lease_ids = itertools.count(1000)
         self.changed = asyncio.Event()
+        self.era, self.is_away, self.kept = 1, False, None
+
+    def keep_copy(self):
+        self.kept = (dict(self.items), dict(self.leases), self.revision)
+
+    def go_away(self):
+        self.is_away = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def come_back_from_copy(self):
+        items, leases, self.revision = self.kept
+        self.items, self.leases = dict(items), dict(leases)
+        self.history, self.compacted = [], self.revision
+        self.era += 1
+        self.is_away = False
 
     def _event(self, key, item):
         row = item or {"key": key, "revision": self.revision, "tombstone": True}
@@ -49,6 +66,8 @@
     async def watch(self, prefix, after, wait_s):
         ends = time.monotonic() + wait_s
         while True:
+            if self.is_away:
+                raise NoAnswer
             if after < self.compacted or after > self.revision:
                 return 410, {}
             events = [e[3] for e in self.history if e[1] > after and e[2].startswith(prefix)]
@@ -76,6 +95,8 @@
         return 200, {"revision": self.revision}
 
     async def handle(self, method, path, query, body):
+        if self.is_away:
+            raise NoAnswer
         self.expire()
         if path == "/v1/kv-key":
             item = self.items.get(query.get("key"))
@@ -110,8 +131,9 @@
     async def run(self, port):
         async def expire_forever():
             while True:
-                self.expire()
+                if not self.is_away:
+                    self.expire()
                 await asyncio.sleep(0.02)
 
         asyncio.ensure_future(expire_forever())
-        return await serve(port, self.handle)
+        return await serve(port, self.handle, lambda: f"Store-Era: {self.era}\r\n")
