Keep names of groups whole, or refuse them

Cause: read_group() cut a report's group name to 63 bytes. Lease key, members notice, coordinator's view and relays all use that name, so each check of the group passed for ranks of the other.

Change: a report holds names up to 200 bytes, the most that a store key can have. A longer or empty name, or one with a zero byte, names no group; the rest of the report is read. A balancer joins a group only if all its keys fit the store's limit, and logs once if they don't. Other groups are not concerned. The log context has room for the escaped name.

Why it works: a name is compared and put into keys only as a whole, and the escaping of keys is injective.

Tests: script group_names fails on (one coordinator for both groups, the second group's map never changes) and passes.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -162,7 +162,8 @@
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-static _Thread_local char context[128];
+/* Holds "group=" and a group's name as it stands in a store key. */
+static _Thread_local char context[256];
 
 void skh_log_set_context(const char *field)
 {
--- a/src/group/balancer.c
+++ b/src/group/balancer.c
@@ -125,17 +125,14 @@
 static json_t *get_status(void *context)
 {
 	balancer_t *balancer = context;
-	g_autofree char *group = NULL;
 	status_t status;
 
 	g_mutex_lock(&balancer->status_lock);
 	status = balancer->status;
 	g_mutex_unlock(&balancer->status_lock);
-	/* A name that was cut off within a character is no valid text. */
-	group = g_utf8_make_valid(status.group, -1);
 	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:I, s:s, s:o, s:o}", "id",
 			 balancer->settings->id, "role", "balancer", "failure_domain",
-			 balancer->settings->failure_domain, "group", group, "rank",
+			 balancer->settings->failure_domain, "group", status.group, "rank",
 			 (int)status.rank, "ranks", (int)status.n_ranks, "epoch",
 			 (json_int_t)status.epoch, "map", (json_int_t)status.map_version,
 			 "coordinates", status.election.is_holder, "fence",
@@ -382,6 +379,35 @@
 	skh_metrics_set_own_group("", "");
 }
 
+/*
+ * A group whose name can't be part of a store key has no election, so its map is left as it is.
+ * Called on a change of the group, so each is logged once.
+ */
+static bool can_take_part(const balancer_t *balancer, const skh_engine_report_t *report)
+{
+	size_t max_bytes = balancer->dialect->max_key_bytes;
+	size_t key_bytes;
+
+	if (report->has_unusable_group) {
+		skh_log(SKH_LOG_WARNING, PART,
+			"Name of the engine's group can't be used; its map stays as it is.",
+			"engine=%s max_bytes=%d", balancer->settings->engine_address,
+			SKH_GROUP_NAME_SIZE - 1);
+		return false;
+	}
+	if (!report->is_in_group || report->group_size == 0)
+		return false;
+	key_bytes = skh_election_max_key_bytes(balancer->settings->backend_service, report->group);
+	if (max_bytes == 0 || key_bytes <= max_bytes)
+		return true;
+	skh_log(SKH_LOG_WARNING, PART,
+		"Names of the engine's service and group are too long for a store key; "
+		"the group's map stays as it is.",
+		"engine=%s group_bytes=%zu key_bytes=%zu max_key_bytes=%zu",
+		balancer->settings->engine_address, strlen(report->group), key_bytes, max_bytes);
+	return false;
+}
+
 /* A group is known once the engine names it with its size; engines may name it before it is open. */
 static void join_group(balancer_t *balancer, const skh_engine_report_t *report)
 {
@@ -389,7 +415,7 @@
 	g_autofree char *log_context = NULL;
 	group_t *group;
 
-	if (!report->is_in_group || !*report->group || report->group_size == 0)
+	if (!can_take_part(balancer, report))
 		return;
 	group = g_new0(group_t, 1);
 	(void)g_strlcpy(group->name, report->group, sizeof(group->name));
--- a/src/group/election.c
+++ b/src/group/election.c
@@ -530,6 +530,30 @@
 	return NULL;
 }
 
+static char *make_lease_key(const char *service, const char *group)
+{
+	return skh_group_id_key(SKH_GROUP_ELECTION_PREFIX, service, group, "/coordinator");
+}
+
+static char *make_members_key(const char *service, const char *group)
+{
+	return skh_group_id_key(SKH_GROUP_MEMBERS_PREFIX, service, group, "");
+}
+
+static char *make_slow_ranks_key(const char *service, const char *group)
+{
+	return skh_group_id_key(SKH_SLOW_RANKS_PREFIX, service, group, "");
+}
+
+size_t skh_election_max_key_bytes(const char *service, const char *group)
+{
+	g_autofree char *lease_key = make_lease_key(service, group);
+	g_autofree char *members_key = make_members_key(service, group);
+	g_autofree char *slow_ranks_key = make_slow_ranks_key(service, group);
+
+	return MAX(strlen(lease_key), MAX(strlen(members_key), strlen(slow_ranks_key)));
+}
+
 skh_election_t *skh_election_start(const skh_election_options_t *options)
 {
 	skh_election_t *election = g_new0(skh_election_t, 1);
@@ -549,12 +573,9 @@
 	election->published_notice = g_strdup("");
 	election->service = g_strdup(options->service);
 	election->group = g_strdup(options->group);
-	election->key = skh_group_id_key(SKH_GROUP_ELECTION_PREFIX, options->service,
-					 options->group, "/coordinator");
-	election->members_key =
-		skh_group_id_key(SKH_GROUP_MEMBERS_PREFIX, options->service, options->group, "");
-	election->slow_ranks_key =
-		skh_group_id_key(SKH_SLOW_RANKS_PREFIX, options->service, options->group, "");
+	election->key = make_lease_key(options->service, options->group);
+	election->members_key = make_members_key(options->service, options->group);
+	election->slow_ranks_key = make_slow_ranks_key(options->service, options->group);
 	election->renewer = skh_lease_renewer_new(&renewer_options);
 	election->value = g_strdup_printf("%s %016" PRIx64, options->address, skh_random_u64());
 	g_mutex_init(&election->lock);
--- a/src/group/election.h
+++ b/src/group/election.h
@@ -42,6 +42,9 @@
 
 typedef struct skh_election skh_election_t;
 
+/** skh_election_max_key_bytes() - length of the longest store key that an election of the group uses */
+size_t skh_election_max_key_bytes(const char *service, const char *group);
+
 /**
  * skh_election_start() - start the thread
  *
--- a/src/group/report_filter.c
+++ b/src/group/report_filter.c
@@ -14,6 +14,7 @@
 				     const skh_engine_report_t *after)
 {
 	return after->is_in_group != before->is_in_group ||
+	       after->has_unusable_group != before->has_unusable_group ||
 	       after->group_size != before->group_size || strcmp(after->group, before->group) != 0;
 }
 
--- a/src/store/dialect.h
+++ b/src/store/dialect.h
@@ -42,14 +42,18 @@
 	SKH_HEADER_COUNT
 } skh_header_name_t;
 
-/* Longest name of a group, with its terminating zero. */
-#define SKH_GROUP_NAME_SIZE 64
+/*
+ * Longest name of a group, with its terminating zero. Names are part of store keys, so a longer one
+ * is unusable anyway; see max_key_bytes.
+ */
+#define SKH_GROUP_NAME_SIZE 201
 /* A greater slowdown is an error of its sender: no group makes progress with such a rank. */
 #define SKH_ENGINE_MAX_SLOWDOWN 1000.0
 
 /** struct skh_engine_report - state of an engine, as it reports it */
 typedef struct skh_engine_report {
 	bool is_in_group;
+	bool has_unusable_group; /* the name is empty, too long or has a zero byte; @is_in_group is false */
 	bool is_group_open;
 	char group[SKH_GROUP_NAME_SIZE];
 	uint32_t group_size;
@@ -103,6 +107,7 @@
 	const char *name;
 	const char *headers[SKH_HEADER_COUNT];
 	const char *auth_scheme;      /* authorization scheme of callers' API keys */
+	size_t max_key_bytes;	      /* the store's limit for a key; 0 for none */
 	const char *config_key;	      /* store key of the gateways' routing configuration */
 	const char *servers_prefix;   /* store prefix of the list of backend servers */
 	const char *operators_prefix; /* store prefix of @config_key and @domains_out_prefix */
--- a/test/election_test.cc
+++ b/test/election_test.cc
@@ -177,6 +177,17 @@
 	EXPECT_EQ(n_holders[1], 1);
 }
 
+// A key beyond the store's limit makes each call of an election fail, so it must be known before.
+TEST_F(Election, LongestKeyOfAGroupIsKnown)
+{
+	const std::string service(40, 's');
+	const std::string group = std::string(60, 'g') + "/x";
+	const std::string lease_key =
+		"skylarkhead/groups/" + service + "/" + std::string(60, 'g') + "%2Fx/coordinator";
+
+	EXPECT_EQ(skh_election_max_key_bytes(service.c_str(), group.c_str()), lease_key.size());
+}
+
 TEST_F(Election, ProcessThatLeavesReleasesItsLease)
 {
 	skh_election_t *first = start("g0", "10.0.0.1:1");
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -110,6 +110,48 @@
 	EXPECT_TRUE(Report(R"({"group":{"name":"g","epoch":0,"rank":3}})").is_valid);
 }
 
+std::string report_of_group(const std::string &name)
+{
+	return R"({"group":{"name":")" + name +
+	       R"(","epoch":3,"rank":2,"state":"open"},"size":4,"step":81})";
+}
+
+// Names used to be cut after 63 bytes, so that two groups passed for one and their ranks got different
+// maps (review case 12).
+TEST(Platform, GroupNamesThatAgreeInTheirFirstBytesStayApart)
+{
+	for (size_t common : { 62U, 63U, 64U, 127U, 128U, 199U }) {
+		const std::string begin(common, 'g');
+		Report a(report_of_group(begin + "a"));
+		Report b(report_of_group(begin + "b"));
+
+		ASSERT_TRUE(a.is_valid && b.is_valid) << common;
+		EXPECT_TRUE(a.report.is_in_group && b.report.is_in_group) << common;
+		EXPECT_EQ(std::string(a.report.group), begin + "a");
+		EXPECT_EQ(std::string(b.report.group), begin + "b");
+	}
+}
+
+// Guards against a name that is cut off, or that ends early at a zero byte, and against a report
+// that is lost because of its group's name.
+TEST(Platform, GroupNamesThatCannotBeUsedNameNoGroup)
+{
+	for (const std::string &name :
+	     { std::string(), std::string(201, 'g'), std::string(300, 'g'), std::string("g\\u0000"),
+	       std::string("\\u0000"), std::string("g\\u0000x") }) {
+		Report report(report_of_group(name));
+
+		ASSERT_TRUE(report.is_valid) << name << report.err.text;
+		EXPECT_FALSE(report.report.is_in_group) << name;
+		EXPECT_TRUE(report.report.has_unusable_group) << name;
+		EXPECT_STREQ(report.report.group, "") << name;
+		EXPECT_EQ(report.report.pass, 81) << name;
+	}
+	Report alone(R"({"phase":"unified"})");
+
+	EXPECT_FALSE(alone.report.has_unusable_group);
+}
+
 // A rank of 4294967298 used to be rank 2, and a version of 1e300 was undefined behaviour.
 TEST(Platform, ReportsWithNumbersOutOfRangeAreRejected)
 {
--- a/test/standin/fleet_servers.c
+++ b/test/standin/fleet_servers.c
@@ -143,7 +143,7 @@
 	json_t *map;
 } server_t;
 
-static char group_name[64] = "g0";
+static char group_name[512] = "g0";
 static GMutex lock;
 static server_t servers[MAX_SERVERS];
 static int n_servers;
