Compare the key of changes that an election's watch reports

Cause: the watch of a lease's key is by prefix, and each change it reports was taken for one of the lease. Another writer's key that begins like it named the coordinator, to which ranks then sent their reports, or made the lease count as released until the next read.

Change: only changes of the key itself count.

Test: Election.KeyThatBeginsLikeTheLeaseNamesNoCoordinator; before, the coordinator was 10.0.0.66:1, the address in the other key.

--- a/src/group/election.c
+++ b/src/group/election.c
@@ -235,6 +235,9 @@
 	}
 	election->revision = MAX(election->revision, changes.store_revision);
 	for (size_t i = 0; i < changes.count; i++) {
+		/* A watch is by prefix, and other writers may have a key that begins like ours. */
+		if (strcmp(changes.list[i].key, election->key) != 0)
+			continue;
 		*is_held = changes.list[i].value != NULL;
 		set_coordinator_address(election, changes.list[i].value);
 	}
--- a/test/election_test.cc
+++ b/test/election_test.cc
@@ -36,6 +36,7 @@
 FakeStore shared;
 std::atomic<int> n_open;
 std::atomic<int> long_poll_ms;
+std::string watched_key; // key of a change that each long poll reports, "" for none
 
 skh_store_ops_t locked_ops();
 
@@ -81,6 +82,11 @@
 		std::this_thread::sleep_for(std::chrono::milliseconds(long_poll_ms));
 		*changes = {};
 		changes->store_revision = after;
+		if (watched_key.empty())
+			return true;
+		changes->list = g_new0(skh_kv_change_t, 1);
+		changes->list[changes->count++] = { g_strdup(watched_key.c_str()),
+						    g_strdup("10.0.0.66:1 x"), after + 1 };
 		return true;
 	};
 	ops.close = [](skh_store_t *store) {
@@ -126,6 +132,7 @@
 		dialect.open_store = open_store;
 		shared.values[dialect.config_key] = { kConfig, 1, 1, 0 };
 		long_poll_ms = 20;
+		watched_key.clear();
 		n_open_before = n_open;
 	}
 	~Election() override
@@ -199,6 +206,27 @@
 	EXPECT_TRUE(wait_for([&] { return is_holder(next); }, 2000));
 }
 
+// Reports of ranks went to the address in any key that began like the lease's.
+TEST_F(Election, KeyThatBeginsLikeTheLeaseNamesNoCoordinator)
+{
+	const std::string key = "skylarkhead/groups/model/g0/coordinator";
+	skh_election_view_t view = {};
+
+	shared.values[key] = { "10.0.0.9:1 x", 1, 1, 77 };
+	watched_key = key + "-old";
+	skh_election_t *election = start("g0", "10.0.0.1:1");
+	ASSERT_TRUE(wait_for(
+		[&] {
+			skh_election_get_view(election, &view);
+
+			return *view.coordinator_address != '\0';
+		},
+		3000));
+	std::this_thread::sleep_for(std::chrono::milliseconds(200));
+	skh_election_get_view(election, &view);
+	EXPECT_STREQ(view.coordinator_address, "10.0.0.9:1");
+}
+
 TEST_F(Election, LongPollOfTheOldGroupDelaysNothing)
 {
 	{
