Keep attempt ids of requests whole

Cause: the gateway cut the id to 79 bytes. The server's response names the whole id, so it was taken for a response to another request and skipped. The gateway's own rejections named the cut id.

Change: the id is kept whole; its length is bounded by the limit of a head.

Ids of 120 bytes that differ in the last one get their own responses on kept connections.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -39,8 +39,8 @@
 	const skh_route_t *route;
 	const skh_key_owner_t *key_owner; /* NULL when the route needs no key */
 	skh_target_pool_t *target_pool;
-	skh_homes_t homes; /* where the request may be served */
-	char attempt_id[80];
+	skh_homes_t homes;     /* where the request may be served */
+	char *attempt_id;      /* "-" if the caller sent none; owned */
 	uint64_t content_hash; /* hash of request target, customer and body */
 	skh_prompt_parts_t prompt_parts;
 	int64_t response_begun_us; /* first body byte of the current attempt; 0 before */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -105,6 +105,7 @@
 	skh_event_stream_clear(&exchange->event_stream);
 	skh_attempt_count_pending(exchange);
 	skh_prompt_parts_clear(&exchange->prompt_parts);
+	g_free(exchange->attempt_id);
 	g_free(exchange);
 }
 
@@ -879,7 +880,7 @@
 	exchange->response_headers = g_string_new(NULL);
 	skh_event_stream_init(&exchange->event_stream);
 	id = request_header(exchange, SKH_HEADER_ATTEMPT_ID);
-	(void)g_strlcpy(exchange->attempt_id, id ? id : "-", sizeof(exchange->attempt_id));
+	exchange->attempt_id = g_strdup(id ? id : "-");
 	(void)uv_timer_init(&gateway->loop, &exchange->timer);
 	exchange->timer.data = exchange;
 	g_queue_push_tail_link(&gateway->exchanges, &exchange->link);
