Leave out names of a configuration that pass for others

Cause: a customer's name goes into a header as it is. A line break in it added a header field, and a space at an end was lost. A zero byte in any text kept the whole configuration from use.

Change: customers whose name no header can have, keys, services, routes and regions with a zero byte, and services without a name are left out, each with a warning. The rest of the configuration is in force. Other characters, also those beyond ASCII, are passed on as before.

Test: Platform.NamesOfAConfigurationPassForNoOthers; before, the configuration was not read at all.

--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -291,6 +291,48 @@
 	}
 }
 
+// A customer's name with a line break used to add a header field of its own to requests, names that end
+// early or with a space passed for others, and a zero byte kept the whole configuration from use.
+TEST(Platform, NamesOfAConfigurationPassForNoOthers)
+{
+	const std::string text =
+		R"({"version":1,"services":[{"name":"s"},{"name":"s\u0000x"},{"name":""},
+		{"name":"t"}],"routes":[
+		{"name":"a","kind":"idempotent","host":"h","prefix":"/a/","service":"t"},
+		{"name":"b","kind":"idempotent","host":"h","prefix":"/b/","service":"s\u0000x"},
+		{"name":"c","kind":"idempotent","host":"h","prefix":"/c/\u0000x","service":"s"},
+		{"name":"d","kind":"idempotent","host":"h\u0000x","prefix":"/d/","service":"s"}],
+		"tenants":[{"name":"x","api-keys":["k1","k2\u0000y"]},
+		{"name":"y\r\nSkylarkhead-Tenant: x","api-keys":["k3"]},{"name":"x ","api-keys":["k4"]},
+		{"name":"","api-keys":["k5"]},{"name":"x\u0000y","api-keys":["k6"]},
+		{"name":"Åsa & co","api-keys":["k7"]}]})";
+	skh_error_t err = {};
+	skh_routing_t *routing =
+		find_dialect()->read_config(skh_chunk_make(text.data(), text.size()), &err);
+
+	ASSERT_NE(routing, nullptr) << err.text;
+	auto owner = [&](const std::string &key) {
+		const skh_key_owner_t *found =
+			skh_routing_find_key_owner(routing, "Bearer", ("Bearer " + key).c_str());
+
+		return std::string(found ? found->customer : "-");
+	};
+	EXPECT_EQ(owner("k1"), "x");
+	for (const char *key : { "k2", "k3", "k4", "k5", "k6" })
+		EXPECT_EQ(owner(key), "-") << key;
+	EXPECT_EQ(owner("k7"), "Åsa & co");
+	const skh_route_t *route = skh_routing_find_route(routing, "h", "/a/1");
+
+	ASSERT_NE(route, nullptr);
+	EXPECT_STREQ(skh_routing_get_service(routing, route->splits[0].service)->name, "t");
+	for (const char *path : { "/b/1", "/c/1", "/d/1" })
+		EXPECT_EQ(skh_routing_find_route(routing, "h", path), nullptr) << path;
+	EXPECT_EQ(routing->services->len, 2U);
+	// Each name that is left out is logged.
+	EXPECT_EQ(routing->warnings->len, 7U);
+	skh_routing_free(routing);
+}
+
 // Numbers out of range in an engine's part of the configuration: a map of 2^40 places was allocated.
 TEST(Platform, EnginesThatAreTooLargeAreNoEngines)
 {
