Reject messages and documents whose texts end early

Cause: protobuf-c, ZeroMQ's ids and toml++ allow zero bytes in texts, which were then handled as C strings: "a", a zero byte and "b" passed for "a", as a group's name, a peer's id or a name in a manifest.

Change: a message whose texts were not read to their end counts as a bad frame, which its size when packed again shows; so does one of a peer whose id is cut or has a zero byte. A manifest or settings file with \u0000 in a text or key is rejected with an error.

Tests: Wire.TextsWithAZeroByteAreNotReadAsShorterOnes, Wire.IdsOfPeersAreReadWholeOrNotAtAll, Manifest.ZeroBytesInNamesAndTextsAreRejected.

--- a/src/group/balancer.c
+++ b/src/group/balancer.c
@@ -14,6 +14,7 @@
 #include "rank_poller.h"
 #include "rankrelay.h"
 #include "settings_watcher.h"
+#include "wire.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -461,7 +462,9 @@
 		skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
 		return;
 	}
-	if (strcmp(message->service, balancer->settings->backend_service) == 0)
+	if (!skh_wire_is_whole(&message->base, (size_t)n_bytes))
+		skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
+	else if (strcmp(message->service, balancer->settings->backend_service) == 0)
 		skh_coordinator_record_report(balancer->group->coordinator, message, false,
 					      skh_clock_boot_us());
 	skh__rank_report__free_unpacked(message, NULL);
--- a/src/group/order_batch.c
+++ b/src/group/order_batch.c
@@ -1,6 +1,6 @@
 #include "order_batch.h"
 
-#include "wire.pb-c.h"
+#include "wire.h"
 
 #include <math.h>
 #include <string.h>
@@ -38,7 +38,8 @@
 bool skh_order_batch_unpack(skh_chunk_t bytes, GBytes **order, char ***relays)
 {
 	Skh__OrderBatch *message = skh__order_batch__unpack(NULL, bytes.len, bytes.data);
-	bool is_valid = message && message->n_relays <= SKH_ORDER_BATCH_MAX_RELAYS;
+	bool is_valid = message && message->n_relays <= SKH_ORDER_BATCH_MAX_RELAYS &&
+			skh_wire_is_whole(&message->base, bytes.len);
 
 	if (is_valid) {
 		*order = g_bytes_new(message->order.data, message->order.len);
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -228,10 +228,11 @@
 	skh_error_t err;
 	Skh__Frame *frame = NULL;
 	int len = zmq_recv(link->router, peer_id, sizeof(peer_id) - 1, ZMQ_DONTWAIT);
+	bool is_whole_id;
 
 	if (len < 0)
 		return false;
-	peer_id[MIN(len, (int)sizeof(peer_id) - 1)] = '\0';
+	is_whole_id = skh_wire_terminate_id(peer_id, sizeof(peer_id), len);
 	(void)zmq_msg_init(&body);
 	if (zmq_msg_recv(&body, link->router, ZMQ_DONTWAIT) >= 0) {
 		frame = skh_wire_unpack(skh_chunk_make(zmq_msg_data(&body), zmq_msg_size(&body)),
@@ -241,10 +242,13 @@
 			skh_metrics_add(SKH_COUNT_CONTROL_BYTES_IN, zmq_msg_size(&body));
 	}
 	(void)zmq_msg_close(&body);
-	if (frame)
+	if (frame && is_whole_id) {
 		deliver_frame(link, peer_id, frame);
-	else
-		skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
+		return true;
+	}
+	skh_metrics_add(SKH_COUNT_BAD_FRAMES, 1);
+	if (frame)
+		skh_wire_free(frame);
 	return true;
 }
 
--- a/src/link/wire.c
+++ b/src/link/wire.c
@@ -1,5 +1,6 @@
 #include "wire.h"
 
+#include <glib.h>
 #include <string.h>
 #include <zmq.h>
 
@@ -34,6 +35,20 @@
 	(void)skh__frame__pack(frame, skh_buffer_extend(out, len));
 }
 
+/* What was cut off is not packed again. Fields of newer peers are kept and packed, too. */
+bool skh_wire_is_whole(const ProtobufCMessage *message, size_t n_bytes)
+{
+	return protobuf_c_message_get_packed_size(message) >= n_bytes;
+}
+
+bool skh_wire_terminate_id(char *id, size_t size, int len)
+{
+	size_t n_read = MIN((size_t)len, size - 1);
+
+	id[n_read] = '\0';
+	return strlen(id) == (size_t)len;
+}
+
 static bool is_valid_name(const char *name)
 {
 	return strlen(name) <= SKH_WIRE_MAX_NAME_BYTES;
@@ -96,9 +111,11 @@
 		skh_wire_free(frame);
 		return NULL;
 	}
-	if ((frame->status && !is_valid_status(frame->status)) || !is_valid_body(frame)) {
+	if (!skh_wire_is_whole(&frame->base, bytes.len) ||
+	    (frame->status && !is_valid_status(frame->status)) || !is_valid_body(frame)) {
 		(void)skh_error_set(err, SKH_BAD_REQUEST,
-				    "a field of the frame is too long or out of range");
+				    "a field of the frame is too long or out of range, or has a "
+				    "zero byte");
 		skh_wire_free(frame);
 		return NULL;
 	}
--- a/src/link/wire.h
+++ b/src/link/wire.h
@@ -57,6 +57,23 @@
  */
 uint64_t skh_wire_hash_request(const Skh__Start *start);
 
+/**
+ * skh_wire_is_whole() - whether each text of an unpacked message was read to its end
+ * @n_bytes: size of the packed message
+ *
+ * protobuf-c unpacks texts as C strings, so a text with a zero byte ends early and could pass for
+ * another one.
+ */
+bool skh_wire_is_whole(const ProtobufCMessage *message, size_t n_bytes);
+
+/**
+ * skh_wire_terminate_id() - make a string of the peer's id that zmq_recv() has read
+ * @id: buffer of @size bytes, of which zmq_recv() got all but one
+ * @len: length of the id, as zmq_recv() returned it
+ * Return: false if the id is cut off or has a zero byte, as ids have that ZeroMQ itself gives out.
+ */
+bool skh_wire_terminate_id(char *id, size_t size, int len);
+
 /** skh_wire_pack() - append the packed @frame to @out */
 void skh_wire_pack(const Skh__Frame *frame, skh_buffer_t *out);
 
--- a/src/settings/doc_node_toml.cc
+++ b/src/settings/doc_node_toml.cc
@@ -51,6 +51,26 @@
 	return skh_doc_node_new_text("", line);
 }
 
+/* Texts of a document node are C strings, in which such a text would end early. */
+bool has_zero_byte(const toml::node &source)
+{
+	if (const auto *table = source.as_table()) {
+		for (auto &&[key, child] : *table) {
+			if (key.str().find('\0') != std::string_view::npos || has_zero_byte(child))
+				return true;
+		}
+	}
+	if (const auto *array = source.as_array()) {
+		for (auto &&child : *array) {
+			if (has_zero_byte(child))
+				return true;
+		}
+	}
+	const auto *text = source.as_string();
+
+	return text && text->get().find('\0') != std::string::npos;
+}
+
 /*
  * toml++ 3.3 executes code that it marks as unreachable when a non-ASCII character
  * appears where white space is allowed (found by fuzz/fuzz_manifest.c). Documents
@@ -81,7 +101,13 @@
 		const std::string_view document(reinterpret_cast<const char *>(text.data),
 						text.len);
 
-		return convert_table(toml::parse(document));
+		const toml::table table = toml::parse(document);
+
+		if (!has_zero_byte(table))
+			return convert_table(table);
+		(void)skh_error_set(err, SKH_CONFIG_INVALID,
+				    "a name or text has the character \\u0000");
+		return nullptr;
 	} catch (const toml::parse_error &error) {
 		*error_line = error.source().begin.line;
 		(void)skh_error_set(err, SKH_CONFIG_INVALID, "%s",
--- a/src/sidecar/sidecar_link.c
+++ b/src/sidecar/sidecar_link.c
@@ -62,13 +62,15 @@
 	return fd;
 }
 
-static bool receive_message(skh_sidecar_link_t *link, char *peer, zmq_msg_t *body)
+/* Sets *@is_whole_id to whether @peer is the peer's whole id. */
+static bool receive_message(skh_sidecar_link_t *link, char *peer, bool *is_whole_id,
+			    zmq_msg_t *body)
 {
 	int len = zmq_recv(link->router, peer, SKH_SIDECAR_LINK_PEER_BYTES - 1, ZMQ_DONTWAIT);
 
 	if (len < 0)
 		return false;
-	peer[MIN(len, SKH_SIDECAR_LINK_PEER_BYTES - 1)] = '\0';
+	*is_whole_id = skh_wire_terminate_id(peer, SKH_SIDECAR_LINK_PEER_BYTES, len);
 	return zmq_msg_recv(body, link->router, ZMQ_DONTWAIT) >= 0;
 }
 
@@ -87,11 +89,14 @@
 	Skh__Frame *frame = NULL;
 	skh_error_t err;
 	zmq_msg_t body;
+	bool is_whole_id;
 
 	(void)zmq_msg_init(&body);
-	while (!frame && receive_message(link, peer, &body)) {
+	while (!frame && receive_message(link, peer, &is_whole_id, &body)) {
 		frame = skh_wire_unpack(skh_chunk_make(zmq_msg_data(&body), zmq_msg_size(&body)),
 					&err);
+		if (frame && !is_whole_id)
+			g_clear_pointer(&frame, skh_wire_free);
 		skh_metrics_add(frame ? SKH_COUNT_FRAMES_IN : SKH_COUNT_BAD_FRAMES, 1);
 		if (frame && frame->body_case == SKH__FRAME__BODY_HELLO)
 			skh_metrics_add(SKH_COUNT_CONTROL_BYTES_IN, zmq_msg_size(&body));
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -41,6 +41,20 @@
 	return read_file("good-manifest.toml");
 }
 
+// A name with a zero byte was cut there and passed for the shorter name.
+TEST(Manifest, ZeroBytesInNamesAndTextsAreRejected)
+{
+	for (const char *text : { "a = \"x\\u0000y\"\n", "b = [\"x\", \"\\u0000\"]\n",
+				  "[\"c\\u0000\"]\nd = 1\n", "[[e]]\nf = \"\\u0000\"\n" }) {
+		skh_error_t err = {};
+		uint32_t line = 0;
+
+		EXPECT_EQ(nullptr, skh_doc_node_from_toml(skh_chunk_from_string(text), &line, &err))
+			<< text;
+		EXPECT_EQ(SKH_CONFIG_INVALID, err.kind);
+	}
+}
+
 TEST(Manifest, NonAsciiCharactersAreRejectedWithTheirLine)
 {
 	/* Found by the fuzzer: each text made toml++ reach code marked as unreachable. */
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -121,6 +122,54 @@
 	EXPECT_FALSE(can_unpack(pack(reserved_attempt.frame)));
 }
 
+std::vector<uint8_t> with_zero_byte(std::vector<uint8_t> bytes, const std::string &text)
+{
+	auto found = std::search(bytes.begin(), bytes.end(), text.begin(), text.end());
+
+	EXPECT_NE(found, bytes.end());
+	found[static_cast<long>(text.size()) / 2] = 0;
+	return bytes;
+}
+
+// "abc" with a zero byte in its middle was read as "a" and passed for it.
+TEST(Wire, TextsWithAZeroByteAreNotReadAsShorterOnes)
+{
+	char name[] = "abc";
+	StartFrame sent;
+
+	sent.start.customer = name;
+	EXPECT_TRUE(can_unpack(pack(sent.frame)));
+	EXPECT_FALSE(can_unpack(with_zero_byte(pack(sent.frame), name)));
+
+	Skh__RankReport report = SKH__RANK_REPORT__INIT;
+	std::vector<uint8_t> bytes;
+
+	report.group = name;
+	report.epoch = 3;
+	bytes.resize(skh__rank_report__get_packed_size(&report));
+	skh__rank_report__pack(&report, bytes.data());
+	for (const auto &packed : { bytes, with_zero_byte(bytes, name) }) {
+		Skh__RankReport *read =
+			skh__rank_report__unpack(nullptr, packed.size(), packed.data());
+
+		ASSERT_NE(read, nullptr);
+		EXPECT_EQ(skh_wire_is_whole(&read->base, packed.size()), packed == bytes);
+		skh__rank_report__free_unpacked(read, nullptr);
+	}
+}
+
+// Peers whose ids are given out by ZeroMQ, which begin with a zero byte, all had the id "".
+TEST(Wire, IdsOfPeersAreReadWholeOrNotAtAll)
+{
+	char id[5] = { 'a', 'b', 'c', 'x', 'x' };
+	char with_zero[5] = { 'a', 0, 'c', 'x', 'x' };
+
+	EXPECT_TRUE(skh_wire_terminate_id(id, sizeof(id), 3));
+	EXPECT_STREQ(id, "abc");
+	EXPECT_FALSE(skh_wire_terminate_id(id, sizeof(id), 5));
+	EXPECT_FALSE(skh_wire_terminate_id(with_zero, sizeof(with_zero), 3));
+}
+
 RC_GTEST_PROP(Wire, RejectsOrSafelyUnpacksAnyBytes, (const std::vector<uint8_t> &bytes))
 {
 	(void)can_unpack(bytes);
