Keep the keys of sidecars' groups apart

Cause: a group's keys begin with its name and a slash, so those of group "a/z" are among the keys of group "a"; what followed "ranks/" was read as a number whatever it was, so that rank 0 of "a" was a sidecar of "a/z" and its leader sent orders there. Ids and addresses in a rank's key were cut to 255 bytes.

Change: '/' and '%' in a group's name are escaped in keys; all other names keep their keys. Only "ranks/" and a number name a rank, and an id that does not fit names none.

--- a/src/sidecar/leader.c
+++ b/src/sidecar/leader.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define PART		  "leader"
+#define RANKS_KEY	  "ranks/" /* after the group's prefix; the rank's number follows */
 #define LEASE_TTL_S	  6
 #define RENEW_INTERVAL_US (2 * SKH_US_PER_S)
 /* Mean interval between reads of the group's keys, counting the reads of all its sidecars. */
@@ -41,8 +42,8 @@
 static bool register_rank(skh_leader_t *leader, skh_error_t *err)
 {
 	const skh_settings_t *settings = leader->settings;
-	g_autofree char *key =
-		g_strdup_printf("%sranks/%04" PRId64, leader->prefix, settings->backend_rank);
+	g_autofree char *key = g_strdup_printf("%s" RANKS_KEY "%04" PRId64, leader->prefix,
+					       settings->backend_rank);
 	skh_doc_node_t *node = skh_doc_node_new_table(0);
 	g_autofree char *value = NULL;
 	skh_txn_result_t result;
@@ -57,6 +58,14 @@
 	return leader->store->ops->txn(leader->store, &txn, &result, err);
 }
 
+/* Returns "" for a text that does not fit: cut off, it would be that of another sidecar. */
+static const char *get_text(const skh_doc_node_t *node, size_t size)
+{
+	const char *text = node ? skh_doc_node_text(node) : NULL;
+
+	return text && strlen(text) < size ? text : "";
+}
+
 static void parse_rank(skh_leader_rank_t *rank, const char *text)
 {
 	skh_error_t err;
@@ -64,26 +73,32 @@
 	const skh_doc_node_t *id = node ? skh_doc_node_find(node, "id") : NULL;
 	const skh_doc_node_t *link = node ? skh_doc_node_find(node, "link") : NULL;
 
-	(void)g_strlcpy(rank->id, id ? skh_doc_node_text(id) : "", sizeof(rank->id));
-	(void)g_strlcpy(rank->link_address, link ? skh_doc_node_text(link) : "",
+	(void)g_strlcpy(rank->id, get_text(id, sizeof(rank->id)), sizeof(rank->id));
+	(void)g_strlcpy(rank->link_address, get_text(link, sizeof(rank->link_address)),
 			sizeof(rank->link_address));
 	skh_doc_node_free(node);
 }
 
+/* Returns false for a key of the group that is no rank's. */
+static bool parse_rank_key(const skh_leader_t *leader, const char *key, uint64_t *rank)
+{
+	const char *name = key + strlen(leader->prefix);
+
+	return g_str_has_prefix(name, RANKS_KEY) &&
+	       g_ascii_string_to_unsigned(name + strlen(RANKS_KEY), 10, 0, SKH_LEADER_MAX_RANKS - 1,
+					  rank, NULL);
+}
+
 /* The caller holds the lock. */
 static void update_ranks(skh_leader_t *leader, const skh_kv_pairs_t *pairs)
 {
-	size_t prefix_len = strlen(leader->prefix) + strlen("ranks/");
 	skh_leader_view_t *view = &leader->view;
 
 	for (size_t i = 0; i < pairs->count; i++) {
 		const skh_kv_pair_t *pair = &pairs->list[i];
 		uint64_t rank;
 
-		if (strcmp(pair->key, leader->leader_key) == 0 || strlen(pair->key) <= prefix_len)
-			continue;
-		rank = g_ascii_strtoull(pair->key + prefix_len, NULL, 10);
-		if (rank >= SKH_LEADER_MAX_RANKS)
+		if (!parse_rank_key(leader, pair->key, &rank))
 			continue;
 		if (rank >= view->n_ranks) {
 			view->ranks = g_renew(skh_leader_rank_t, view->ranks, rank + 1);
@@ -219,14 +234,31 @@
 	return NULL;
 }
 
+/*
+ * The keys of a group whose name has a slash would otherwise be among those of another group. Names
+ * without these characters stand in keys as they are.
+ */
+static char *escape_group(const char *name)
+{
+	GString *text = g_string_new(NULL);
+
+	for (; *name; name++) {
+		if (*name == '/' || *name == '%')
+			g_string_append_printf(text, "%%%02X", (unsigned int)*name);
+		else
+			g_string_append_c(text, *name);
+	}
+	return g_string_free(text, FALSE);
+}
+
 skh_leader_t *skh_leader_start(skh_store_t *store, const skh_settings_t *settings)
 {
 	skh_leader_t *leader = g_new0(skh_leader_t, 1);
+	g_autofree char *group = escape_group(settings->backend_group);
 
 	leader->store = store;
 	leader->settings = settings;
-	leader->prefix =
-		g_strdup_printf("%sgroups/%s/", settings->store_prefix, settings->backend_group);
+	leader->prefix = g_strdup_printf("%sgroups/%s/", settings->store_prefix, group);
 	leader->leader_key = g_strconcat(leader->prefix, "leader", NULL);
 	leader->value = g_strdup_printf("%s-%016" PRIx64, settings->id, skh_random_u64());
 	g_mutex_init(&leader->lock);
