--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -152,6 +152,22 @@
 	return series;
 }
 
+/* Label values of the text format are between double quotes. */
+static char *escape_label(const char *text)
+{
+	GString *escaped = g_string_new(NULL);
+
+	for (; *text; text++) {
+		if (*text == '\\' || *text == '"')
+			g_string_append_c(escaped, '\\');
+		if (*text == '\n')
+			g_string_append(escaped, "\\n");
+		else
+			g_string_append_c(escaped, *text);
+	}
+	return g_string_free(escaped, FALSE);
+}
+
 static series_t *add_series(skh_histogram_t histogram, const char *key, const char *customer,
 			    const char *class_name)
 {
@@ -163,8 +179,8 @@
 	series = g_hash_table_lookup(series_tables[histogram], key);
 	if (!series) {
 		series = g_new0(series_t, 1);
-		series->customer = g_strdup(customer);
-		series->class_name = g_strdup(class_name);
+		series->customer = escape_label(customer);
+		series->class_name = escape_label(class_name);
 		g_hash_table_insert(series_tables[histogram], g_strdup(key), series);
 	}
 	g_rw_lock_writer_unlock(&series_lock);
@@ -180,10 +196,16 @@
 	return bucket;
 }
 
+/* The length keeps pairs of names apart, whatever characters they have. */
+static char *join_names(const char *first, const char *second)
+{
+	return g_strdup_printf("%zu %s%s", strlen(first), first, second);
+}
+
 void skh_metrics_observe(skh_histogram_t histogram, const char *customer, const char *class_name,
 			 int64_t value_us)
 {
-	g_autofree char *key = g_strdup_printf("%s\n%s", customer, class_name);
+	g_autofree char *key = join_names(customer, class_name);
 	series_t *series = find_series(histogram, key);
 
 	if (!series)
@@ -261,7 +283,7 @@
 void skh_metrics_set_group_values(const char *service, const char *group,
 				  const int64_t values[SKH_GROUP_METRIC_COUNT])
 {
-	g_autofree char *key = g_strdup_printf("%s\n%s", service, group);
+	g_autofree char *key = join_names(service, group);
 	group_values_t *entry;
 
 	g_rw_lock_writer_lock(&series_lock);
@@ -270,7 +292,7 @@
 	entry = g_hash_table_lookup(groups, key);
 	if (!entry) {
 		entry = g_new0(group_values_t, 1);
-		entry->service = g_strdup(service);
+		entry->service = escape_label(service);
 		entry->group = g_strescape(group, NULL);
 		g_hash_table_insert(groups, g_strdup(key), entry);
 	}
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -20,6 +20,8 @@
 #define CRASH_LEASE_TTL_S 600
 /* A lease is used for new records until then, so that they last for at least half its time. */
 #define CRASH_LEASE_USE_US (CRASH_LEASE_TTL_S / 2 * SKH_US_PER_S)
+/* Hexadecimal digits of a hash in the key of a crash record. */
+#define HASH_DIGITS	   16
 #define MAX_RECORDS_A_TXN  32 /* the store's limit for one transaction */
 #define MAX_UNREAD_RECORDS 4096
 /* Wait of a poll that is to return at once. */
@@ -327,16 +329,26 @@
 	return false;
 }
 
+/* Two hashes in hexadecimal digits with a hyphen between them. */
+static bool is_crash_record_key(const char *key)
+{
+	if (strlen(key) != 2 * HASH_DIGITS + 1)
+		return false;
+	for (size_t i = 0; key[i] != '\0'; i++) {
+		if (i == HASH_DIGITS ? key[i] != '-' : !g_ascii_isxdigit(key[i]))
+			return false;
+	}
+	return true;
+}
+
 /* Other writers may use the prefix, too; records that can't be read are ignored. */
 static bool parse_crash_record(const char *key, const char *value, skh_crash_record_t *record)
 {
-	char *end;
-
-	record->trait = g_ascii_strtoull(key, &end, 16);
-	if (*end != '-')
+	if (!is_crash_record_key(key))
 		return false;
-	record->crash = g_ascii_strtoull(end + 1, &end, 16);
-	return *end == '\0' && parse_finding(value, &record->finding);
+	record->trait = g_ascii_strtoull(key, NULL, 16);
+	record->crash = g_ascii_strtoull(key + HASH_DIGITS + 1, NULL, 16);
+	return parse_finding(value, &record->finding);
 }
 
 /* Deletions are ignored: records expire in the gateway. */
@@ -862,8 +874,11 @@
 	if (feed->notice_changes != *last_change) {
 		lines = g_string_new(NULL);
 		g_hash_table_iter_init(&iter, feed->rank_notices);
-		while (g_hash_table_iter_next(&iter, NULL, &text))
+		while (g_hash_table_iter_next(&iter, NULL, &text)) {
 			g_string_append(lines, text);
+			/* A last line without an end must not run into the next notice. */
+			g_string_append_c(lines, '\n');
+		}
 	}
 	*last_change = feed->notice_changes;
 	g_mutex_unlock(&feed->lock);
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -1,6 +1,7 @@
 // Errors, buffers, document trees, metrics and the blackboard.
 #include "board.h"
 #include "buffer.h"
+#include "decisions.h"
 #include "doc_node.h"
 #include "error.h"
 #include "metrics.h"
@@ -93,6 +94,46 @@
 	skh_buffer_free(&out);
 }
 
+// Names that run together, or that end a label, would count requests of one customer for another.
+TEST(Metrics, NamesOfCustomersAndGroupsStayApart)
+{
+	const int64_t one[SKH_GROUP_METRIC_COUNT] = { 1 };
+	skh_buffer_t out = SKH_BUFFER_INIT;
+
+	skh_metrics_observe(SKH_HIST_ANSWER, "a\nb", "c", 1000);
+	skh_metrics_observe(SKH_HIST_ANSWER, "a", "b\nc", 1000);
+	skh_metrics_observe(SKH_HIST_ANSWER, "q\"d\\", "c", 1000);
+	skh_metrics_set_group_values("s\nt", "u", one);
+	skh_metrics_set_group_values("s", "t\nu", one);
+	skh_metrics_write(&out);
+	const std::string text = skh_buffer_text(&out);
+	for (const char *line :
+	     { "customer=\"a\\nb\",class=\"c\"} 1\n", "customer=\"a\",class=\"b\\nc\"} 1\n",
+	       "customer=\"q\\\"d\\\\\",class=\"c\"} 1\n", "service=\"s\\nt\",group=\"u\"} 1\n",
+	       "service=\"s\",group=\"t\\nu\"} 1\n" })
+		EXPECT_NE(text.find(line), std::string::npos) << line;
+	skh_buffer_free(&out);
+}
+
+// Names cut after 63 bytes made customers look alike, and a text cut within a character was not found.
+TEST(Decisions, NamesAreKeptWhole)
+{
+	const std::string customer = std::string(300, 'x') + "a";
+	const std::string server = std::string(600, 's') + "1";
+	const char *servers[] = { server.c_str(), "t" };
+	skh_error_t err = {};
+
+	skh_error_set(&err, SKH_BACKEND_FAILED, "%s",
+		      (std::string(SKH_ERROR_TEXT_BYTES - 2, 'e') + "é").c_str());
+	skh_decisions_record("00000000000000aa", customer.c_str(), "s", servers, 2, &err);
+	json_t *found = skh_decisions_find("00000000000000aa");
+
+	ASSERT_NE(found, nullptr);
+	EXPECT_EQ(json_string_value(json_object_get(found, "customer")), customer);
+	EXPECT_EQ(json_string_value(json_object_get(found, "servers")), server + " t");
+	json_decref(found);
+}
+
 // Readers acquire and release sections while a writer replaces them. A section must
 // stay valid while a reader holds it, and the revisions a reader sees must not decrease.
 TEST(Board, ReadersNeverSeeAnOlderRevision)
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -237,6 +238,48 @@
 
 } // namespace
 
+// Guards against keys and notices of other writers that pass for others.
+class FeedOfOtherWriters : public Feed
+{
+      protected:
+	FeedOfOtherWriters()
+	{
+		const std::string slow = SKH_SLOW_RANKS_PREFIX;
+		const std::string crashes = SKH_CRASH_RECORDS_PREFIX;
+
+		store.values[slow + "s/a"].value = "10.0.0.1:80 2";
+		store.values[slow + "s/b"].value = "10.0.0.2:80 3\n";
+		store.values[slow + "s/c"].value = "10.0.0.3:80 4";
+		for (const char *key :
+		     { "0000000000000001-0000000000000002", "00000000000000001-0000000000000003",
+		       "1-4", " 000000000000001-0000000000000005",
+		       "-000000000000001-0000000000000006", "0000000000000001-00000000000000007",
+		       "0x00000000000001-0000000000000008" })
+			store.values[crashes + key].value = "confirmed";
+	}
+};
+
+// A notice without a final line break and the first line of the next one made one wrong line.
+TEST_F(FeedOfOtherWriters, NoticesOfSlowRanksDoNotRunIntoOneAnother)
+{
+	uint64_t last_change = 0;
+	g_autofree char *text = skh_feed_get_slow_ranks(feed, &last_change);
+	const std::string lines = "\n" + std::string(text ? text : "") + "\n";
+
+	for (const char *line : { "\n10.0.0.1:80 2\n", "\n10.0.0.2:80 3\n", "\n10.0.0.3:80 4\n" })
+		EXPECT_NE(lines.find(line), std::string::npos) << lines;
+}
+
+// Numbers with a sign, blanks or too many digits were read as hashes of other requests.
+TEST_F(FeedOfOtherWriters, KeysThatAreNoCrashRecordsAreIgnored)
+{
+	g_autoptr(GArray) records = skh_feed_take_crash_records(feed);
+
+	ASSERT_EQ(records->len, 1U);
+	EXPECT_EQ(g_array_index(records, skh_crash_record_t, 0).trait, 1U);
+	EXPECT_EQ(g_array_index(records, skh_crash_record_t, 0).crash, 2U);
+}
+
 TEST_F(Feed, AServerDeletedFromAQuietStoreGetsNoGracePeriod)
 {
 	while (store.quiet_polls < kQuietPolls || !store.is_polled)
