Derive which servers have a successor from the entries that stand

Entries of another writer at the addresses of servers, with a later start and a service that no configuration names, stood for 3 s.

Cause: adding an entry marked the servers at its address that had started earlier, whatever the entry's service, and nothing took the mark back when the entry went. The log named both ids, without the newer one's service.

Change: after each change of the list or the configuration, the server in use at an address is the one that started last among entries of configured services. No mark is kept. A server whose successor has gone is logged and is in its group again. New servers join their groups once the superseded ones have left them.

Why it works: the result depends only on what is listed and configured now, so what an entry does ends with it, in any order. A crash and a return under the same id replaces the target; under another id the old entry is superseded until it expires.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -48,6 +48,7 @@
 struct skh_backends {
 	uv_loop_t *loop;
 	const skh_upstream_pool_options_t *options;
+	bool has_routing;		    /* the configured services are known */
 	GHashTable *targets;		    /* id -> skh_target_t */
 	GHashTable *pools;		    /* service -> skh_target_pool_t */
 	char *slowdowns;		    /* "\naddress slowdown" for each slow rank */
@@ -171,36 +172,89 @@
 	       a->started_unix_ms == b->started_unix_ms && strcmp(a->service, b->service) == 0;
 }
 
-/* Context of mark_superseded() */
-typedef struct added_target {
-	const skh_backends_t *backends;
-	skh_target_t *target;
-} added_target_t;
+static guint hash_address(gconstpointer server)
+{
+	const skh_server_t *listed = server;
+
+	return g_str_hash(listed->host) ^ listed->port;
+}
 
-/* After a crash the old entry stays listed for a while beside the one of the new instance. */
-static void mark_superseded(gpointer key, gpointer value, gpointer context)
+static gboolean has_equal_address(gconstpointer left, gconstpointer right)
 {
-	const added_target_t *addition = context;
-	skh_target_t *other = value;
-	skh_target_t *added = addition->target;
-	bool is_added_newer = added->server->started_unix_ms > other->server->started_unix_ms;
+	const skh_server_t *a = left;
+	const skh_server_t *b = right;
+
+	return a->port == b->port && strcmp(a->host, b->host) == 0;
+}
 
-	(void)key;
-	if (other == added || other->server->port != added->server->port ||
-	    strcmp(other->server->host, added->server->host) != 0 ||
-	    added->server->started_unix_ms == other->server->started_unix_ms)
+/* An entry of a service that the configuration does not name is no server to use. */
+static bool is_configured(const skh_backends_t *backends, const skh_target_t *target)
+{
+	return !backends->has_routing || target->target_pool->is_configured;
+}
+
+/* Returns a table from each address in use to the target there that has started last. */
+static GHashTable *find_latest_targets(skh_backends_t *backends)
+{
+	GHashTable *latest = g_hash_table_new(hash_address, has_equal_address);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, backends->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		skh_target_t *target = value;
+		const skh_target_t *other = g_hash_table_lookup(latest, target->server);
+
+		if (is_configured(backends, target) &&
+		    (!other || target->server->started_unix_ms > other->server->started_unix_ms))
+			(void)g_hash_table_replace(latest, target->server, target);
+	}
+	return latest;
+}
+
+static void set_successor(const skh_backends_t *backends, skh_target_t *target,
+			  const skh_target_t *successor)
+{
+	if ((successor != NULL) == target->is_superseded)
+		return;
+	target->is_superseded = successor != NULL;
+	if (successor) {
+		skh_log(SKH_LOG_INFO, PART,
+			"Address has a newer instance; the older one gets no new requests.",
+			"address=%s:%u old=%s new=%s new_service=%s", target->server->host,
+			target->server->port, target->server->id, successor->server->id,
+			successor->server->service);
+		report_lost(backends, target);
+		skh_pool_groups_on_ended(target);
 		return;
-	if (is_added_newer && !other->is_superseded)
-		report_lost(addition->backends, other);
-	other->is_superseded = other->is_superseded || is_added_newer;
-	if (is_added_newer)
-		skh_pool_groups_on_ended(other);
-	added->is_superseded = added->is_superseded || !is_added_newer;
+	}
 	skh_log(SKH_LOG_INFO, PART,
-		"Address has a newer instance; the older one gets no new requests.",
-		"address=%s:%u old=%s new=%s", added->server->host, added->server->port,
-		is_added_newer ? other->server->id : added->server->id,
-		is_added_newer ? added->server->id : other->server->id);
+		"Address has no newer instance any more; the listed one gets requests again.",
+		"address=%s:%u server=%s", target->server->host, target->server->port,
+		target->server->id);
+	skh_pool_groups_on_reinstated(target);
+}
+
+/*
+ * After a crash the old entry stays listed for a while beside the one of the new instance. Which
+ * servers are superseded follows from the entries and services that are listed now, so it ends with
+ * the entry that caused it.
+ */
+static void update_superseded(skh_backends_t *backends)
+{
+	g_autoptr(GHashTable) latest = find_latest_targets(backends);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, backends->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		skh_target_t *target = value;
+		const skh_target_t *last = g_hash_table_lookup(latest, target->server);
+		bool is_newer =
+			last && last->server->started_unix_ms > target->server->started_unix_ms;
+
+		set_successor(backends, target, is_newer ? last : NULL);
+	}
 }
 
 /*
@@ -287,7 +341,7 @@
 	return g_hash_table_size(backends->regions) > 0;
 }
 
-static void add_target(skh_backends_t *backends, const skh_server_t *server)
+static skh_target_t *add_target(skh_backends_t *backends, const skh_server_t *server)
 {
 	skh_target_t *target = g_new0(skh_target_t, 1);
 
@@ -310,14 +364,13 @@
 				server->revision, skh_clock_boot_us());
 	g_ptr_array_add(target->target_pool->targets, target);
 	g_hash_table_insert(backends->targets, target->server->id, target);
-	g_hash_table_foreach(backends->targets, mark_superseded,
-			     &(added_target_t){ .backends = backends, .target = target });
-	skh_pool_groups_on_listed(target, skh_clock_boot_us());
 	skh_log(SKH_LOG_INFO, PART, "Server is listed.", "server=%s service=%s address=%s:%u",
 		server->id, server->service, server->host, server->port);
+	return target;
 }
 
-static void update_server(skh_backends_t *backends, const skh_server_t *server)
+/* Appends the server's target to @added if it is a new one. */
+static void update_server(skh_backends_t *backends, const skh_server_t *server, GPtrArray *added)
 {
 	skh_target_t *target = g_hash_table_lookup(backends->targets, server->id);
 
@@ -330,7 +383,7 @@
 		target = NULL;
 	}
 	if (!target) {
-		add_target(backends, server);
+		g_ptr_array_add(added, add_target(backends, server));
 		return;
 	}
 	if (server->is_leaving && !target->server->is_leaving)
@@ -394,21 +447,38 @@
 	}
 }
 
+/* Services that the new routing table does not name are not configured any more. */
+static void begin_services(skh_backends_t *backends)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	backends->has_routing = true;
+	g_hash_table_iter_init(&iter, backends->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		((skh_target_pool_t *)pool)->is_configured = false;
+}
+
 void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
 		       const skh_routing_t *routing)
 {
+	g_autoptr(GPtrArray) added = g_ptr_array_new();
+
 	for (guint i = 0; roster && i < roster->servers->len; i++)
-		update_server(backends, g_ptr_array_index(roster->servers, i));
+		update_server(backends, g_ptr_array_index(roster->servers, i), added);
 	if (roster)
 		(void)g_hash_table_foreach_remove(
 			backends->targets, is_unlisted,
 			&(unlisted_search_t){ .backends = backends, .roster = roster });
 	if (roster)
 		g_hash_table_foreach(backends->pools, sort_targets, NULL);
+	if (routing)
+		begin_services(backends);
 	for (guint i = 0; routing && i < routing->services->len; i++) {
 		const skh_service_info_t *service = skh_routing_get_service(routing, i);
 		skh_target_pool_t *pool = skh_backends_get_or_create_pool(backends, service->name);
 
+		pool->is_configured = true;
 		pool->is_lock_step =
 			service->has_engine_spec && service->engine_spec.expert_sets > 0;
 		pool->step_ms = service->engine_spec.step_ms;
@@ -425,6 +495,10 @@
 						       ? TYPICAL_FIRST_EVENT_RANK_MS
 						       : TYPICAL_FIRST_EVENT_PLAIN_MS;
 	}
+	update_superseded(backends);
+	/* A former instance at a server's address has left its group by now. */
+	for (guint i = 0; i < added->len; i++)
+		skh_pool_groups_on_listed(g_ptr_array_index(added, i), skh_clock_boot_us());
 }
 
 bool skh_target_is_retired(const skh_target_t *target)
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -60,10 +60,11 @@
 	int64_t rejects_until_us; /* the server wants no requests of this gateway until then */
 	int64_t wrong_instance_until_us; /* another instance responded at the address */
 	/* Of servers of lock-step services, see pool_groups.h: */
-	skh_target_group_t *group; /* owned by the pool; NULL while the server stands alone */
-	int64_t group_epoch;	   /* of the notice that named the server last */
-	uint64_t group_arrival;	   /* arrival number of that notice */
-	int64_t listed_us;	   /* when the server was listed */
+	skh_target_group_t *group;	/* owned by the pool; NULL while the server stands alone */
+	skh_target_group_t *last_group; /* the last one that was not NULL, or NULL */
+	int64_t group_epoch;		/* of the notice that named the server last */
+	uint64_t group_arrival;		/* arrival number of that notice */
+	int64_t listed_us;		/* when the server was listed */
 	uint64_t listed_arrival; /* arrival number of the last notice when the server was listed */
 	const char *region;	 /* interned; NULL if unknown */
 	skh_server_warmth_t warmth;
@@ -71,7 +72,7 @@
 	bool is_in_other_domain;    /* its failure domain is not the gateway's */
 	bool has_losses;	    /* requests were lost there since its last response */
 	bool has_announced_leaving; /* said so in a response, maybe before the roster does */
-	bool is_superseded;	    /* a server that started later is listed at the address */
+	bool is_superseded; /* a server of a configured service that started later is at the address */
 	bool has_served;    /* has responded since it was listed or last rejected a request */
 	bool is_domain_out; /* its failure domain is out of service */
 	bool was_cold;	    /* at the last update */
@@ -85,6 +86,7 @@
 	GPtrArray *targets; /* skh_target_t of listed servers by id, not owned */
 	skh_request_queue_t *queue;
 	skh_retry_share_t retry_share;
+	bool is_configured; /* the routing table in force names the service */
 	bool is_lock_step;
 	GPtrArray *groups;	      /* skh_target_group_t of a lock-step service, owned */
 	skh_target_group_t *unproven; /* covers servers that stand alone and have not served */
@@ -131,7 +133,8 @@
  * @roster: listed servers; NULL leaves the servers as they are
  * @routing: routing table; NULL leaves the services as they are
  *
- * Servers that are no longer listed get no new requests.
+ * Servers that are no longer listed get no new requests. Of several servers at an address the one that
+ * started last is used; entries of services that the routing table does not name don't count.
  */
 void skh_backends_sync(skh_backends_t *backends, const skh_roster_t *roster,
 		       const skh_routing_t *routing);
@@ -187,7 +190,7 @@
 void skh_backends_set_members(skh_backends_t *backends, const char *service, const char *group,
 			      const char *text, int64_t revision);
 
-/** skh_target_is_retired() - true for a server that never gets new requests again */
+/** skh_target_is_retired() - true for a server that gets no new requests as it leaves or has a successor */
 bool skh_target_is_retired(const skh_target_t *target);
 
 /** skh_target_pool_is_tripped() - true while all servers are covered by tripped breakers */
--- a/src/gateway/pool_groups.c
+++ b/src/gateway/pool_groups.c
@@ -44,7 +44,7 @@
 			      const skh_target_group_t *group, const skh_group_member_t *member)
 {
 	if (!former || former->instance == skh_server_instance_hash(target->server) ||
-	    group->arrival > target->listed_arrival)
+	    group == target->last_group || group->arrival > target->listed_arrival)
 		return true;
 	return former->group == group ? group->epoch > former->epoch
 				      : member->named_since > former->arrival;
@@ -88,6 +88,7 @@
 	if (group != target->group && target->listed_us > group->breaker.rank_started_us)
 		skh_group_breaker_record_rank_start(&group->breaker, target->listed_us);
 	target->group = group;
+	target->last_group = group;
 	target->group_epoch = group->epoch;
 	target->group_arrival = group->arrival;
 }
@@ -116,6 +117,11 @@
 	target->group = NULL;
 }
 
+void skh_pool_groups_on_reinstated(skh_target_t *target)
+{
+	assign_group(target);
+}
+
 static skh_target_group_t *get_or_create_group(skh_target_pool_t *pool, const char *name)
 {
 	skh_target_group_t *group;
--- a/src/gateway/pool_groups.h
+++ b/src/gateway/pool_groups.h
@@ -38,6 +38,9 @@
 /** skh_pool_groups_on_ended() - a server instance is no longer listed or has a successor */
 void skh_pool_groups_on_ended(skh_target_t *target);
 
+/** skh_pool_groups_on_reinstated() - a server instance has no successor any more */
+void skh_pool_groups_on_reinstated(skh_target_t *target);
+
 /**
  * skh_pool_groups_apply_notice() - apply a members notice
  * @group_name: name of the group
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -2,9 +2,14 @@
 // still holds entries of instances from before the loss.
 #include "backends.h"
 #include "clock.h"
+#include "dialect.h"
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <string>
+#include <vector>
+
 namespace
 {
 
@@ -32,12 +37,13 @@
 		EXPECT_EQ(uv_loop_close(&loop), 0);
 		g_ptr_array_unref(roster.servers);
 	}
-	void add_to_list(const char *id, const char *host, int64_t started_ms)
+	void add_to_list(const char *id, const char *host, int64_t started_ms,
+			 const char *service = "s")
 	{
 		skh_server_t *server = g_new0(skh_server_t, 1);
 
 		server->id = g_strdup(id);
-		server->service = g_strdup("s");
+		server->service = g_strdup(service);
 		server->host = g_strdup(host);
 		server->failure_domain = g_strdup("a");
 		server->port = 80;
@@ -47,6 +53,33 @@
 		roster.revision++;
 		skh_backends_sync(backends, &roster, nullptr);
 	}
+	void remove_from_list(const std::string &id)
+	{
+		for (guint i = 0; i < roster.servers->len; i++) {
+			if (id ==
+			    static_cast<skh_server_t *>(g_ptr_array_index(roster.servers, i))->id) {
+				(void)g_ptr_array_remove_index(roster.servers, i);
+				break;
+			}
+		}
+		roster.revision++;
+		skh_backends_sync(backends, &roster, nullptr);
+	}
+	// Sets the services that the configuration names.
+	void configure(const std::vector<std::string> &services)
+	{
+		std::string text;
+		skh_error_t err = {};
+
+		for (const std::string &service : services)
+			text += (text.empty() ? "" : ",") + (R"({"name":")" + service + R"("})");
+		text = R"({"version":1,"services":[)" + text + "]}";
+		skh_routing_t *routing =
+			skh_dialect_find("fleet", &err)
+				->read_config(skh_chunk_make(text.data(), text.size()), &err);
+		skh_backends_sync(backends, nullptr, routing);
+		skh_routing_free(routing);
+	}
 	std::string select()
 	{
 		skh_target_pool_t *pool = skh_backends_get_or_create_pool(backends, "s");
@@ -155,6 +188,108 @@
 		EXPECT_EQ(t.select(), "after");
 }
 
+// Another writer's entries at the addresses of servers used to take these out of use for good (review
+// case 14).
+TEST(Backends, AnEntryOfAnUnknownServiceChangesNothingForTheServerAtItsAddress)
+{
+	Backends t;
+
+	t.configure({ "s", "other" });
+	t.add_to_list("one", "127.0.0.1", 1000);
+	t.add_to_list("foreign", "127.0.0.1", 2000, "agent");
+	EXPECT_EQ(t.select(), "one");
+	t.remove_from_list("foreign");
+	EXPECT_EQ(t.select(), "one");
+	// Before the server's own entry.
+	t.remove_from_list("one");
+	t.add_to_list("foreign", "127.0.0.1", 2000, "agent");
+	t.add_to_list("one", "127.0.0.1", 1000);
+	EXPECT_EQ(t.select(), "one");
+	// The service becomes a known one, and then an unknown one again.
+	t.configure({ "s", "agent" });
+	EXPECT_EQ(t.select(), "-");
+	t.configure({ "s" });
+	EXPECT_EQ(t.select(), "one");
+}
+
+// Guards against a mark that outlives the entry that caused it, in any order of coming and going.
+TEST(Backends, AServerIsUsedAgainOnceTheNewerEntryAtItsAddressIsGone)
+{
+	Backends t;
+
+	t.configure({ "s", "other" });
+	for (const char *service : { "other", "s" }) {
+		t.add_to_list("one", "127.0.0.1", 1000);
+		t.add_to_list("newer", "127.0.0.1", 2000, service);
+		EXPECT_NE(t.select(), "one");
+		t.add_to_list("newest", "127.0.0.1", 3000, service);
+		t.remove_from_list("newer");
+		EXPECT_NE(t.select(), "one");
+		t.add_to_list("oldest", "127.0.0.1", 500, service);
+		t.remove_from_list("newest");
+		EXPECT_EQ(t.select(), "one");
+		t.remove_from_list("one");
+		EXPECT_EQ(t.select(), std::string(service) == "s" ? "oldest" : "-");
+		t.remove_from_list("oldest");
+		EXPECT_EQ(t.select(), "-");
+		// The newer one is listed first, and both are replaced at once.
+		t.add_to_list("newer", "127.0.0.1", 2000, service);
+		t.add_to_list("one", "127.0.0.1", 1000);
+		EXPECT_NE(t.select(), "one");
+		t.remove_from_list("newer");
+		EXPECT_EQ(t.select(), "one");
+		t.remove_from_list("one");
+	}
+}
+
+// Compares the servers in use with those that the listed entries say, after each of many random changes.
+TEST(Backends, ServersInUseFollowFromTheEntriesThatStand)
+{
+	struct Entry {
+		std::string id;
+		std::string service;
+		int address;
+		int64_t started_ms;
+	};
+	std::mt19937 random(53);
+	Backends t;
+	std::vector<Entry> listed;
+	const std::vector<std::string> services = { "s", "other", "agent" };
+
+	t.configure({ "s", "other" });
+	for (int step = 0; step < 3000; step++) {
+		if (!listed.empty() && random() % 2 == 0) {
+			size_t index = random() % listed.size();
+
+			t.remove_from_list(listed[index].id);
+			listed.erase(listed.begin() + static_cast<long>(index));
+		} else {
+			Entry entry = { "i" + std::to_string(step), services[random() % 3],
+					static_cast<int>(random() % 3),
+					static_cast<int64_t>(random() % 5) };
+
+			t.add_to_list(entry.id.c_str(),
+				      ("127.0.0." + std::to_string(entry.address)).c_str(),
+				      entry.started_ms, entry.service.c_str());
+			listed.push_back(entry);
+		}
+		for (const Entry &entry : listed) {
+			bool is_expected = true;
+
+			for (const Entry &other : listed)
+				is_expected = is_expected && !(other.address == entry.address &&
+							       other.service != "agent" &&
+							       other.started_ms > entry.started_ms);
+			const skh_target_t *target =
+				skh_backends_find_target(t.backends, entry.id.c_str());
+
+			ASSERT_NE(target, nullptr);
+			ASSERT_EQ(!skh_target_is_retired(target), is_expected)
+				<< "step " << step << " entry " << entry.id;
+		}
+	}
+}
+
 // A rank whose only stream the gateway does not read, as its caller is slow, sends nothing. Guards
 // against moving its requests away and avoiding the rank.
 TEST(Backends, RankWhoseStreamsAreNotReadIsNotUnreachable)
--- a/test/group_selection_test.cc
+++ b/test/group_selection_test.cc
@@ -403,6 +403,32 @@
 
 // All ranks start again, and their group rejects requests until it has formed. Guards against
 // requests that are rejected although they would be served sooner than their retries.
+// Guards against a rank that stays without its group after a newer entry at its address has gone.
+TEST(PoolGroups, AnInstanceWhoseSuccessorHasGoneIsInItsGroupAgain)
+{
+	Pool t;
+
+	t.list(0, 4, 1);
+	t.notice("g0", 5, 0, 4);
+	for (bool is_named : { false, true }) {
+		skh_server_t *newer = skh_server_copy(t.target(1, 1)->server);
+
+		g_free(newer->id);
+		newer->id = g_strdup("newer");
+		newer->started_unix_ms = 9;
+		g_ptr_array_add(t.roster.servers, newer);
+		t.sync();
+		EXPECT_EQ(t.group(1, 1), "-");
+		if (is_named)
+			t.notice("g0", 6, 0, 4);
+		EXPECT_STREQ(skh_target_group_name(skh_backends_find_target(t.backends, "newer")),
+			     is_named ? "g0" : "-");
+		t.unlist("newer");
+		t.sync();
+		EXPECT_EQ(t.group(1, 1), "g0");
+	}
+}
+
 TEST(PoolGroups, AGroupWhoseRanksHaveJustStartedIsNotDown)
 {
 	Pool t;
