Compare only the entries of a copy with what was known before it

Cause: after the store had come back from an older copy, each entry was compared with the one known under its id, for good. Another writer's entry with a start in the future, once read, kept the server's own entries out.

Change: only entries up to the revision at which the first read after the return began may be of the copy. What is written later counts.

Test: Roster.WhatIsWrittenAfterTheStoreCameBackCounts; it needs the new call, so the code before doesn't build with it.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -555,6 +555,7 @@
 	skh_kv_pairs_clear(&records);
 	if (has_era_changed(feed))
 		return true;
+	skh_roster_builder_end_copy(feed->builder, revision);
 	feed->read_revision = revision;
 	feed->has_roster = true;
 	feed->roster_changed = true;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -18,9 +18,13 @@
 #define REMEMBER_REMOVED_US ((int64_t)120 * 1000000)
 
 struct skh_roster_builder {
-	GHashTable *servers;   /* id -> skh_server_t */
-	GHashTable *removed;   /* id -> removed_server_t */
-	bool checks_for_older; /* the store came back from a copy */
+	GHashTable *servers; /* id -> skh_server_t */
+	GHashTable *removed; /* id -> removed_server_t */
+	/*
+	 * Entries up to this revision may be of the copy that the store came back from; 0 if it never
+	 * did, INT64_MAX until all entries were read since.
+	 */
+	int64_t copy_revision;
 };
 
 void skh_server_free(skh_server_t *server)
@@ -83,7 +87,13 @@
 
 void skh_roster_builder_begin_era(skh_roster_builder_t *builder)
 {
-	builder->checks_for_older = true;
+	builder->copy_revision = INT64_MAX;
+}
+
+void skh_roster_builder_end_copy(skh_roster_builder_t *builder, int64_t revision)
+{
+	if (builder->copy_revision == INT64_MAX)
+		builder->copy_revision = revision;
 }
 
 /* Whether the entry was written before the one that is, or was, known of the same instance. */
@@ -92,7 +102,7 @@
 {
 	const removed_server_t *removed = g_hash_table_lookup(builder->removed, server->id);
 
-	if (!builder->checks_for_older)
+	if (builder->copy_revision == 0 || server->revision > builder->copy_revision)
 		return false;
 	if (old)
 		return server->started_unix_ms < old->started_unix_ms ||
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -66,6 +66,15 @@
  */
 void skh_roster_builder_begin_era(skh_roster_builder_t *builder);
 
+/**
+ * skh_roster_builder_end_copy() - all entries were read once since the store came back
+ * @revision: of the store when that read began
+ *
+ * Entries with a later revision were written since, so they are not compared with what was read
+ * before. No effect after the first read of an era, or if the store never came back from a copy.
+ */
+void skh_roster_builder_end_copy(skh_roster_builder_t *builder, int64_t revision);
+
 /**
  * skh_roster_builder_put() - adds @server or replaces the one with its id
  * @server: ownership passes to the function
--- a/test/gateway_core_test.cc
+++ b/test/gateway_core_test.cc
@@ -524,6 +524,47 @@
 	skh_roster_builder_free(builder);
 }
 
+// A start in the future, in an entry of another writer, kept the server's own entries out for good.
+TEST(Roster, WhatIsWrittenAfterTheStoreCameBackCounts)
+{
+	skh_roster_builder_t *builder = skh_roster_builder_new();
+	const auto put = [builder](const char *id, int64_t started_ms, int64_t sequence,
+				   int64_t revision) {
+		skh_server_t *server = make_server(id);
+
+		server->started_unix_ms = started_ms;
+		server->sequence = sequence;
+		server->revision = revision;
+		return skh_roster_builder_put(builder, server);
+	};
+	const auto started_ms = [builder](const char *id) {
+		skh_roster_t *roster = skh_roster_builder_snapshot(builder, 1);
+		int64_t result = skh_roster_find(roster, id)->started_unix_ms;
+
+		skh_roster_free(roster);
+		return result;
+	};
+
+	for (const char *id : { "listed", "removed" })
+		(void)put(id, 9000000000000, 5, 400);
+	(void)skh_roster_builder_remove(builder, "removed", 0, kS);
+	skh_roster_builder_begin_era(builder);
+	// The copy has the revisions up to 300, which may be read again.
+	EXPECT_FALSE(put("listed", 1000, 6, 280));
+	skh_roster_builder_end_copy(builder, 300);
+	EXPECT_FALSE(put("listed", 1000, 7, 300));
+	EXPECT_FALSE(put("removed", 1000, 7, 290));
+	EXPECT_EQ(started_ms("listed"), 9000000000000);
+	for (const char *id : { "listed", "removed" }) {
+		EXPECT_TRUE(put(id, 1000, 8, 301));
+		EXPECT_EQ(started_ms(id), 1000);
+	}
+	// The next copy has what was written before, too.
+	skh_roster_builder_begin_era(builder);
+	EXPECT_FALSE(put("listed", 1000, 7, 302));
+	skh_roster_builder_free(builder);
+}
+
 // Entries lapse while the store is away; the copy lists a server, so it is kept.
 TEST(Roster, AServerThatAnOlderEntryListsIsNotRemoved)
 {
