Forget gateways that a full read of the store does not list

Cause: a gateway that ended while the store's history was not available stayed in the list of the others for good, as a full read only added. They left it its part of budgets and of the servers' capacity.

Change: a full read removes what it does not list.

Test: Feed.AGatewayThatEndedInAGapOfTheHistoryIsForgotten fails on the code before.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -441,6 +441,26 @@
 		feed->roster_changed = true;
 }
 
+static gboolean is_unlisted(gpointer id, gpointer address, gpointer ids)
+{
+	(void)address;
+	return !g_hash_table_contains(ids, id);
+}
+
+/* A full read does not show which gateways have ended since the last poll. */
+static void remove_unlisted_gateways(skh_feed_t *feed, const skh_kv_pairs_t *pairs)
+{
+	size_t prefix_len = strlen(feed->options.gateways_prefix);
+	g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < pairs->count; i++)
+		(void)g_hash_table_add(ids, pairs->list[i].key + prefix_len);
+	g_mutex_lock(&feed->lock);
+	if (g_hash_table_foreach_remove(feed->gateways, is_unlisted, ids) > 0)
+		feed->gateway_changes++;
+	g_mutex_unlock(&feed->lock);
+}
+
 /* Called before a full read, which can't show which notices were deleted since the last poll. */
 static void clear_rank_notices(skh_feed_t *feed)
 {
@@ -542,6 +562,7 @@
 	skh_kv_pairs_clear(&servers);
 	if (!read_prefix(feed, feed->options.gateways_prefix, &gateways, err))
 		return false;
+	remove_unlisted_gateways(feed, &gateways);
 	skh_kv_pairs_clear(&gateways);
 	clear_rank_notices(feed);
 	if (!read_prefix(feed, SKH_SLOW_RANKS_PREFIX, &notices, err))
--- a/test/feed_test.cc
+++ b/test/feed_test.cc
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -280,6 +281,41 @@
 	EXPECT_EQ(g_array_index(records, skh_crash_record_t, 0).crash, 2U);
 }
 
+// A gateway that ended while its deletion could not be read stayed in the list for good, and the others
+// left it a part of their budgets.
+TEST_F(Feed, AGatewayThatEndedInAGapOfTheHistoryIsForgotten)
+{
+	uint64_t last_change = 0;
+	const auto wait_for_gateways = [&](guint expected) {
+		int64_t ends_us = skh_clock_boot_us() + 3000 * kMs;
+		guint n = 0;
+
+		while (skh_clock_boot_us() < ends_us) {
+			g_autoptr(GPtrArray) gateways = skh_feed_get_gateways(feed, &last_change);
+
+			n = gateways ? gateways->len : n;
+			if (gateways && n == expected)
+				return true;
+			usleep(5 * kMs);
+		}
+		return false;
+	};
+
+	for (const std::set<std::string> &listed :
+	     { std::set<std::string>{ "x", "y" }, std::set<std::string>{ "y" } }) {
+		{
+			std::lock_guard<std::mutex> guard(store.lock);
+
+			store.values.erase("gateways/x");
+			for (const std::string &id : listed)
+				store.values["gateways/" + id].value = "10.0.0.1:80";
+			store.revision++;
+		}
+		store.forget_history();
+		EXPECT_TRUE(wait_for_gateways(static_cast<guint>(listed.size())));
+	}
+}
+
 TEST_F(Feed, AServerDeletedFromAQuietStoreGetsNoGracePeriod)
 {
 	while (store.quiet_polls < kQuietPolls || !store.is_polled)
