Keep any number of failure domains

Found by reading, among marks that are never taken back.

Cause: the table of domains had 64 places, and one that is back in service kept its place. After 64 names a further domain could not go out of service, and nothing was logged.

Change: the table grows. Its entries are what operators have written.

Test: DomainStatus.AnyNumberOfDomainsThatWereOutLeavesRoomForAnother fails on the code before from the 65th domain on.

--- a/src/gateway/domain_status.c
+++ b/src/gateway/domain_status.c
@@ -20,8 +20,7 @@
 } domain_t;
 
 struct skh_domain_status {
-	domain_t domains[SKH_DOMAIN_STATUS_MAX];
-	size_t n_domains;
+	GPtrArray *domains;	/* domain_t; the known ones, also those that are back */
 	uint64_t read_number;	/* counts complete reads */
 	int64_t era;		/* newest era of a complete read */
 	int64_t era_revision;	/* of that read */
@@ -42,11 +41,15 @@
 
 skh_domain_status_t *skh_domain_status_new(void)
 {
-	return g_new0(skh_domain_status_t, 1);
+	skh_domain_status_t *status = g_new0(skh_domain_status_t, 1);
+
+	status->domains = g_ptr_array_new_with_free_func(g_free);
+	return status;
 }
 
 void skh_domain_status_free(skh_domain_status_t *status)
 {
+	(void)g_ptr_array_free(status->domains, TRUE);
 	g_free(status);
 }
 
@@ -60,26 +63,32 @@
 	return status->bound_us > 0;
 }
 
-static const domain_t *find_domain(const skh_domain_status_t *status, uint64_t hash)
+static domain_t *get_domain(const skh_domain_status_t *status, size_t index)
 {
-	for (size_t i = 0; i < status->n_domains; i++) {
-		if (status->domains[i].statement.domain == hash)
-			return &status->domains[i];
+	return g_ptr_array_index(status->domains, index);
+}
+
+static domain_t *find_domain(const skh_domain_status_t *status, uint64_t hash)
+{
+	for (size_t i = 0; i < status->domains->len; i++) {
+		if (get_domain(status, i)->statement.domain == hash)
+			return get_domain(status, i);
 	}
 	return NULL;
 }
 
 static domain_t *find_or_add_domain(skh_domain_status_t *status, uint64_t hash)
 {
-	domain_t *domain = (domain_t *)find_domain(status, hash);
+	domain_t *domain = find_domain(status, hash);
 
-	if (domain || status->n_domains == SKH_DOMAIN_STATUS_MAX)
+	if (domain)
 		return domain;
-	domain = &status->domains[status->n_domains++];
+	domain = g_new(domain_t, 1);
 	*domain = (domain_t){ .statement = { .kind = SKH_DOMAIN_NEWS_BACK,
 					     .domain = hash,
 					     .era = -1,
 					     .revision = -1 } };
+	g_ptr_array_add(status->domains, domain);
 	return domain;
 }
 
@@ -105,8 +114,6 @@
 	domain_t *domain = find_or_add_domain(status, news->domain);
 	bool has_changed;
 
-	if (!domain)
-		return false;
 	if (news->kind == SKH_DOMAIN_NEWS_OUT && news->era == status->era)
 		domain->read_number = status->read_number;
 	if (!is_newer(news, &domain->statement))
@@ -132,8 +139,8 @@
 	status->era = news->era;
 	status->era_revision = news->revision;
 	status->is_read_completed = true;
-	for (size_t i = 0; i < status->n_domains; i++) {
-		domain_t *domain = &status->domains[i];
+	for (size_t i = 0; i < status->domains->len; i++) {
+		domain_t *domain = get_domain(status, i);
 
 		if (domain->statement.kind != SKH_DOMAIN_NEWS_OUT ||
 		    !is_newer(news, &domain->statement))
@@ -190,8 +197,8 @@
 
 	detect_pause(status, now_us);
 	status->last_tick_us = now_us;
-	for (size_t i = 0; i < status->n_domains; i++) {
-		domain_t *domain = &status->domains[i];
+	for (size_t i = 0; i < status->domains->len; i++) {
+		domain_t *domain = get_domain(status, i);
 
 		if (domain->expires_us == 0 || now_us < domain->expires_us)
 			continue;
@@ -240,7 +247,7 @@
 size_t skh_domain_status_list(const skh_domain_status_t *status, skh_domain_news_t *list,
 			      size_t max)
 {
-	for (size_t i = 0; i < MIN(status->n_domains, max); i++)
-		list[i] = status->domains[i].statement;
-	return status->n_domains;
+	for (size_t i = 0; i < MIN(status->domains->len, max); i++)
+		list[i] = get_domain(status, i)->statement;
+	return status->domains->len;
 }
--- a/src/gateway/domain_status.h
+++ b/src/gateway/domain_status.h
@@ -34,9 +34,7 @@
  * After the store has come back from an older copy, which may lack the key of a domain that is out
  * of service, the domain stays out for this long, so that operators can write the key again.
  */
-#define SKH_DOMAIN_STATUS_KEEP_US ((int64_t)10 * 1000000)
-/* Most domains that are known at a time; further ones are ignored. */
-#define SKH_DOMAIN_STATUS_MAX	    64
+#define SKH_DOMAIN_STATUS_KEEP_US   ((int64_t)10 * 1000000)
 #define SKH_DOMAIN_STATUS_NAME_SIZE 64
 
 /** enum skh_domain_news_kind - kinds of news from the store and from other gateways */
--- a/test/domain_status_test.cc
+++ b/test/domain_status_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <vector>
@@ -82,6 +83,20 @@
 	EXPECT_TRUE(s.is_out(1));
 }
 
+// Domains that are back filled the table for good, and a further one could not go out of service.
+TEST(DomainStatus, AnyNumberOfDomainsThatWereOutLeavesRoomForAnother)
+{
+	Status s;
+
+	for (uint64_t domain = 1; domain <= 200; domain++) {
+		EXPECT_TRUE(s.out(domain, static_cast<int64_t>(10 * domain)));
+		EXPECT_TRUE(s.back(domain, static_cast<int64_t>(10 * domain + 1)));
+	}
+	EXPECT_TRUE(s.out(201, 3000));
+	EXPECT_TRUE(s.is_out(201));
+	EXPECT_FALSE(s.out(1, 10)) << "late news";
+}
+
 TEST(DomainStatus, ACompleteReadBringsBackWhatItDoesNotList)
 {
 	Status s;
@@ -326,7 +341,7 @@
 	}
 	void report(Gateway &gateway)
 	{
-		skh_domain_news_t list[SKH_DOMAIN_STATUS_MAX];
+		skh_domain_news_t list[64];
 		Report report = { now_ + between(1, 400) * kMs,
 				  skh_domain_status_read_as_of_us(gateway.status),
 				  now_,
@@ -335,8 +350,8 @@
 		if (now_ < gateway.next_report)
 			return;
 		gateway.next_report = now_ + kReport;
-		report.domains.assign(list, list + skh_domain_status_list(gateway.status, list,
-									  SKH_DOMAIN_STATUS_MAX));
+		report.domains.assign(
+			list, list + skh_domain_status_list(gateway.status, list, std::size(list)));
 		for (auto &other : gateways_) {
 			if (&other == &gateway || between(0, 4) == 0)
 				continue;
