Drop a rank's slowdown when its notice can't be read

Cause: a slowdown out of range left the rank with the value of an earlier notice, which no longer stands.

Change: it counts as none, and is logged as before.

Test: Backends.SlowdownsAreMatchedByAddress, with a value out of range, fails on the code before (4.5 instead of 1).

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -271,7 +271,7 @@
 	if (!(slowdown > 0.0 && slowdown <= SKH_ENGINE_MAX_SLOWDOWN)) {
 		skh_log(SKH_LOG_WARNING, PART, "Slowdown of a rank is out of range and ignored.",
 			"server=%s value=%g", target->server->id, slowdown);
-		return;
+		slowdown = 1.0;
 	}
 	if (slowdown != target->slowdown)
 		skh_log(SKH_LOG_INFO, PART, "Slowdown of a rank changed.", "server=%s pace=%.1f",
--- a/test/backends_test.cc
+++ b/test/backends_test.cc
@@ -336,6 +336,10 @@
 	t.add_to_list("b", "10.0.0.2", 1);
 	EXPECT_EQ(skh_backends_find_target(t.backends, "a")->slowdown, 1.0);
 	EXPECT_EQ(skh_backends_find_target(t.backends, "b")->slowdown, 4.5);
+	// What an earlier notice said does not outlive it.
+	skh_backends_set_slowdowns(t.backends, "10.0.0.2:80 -7\n");
+	EXPECT_EQ(skh_backends_find_target(t.backends, "b")->slowdown, 1.0);
+	skh_backends_set_slowdowns(t.backends, "10.0.0.2:80 2.5\n");
 	skh_backends_set_slowdowns(t.backends, "");
 	EXPECT_EQ(skh_backends_find_target(t.backends, "b")->slowdown, 1.0);
 }
