--- a/test/store_kv_test.cc
+++ b/test/store_kv_test.cc
@@ -10,15 +10,19 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace
 {
 
-// Answers one request with the JSON document and closes the connection.
+// Answers a request with each JSON document and closes its connection.
 class OneResponse
 {
       public:
-	explicit OneResponse(const std::string &json)
+	explicit OneResponse(const std::string &json) : OneResponse(std::vector{ json })
+	{
+	}
+	explicit OneResponse(const std::vector<std::string> &documents)
 	{
 		sockaddr_in bound = {};
 		socklen_t len = sizeof(bound);
@@ -30,17 +34,9 @@
 		EXPECT_EQ(listen(listener, 1), 0);
 		EXPECT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &len), 0);
 		endpoint = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
-		server = std::thread([this, json] {
-			const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
-						 std::to_string(json.size()) +
-						 "\r\nConnection: close\r\n\r\n" + json;
-			int peer = accept(listener, nullptr, nullptr);
-			char request[4096];
-
-			EXPECT_GT(recv(peer, request, sizeof(request), 0), 0);
-			EXPECT_EQ(send(peer, text.data(), text.size(), 0),
-				  static_cast<ssize_t>(text.size()));
-			close(peer);
+		server = std::thread([this, documents] {
+			for (const std::string &json : documents)
+				respond(json);
 		});
 	}
 	~OneResponse()
@@ -52,8 +48,27 @@
 	OneResponse &operator=(const OneResponse &) = delete;
 
 	std::string endpoint;
+	std::vector<std::string> targets; // of the requests; to be read once all were answered
 
       private:
+	void respond(const std::string &json)
+	{
+		const std::string text =
+			"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(json.size()) +
+			"\r\nConnection: close\r\n\r\n" + json;
+		int peer = accept(listener, nullptr, nullptr);
+		char request[4096];
+		ssize_t n = recv(peer, request, sizeof(request), 0);
+
+		EXPECT_GT(n, 0);
+		const std::string head(request, static_cast<size_t>(n > 0 ? n : 0));
+
+		targets.push_back(head.substr(4, head.find(" HTTP") - 4));
+		EXPECT_EQ(send(peer, text.data(), text.size(), 0),
+			  static_cast<ssize_t>(text.size()));
+		close(peer);
+	}
+
 	int listener;
 	std::thread server;
 };
@@ -90,6 +105,29 @@
 	store->ops->close(store);
 }
 
+// A page without a usable entry used to end the list, and all servers behind it were missing.
+TEST(StoreKv, PagesBehindEntriesOfOtherWritersAreRead)
+{
+	OneResponse response(std::vector<std::string>{
+		R"({"current-rev":9,"truncated":true,"items":[{"key":"servers/a\u0000/b c"}]})",
+		R"({"current-rev":9,"truncated":true,"items":[{"key":"servers/b","value":"QQ=="},
+			{"key":"servers/c"}]})",
+		R"({"current-rev":9,"truncated":false,"items":[{"key":"servers/d","value":"QQ=="}]})" });
+	skh_store_t *store = open_store(response);
+	skh_kv_pairs_t pairs;
+	skh_error_t err = {};
+
+	ASSERT_TRUE(store->ops->range(store, "servers/", true, &pairs, &err)) << err.text;
+	ASSERT_EQ(pairs.count, 2U);
+	EXPECT_STREQ(pairs.list[0].key, "servers/b");
+	EXPECT_STREQ(pairs.list[1].key, "servers/d");
+	ASSERT_EQ(response.targets.size(), 3U);
+	EXPECT_EQ(response.targets[1], "/v1/kv-range?prefix=servers/&after=servers%2Fa%00%2Fb%20c");
+	EXPECT_EQ(response.targets[2], "/v1/kv-range?prefix=servers/&after=servers/c");
+	skh_kv_pairs_clear(&pairs);
+	store->ops->close(store);
+}
+
 TEST(StoreKv, ChangeOfAKeyWithAZeroByteLeavesTheOthersReadable)
 {
 	OneResponse response(R"({"current-rev":9,"events":[
