--- a/src/group/rankrelay.c
+++ b/src/group/rankrelay.c
@@ -267,12 +267,10 @@
 		return STATUS_BAD_REQUEST;
 	*engine = *message->engine ? g_strdup(message->engine) : NULL;
 	/* A retried order finds its map in the cache. */
-	if (!skh_wire_is_whole(&message->base, bytes.len))
+	if (message->op > SKH_ENGINE_RELEASE || !skh_wire_is_whole(&message->base, bytes.len))
 		status = STATUS_BAD_REQUEST;
 	else if (!*group || strcmp(message->group, group) != 0)
 		status = SKH_RANKRELAY_STATUS_OTHER_GROUP;
-	else if (message->op > SKH_ENGINE_RELEASE)
-		status = STATUS_BAD_REQUEST;
 	else if (message->op == SKH_ENGINE_PREPARE && !skh_map_cache_find(cache, message->version))
 		status = unpack_map(message, cache);
 	map = skh_map_cache_find(cache, message->version);
