Refuse registered instances whose ids don't fit a link

Cause: an entry's link keeps 256 bytes of a peer's id. The id of a longer one was cut, and its frames went to the peer that has the rest as its id.

--- a/src/entry/instances.c
+++ b/src/entry/instances.c
@@ -45,7 +45,9 @@
 	if (node)
 		skh_schema_read(node, "", 0, instance_schema, G_N_ELEMENTS(instance_schema),
 				&fields, errors);
-	is_valid = node && skh_validation_errors_count(errors) == 0;
+	/* A longer id is no ZeroMQ routing id; cut off, it could be that of another instance. */
+	is_valid = node && skh_validation_errors_count(errors) == 0 && *id &&
+		   strlen(id) <= MAX_TEXT_BYTES;
 	if (is_valid)
 		*instance = (skh_instance_t){ g_strdup(id),
 					      g_strdup(fields.role),
