--- a/src/link/wire.pb-c.c
+++ b/src/link/wire.pb-c.c
@@ -7,2019 +7,3230 @@
 #endif
 
 #include "wire.pb-c.h"
-void skh__frame__init(Skh__Frame *message)
+void   skh__frame__init
+                     (Skh__Frame         *message)
 {
-	static const Skh__Frame init_value = SKH__FRAME__INIT;
-	*message = init_value;
+  static const Skh__Frame init_value = SKH__FRAME__INIT;
+  *message = init_value;
 }
-size_t skh__frame__get_packed_size(const Skh__Frame *message)
+size_t skh__frame__get_packed_size
+                     (const Skh__Frame *message)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__frame__pack(const Skh__Frame *message, uint8_t *out)
+size_t skh__frame__pack
+                     (const Skh__Frame *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__frame__pack_to_buffer(const Skh__Frame *message, ProtobufCBuffer *buffer)
+size_t skh__frame__pack_to_buffer
+                     (const Skh__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Frame *skh__frame__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Frame *
+       skh__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Frame *)protobuf_c_message_unpack(&skh__frame__descriptor, allocator, len,
-						       data);
+  return (Skh__Frame *)
+     protobuf_c_message_unpack (&skh__frame__descriptor,
+                                allocator, len, data);
 }
-void skh__frame__free_unpacked(Skh__Frame *message, ProtobufCAllocator *allocator)
+void   skh__frame__free_unpacked
+                     (Skh__Frame *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__frame__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__hello__init(Skh__Hello *message)
+void   skh__hello__init
+                     (Skh__Hello         *message)
 {
-	static const Skh__Hello init_value = SKH__HELLO__INIT;
-	*message = init_value;
+  static const Skh__Hello init_value = SKH__HELLO__INIT;
+  *message = init_value;
 }
-size_t skh__hello__get_packed_size(const Skh__Hello *message)
+size_t skh__hello__get_packed_size
+                     (const Skh__Hello *message)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__hello__pack(const Skh__Hello *message, uint8_t *out)
+size_t skh__hello__pack
+                     (const Skh__Hello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__hello__pack_to_buffer(const Skh__Hello *message, ProtobufCBuffer *buffer)
+size_t skh__hello__pack_to_buffer
+                     (const Skh__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Hello *skh__hello__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Hello *
+       skh__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Hello *)protobuf_c_message_unpack(&skh__hello__descriptor, allocator, len,
-						       data);
+  return (Skh__Hello *)
+     protobuf_c_message_unpack (&skh__hello__descriptor,
+                                allocator, len, data);
 }
-void skh__hello__free_unpacked(Skh__Hello *message, ProtobufCAllocator *allocator)
+void   skh__hello__free_unpacked
+                     (Skh__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__status__init(Skh__Status *message)
+void   skh__status__init
+                     (Skh__Status         *message)
 {
-	static const Skh__Status init_value = SKH__STATUS__INIT;
-	*message = init_value;
+  static const Skh__Status init_value = SKH__STATUS__INIT;
+  *message = init_value;
 }
-size_t skh__status__get_packed_size(const Skh__Status *message)
+size_t skh__status__get_packed_size
+                     (const Skh__Status *message)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__status__pack(const Skh__Status *message, uint8_t *out)
+size_t skh__status__pack
+                     (const Skh__Status *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__status__pack_to_buffer(const Skh__Status *message, ProtobufCBuffer *buffer)
+size_t skh__status__pack_to_buffer
+                     (const Skh__Status *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__status__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Status *skh__status__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Status *
+       skh__status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Status *)protobuf_c_message_unpack(&skh__status__descriptor, allocator, len,
-							data);
+  return (Skh__Status *)
+     protobuf_c_message_unpack (&skh__status__descriptor,
+                                allocator, len, data);
 }
-void skh__status__free_unpacked(Skh__Status *message, ProtobufCAllocator *allocator)
+void   skh__status__free_unpacked
+                     (Skh__Status *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__status__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__start__init(Skh__Start *message)
+void   skh__start__init
+                     (Skh__Start         *message)
 {
-	static const Skh__Start init_value = SKH__START__INIT;
-	*message = init_value;
+  static const Skh__Start init_value = SKH__START__INIT;
+  *message = init_value;
 }
-size_t skh__start__get_packed_size(const Skh__Start *message)
+size_t skh__start__get_packed_size
+                     (const Skh__Start *message)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__start__pack(const Skh__Start *message, uint8_t *out)
+size_t skh__start__pack
+                     (const Skh__Start *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__start__pack_to_buffer(const Skh__Start *message, ProtobufCBuffer *buffer)
+size_t skh__start__pack_to_buffer
+                     (const Skh__Start *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__start__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Start *skh__start__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Start *
+       skh__start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Start *)protobuf_c_message_unpack(&skh__start__descriptor, allocator, len,
-						       data);
+  return (Skh__Start *)
+     protobuf_c_message_unpack (&skh__start__descriptor,
+                                allocator, len, data);
 }
-void skh__start__free_unpacked(Skh__Start *message, ProtobufCAllocator *allocator)
+void   skh__start__free_unpacked
+                     (Skh__Start *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__start__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__cancel__init(Skh__Cancel *message)
+void   skh__cancel__init
+                     (Skh__Cancel         *message)
 {
-	static const Skh__Cancel init_value = SKH__CANCEL__INIT;
-	*message = init_value;
+  static const Skh__Cancel init_value = SKH__CANCEL__INIT;
+  *message = init_value;
 }
-size_t skh__cancel__get_packed_size(const Skh__Cancel *message)
+size_t skh__cancel__get_packed_size
+                     (const Skh__Cancel *message)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__cancel__pack(const Skh__Cancel *message, uint8_t *out)
+size_t skh__cancel__pack
+                     (const Skh__Cancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__cancel__pack_to_buffer(const Skh__Cancel *message, ProtobufCBuffer *buffer)
+size_t skh__cancel__pack_to_buffer
+                     (const Skh__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Cancel *skh__cancel__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Cancel *
+       skh__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Cancel *)protobuf_c_message_unpack(&skh__cancel__descriptor, allocator, len,
-							data);
+  return (Skh__Cancel *)
+     protobuf_c_message_unpack (&skh__cancel__descriptor,
+                                allocator, len, data);
 }
-void skh__cancel__free_unpacked(Skh__Cancel *message, ProtobufCAllocator *allocator)
+void   skh__cancel__free_unpacked
+                     (Skh__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__credit__init(Skh__Credit *message)
+void   skh__credit__init
+                     (Skh__Credit         *message)
 {
-	static const Skh__Credit init_value = SKH__CREDIT__INIT;
-	*message = init_value;
+  static const Skh__Credit init_value = SKH__CREDIT__INIT;
+  *message = init_value;
 }
-size_t skh__credit__get_packed_size(const Skh__Credit *message)
+size_t skh__credit__get_packed_size
+                     (const Skh__Credit *message)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__credit__pack(const Skh__Credit *message, uint8_t *out)
+size_t skh__credit__pack
+                     (const Skh__Credit *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__credit__pack_to_buffer(const Skh__Credit *message, ProtobufCBuffer *buffer)
+size_t skh__credit__pack_to_buffer
+                     (const Skh__Credit *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Credit *skh__credit__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Credit *
+       skh__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Credit *)protobuf_c_message_unpack(&skh__credit__descriptor, allocator, len,
-							data);
+  return (Skh__Credit *)
+     protobuf_c_message_unpack (&skh__credit__descriptor,
+                                allocator, len, data);
 }
-void skh__credit__free_unpacked(Skh__Credit *message, ProtobufCAllocator *allocator)
+void   skh__credit__free_unpacked
+                     (Skh__Credit *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__credit__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__credit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__ask__init(Skh__Ask *message)
+void   skh__ask__init
+                     (Skh__Ask         *message)
 {
-	static const Skh__Ask init_value = SKH__ASK__INIT;
-	*message = init_value;
+  static const Skh__Ask init_value = SKH__ASK__INIT;
+  *message = init_value;
 }
-size_t skh__ask__get_packed_size(const Skh__Ask *message)
+size_t skh__ask__get_packed_size
+                     (const Skh__Ask *message)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__ask__pack(const Skh__Ask *message, uint8_t *out)
+size_t skh__ask__pack
+                     (const Skh__Ask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__ask__pack_to_buffer(const Skh__Ask *message, ProtobufCBuffer *buffer)
+size_t skh__ask__pack_to_buffer
+                     (const Skh__Ask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Ask *skh__ask__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Ask *
+       skh__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Ask *)protobuf_c_message_unpack(&skh__ask__descriptor, allocator, len, data);
+  return (Skh__Ask *)
+     protobuf_c_message_unpack (&skh__ask__descriptor,
+                                allocator, len, data);
 }
-void skh__ask__free_unpacked(Skh__Ask *message, ProtobufCAllocator *allocator)
+void   skh__ask__free_unpacked
+                     (Skh__Ask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__ask__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__started__init(Skh__Started *message)
+void   skh__started__init
+                     (Skh__Started         *message)
 {
-	static const Skh__Started init_value = SKH__STARTED__INIT;
-	*message = init_value;
+  static const Skh__Started init_value = SKH__STARTED__INIT;
+  *message = init_value;
 }
-size_t skh__started__get_packed_size(const Skh__Started *message)
+size_t skh__started__get_packed_size
+                     (const Skh__Started *message)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__started__pack(const Skh__Started *message, uint8_t *out)
+size_t skh__started__pack
+                     (const Skh__Started *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__started__pack_to_buffer(const Skh__Started *message, ProtobufCBuffer *buffer)
+size_t skh__started__pack_to_buffer
+                     (const Skh__Started *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__started__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__started__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Started *skh__started__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Started *
+       skh__started__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Started *)protobuf_c_message_unpack(&skh__started__descriptor, allocator, len,
-							 data);
+  return (Skh__Started *)
+     protobuf_c_message_unpack (&skh__started__descriptor,
+                                allocator, len, data);
 }
-void skh__started__free_unpacked(Skh__Started *message, ProtobufCAllocator *allocator)
+void   skh__started__free_unpacked
+                     (Skh__Started *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__started__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__started__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__data__init(Skh__Data *message)
+void   skh__data__init
+                     (Skh__Data         *message)
 {
-	static const Skh__Data init_value = SKH__DATA__INIT;
-	*message = init_value;
+  static const Skh__Data init_value = SKH__DATA__INIT;
+  *message = init_value;
 }
-size_t skh__data__get_packed_size(const Skh__Data *message)
+size_t skh__data__get_packed_size
+                     (const Skh__Data *message)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__data__pack(const Skh__Data *message, uint8_t *out)
+size_t skh__data__pack
+                     (const Skh__Data *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__data__pack_to_buffer(const Skh__Data *message, ProtobufCBuffer *buffer)
+size_t skh__data__pack_to_buffer
+                     (const Skh__Data *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__data__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__data__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Data *skh__data__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Data *
+       skh__data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Data *)protobuf_c_message_unpack(&skh__data__descriptor, allocator, len, data);
+  return (Skh__Data *)
+     protobuf_c_message_unpack (&skh__data__descriptor,
+                                allocator, len, data);
 }
-void skh__data__free_unpacked(Skh__Data *message, ProtobufCAllocator *allocator)
+void   skh__data__free_unpacked
+                     (Skh__Data *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__data__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__data__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__end__init(Skh__End *message)
+void   skh__end__init
+                     (Skh__End         *message)
 {
-	static const Skh__End init_value = SKH__END__INIT;
-	*message = init_value;
+  static const Skh__End init_value = SKH__END__INIT;
+  *message = init_value;
 }
-size_t skh__end__get_packed_size(const Skh__End *message)
+size_t skh__end__get_packed_size
+                     (const Skh__End *message)
 {
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__end__pack(const Skh__End *message, uint8_t *out)
+size_t skh__end__pack
+                     (const Skh__End *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__end__pack_to_buffer(const Skh__End *message, ProtobufCBuffer *buffer)
+size_t skh__end__pack_to_buffer
+                     (const Skh__End *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__end__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__End *skh__end__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__End *
+       skh__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__End *)protobuf_c_message_unpack(&skh__end__descriptor, allocator, len, data);
+  return (Skh__End *)
+     protobuf_c_message_unpack (&skh__end__descriptor,
+                                allocator, len, data);
 }
-void skh__end__free_unpacked(Skh__End *message, ProtobufCAllocator *allocator)
+void   skh__end__free_unpacked
+                     (Skh__End *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__end__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__refuse__init(Skh__Refuse *message)
+void   skh__refuse__init
+                     (Skh__Refuse         *message)
 {
-	static const Skh__Refuse init_value = SKH__REFUSE__INIT;
-	*message = init_value;
+  static const Skh__Refuse init_value = SKH__REFUSE__INIT;
+  *message = init_value;
 }
-size_t skh__refuse__get_packed_size(const Skh__Refuse *message)
+size_t skh__refuse__get_packed_size
+                     (const Skh__Refuse *message)
 {
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__refuse__pack(const Skh__Refuse *message, uint8_t *out)
+size_t skh__refuse__pack
+                     (const Skh__Refuse *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__refuse__pack_to_buffer(const Skh__Refuse *message, ProtobufCBuffer *buffer)
+size_t skh__refuse__pack_to_buffer
+                     (const Skh__Refuse *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Refuse *skh__refuse__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Refuse *
+       skh__refuse__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Refuse *)protobuf_c_message_unpack(&skh__refuse__descriptor, allocator, len,
-							data);
+  return (Skh__Refuse *)
+     protobuf_c_message_unpack (&skh__refuse__descriptor,
+                                allocator, len, data);
 }
-void skh__refuse__free_unpacked(Skh__Refuse *message, ProtobufCAllocator *allocator)
+void   skh__refuse__free_unpacked
+                     (Skh__Refuse *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__refuse__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__refuse__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__order__init(Skh__Order *message)
+void   skh__order__init
+                     (Skh__Order         *message)
 {
-	static const Skh__Order init_value = SKH__ORDER__INIT;
-	*message = init_value;
+  static const Skh__Order init_value = SKH__ORDER__INIT;
+  *message = init_value;
 }
-size_t skh__order__get_packed_size(const Skh__Order *message)
+size_t skh__order__get_packed_size
+                     (const Skh__Order *message)
 {
-	assert(message->base.descriptor == &skh__order__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__order__pack(const Skh__Order *message, uint8_t *out)
+size_t skh__order__pack
+                     (const Skh__Order *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__order__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__order__pack_to_buffer(const Skh__Order *message, ProtobufCBuffer *buffer)
+size_t skh__order__pack_to_buffer
+                     (const Skh__Order *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__order__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__Order *skh__order__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Skh__Order *
+       skh__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__Order *)protobuf_c_message_unpack(&skh__order__descriptor, allocator, len,
-						       data);
+  return (Skh__Order *)
+     protobuf_c_message_unpack (&skh__order__descriptor,
+                                allocator, len, data);
 }
-void skh__order__free_unpacked(Skh__Order *message, ProtobufCAllocator *allocator)
+void   skh__order__free_unpacked
+                     (Skh__Order *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__order__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__order_reply__init(Skh__OrderReply *message)
+void   skh__order_reply__init
+                     (Skh__OrderReply         *message)
 {
-	static const Skh__OrderReply init_value = SKH__ORDER_REPLY__INIT;
-	*message = init_value;
+  static const Skh__OrderReply init_value = SKH__ORDER_REPLY__INIT;
+  *message = init_value;
 }
-size_t skh__order_reply__get_packed_size(const Skh__OrderReply *message)
+size_t skh__order_reply__get_packed_size
+                     (const Skh__OrderReply *message)
 {
-	assert(message->base.descriptor == &skh__order_reply__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__order_reply__pack(const Skh__OrderReply *message, uint8_t *out)
+size_t skh__order_reply__pack
+                     (const Skh__OrderReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__order_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__order_reply__pack_to_buffer(const Skh__OrderReply *message, ProtobufCBuffer *buffer)
+size_t skh__order_reply__pack_to_buffer
+                     (const Skh__OrderReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__order_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__OrderReply *skh__order_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-					  const uint8_t *data)
+Skh__OrderReply *
+       skh__order_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__OrderReply *)protobuf_c_message_unpack(&skh__order_reply__descriptor,
-							    allocator, len, data);
+  return (Skh__OrderReply *)
+     protobuf_c_message_unpack (&skh__order_reply__descriptor,
+                                allocator, len, data);
 }
-void skh__order_reply__free_unpacked(Skh__OrderReply *message, ProtobufCAllocator *allocator)
+void   skh__order_reply__free_unpacked
+                     (Skh__OrderReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__order_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__load_report__init(Skh__LoadReport *message)
+void   skh__load_report__init
+                     (Skh__LoadReport         *message)
 {
-	static const Skh__LoadReport init_value = SKH__LOAD_REPORT__INIT;
-	*message = init_value;
+  static const Skh__LoadReport init_value = SKH__LOAD_REPORT__INIT;
+  *message = init_value;
 }
-size_t skh__load_report__get_packed_size(const Skh__LoadReport *message)
+size_t skh__load_report__get_packed_size
+                     (const Skh__LoadReport *message)
 {
-	assert(message->base.descriptor == &skh__load_report__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__load_report__pack(const Skh__LoadReport *message, uint8_t *out)
+size_t skh__load_report__pack
+                     (const Skh__LoadReport *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__load_report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__load_report__pack_to_buffer(const Skh__LoadReport *message, ProtobufCBuffer *buffer)
+size_t skh__load_report__pack_to_buffer
+                     (const Skh__LoadReport *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__load_report__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__LoadReport *skh__load_report__unpack(ProtobufCAllocator *allocator, size_t len,
-					  const uint8_t *data)
+Skh__LoadReport *
+       skh__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__LoadReport *)protobuf_c_message_unpack(&skh__load_report__descriptor,
-							    allocator, len, data);
+  return (Skh__LoadReport *)
+     protobuf_c_message_unpack (&skh__load_report__descriptor,
+                                allocator, len, data);
 }
-void skh__load_report__free_unpacked(Skh__LoadReport *message, ProtobufCAllocator *allocator)
+void   skh__load_report__free_unpacked
+                     (Skh__LoadReport *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__load_report__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__load_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__rank_report__init(Skh__RankReport *message)
+void   skh__rank_report__init
+                     (Skh__RankReport         *message)
 {
-	static const Skh__RankReport init_value = SKH__RANK_REPORT__INIT;
-	*message = init_value;
+  static const Skh__RankReport init_value = SKH__RANK_REPORT__INIT;
+  *message = init_value;
 }
-size_t skh__rank_report__get_packed_size(const Skh__RankReport *message)
+size_t skh__rank_report__get_packed_size
+                     (const Skh__RankReport *message)
 {
-	assert(message->base.descriptor == &skh__rank_report__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__rank_report__pack(const Skh__RankReport *message, uint8_t *out)
+size_t skh__rank_report__pack
+                     (const Skh__RankReport *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__rank_report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__rank_report__pack_to_buffer(const Skh__RankReport *message, ProtobufCBuffer *buffer)
+size_t skh__rank_report__pack_to_buffer
+                     (const Skh__RankReport *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__rank_report__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__RankReport *skh__rank_report__unpack(ProtobufCAllocator *allocator, size_t len,
-					  const uint8_t *data)
+Skh__RankReport *
+       skh__rank_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__RankReport *)protobuf_c_message_unpack(&skh__rank_report__descriptor,
-							    allocator, len, data);
+  return (Skh__RankReport *)
+     protobuf_c_message_unpack (&skh__rank_report__descriptor,
+                                allocator, len, data);
 }
-void skh__rank_report__free_unpacked(Skh__RankReport *message, ProtobufCAllocator *allocator)
+void   skh__rank_report__free_unpacked
+                     (Skh__RankReport *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__rank_report__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__rank_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__rank_order__init(Skh__RankOrder *message)
+void   skh__rank_order__init
+                     (Skh__RankOrder         *message)
 {
-	static const Skh__RankOrder init_value = SKH__RANK_ORDER__INIT;
-	*message = init_value;
+  static const Skh__RankOrder init_value = SKH__RANK_ORDER__INIT;
+  *message = init_value;
 }
-size_t skh__rank_order__get_packed_size(const Skh__RankOrder *message)
+size_t skh__rank_order__get_packed_size
+                     (const Skh__RankOrder *message)
 {
-	assert(message->base.descriptor == &skh__rank_order__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t skh__rank_order__pack(const Skh__RankOrder *message, uint8_t *out)
+size_t skh__rank_order__pack
+                     (const Skh__RankOrder *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &skh__rank_order__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t skh__rank_order__pack_to_buffer(const Skh__RankOrder *message, ProtobufCBuffer *buffer)
+size_t skh__rank_order__pack_to_buffer
+                     (const Skh__RankOrder *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &skh__rank_order__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Skh__RankOrder *skh__rank_order__unpack(ProtobufCAllocator *allocator, size_t len,
-					const uint8_t *data)
+Skh__RankOrder *
+       skh__rank_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Skh__RankOrder *)protobuf_c_message_unpack(&skh__rank_order__descriptor, allocator,
-							   len, data);
+  return (Skh__RankOrder *)
+     protobuf_c_message_unpack (&skh__rank_order__descriptor,
+                                allocator, len, data);
 }
-void skh__rank_order__free_unpacked(Skh__RankOrder *message, ProtobufCAllocator *allocator)
+void   skh__rank_order__free_unpacked
+                     (Skh__RankOrder *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__rank_order__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__rank_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void skh__order_batch__init(Skh__OrderBatch *message)
+void   skh__order_batch__init
+                     (Skh__OrderBatch         *message)
 {
-	static const Skh__OrderBatch init_value = SKH__ORDER_BATCH__INIT;
-	*message = init_value;
+  static const Skh__OrderBatch init_value = SKH__ORDER_BATCH__INIT;
+  *message = init_value;
 }
-size_t skh__order_batch__get_packed_size(const Skh__OrderBatch *message)
+size_t skh__order_batch__get_packed_size
+                     (const Skh__OrderBatch *message)
 {
-	assert(message->base.descriptor == &skh__order_batch__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t skh__order_batch__pack(const Skh__OrderBatch *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &skh__order_batch__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t skh__order_batch__pack_to_buffer(const Skh__OrderBatch *message, ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &skh__order_batch__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Skh__OrderBatch *skh__order_batch__unpack(ProtobufCAllocator *allocator, size_t len,
-					  const uint8_t *data)
-{
-	return (Skh__OrderBatch *)protobuf_c_message_unpack(&skh__order_batch__descriptor,
-							    allocator, len, data);
-}
-void skh__order_batch__free_unpacked(Skh__OrderBatch *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__order_batch__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-void skh__order_statuses__init(Skh__OrderStatuses *message)
-{
-	static const Skh__OrderStatuses init_value = SKH__ORDER_STATUSES__INIT;
-	*message = init_value;
-}
-size_t skh__order_statuses__get_packed_size(const Skh__OrderStatuses *message)
-{
-	assert(message->base.descriptor == &skh__order_statuses__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t skh__order_statuses__pack(const Skh__OrderStatuses *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &skh__order_statuses__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t skh__order_statuses__pack_to_buffer(const Skh__OrderStatuses *message,
-					   ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &skh__order_statuses__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Skh__OrderStatuses *skh__order_statuses__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
-{
-	return (Skh__OrderStatuses *)protobuf_c_message_unpack(&skh__order_statuses__descriptor,
-							       allocator, len, data);
-}
-void skh__order_statuses__free_unpacked(Skh__OrderStatuses *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &skh__order_statuses__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Frame, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Frame, revision), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"status", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Skh__Frame, status), &skh__status__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"hello", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, hello),
-		&skh__hello__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"start", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, start),
-		&skh__start__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cancel", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, cancel),
-		&skh__cancel__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"credit", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, credit),
-		&skh__credit__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"ask", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, ask), &skh__ask__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"order", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, order),
-		&skh__order__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"order_reply", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, order_reply),
-		&skh__order_reply__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"started", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, started),
-		&skh__started__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"data", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, data), &skh__data__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"end", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, end), &skh__end__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"refuse", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Skh__Frame, body_case), offsetof(Skh__Frame, refuse),
-		&skh__refuse__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  assert(message->base.descriptor == &skh__order_batch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__order_batch__pack
+                     (const Skh__OrderBatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__order_batch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__order_batch__pack_to_buffer
+                     (const Skh__OrderBatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__order_batch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__OrderBatch *
+       skh__order_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__OrderBatch *)
+     protobuf_c_message_unpack (&skh__order_batch__descriptor,
+                                allocator, len, data);
+}
+void   skh__order_batch__free_unpacked
+                     (Skh__OrderBatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order_batch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   skh__order_statuses__init
+                     (Skh__OrderStatuses         *message)
+{
+  static const Skh__OrderStatuses init_value = SKH__ORDER_STATUSES__INIT;
+  *message = init_value;
+}
+size_t skh__order_statuses__get_packed_size
+                     (const Skh__OrderStatuses *message)
+{
+  assert(message->base.descriptor == &skh__order_statuses__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t skh__order_statuses__pack
+                     (const Skh__OrderStatuses *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &skh__order_statuses__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t skh__order_statuses__pack_to_buffer
+                     (const Skh__OrderStatuses *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &skh__order_statuses__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Skh__OrderStatuses *
+       skh__order_statuses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Skh__OrderStatuses *)
+     protobuf_c_message_unpack (&skh__order_statuses__descriptor,
+                                allocator, len, data);
+}
+void   skh__order_statuses__free_unpacked
+                     (Skh__OrderStatuses *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &skh__order_statuses__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor skh__frame__field_descriptors[14] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Frame, status),
+    &skh__status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, hello),
+    &skh__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, start),
+    &skh__start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, cancel),
+    &skh__cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, credit),
+    &skh__credit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, ask),
+    &skh__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, order),
+    &skh__order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, order_reply),
+    &skh__order_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, started),
+    &skh__started__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, data),
+    &skh__data__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, end),
+    &skh__end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Skh__Frame, body_case),
+    offsetof(Skh__Frame, refuse),
+    &skh__refuse__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__frame__field_indices_by_name[] = {
-	7,  /* field[7] = ask */
-	5,  /* field[5] = cancel */
-	6,  /* field[6] = credit */
-	11, /* field[11] = data */
-	12, /* field[12] = end */
-	3,  /* field[3] = hello */
-	8,  /* field[8] = order */
-	9,  /* field[9] = order_reply */
-	13, /* field[13] = refuse */
-	1,  /* field[1] = revision */
-	4,  /* field[4] = start */
-	10, /* field[10] = started */
-	2,  /* field[2] = status */
-	0,  /* field[0] = version */
-};
-static const ProtobufCIntRange skh__frame__number_ranges[3 + 1] = {
-	{ 1, 0 }, { 10, 3 }, { 20, 10 }, { 0, 14 }
-};
-const ProtobufCMessageDescriptor skh__frame__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Frame",
-	"Frame",
-	"Skh__Frame",
-	"skh",
-	sizeof(Skh__Frame),
-	14,
-	skh__frame__field_descriptors,
-	skh__frame__field_indices_by_name,
-	3,
-	skh__frame__number_ranges,
-	(ProtobufCMessageInit)skh__frame__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__hello__field_descriptors[1] = {
-	{
-		"entry", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Hello, entry), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  7,   /* field[7] = ask */
+  5,   /* field[5] = cancel */
+  6,   /* field[6] = credit */
+  11,   /* field[11] = data */
+  12,   /* field[12] = end */
+  3,   /* field[3] = hello */
+  8,   /* field[8] = order */
+  9,   /* field[9] = order_reply */
+  13,   /* field[13] = refuse */
+  1,   /* field[1] = revision */
+  4,   /* field[4] = start */
+  10,   /* field[10] = started */
+  2,   /* field[2] = status */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange skh__frame__number_ranges[3 + 1] =
+{
+  { 1, 0 },
+  { 10, 3 },
+  { 20, 10 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor skh__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Frame",
+  "Frame",
+  "Skh__Frame",
+  "skh",
+  sizeof(Skh__Frame),
+  14,
+  skh__frame__field_descriptors,
+  skh__frame__field_indices_by_name,
+  3,  skh__frame__number_ranges,
+  (ProtobufCMessageInit) skh__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__hello__field_descriptors[1] =
+{
+  {
+    "entry",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Hello, entry),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__hello__field_indices_by_name[] = {
-	0, /* field[0] = entry */
-};
-static const ProtobufCIntRange skh__hello__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Hello",
-	"Hello",
-	"Skh__Hello",
-	"skh",
-	sizeof(Skh__Hello),
-	1,
-	skh__hello__field_descriptors,
-	skh__hello__field_indices_by_name,
-	1,
-	skh__hello__number_ranges,
-	(ProtobufCMessageInit)skh__hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__status__field_descriptors[12] = {
-	{
-		"incarnation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__Status, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"clock_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Status, clock_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"phase", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Status, phase), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failure_domain", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, failure_domain), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"running", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Status, running), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"queued", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Status, queued), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"capacity", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Status, capacity), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"group", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rank", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Status, rank), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"map_version", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__Status, map_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"admin", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Status, admin), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = entry */
+};
+static const ProtobufCIntRange skh__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Hello",
+  "Hello",
+  "Skh__Hello",
+  "skh",
+  sizeof(Skh__Hello),
+  1,
+  skh__hello__field_descriptors,
+  skh__hello__field_indices_by_name,
+  1,  skh__hello__number_ranges,
+  (ProtobufCMessageInit) skh__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__status__field_descriptors[12] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, map_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Status, admin),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__status__field_indices_by_name[] = {
-	11, /* field[11] = admin */
-	7,  /* field[7] = capacity */
-	1,  /* field[1] = clock_us */
-	4,  /* field[4] = failure_domain */
-	8,  /* field[8] = group */
-	0,  /* field[0] = incarnation */
-	10, /* field[10] = map_version */
-	2,  /* field[2] = phase */
-	6,  /* field[6] = queued */
-	9,  /* field[9] = rank */
-	5,  /* field[5] = running */
-	3,  /* field[3] = service */
-};
-static const ProtobufCIntRange skh__status__number_ranges[1 + 1] = { { 1, 0 }, { 0, 12 } };
-const ProtobufCMessageDescriptor skh__status__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Status",
-	"Status",
-	"Skh__Status",
-	"skh",
-	sizeof(Skh__Status),
-	12,
-	skh__status__field_descriptors,
-	skh__status__field_indices_by_name,
-	1,
-	skh__status__number_ranges,
-	(ProtobufCMessageInit)skh__status__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__start__field_descriptors[19] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Start, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"request", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, request), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__Start, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"start_before_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Skh__Start, start_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
-	{
-		"finish_before_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						       /* quantifier_offset */
-		offsetof(Skh__Start, finish_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"customer", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, customer), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"priority", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Start, priority), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"method", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, method), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"path", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Start, path), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"content_type", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, content_type), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"body", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__Start, body), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stream", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Start, stream), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"resume_from", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__Start, resume_from), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"idempotent", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__Start, idempotent), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Start, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"key", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Start, key), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"suspect", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Start, suspect), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"no_queue", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Start, no_queue), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"weight", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Start, weight), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
+  11,   /* field[11] = admin */
+  7,   /* field[7] = capacity */
+  1,   /* field[1] = clock_us */
+  4,   /* field[4] = failure_domain */
+  8,   /* field[8] = group */
+  0,   /* field[0] = incarnation */
+  10,   /* field[10] = map_version */
+  2,   /* field[2] = phase */
+  6,   /* field[6] = queued */
+  9,   /* field[9] = rank */
+  5,   /* field[5] = running */
+  3,   /* field[3] = service */
+};
+static const ProtobufCIntRange skh__status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor skh__status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Status",
+  "Status",
+  "Skh__Status",
+  "skh",
+  sizeof(Skh__Status),
+  12,
+  skh__status__field_descriptors,
+  skh__status__field_indices_by_name,
+  1,  skh__status__number_ranges,
+  (ProtobufCMessageInit) skh__status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__start__field_descriptors[19] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_before_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, start_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finish_before_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, finish_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resume_from",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, resume_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, suspect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_queue",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, no_queue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Start, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__start__field_indices_by_name[] = {
-	0,  /* field[0] = attempt */
-	10, /* field[10] = body */
-	9,  /* field[9] = content_type */
-	5,  /* field[5] = customer */
-	4,  /* field[4] = finish_before_us */
-	13, /* field[13] = idempotent */
-	2,  /* field[2] = incarnation */
-	15, /* field[15] = key */
-	7,  /* field[7] = method */
-	17, /* field[17] = no_queue */
-	8,  /* field[8] = path */
-	6,  /* field[6] = priority */
-	1,  /* field[1] = request */
-	12, /* field[12] = resume_from */
-	14, /* field[14] = service */
-	3,  /* field[3] = start_before_us */
-	11, /* field[11] = stream */
-	16, /* field[16] = suspect */
-	18, /* field[18] = weight */
-};
-static const ProtobufCIntRange skh__start__number_ranges[1 + 1] = { { 1, 0 }, { 0, 19 } };
-const ProtobufCMessageDescriptor skh__start__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Start",
-	"Start",
-	"Skh__Start",
-	"skh",
-	sizeof(Skh__Start),
-	19,
-	skh__start__field_descriptors,
-	skh__start__field_indices_by_name,
-	1,
-	skh__start__number_ranges,
-	(ProtobufCMessageInit)skh__start__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__cancel__field_descriptors[1] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Cancel, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  10,   /* field[10] = body */
+  9,   /* field[9] = content_type */
+  5,   /* field[5] = customer */
+  4,   /* field[4] = finish_before_us */
+  13,   /* field[13] = idempotent */
+  2,   /* field[2] = incarnation */
+  15,   /* field[15] = key */
+  7,   /* field[7] = method */
+  17,   /* field[17] = no_queue */
+  8,   /* field[8] = path */
+  6,   /* field[6] = priority */
+  1,   /* field[1] = request */
+  12,   /* field[12] = resume_from */
+  14,   /* field[14] = service */
+  3,   /* field[3] = start_before_us */
+  11,   /* field[11] = stream */
+  16,   /* field[16] = suspect */
+  18,   /* field[18] = weight */
+};
+static const ProtobufCIntRange skh__start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 19 }
+};
+const ProtobufCMessageDescriptor skh__start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Start",
+  "Start",
+  "Skh__Start",
+  "skh",
+  sizeof(Skh__Start),
+  19,
+  skh__start__field_descriptors,
+  skh__start__field_indices_by_name,
+  1,  skh__start__number_ranges,
+  (ProtobufCMessageInit) skh__start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__cancel__field_descriptors[1] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Cancel, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__cancel__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-};
-static const ProtobufCIntRange skh__cancel__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Cancel",
-	"Cancel",
-	"Skh__Cancel",
-	"skh",
-	sizeof(Skh__Cancel),
-	1,
-	skh__cancel__field_descriptors,
-	skh__cancel__field_indices_by_name,
-	1,
-	skh__cancel__number_ranges,
-	(ProtobufCMessageInit)skh__cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__credit__field_descriptors[2] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Credit, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Credit, bytes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+};
+static const ProtobufCIntRange skh__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Cancel",
+  "Cancel",
+  "Skh__Cancel",
+  "skh",
+  sizeof(Skh__Cancel),
+  1,
+  skh__cancel__field_descriptors,
+  skh__cancel__field_indices_by_name,
+  1,  skh__cancel__number_ranges,
+  (ProtobufCMessageInit) skh__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__credit__field_descriptors[2] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Credit, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Credit, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__credit__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	1, /* field[1] = bytes */
-};
-static const ProtobufCIntRange skh__credit__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor skh__credit__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Credit",
-	"Credit",
-	"Skh__Credit",
-	"skh",
-	sizeof(Skh__Credit),
-	2,
-	skh__credit__field_descriptors,
-	skh__credit__field_indices_by_name,
-	1,
-	skh__credit__number_ranges,
-	(ProtobufCMessageInit)skh__credit__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__ask__field_descriptors[3] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Ask, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"start_before_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__Ask, start_before_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Ask, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = bytes */
+};
+static const ProtobufCIntRange skh__credit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor skh__credit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Credit",
+  "Credit",
+  "Skh__Credit",
+  "skh",
+  sizeof(Skh__Credit),
+  2,
+  skh__credit__field_descriptors,
+  skh__credit__field_indices_by_name,
+  1,  skh__credit__number_ranges,
+  (ProtobufCMessageInit) skh__credit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__ask__field_descriptors[3] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_before_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, start_before_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Ask, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__ask__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	2, /* field[2] = incarnation */
-	1, /* field[1] = start_before_us */
-};
-static const ProtobufCIntRange skh__ask__number_ranges[1 + 1] = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor skh__ask__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Ask",
-	"Ask",
-	"Skh__Ask",
-	"skh",
-	sizeof(Skh__Ask),
-	3,
-	skh__ask__field_descriptors,
-	skh__ask__field_indices_by_name,
-	1,
-	skh__ask__number_ranges,
-	(ProtobufCMessageInit)skh__ask__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__started__field_descriptors[1] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						/* quantifier_offset */
-		offsetof(Skh__Started, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  2,   /* field[2] = incarnation */
+  1,   /* field[1] = start_before_us */
+};
+static const ProtobufCIntRange skh__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor skh__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Ask",
+  "Ask",
+  "Skh__Ask",
+  "skh",
+  sizeof(Skh__Ask),
+  3,
+  skh__ask__field_descriptors,
+  skh__ask__field_indices_by_name,
+  1,  skh__ask__number_ranges,
+  (ProtobufCMessageInit) skh__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__started__field_descriptors[1] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Started, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__started__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-};
-static const ProtobufCIntRange skh__started__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__started__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Started",
-	"Started",
-	"Skh__Started",
-	"skh",
-	sizeof(Skh__Started),
-	1,
-	skh__started__field_descriptors,
-	skh__started__field_indices_by_name,
-	1,
-	skh__started__number_ranges,
-	(ProtobufCMessageInit)skh__started__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__data__field_descriptors[6] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__Data, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"seq", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(Skh__Data, seq), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__Data, bytes), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"events", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Data, events), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"http_status", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__Data, http_status), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"content_type", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Data, content_type), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+};
+static const ProtobufCIntRange skh__started__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__started__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Started",
+  "Started",
+  "Skh__Started",
+  "skh",
+  sizeof(Skh__Started),
+  1,
+  skh__started__field_descriptors,
+  skh__started__field_indices_by_name,
+  1,  skh__started__number_ranges,
+  (ProtobufCMessageInit) skh__started__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__data__field_descriptors[6] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, http_status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Data, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__data__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	2, /* field[2] = bytes */
-	5, /* field[5] = content_type */
-	3, /* field[3] = events */
-	4, /* field[4] = http_status */
-	1, /* field[1] = seq */
-};
-static const ProtobufCIntRange skh__data__number_ranges[1 + 1] = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor skh__data__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Data",
-	"Data",
-	"Skh__Data",
-	"skh",
-	sizeof(Skh__Data),
-	6,
-	skh__data__field_descriptors,
-	skh__data__field_indices_by_name,
-	1,
-	skh__data__number_ranges,
-	(ProtobufCMessageInit)skh__data__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__end__field_descriptors[7] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__End, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"pieces", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					   /* quantifier_offset */
-		offsetof(Skh__End, pieces), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				   /* reserved1,reserved2, etc */
-	},
-	{
-		"whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(Skh__End, whole), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"kind", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__End, kind), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__End, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"replayed", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					     /* quantifier_offset */
-		offsetof(Skh__End, replayed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				     /* reserved1,reserved2, etc */
-	},
-	{
-		"crash", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					  /* quantifier_offset */
-		offsetof(Skh__End, crash), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				  /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  2,   /* field[2] = bytes */
+  5,   /* field[5] = content_type */
+  3,   /* field[3] = events */
+  4,   /* field[4] = http_status */
+  1,   /* field[1] = seq */
+};
+static const ProtobufCIntRange skh__data__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor skh__data__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Data",
+  "Data",
+  "Skh__Data",
+  "skh",
+  sizeof(Skh__Data),
+  6,
+  skh__data__field_descriptors,
+  skh__data__field_indices_by_name,
+  1,  skh__data__number_ranges,
+  (ProtobufCMessageInit) skh__data__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__end__field_descriptors[7] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replayed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, replayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__End, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__end__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	6, /* field[6] = crash */
-	3, /* field[3] = kind */
-	1, /* field[1] = pieces */
-	5, /* field[5] = replayed */
-	4, /* field[4] = text */
-	2, /* field[2] = whole */
-};
-static const ProtobufCIntRange skh__end__number_ranges[1 + 1] = { { 1, 0 }, { 0, 7 } };
-const ProtobufCMessageDescriptor skh__end__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.End",
-	"End",
-	"Skh__End",
-	"skh",
-	sizeof(Skh__End),
-	7,
-	skh__end__field_descriptors,
-	skh__end__field_indices_by_name,
-	1,
-	skh__end__number_ranges,
-	(ProtobufCMessageInit)skh__end__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__refuse__field_descriptors[4] = {
-	{
-		"attempt", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					       /* quantifier_offset */
-		offsetof(Skh__Refuse, attempt), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				       /* reserved1,reserved2, etc */
-	},
-	{
-		"kind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Refuse, kind), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Skh__Refuse, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"retry_after_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Skh__Refuse, retry_after_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  6,   /* field[6] = crash */
+  3,   /* field[3] = kind */
+  1,   /* field[1] = pieces */
+  5,   /* field[5] = replayed */
+  4,   /* field[4] = text */
+  2,   /* field[2] = whole */
+};
+static const ProtobufCIntRange skh__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor skh__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.End",
+  "End",
+  "Skh__End",
+  "skh",
+  sizeof(Skh__End),
+  7,
+  skh__end__field_descriptors,
+  skh__end__field_indices_by_name,
+  1,  skh__end__number_ranges,
+  (ProtobufCMessageInit) skh__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__refuse__field_descriptors[4] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Refuse, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__refuse__field_indices_by_name[] = {
-	0, /* field[0] = attempt */
-	1, /* field[1] = kind */
-	3, /* field[3] = retry_after_us */
-	2, /* field[2] = text */
-};
-static const ProtobufCIntRange skh__refuse__number_ranges[1 + 1] = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor skh__refuse__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Refuse",
-	"Refuse",
-	"Skh__Refuse",
-	"skh",
-	sizeof(Skh__Refuse),
-	4,
-	skh__refuse__field_descriptors,
-	skh__refuse__field_indices_by_name,
-	1,
-	skh__refuse__number_ranges,
-	(ProtobufCMessageInit)skh__refuse__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__order__field_descriptors[5] = {
-	{
-		"group", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Order, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					    /* quantifier_offset */
-		offsetof(Skh__Order, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				    /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__Order, step), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					      /* quantifier_offset */
-		offsetof(Skh__Order, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"placement", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__Order, placement), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = retry_after_us */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange skh__refuse__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor skh__refuse__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Refuse",
+  "Refuse",
+  "Skh__Refuse",
+  "skh",
+  sizeof(Skh__Refuse),
+  4,
+  skh__refuse__field_descriptors,
+  skh__refuse__field_indices_by_name,
+  1,  skh__refuse__number_ranges,
+  (ProtobufCMessageInit) skh__refuse__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__order__field_descriptors[5] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placement",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__Order, placement),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__order__field_indices_by_name[] = {
-	1, /* field[1] = fence */
-	0, /* field[0] = group */
-	4, /* field[4] = placement */
-	2, /* field[2] = step */
-	3, /* field[3] = version */
-};
-static const ProtobufCIntRange skh__order__number_ranges[1 + 1] = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor skh__order__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.Order",
-	"Order",
-	"Skh__Order",
-	"skh",
-	sizeof(Skh__Order),
-	5,
-	skh__order__field_descriptors,
-	skh__order__field_indices_by_name,
-	1,
-	skh__order__number_ranges,
-	(ProtobufCMessageInit)skh__order__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__order_reply__field_descriptors[8] = {
-	{
-		"group", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__OrderReply, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rank", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__OrderReply, rank), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__OrderReply, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__OrderReply, step), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__OrderReply, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"outcome", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__OrderReply, outcome), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"fence_seen", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						      /* quantifier_offset */
-		offsetof(Skh__OrderReply, fence_seen), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
-	{
-		"in_place", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__OrderReply, in_place), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = fence */
+  0,   /* field[0] = group */
+  4,   /* field[4] = placement */
+  2,   /* field[2] = step */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange skh__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor skh__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.Order",
+  "Order",
+  "Skh__Order",
+  "skh",
+  sizeof(Skh__Order),
+  5,
+  skh__order__field_descriptors,
+  skh__order__field_indices_by_name,
+  1,  skh__order__number_ranges,
+  (ProtobufCMessageInit) skh__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__order_reply__field_descriptors[8] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_seen",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, fence_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_place",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderReply, in_place),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__order_reply__field_indices_by_name[] = {
-	2, /* field[2] = fence */
-	6, /* field[6] = fence_seen */
-	0, /* field[0] = group */
-	7, /* field[7] = in_place */
-	5, /* field[5] = outcome */
-	1, /* field[1] = rank */
-	3, /* field[3] = step */
-	4, /* field[4] = version */
-};
-static const ProtobufCIntRange skh__order_reply__number_ranges[1 + 1] = { { 1, 0 }, { 0, 8 } };
-const ProtobufCMessageDescriptor skh__order_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.OrderReply",
-	"OrderReply",
-	"Skh__OrderReply",
-	"skh",
-	sizeof(Skh__OrderReply),
-	8,
-	skh__order_reply__field_descriptors,
-	skh__order_reply__field_indices_by_name,
-	1,
-	skh__order_reply__number_ranges,
-	(ProtobufCMessageInit)skh__order_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[26] = {
-	{
-		"sender", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__LoadReport, sender), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"number", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__LoadReport, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"servers", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Skh__LoadReport, n_servers), offsetof(Skh__LoadReport, servers), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"running", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__LoadReport, running), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"culprits", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Skh__LoadReport, n_culprits), offsetof(Skh__LoadReport, culprits), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"crashes", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Skh__LoadReport, n_crashes), offsetof(Skh__LoadReport, crashes), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"cleared", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Skh__LoadReport, n_cleared), offsetof(Skh__LoadReport, cleared), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"cleared_of", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Skh__LoadReport, n_cleared_of), offsetof(Skh__LoadReport, cleared_of),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"confirmed", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,						     /* quantifier_offset */
-		offsetof(Skh__LoadReport, confirmed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"survivals", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						     /* quantifier_offset */
-		offsetof(Skh__LoadReport, survivals), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"limited", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Skh__LoadReport, n_limited), offsetof(Skh__LoadReport, limited), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"limit_mhz", 12, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_limit_mhz), offsetof(Skh__LoadReport, limit_mhz), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"limit_age_ms", 13, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_limit_age_ms), offsetof(Skh__LoadReport, limit_age_ms),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"domains", 20, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Skh__LoadReport, n_domains), offsetof(Skh__LoadReport, domains), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"domains_out", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,						       /* quantifier_offset */
-		offsetof(Skh__LoadReport, domains_out), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"domain_eras", 22, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT64,
-		offsetof(Skh__LoadReport, n_domain_eras), offsetof(Skh__LoadReport, domain_eras),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"domain_revisions", 23, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT64,
-		offsetof(Skh__LoadReport, n_domain_revisions),
-		offsetof(Skh__LoadReport, domain_revisions), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"domains_age_ms", 24, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,							  /* quantifier_offset */
-		offsetof(Skh__LoadReport, domains_age_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cold", 25, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Skh__LoadReport, n_cold), offsetof(Skh__LoadReport, cold), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"cold_left_ms", 26, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_cold_left_ms), offsetof(Skh__LoadReport, cold_left_ms),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
-	{
-		"backlog_services", 30, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Skh__LoadReport, n_backlog_services),
-		offsetof(Skh__LoadReport, backlog_services), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"backlog", 31, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_backlog), offsetof(Skh__LoadReport, backlog), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"backlog_totals", 32, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_backlog_totals),
-		offsetof(Skh__LoadReport, backlog_totals), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"customers", 33, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Skh__LoadReport, n_customers), offsetof(Skh__LoadReport, customers), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"customers_waiting", 34, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__LoadReport, n_customers_waiting),
-		offsetof(Skh__LoadReport, customers_waiting), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"round_ms", 35, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__LoadReport, round_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = fence */
+  6,   /* field[6] = fence_seen */
+  0,   /* field[0] = group */
+  7,   /* field[7] = in_place */
+  5,   /* field[5] = outcome */
+  1,   /* field[1] = rank */
+  3,   /* field[3] = step */
+  4,   /* field[4] = version */
+};
+static const ProtobufCIntRange skh__order_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor skh__order_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.OrderReply",
+  "OrderReply",
+  "Skh__OrderReply",
+  "skh",
+  sizeof(Skh__OrderReply),
+  8,
+  skh__order_reply__field_descriptors,
+  skh__order_reply__field_indices_by_name,
+  1,  skh__order_reply__number_ranges,
+  (ProtobufCMessageInit) skh__order_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__load_report__field_descriptors[26] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_servers),
+    offsetof(Skh__LoadReport, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "culprits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_culprits),
+    offsetof(Skh__LoadReport, culprits),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_crashes),
+    offsetof(Skh__LoadReport, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_cleared),
+    offsetof(Skh__LoadReport, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_of",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_cleared_of),
+    offsetof(Skh__LoadReport, cleared_of),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "survivals",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, survivals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_limited),
+    offsetof(Skh__LoadReport, limited),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_mhz",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_limit_mhz),
+    offsetof(Skh__LoadReport, limit_mhz),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_limit_age_ms),
+    offsetof(Skh__LoadReport, limit_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Skh__LoadReport, n_domains),
+    offsetof(Skh__LoadReport, domains),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains_out",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, domains_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain_eras",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Skh__LoadReport, n_domain_eras),
+    offsetof(Skh__LoadReport, domain_eras),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain_revisions",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Skh__LoadReport, n_domain_revisions),
+    offsetof(Skh__LoadReport, domain_revisions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains_age_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, domains_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_cold),
+    offsetof(Skh__LoadReport, cold),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_cold_left_ms),
+    offsetof(Skh__LoadReport, cold_left_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog_services",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_backlog_services),
+    offsetof(Skh__LoadReport, backlog_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_backlog),
+    offsetof(Skh__LoadReport, backlog),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog_totals",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_backlog_totals),
+    offsetof(Skh__LoadReport, backlog_totals),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customers",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Skh__LoadReport, n_customers),
+    offsetof(Skh__LoadReport, customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customers_waiting",
+    34,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__LoadReport, n_customers_waiting),
+    offsetof(Skh__LoadReport, customers_waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round_ms",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__LoadReport, round_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__load_report__field_indices_by_name[] = {
-	21, /* field[21] = backlog */
-	20, /* field[20] = backlog_services */
-	22, /* field[22] = backlog_totals */
-	6,  /* field[6] = cleared */
-	7,  /* field[7] = cleared_of */
-	18, /* field[18] = cold */
-	19, /* field[19] = cold_left_ms */
-	8,  /* field[8] = confirmed */
-	5,  /* field[5] = crashes */
-	4,  /* field[4] = culprits */
-	23, /* field[23] = customers */
-	24, /* field[24] = customers_waiting */
-	15, /* field[15] = domain_eras */
-	16, /* field[16] = domain_revisions */
-	13, /* field[13] = domains */
-	17, /* field[17] = domains_age_ms */
-	14, /* field[14] = domains_out */
-	12, /* field[12] = limit_age_ms */
-	11, /* field[11] = limit_mhz */
-	10, /* field[10] = limited */
-	1,  /* field[1] = number */
-	25, /* field[25] = round_ms */
-	3,  /* field[3] = running */
-	0,  /* field[0] = sender */
-	2,  /* field[2] = servers */
-	9,  /* field[9] = survivals */
-};
-static const ProtobufCIntRange skh__load_report__number_ranges[3 + 1] = {
-	{ 1, 0 }, { 20, 13 }, { 30, 20 }, { 0, 26 }
-};
-const ProtobufCMessageDescriptor skh__load_report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.LoadReport",
-	"LoadReport",
-	"Skh__LoadReport",
-	"skh",
-	sizeof(Skh__LoadReport),
-	26,
-	skh__load_report__field_descriptors,
-	skh__load_report__field_indices_by_name,
-	3,
-	skh__load_report__number_ranges,
-	(ProtobufCMessageInit)skh__load_report__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[23] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankReport, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"engine", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankReport, engine), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rank", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, rank), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"size", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, size), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"open", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, open), NULL, NULL, 0,		   /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"epoch", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, epoch), NULL, NULL, 0,	     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"pass", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, pass), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"map_version", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						       /* quantifier_offset */
-		offsetof(Skh__RankReport, map_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"prepared", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__RankReport, prepared), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
-	{
-		"armed", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__RankReport, armed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"held", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankReport, held), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"number", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__RankReport, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"sender", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__RankReport, sender), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"counts", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__RankReport, counts), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"map", 15, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__RankReport, n_map), offsetof(Skh__RankReport, map), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"map_known", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						     /* quantifier_offset */
-		offsetof(Skh__RankReport, map_known), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"greatest_count", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,							  /* quantifier_offset */
-		offsetof(Skh__RankReport, greatest_count), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"n_counts", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						    /* quantifier_offset */
-		offsetof(Skh__RankReport, n_counts), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
-	{
-		"relay", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankReport, relay), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"from_pass", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						     /* quantifier_offset */
-		offsetof(Skh__RankReport, from_pass), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"to_pass", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__RankReport, to_pass), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"pace", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-		0,						/* quantifier_offset */
-		offsetof(Skh__RankReport, pace), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"group", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankReport, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  21,   /* field[21] = backlog */
+  20,   /* field[20] = backlog_services */
+  22,   /* field[22] = backlog_totals */
+  6,   /* field[6] = cleared */
+  7,   /* field[7] = cleared_of */
+  18,   /* field[18] = cold */
+  19,   /* field[19] = cold_left_ms */
+  8,   /* field[8] = confirmed */
+  5,   /* field[5] = crashes */
+  4,   /* field[4] = culprits */
+  23,   /* field[23] = customers */
+  24,   /* field[24] = customers_waiting */
+  15,   /* field[15] = domain_eras */
+  16,   /* field[16] = domain_revisions */
+  13,   /* field[13] = domains */
+  17,   /* field[17] = domains_age_ms */
+  14,   /* field[14] = domains_out */
+  12,   /* field[12] = limit_age_ms */
+  11,   /* field[11] = limit_mhz */
+  10,   /* field[10] = limited */
+  1,   /* field[1] = number */
+  25,   /* field[25] = round_ms */
+  3,   /* field[3] = running */
+  0,   /* field[0] = sender */
+  2,   /* field[2] = servers */
+  9,   /* field[9] = survivals */
+};
+static const ProtobufCIntRange skh__load_report__number_ranges[3 + 1] =
+{
+  { 1, 0 },
+  { 20, 13 },
+  { 30, 20 },
+  { 0, 26 }
+};
+const ProtobufCMessageDescriptor skh__load_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.LoadReport",
+  "LoadReport",
+  "Skh__LoadReport",
+  "skh",
+  sizeof(Skh__LoadReport),
+  26,
+  skh__load_report__field_descriptors,
+  skh__load_report__field_indices_by_name,
+  3,  skh__load_report__number_ranges,
+  (ProtobufCMessageInit) skh__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__rank_report__field_descriptors[23] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, map_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prepared",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, prepared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "armed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, armed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, counts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankReport, n_map),
+    offsetof(Skh__RankReport, map),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_known",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, map_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "greatest_count",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, greatest_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_counts",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, n_counts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, relay),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_pass",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, from_pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_pass",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, to_pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankReport, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_report__field_indices_by_name[] = {
-	9,  /* field[9] = armed */
-	13, /* field[13] = counts */
-	1,  /* field[1] = engine */
-	5,  /* field[5] = epoch */
-	19, /* field[19] = from_pass */
-	16, /* field[16] = greatest_count */
-	22, /* field[22] = group */
-	10, /* field[10] = held */
-	14, /* field[14] = map */
-	15, /* field[15] = map_known */
-	7,  /* field[7] = map_version */
-	17, /* field[17] = n_counts */
-	11, /* field[11] = number */
-	4,  /* field[4] = open */
-	21, /* field[21] = pace */
-	6,  /* field[6] = pass */
-	8,  /* field[8] = prepared */
-	2,  /* field[2] = rank */
-	18, /* field[18] = relay */
-	12, /* field[12] = sender */
-	0,  /* field[0] = service */
-	3,  /* field[3] = size */
-	20, /* field[20] = to_pass */
-};
-static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] = { { 1, 0 }, { 0, 23 } };
-const ProtobufCMessageDescriptor skh__rank_report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.RankReport",
-	"RankReport",
-	"Skh__RankReport",
-	"skh",
-	sizeof(Skh__RankReport),
-	23,
-	skh__rank_report__field_descriptors,
-	skh__rank_report__field_indices_by_name,
-	1,
-	skh__rank_report__number_ranges,
-	(ProtobufCMessageInit)skh__rank_report__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[16] = {
-	{
-		"op", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, op), NULL, NULL, 0,		   /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						  /* quantifier_offset */
-		offsetof(Skh__RankOrder, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"pass", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, pass), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"epoch", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, epoch), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, fence), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"sets", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, sets), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"ranks", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						/* quantifier_offset */
-		offsetof(Skh__RankOrder, ranks), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					/* reserved1,reserved2, etc */
-	},
-	{
-		"places", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,						 /* quantifier_offset */
-		offsetof(Skh__RankOrder, places), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					 /* reserved1,reserved2, etc */
-	},
-	{
-		"map", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, map), NULL, NULL, 0,		   /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"base_version", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						       /* quantifier_offset */
-		offsetof(Skh__RankOrder, base_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"changed", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__RankOrder, n_changed), offsetof(Skh__RankOrder, changed), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"experts", 12, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__RankOrder, n_experts), offsetof(Skh__RankOrder, experts), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"map_hash", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0,						   /* quantifier_offset */
-		offsetof(Skh__RankOrder, map_hash), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
-	{
-		"engine", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, engine), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"n_first_experts", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,							  /* quantifier_offset */
-		offsetof(Skh__RankOrder, n_first_experts), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"group", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Skh__RankOrder, group), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  9,   /* field[9] = armed */
+  13,   /* field[13] = counts */
+  1,   /* field[1] = engine */
+  5,   /* field[5] = epoch */
+  19,   /* field[19] = from_pass */
+  16,   /* field[16] = greatest_count */
+  22,   /* field[22] = group */
+  10,   /* field[10] = held */
+  14,   /* field[14] = map */
+  15,   /* field[15] = map_known */
+  7,   /* field[7] = map_version */
+  17,   /* field[17] = n_counts */
+  11,   /* field[11] = number */
+  4,   /* field[4] = open */
+  21,   /* field[21] = pace */
+  6,   /* field[6] = pass */
+  8,   /* field[8] = prepared */
+  2,   /* field[2] = rank */
+  18,   /* field[18] = relay */
+  12,   /* field[12] = sender */
+  0,   /* field[0] = service */
+  3,   /* field[3] = size */
+  20,   /* field[20] = to_pass */
+};
+static const ProtobufCIntRange skh__rank_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 23 }
+};
+const ProtobufCMessageDescriptor skh__rank_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.RankReport",
+  "RankReport",
+  "Skh__RankReport",
+  "skh",
+  sizeof(Skh__RankReport),
+  23,
+  skh__rank_report__field_descriptors,
+  skh__rank_report__field_indices_by_name,
+  1,  skh__rank_report__number_ranges,
+  (ProtobufCMessageInit) skh__rank_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__rank_order__field_descriptors[16] =
+{
+  {
+    "op",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, op),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, pass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sets",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, sets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranks",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, ranks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, places),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, map),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankOrder, n_changed),
+    offsetof(Skh__RankOrder, changed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "experts",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__RankOrder, n_experts),
+    offsetof(Skh__RankOrder, experts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map_hash",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, map_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_first_experts",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, n_first_experts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Skh__RankOrder, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__rank_order__field_indices_by_name[] = {
-	9,  /* field[9] = base_version */
-	10, /* field[10] = changed */
-	13, /* field[13] = engine */
-	3,  /* field[3] = epoch */
-	11, /* field[11] = experts */
-	4,  /* field[4] = fence */
-	15, /* field[15] = group */
-	8,  /* field[8] = map */
-	12, /* field[12] = map_hash */
-	14, /* field[14] = n_first_experts */
-	0,  /* field[0] = op */
-	2,  /* field[2] = pass */
-	7,  /* field[7] = places */
-	6,  /* field[6] = ranks */
-	5,  /* field[5] = sets */
-	1,  /* field[1] = version */
-};
-static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] = { { 1, 0 }, { 0, 16 } };
-const ProtobufCMessageDescriptor skh__rank_order__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.RankOrder",
-	"RankOrder",
-	"Skh__RankOrder",
-	"skh",
-	sizeof(Skh__RankOrder),
-	16,
-	skh__rank_order__field_descriptors,
-	skh__rank_order__field_indices_by_name,
-	1,
-	skh__rank_order__number_ranges,
-	(ProtobufCMessageInit)skh__rank_order__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__order_batch__field_descriptors[2] = {
-	{
-		"order", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(Skh__OrderBatch, order), NULL, NULL, 0,	     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"relays", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-		offsetof(Skh__OrderBatch, n_relays), offsetof(Skh__OrderBatch, relays), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
+  9,   /* field[9] = base_version */
+  10,   /* field[10] = changed */
+  13,   /* field[13] = engine */
+  3,   /* field[3] = epoch */
+  11,   /* field[11] = experts */
+  4,   /* field[4] = fence */
+  15,   /* field[15] = group */
+  8,   /* field[8] = map */
+  12,   /* field[12] = map_hash */
+  14,   /* field[14] = n_first_experts */
+  0,   /* field[0] = op */
+  2,   /* field[2] = pass */
+  7,   /* field[7] = places */
+  6,   /* field[6] = ranks */
+  5,   /* field[5] = sets */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange skh__rank_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor skh__rank_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.RankOrder",
+  "RankOrder",
+  "Skh__RankOrder",
+  "skh",
+  sizeof(Skh__RankOrder),
+  16,
+  skh__rank_order__field_descriptors,
+  skh__rank_order__field_indices_by_name,
+  1,  skh__rank_order__number_ranges,
+  (ProtobufCMessageInit) skh__rank_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__order_batch__field_descriptors[2] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Skh__OrderBatch, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relays",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Skh__OrderBatch, n_relays),
+    offsetof(Skh__OrderBatch, relays),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__order_batch__field_indices_by_name[] = {
-	0, /* field[0] = order */
-	1, /* field[1] = relays */
-};
-static const ProtobufCIntRange skh__order_batch__number_ranges[1 + 1] = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor skh__order_batch__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.OrderBatch",
-	"OrderBatch",
-	"Skh__OrderBatch",
-	"skh",
-	sizeof(Skh__OrderBatch),
-	2,
-	skh__order_batch__field_descriptors,
-	skh__order_batch__field_indices_by_name,
-	1,
-	skh__order_batch__number_ranges,
-	(ProtobufCMessageInit)skh__order_batch__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor skh__order_statuses__field_descriptors[1] = {
-	{
-		"statuses", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Skh__OrderStatuses, n_statuses), offsetof(Skh__OrderStatuses, statuses),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				      /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = order */
+  1,   /* field[1] = relays */
+};
+static const ProtobufCIntRange skh__order_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor skh__order_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.OrderBatch",
+  "OrderBatch",
+  "Skh__OrderBatch",
+  "skh",
+  sizeof(Skh__OrderBatch),
+  2,
+  skh__order_batch__field_descriptors,
+  skh__order_batch__field_indices_by_name,
+  1,  skh__order_batch__number_ranges,
+  (ProtobufCMessageInit) skh__order_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor skh__order_statuses__field_descriptors[1] =
+{
+  {
+    "statuses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Skh__OrderStatuses, n_statuses),
+    offsetof(Skh__OrderStatuses, statuses),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned skh__order_statuses__field_indices_by_name[] = {
-	0, /* field[0] = statuses */
-};
-static const ProtobufCIntRange skh__order_statuses__number_ranges[1 + 1] = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor skh__order_statuses__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"skh.OrderStatuses",
-	"OrderStatuses",
-	"Skh__OrderStatuses",
-	"skh",
-	sizeof(Skh__OrderStatuses),
-	1,
-	skh__order_statuses__field_descriptors,
-	skh__order_statuses__field_indices_by_name,
-	1,
-	skh__order_statuses__number_ranges,
-	(ProtobufCMessageInit)skh__order_statuses__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  0,   /* field[0] = statuses */
+};
+static const ProtobufCIntRange skh__order_statuses__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor skh__order_statuses__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "skh.OrderStatuses",
+  "OrderStatuses",
+  "Skh__OrderStatuses",
+  "skh",
+  sizeof(Skh__OrderStatuses),
+  1,
+  skh__order_statuses__field_descriptors,
+  skh__order_statuses__field_indices_by_name,
+  1,  skh__order_statuses__number_ranges,
+  (ProtobufCMessageInit) skh__order_statuses__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
